Add the workspace, the design page and the checked types

Cause: the repository is empty; several people work on it at once and need one set of interfaces. Conclusion: modules can be written against these traits in parallel.

--- /dev/null
+++ b/hemlocksaddle-adapters/src/lib.rs
@@ -0,0 +1,3 @@
+//! Adapters that connect the node's ports to sockets.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hemlocksaddle-daemon/src/lib.rs
@@ -0,0 +1,3 @@
+//! The node program.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hemlocksaddle-daemon/src/main.rs
@@ -0,0 +1,5 @@
+//! Placeholder.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/hemlocksaddle-fakes/src/lib.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins for the platform, for tests and examples.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/hemlocksaddle-node/src/lib.rs
@@ -0,0 +1,14 @@
+//! The node: ownership, configuration, jobs, racks and request routing.
+//!
+//! The node runs on one thread over the traits in [`ports`]. Shared state is in
+//! `Rc` with `Cell` or `RefCell`, and no borrow is held across an await.
+
+#![forbid(unsafe_code)]
+
+pub mod core;
+pub mod event;
+pub mod explain;
+pub mod invariant;
+pub mod metrics;
+pub mod ports;
+pub mod settings;
--- /dev/null
+++ b/hemlocksaddle-types/src/name.rs
@@ -0,0 +1,93 @@
+//! Names of things that operators and callers write.
+//!
+//! All names share one syntax (1 to 64 of `a-z A-Z 0-9 . _ -`, a letter or digit
+//! first), so that they are safe in URLs, stream names, metric labels and INI.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, ErrorKind, Result};
+
+/// Longest name in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+fn check(kind: &'static str, text: &str) -> Result<Arc<str>> {
+    let first = text.bytes().next();
+    let starts_well = first.is_some_and(|b| b.is_ascii_alphanumeric());
+    let rest_is_fine = text
+        .bytes()
+        .all(|b| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-'));
+    if starts_well && rest_is_fine && text.len() <= MAX_NAME_BYTES {
+        return Ok(Arc::from(text));
+    }
+    Err(Error::new(
+        ErrorKind::Name,
+        format!(
+            "{kind} {text:?} is not a name: 1 to {MAX_NAME_BYTES} of a-z A-Z 0-9 . _ -, a letter or digit first"
+        ),
+    ))
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident, $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "Arc<str>", into = "Arc<str>")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Text of the name.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = Error;
+            fn try_from(text: &str) -> Result<Self> {
+                check($kind, text).map(Self)
+            }
+        }
+
+        impl TryFrom<Arc<str>> for $name {
+            type Error = Error;
+            fn try_from(text: Arc<str>) -> Result<Self> {
+                check($kind, &text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for Arc<str> {
+            fn from(name: $name) -> Arc<str> {
+                name.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// Name of a node, stable across restarts and replacements of its host.
+    NodeName, "node";
+    /// Name of a data centre.
+    DataCentre, "data centre";
+    /// Name of a rack.
+    RackName, "rack";
+    /// Name of a worker.
+    WorkerName, "worker";
+    /// Name of an executor, unique within its service.
+    ExecutorName, "executor";
+    /// Name of a service.
+    ServiceName, "service";
+    /// Name of a team.
+    TeamName, "team";
+    /// Idempotency key of a request, unique within its service.
+    IdempotencyKey, "idempotency key";
+}
--- /dev/null
+++ b/hemlocksaddle-types/src/resources.rs
@@ -0,0 +1,68 @@
+//! Amounts of processors, memory and accelerators.
+
+use std::ops::{Add, AddAssign, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// Amount of a host's resources: demanded, committed or available.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory in MB.
+    pub memory_mb: u64,
+    /// Accelerators, whole devices.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// Whether this amount fits into `free` in every dimension.
+    #[must_use]
+    pub fn fits_in(&self, free: &Resources) -> bool {
+        self.cpu_milli <= free.cpu_milli
+            && self.memory_mb <= free.memory_mb
+            && self.accelerators <= free.accelerators
+    }
+
+    /// What remains after taking `used`; zero in a dimension that is exceeded.
+    #[must_use]
+    pub fn saturating_sub(&self, used: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_sub(used.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(used.memory_mb),
+            accelerators: self.accelerators.saturating_sub(used.accelerators),
+        }
+    }
+
+    /// Largest of both in each dimension.
+    #[must_use]
+    pub fn max(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+}
+
+impl Add for Resources {
+    type Output = Resources;
+    fn add(mut self, other: Resources) -> Resources {
+        self += other;
+        self
+    }
+}
+
+impl AddAssign for Resources {
+    fn add_assign(&mut self, other: Resources) {
+        self.cpu_milli += other.cpu_milli;
+        self.memory_mb += other.memory_mb;
+        self.accelerators += other.accelerators;
+    }
+}
+
+impl SubAssign for Resources {
+    fn sub_assign(&mut self, other: Resources) {
+        *self = self.saturating_sub(&other);
+    }
+}
