Add the Part trait and the frame of the node

Cause: queues, racks and requests are written at the same time as the core and need the interface by which the node starts and stops them.

--- a/hemlocksaddle-node/src/core.rs
+++ b/hemlocksaddle-node/src/core.rs
@@ -163,6 +163,14 @@
     fn fill_heartbeat(&self, heartbeat: &mut Heartbeat);
 }
 
+/// Part of the node that the assembly in `node` starts and stops.
+pub trait Part: Handler {
+    /// Starts the part's background tasks.
+    fn start(self: Rc<Self>);
+    /// Finishes what the part has accepted; completes when nothing of it is in progress.
+    fn stop(self: Rc<Self>) -> PortFuture<'static, ()>;
+}
+
 /// What every part of the node has at hand.
 pub struct Core {
     /// Ports.
--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -6,9 +6,12 @@
 #![forbid(unsafe_code)]
 
 pub mod core;
+pub mod env;
 pub mod event;
 pub mod explain;
 pub mod invariant;
 pub mod metrics;
+pub mod node;
 pub mod ports;
 pub mod settings;
+pub mod wait;
--- /dev/null
+++ b/hemlocksaddle-node/src/wait.rs
@@ -0,0 +1,69 @@
+//! Waiting on events and time limits, for tasks on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::{Future, poll_fn},
+    pin::pin,
+    task::{Poll, Waker},
+};
+
+use futures_util::future::{Either, select};
+use hemlocksaddle_types::clock::Millis;
+
+use crate::ports::Runtime;
+
+/// Counter of events that tasks can wait on.
+#[derive(Default)]
+pub struct Signal {
+    count: Cell<u64>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Signal {
+    /// Events so far.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.count.get()
+    }
+
+    /// Counts an event and wakes all waiting tasks.
+    pub fn notify(&self) {
+        self.count.set(self.count.get() + 1);
+        let wakers = self.wakers.take();
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    /// Completes once there were more events than `seen`.
+    pub async fn wait_past(&self, seen: u64) {
+        poll_fn(|context| {
+            if self.count.get() > seen {
+                return Poll::Ready(());
+            }
+            let mut wakers = self.wakers.borrow_mut();
+            // A task that is polled again without an event replaces its waker.
+            wakers.retain(|waker| !waker.will_wake(context.waker()));
+            wakers.push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// Runs a future for at most `span`; `None` if it did not end by then.
+pub async fn within<T>(
+    runtime: &dyn Runtime,
+    span: Millis,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let limit = runtime.sleep(span);
+    match select(pin!(future), limit).await {
+        Either::Left((value, _)) => Some(value),
+        Either::Right(_) => None,
+    }
+}
+
+/// Uniform random part of `span`, to keep nodes from acting in step.
+#[must_use]
+pub fn jitter(runtime: &dyn Runtime, span: Millis) -> Millis {
+    Millis(runtime.random() % span.0.max(1))
+}
