Count good and total requests per service for the burn report

Cause: each service document states an objective, and nothing counts against it. Conclusion: ready to be fed by the request path and read by the command line.

--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod burn;
 pub mod core;
 pub mod event;
 pub mod explain;
--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod burn;
 pub mod clock;
 pub mod document;
 pub mod error;
