Parse and check service documents

Cause: nodes must reach the same verdict on every published text, and an operator must see which key to change. Change: hemlocksaddle-types gets ini (strict sections and keys, also for settings) and TryFrom<Arc<str>> for Document. Repeated and unknown sections and keys are errors; text is bounded at 256 KiB and 1,024 executors. hemlocksaddle-types/src/lib.rs gains one module. Conclusion: 6 tests in tests/document.rs pass, among them three property tests (no text panics, no edit of a valid text panics, a rendered document parses back).

--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod document;
 pub mod error;
 pub mod host;
+pub mod ini;
 pub mod job;
 pub mod name;
 pub mod outcome;
--- /dev/null
+++ b/hemlocksaddle-types/tests/document.rs
@@ -0,0 +1,248 @@
+//! Service documents: what is accepted, what is refused, and with which words.
+
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use hemlocksaddle_types::{
+    document::{Document, MAX_EXECUTORS, MAX_TEXT_BYTES},
+    error::Error,
+};
+use proptest::prelude::*;
+
+const VALID: &str = "\
+[service]
+name = orders
+team = makers
+data_centres_out =
+[objective]
+latency_ms = 250
+success_percent = 99.9
+window_hours = 720
+[targets]
+slots = 8
+connections = 60
+max_deadline_ms = 10000
+executor.1 = khomas-a 127.0.0.1:7101
+[quota]
+cpu_milli = 400000
+memory_mb = 1500000
+accelerators = 0
+";
+
+fn parse(text: &str) -> std::result::Result<Document, Error> {
+    Document::try_from(Arc::from(text))
+}
+
+fn changed(from: &str, to: &str) -> String {
+    assert_that!(VALID, contains_substring(from));
+    VALID.replacen(from, to, 1)
+}
+
+/// Guards the format of the design page: each value must reach its field.
+#[googletest::test]
+fn the_documented_example_is_valid() {
+    let document = parse(VALID).expect("the example is valid");
+    expect_that!(document.service.as_str(), eq("orders"));
+    expect_that!(document.team.as_str(), eq("makers"));
+    expect_that!(document.data_centres_out.len(), eq(0));
+    expect_that!(document.objective.success_milli_percent, eq(99_900));
+    expect_that!(document.slots, eq(8));
+    expect_that!(document.max_deadline_ms.0, eq(10_000));
+    expect_that!(document.executors[0].name.as_str(), eq("1"));
+    expect_that!(document.executors[0].address.port(), eq(7_101));
+    expect_that!(document.quota.memory_mb, eq(1_500_000));
+    expect_that!(&*document.text, eq(VALID));
+}
+
+/// Guards against an operator's mistake that is accepted, or refused without saying where and why.
+#[googletest::test]
+fn mistakes_are_refused_with_section_key_value_and_what_is_allowed() {
+    let cases: &[(&str, &str, &[&str])] = &[
+        (
+            "name = orders",
+            "name = two words",
+            &["[service]", "name", "\"two words\"", "a-z"],
+        ),
+        ("team = makers\n", "", &["[service]", "team", "missing"]),
+        ("[quota]", "[quotas]", &["[quota]", "missing"]),
+        (
+            "[quota]",
+            "[extra]\n[quota]",
+            &["[extra]", "unknown", "objective, targets"],
+        ),
+        (
+            "[quota]",
+            "[service]\n[quota]",
+            &["[service]", "repeated", "once"],
+        ),
+        (
+            "slots = 8",
+            "slots = 8\nslots = 9",
+            &["[targets]", "slots", "\"9\"", "once"],
+        ),
+        (
+            "slots = 8",
+            "slots = 0",
+            &["[targets]", "slots", "\"0\"", "from 1 to 1024"],
+        ),
+        (
+            "slots = 8",
+            "slots = +8",
+            &["[targets]", "slots", "\"+8\"", "whole numbers"],
+        ),
+        ("slots = 8", "slot = 8", &["[targets]", "slots", "missing"]),
+        (
+            "slots = 8",
+            "slots = 8\nslot = 8",
+            &["[targets]", "\"slot\"", "unknown", "connections"],
+        ),
+        (
+            "connections = 60",
+            "connections = 7",
+            &["connections", "\"7\"", "from 8"],
+        ),
+        (
+            "99.9",
+            "100.001",
+            &[
+                "[objective]",
+                "success_percent",
+                "\"100.001\"",
+                "0.001 to 100",
+            ],
+        ),
+        (
+            "99.9",
+            "99.9999",
+            &["success_percent", "\"99.9999\"", "three decimals"],
+        ),
+        ("99.9", "0", &["success_percent", "\"0\"", "0.001"]),
+        (
+            "127.0.0.1:7101",
+            "localhost:7101",
+            &["[targets]", "executor.1", "localhost", "IP:PORT"],
+        ),
+        (
+            "127.0.0.1:7101",
+            "127.0.0.1:0",
+            &["executor.1", "127.0.0.1:0", "1 to 65535"],
+        ),
+        (
+            "127.0.0.1:7101",
+            "0.0.0.0:7101",
+            &["executor.1", "0.0.0.0:7101", "unicast"],
+        ),
+        (
+            "[quota]",
+            "executor.2 = khomas-b 127.0.0.1:7101\n[quota]",
+            &["executor.2", "127.0.0.1:7101", "each address once"],
+        ),
+        (
+            "data_centres_out =",
+            "data_centres_out = a, a",
+            &["data_centres_out", "\"a\"", "once"],
+        ),
+        (
+            "data_centres_out =",
+            "data_centres_out = a b,/",
+            &["data_centres_out", "\"/\"", "a-z"],
+        ),
+        (
+            "[service]",
+            "key = 1\n[service]",
+            &["\"key\"", "\"1\"", "outside a section"],
+        ),
+        (
+            "accelerators = 0",
+            "accelerators = 0\n  stray words",
+            &["stray words", "not INI", "KEY = VALUE"],
+        ),
+    ];
+    for (from, to, words) in cases {
+        let Err(error) = parse(&changed(from, to)) else {
+            add_failure!("{to:?} was accepted");
+            continue;
+        };
+        for word in *words {
+            expect_that!(error.to_string(), contains_substring(*word));
+        }
+    }
+}
+
+/// Guards against a text that costs every node unbounded memory.
+#[googletest::test]
+fn size_is_bounded() {
+    let long = format!("{VALID}#{}", "x".repeat(MAX_TEXT_BYTES));
+    let message = parse(&long).expect_err("too long").to_string();
+    expect_that!(message, contains_substring(MAX_TEXT_BYTES.to_string()));
+
+    let listed = |count: usize| {
+        let line = |n: usize| format!("executor.{n} = a 127.0.{}.{}:80\n", n / 250, n % 250 + 1);
+        let lines: String = (0..count).map(line).collect();
+        changed("executor.1 = khomas-a 127.0.0.1:7101\n", &lines)
+    };
+    expect_that!(parse(&listed(MAX_EXECUTORS)), ok(anything()));
+    let message = parse(&listed(MAX_EXECUTORS + 1)).expect_err("too many");
+    expect_that!(
+        message.to_string(),
+        contains_substring("at most 1024 executors")
+    );
+}
+
+fn name() -> impl Strategy<Value = String> {
+    "[a-zA-Z0-9][a-zA-Z0-9._-]{0,20}"
+}
+
+proptest! {
+    /// Guards against a published text that ends every node's process.
+    #[test]
+    fn no_text_panics(text in ".{0,400}") {
+        let _ = parse(&text);
+    }
+
+    /// Guards against a panic behind the first checks, which random text rarely passes.
+    #[test]
+    fn no_edit_of_a_valid_text_panics(at in 0..VALID.len(), cut in 0..40_usize, insert in "\\PC{0,8}") {
+        let end = (at + cut).min(VALID.len());
+        let _ = parse(&format!("{}{insert}{}", &VALID[..at], &VALID[end..]));
+    }
+
+    /// Guards against a field that is read from another key or rounded.
+    #[test]
+    fn a_rendered_document_parses_back(
+        service in name(),
+        team in name(),
+        out in proptest::collection::btree_set(name(), 0..4),
+        latency in 1..600_000_u64,
+        success in 1..=100_000_u32,
+        slots in 1..=1_024_u32,
+        ports in proptest::collection::btree_set(1..=u16::MAX, 0..5),
+        cpu in 0..1_000_000_u64,
+    ) {
+        let out: Vec<String> = out.into_iter().collect();
+        let line = |port: &u16| format!("executor.e{port} = dc 127.0.0.1:{port}\n");
+        let executors: String = ports.iter().map(line).collect();
+        let text = format!(
+            "[service]\nname = {service}\nteam={team}\ndata_centres_out = {}\n\
+             [objective]\nlatency_ms = {latency}\nsuccess_percent = {}.{:03}\nwindow_hours = 1\n\
+             [targets]\nslots = {slots}\nconnections = 4096\nmax_deadline_ms = 5\n{executors}\
+             [quota]\ncpu_milli = {cpu}\nmemory_mb = 2\naccelerators = 3\n",
+            out.join(", "),
+            success / 1_000,
+            success % 1_000,
+        );
+        let document = parse(&text).map_err(|e| TestCaseError::fail(e.to_string()))?;
+        prop_assert_eq!(document.service.as_str(), service);
+        prop_assert_eq!(document.team.as_str(), team);
+        let found: Vec<String> = document.data_centres_out.iter().map(ToString::to_string).collect();
+        prop_assert_eq!(found, out);
+        prop_assert_eq!(document.objective.latency_ms.0, latency);
+        prop_assert_eq!(document.objective.success_milli_percent, success);
+        prop_assert_eq!(document.slots, slots);
+        let found: Vec<u16> = document.executors.iter().map(|e| e.address.port()).collect();
+        let mut expected: Vec<u16> = ports.into_iter().collect();
+        expected.sort_by_key(|port| format!("e{port}"));
+        prop_assert_eq!(found, expected);
+        prop_assert_eq!(document.quota.cpu_milli, cpu);
+    }
+}
