--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod document;
 pub mod error;
 pub mod host;
+pub mod ini;
 pub mod job;
 pub mod name;
 pub mod outcome;
