Add the operators' command line

Cause: operators need to check and publish documents, watch and cancel jobs, drain a data centre and see burn without writing HTTP by hand.

--- /dev/null
+++ b/hemlocksaddle-cli/src/burn.rs
@@ -0,0 +1,208 @@
+//! Burn report over all nodes.
+//!
+//! Alerts use two windows each: the long one shows that the budget really
+//! suffers, the short one that it still does, so that an alert ends soon after
+//! its cause. The pairs and thresholds are the customary ones for a window of 30
+//! days: 2% of the budget in an hour, 5% in six hours, 10% in three days.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use hemlocksaddle_types::{
+    burn::{Counts, NodeBurn, ServiceBurn, WINDOWS_MINUTES},
+    clock::WallMs,
+    name::ServiceName,
+};
+use serde::Serialize;
+
+/// How urgent an alert is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Severity {
+    /// Wakes somebody up.
+    Page,
+    /// Is looked at on the next working day.
+    Ticket,
+}
+
+/// Condition of an alert: both windows burn faster than the threshold.
+#[derive(Clone, Copy, Debug)]
+pub struct Condition {
+    /// Severity.
+    pub severity: Severity,
+    /// Index of the long window in [`WINDOWS_MINUTES`].
+    pub long: usize,
+    /// Index of the short window in [`WINDOWS_MINUTES`].
+    pub short: usize,
+    /// Burn rate that both must exceed.
+    pub threshold: f64,
+}
+
+/// Alert conditions, most urgent first.
+pub const CONDITIONS: [Condition; 3] = [
+    Condition {
+        severity: Severity::Page,
+        long: 2,
+        short: 0,
+        threshold: 14.4,
+    },
+    Condition {
+        severity: Severity::Page,
+        long: 3,
+        short: 1,
+        threshold: 6.0,
+    },
+    Condition {
+        severity: Severity::Ticket,
+        long: 4,
+        short: 3,
+        threshold: 1.0,
+    },
+];
+
+/// Burn of one window.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct WindowBurn {
+    /// Length in minutes.
+    pub minutes: u32,
+    /// Good requests.
+    pub good: u64,
+    /// All requests.
+    pub total: u64,
+    /// Burn rate; 1 uses the budget up in exactly the objective's window.
+    pub rate: f64,
+}
+
+/// Burn of one service over all nodes that answered.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ServiceReport {
+    /// Service.
+    pub service: ServiceName,
+    /// Latency that a good request stays within, in milliseconds.
+    pub latency_ms: u64,
+    /// Share of requests that must be good, in percent.
+    pub success_percent: f64,
+    /// Length of the objective's window in hours.
+    pub window_hours: u32,
+    /// Good requests in the objective's window.
+    pub good: u64,
+    /// All requests in the objective's window.
+    pub total: u64,
+    /// Part of the error budget that is left, 1 to below 0.
+    pub budget_left: f64,
+    /// Burn of the windows.
+    pub windows: Vec<WindowBurn>,
+    /// Severity of the most urgent alert that fires.
+    pub alert: Option<Severity>,
+}
+
+/// Report over all nodes.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Services.
+    pub services: Vec<ServiceReport>,
+    /// Nodes that answered, with the wall-clock time since which they have counted.
+    pub answered: Vec<(SocketAddr, WallMs)>,
+    /// Nodes that did not answer, with the reason.
+    pub missing: Vec<(SocketAddr, String)>,
+}
+
+/// Adds up the counts of all nodes.
+#[must_use]
+pub fn combine(answered: &[(SocketAddr, NodeBurn)], missing: Vec<(SocketAddr, String)>) -> Report {
+    let mut services: BTreeMap<ServiceName, ServiceBurn> = BTreeMap::new();
+    for service in answered.iter().flat_map(|(_, burn)| &burn.services) {
+        match services.get_mut(&service.service) {
+            None => {
+                services.insert(service.service.clone(), service.clone());
+            }
+            Some(sum) => add(sum, service),
+        }
+    }
+    Report {
+        services: services.values().map(report).collect(),
+        answered: answered
+            .iter()
+            .map(|(node, burn)| (*node, burn.since_ms))
+            .collect(),
+        missing,
+    }
+}
+
+fn add(sum: &mut ServiceBurn, other: &ServiceBurn) {
+    for (window, more) in sum.windows.iter_mut().zip(&other.windows) {
+        window.add(*more);
+    }
+    sum.objective_window.add(other.objective_window);
+}
+
+fn report(service: &ServiceBurn) -> ServiceReport {
+    let objective = service.success_milli_percent;
+    let windows: Vec<WindowBurn> = WINDOWS_MINUTES
+        .iter()
+        .zip(&service.windows)
+        .map(|(minutes, counts)| window(*minutes, *counts, objective))
+        .collect();
+    let firing = CONDITIONS.iter().find(|condition| {
+        let rate = |at: usize| windows.get(at).map_or(0.0, |window| window.rate);
+        rate(condition.long) > condition.threshold && rate(condition.short) > condition.threshold
+    });
+    let total = service.objective_window;
+    ServiceReport {
+        service: service.service.clone(),
+        latency_ms: service.latency_ms,
+        success_percent: f64::from(objective) / 1_000.0,
+        window_hours: service.window_hours,
+        good: total.good,
+        total: total.total,
+        budget_left: 1.0 - total.burn_rate(objective),
+        alert: firing.map(|condition| condition.severity),
+        windows,
+    }
+}
+
+fn window(minutes: u32, counts: Counts, objective: u32) -> WindowBurn {
+    WindowBurn {
+        minutes,
+        good: counts.good,
+        total: counts.total,
+        rate: counts.burn_rate(objective),
+    }
+}
+
+/// Report as a table for a terminal.
+#[must_use]
+pub fn table(report: &Report) -> String {
+    let mut text = format!(
+        "{:<20} {:>9} {:>9} {:>10} {:>8} {:>8} {:>8} {:>8} {:>8}  {}\n",
+        "service", "objective", "requests", "budget", "5m", "30m", "1h", "6h", "3d", "alert"
+    );
+    for service in &report.services {
+        let alert = match service.alert {
+            Some(Severity::Page) => "page",
+            Some(Severity::Ticket) => "ticket",
+            None => "-",
+        };
+        text += &format!(
+            "{:<20} {:>8}% {:>9} {:>9.1}%",
+            service.service.as_str(),
+            service.success_percent,
+            service.total,
+            service.budget_left * 100.0
+        );
+        for window in &service.windows {
+            text += &format!(" {:>8.2}", window.rate);
+        }
+        text += &format!("  {alert}\n");
+    }
+    text += &format!("counted by {} nodes", report.answered.len());
+    if let Some(latest) = report.answered.iter().map(|(_, since)| since.0).max() {
+        text += &format!(
+            ", the youngest since {latest} ms (Unix time); earlier counts of replaced nodes are lost"
+        );
+    }
+    text.push('\n');
+    for (node, why) in &report.missing {
+        text += &format!("no counts from {node}: {why}\n");
+    }
+    text
+}
--- /dev/null
+++ b/hemlocksaddle-cli/src/drain.rs
@@ -0,0 +1,58 @@
+//! Edits the list of data centres that are out in a document's text.
+//!
+//! The text is edited by line rather than parsed and written again, so that an
+//! operator's comments and layout survive.
+
+use hemlocksaddle_types::name::DataCentre;
+
+use crate::error::{Error, ErrorKind, Result};
+
+const SECTION: &str = "[service]";
+const KEY: &str = "data_centres_out";
+
+/// Text with the data centre added to or removed from those that are out.
+///
+/// Returns `None` if it is as wanted already.
+pub fn edit(text: &str, data_centre: &DataCentre, out: bool) -> Result<Option<String>> {
+    let mut lines: Vec<String> = text.lines().map(String::from).collect();
+    let section = lines.iter().position(|line| line.trim() == SECTION);
+    let Some(section) = section else {
+        let message = format!("document has no section {SECTION}");
+        return Err(Error::new(ErrorKind::Failed, message));
+    };
+    let key_line = find_key(&lines, section);
+    let mut listed = key_line.map_or_else(Vec::new, |at| values(&lines[at]));
+    let present = listed.iter().any(|name| name == data_centre.as_str());
+    if present == out {
+        return Ok(None);
+    }
+    if out {
+        listed.push(data_centre.as_str().to_string());
+    } else {
+        listed.retain(|name| name != data_centre.as_str());
+    }
+    let line = format!("{KEY} = {}", listed.join(", "));
+    let line = String::from(line.trim_end());
+    match key_line {
+        Some(at) => lines[at] = line,
+        None => lines.insert(section + 1, line),
+    }
+    lines.push(String::new());
+    Ok(Some(lines.join("\n")))
+}
+
+fn find_key(lines: &[String], section: usize) -> Option<usize> {
+    let body = lines.iter().enumerate().skip(section + 1);
+    body.take_while(|(_, line)| !line.trim_start().starts_with('['))
+        .find(|(_, line)| line.split('=').next().is_some_and(|key| key.trim() == KEY))
+        .map(|(at, _)| at)
+}
+
+fn values(line: &str) -> Vec<String> {
+    let value = line.split_once('=').map_or("", |(_, value)| value);
+    let names = value.split(',').map(str::trim);
+    names
+        .filter(|name| !name.is_empty())
+        .map(String::from)
+        .collect()
+}
--- a/hemlocksaddle-cli/src/main.rs
+++ b/hemlocksaddle-cli/src/main.rs
@@ -1,5 +1,45 @@
-//! Placeholder.
+//! Binary `hemlocksaddle`.
 
 #![forbid(unsafe_code)]
 
-fn main() {}
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use hemlocksaddle_cli::{args::Args, command, error::ErrorKind};
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let args = match Args::from_args(&["hemlocksaddle"], &words) {
+        Ok(args) => args,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(command::run(args)) {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            if error.kind() == ErrorKind::Usage {
+                eprintln!("see hemlocksaddle --help");
+            }
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
