Add the seeded virtual-time executor

Cause: the node's tests and the randomised runs need several processes on one clock, with a run that the seed alone decides. Change: SimRuntime has a timer map, a ready list from which the seed picks, and processes with clocks that differ in value and by up to 1% in rate, which can be paused and killed. Conclusion: same seed, same interleaving and trace hash (tests/runtime.rs).

--- a/hemlocksaddle-fakes/src/lib.rs
+++ b/hemlocksaddle-fakes/src/lib.rs
@@ -1,3 +1,9 @@
 //! Small stand-ins for the platform, for tests and examples.
+//!
+//! [`runtime::SimRuntime`] runs real nodes on a virtual clock with a seed. The
+//! other modules implement the node's ports in memory, inject faults, and judge
+//! from outside what the nodes do.
 
 #![forbid(unsafe_code)]
+
+pub mod runtime;
--- /dev/null
+++ b/hemlocksaddle-fakes/tests/runtime.rs
@@ -0,0 +1,80 @@
+//! Tests of the virtual-time executor.
+
+use std::{cell::RefCell, rc::Rc};
+
+use googletest::prelude::*;
+use hemlocksaddle_fakes::runtime::SimRuntime;
+use hemlocksaddle_types::{clock::Millis, name::NodeName};
+
+fn node(name: &str) -> NodeName {
+    NodeName::try_from(name).expect("valid name")
+}
+
+/// Runs tasks of two nodes that race, and returns the order in which they ran.
+fn interleaving(seed: u64) -> (Vec<(u64, u64)>, u64) {
+    let sim = SimRuntime::new(seed);
+    let order = Rc::new(RefCell::new(Vec::new()));
+    for number in 0..6 {
+        let runtime = sim.node_runtime(&node(if number % 2 == 0 { "a" } else { "b" }));
+        let (order, sim) = (order.clone(), sim.clone());
+        runtime.clone().spawn(Box::pin(async move {
+            for _ in 0..4 {
+                order.borrow_mut().push((sim.now().0, number));
+                runtime.sleep(Millis(10)).await;
+            }
+        }));
+    }
+    sim.run_for(Millis(1_000));
+    (order.take(), sim.trace_hash())
+}
+
+/// Guards against state that is not drawn from the seed.
+#[gtest]
+fn the_seed_decides_the_interleaving() {
+    let (first, hash) = interleaving(1);
+    expect_that!(first.len(), eq(24));
+    expect_that!(interleaving(1), eq(&(first.clone(), hash)));
+    expect_that!(interleaving(2).1, not(eq(hash)));
+}
+
+/// Guards against a paused process that acts before its pause ends, or never again.
+#[gtest]
+fn a_paused_node_is_not_polled_while_its_clock_goes_on() {
+    let sim = SimRuntime::new(3);
+    let runtime = sim.node_runtime(&node("a"));
+    let before = runtime.now();
+    sim.pause(&node("a"), Millis(500));
+    let woke_at = Rc::new(RefCell::new(None));
+    let (task, seen, time) = (runtime.clone(), woke_at.clone(), sim.clone());
+    runtime.spawn(Box::pin(async move {
+        task.sleep(Millis(10)).await;
+        *seen.borrow_mut() = Some((time.now(), task.now().since(before)));
+    }));
+    sim.run_for(Millis(499));
+    expect_that!(*woke_at.borrow(), none());
+    sim.run_for(Millis(30));
+    let (true_time, local) = woke_at.borrow().expect("woken after the pause");
+    expect_that!(true_time.0, ge(500));
+    expect_that!(local.0, ge(495));
+}
+
+/// Guards against tasks of a killed process that run on, and a restart that gets the dead process.
+#[gtest]
+fn a_killed_node_runs_nothing_and_can_be_started_again() {
+    let sim = SimRuntime::new(4);
+    let ran = Rc::new(RefCell::new(0));
+    for _ in 0..2 {
+        let (runtime, count) = (sim.node_runtime(&node("a")), ran.clone());
+        let task = runtime.clone();
+        runtime.spawn(Box::pin(async move {
+            loop {
+                task.sleep(Millis(100)).await;
+                *count.borrow_mut() += 1;
+            }
+        }));
+        sim.run_for(Millis(1_050));
+        sim.kill(&node("a"));
+        sim.run_for(Millis(1_000));
+    }
+    expect_that!(*ran.borrow(), ge(18).and(le(22)));
+}
