--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -1,3 +1,10 @@
-//! Placement, admission, limit and backoff policy without I/O.
+//! Placement, admission, routing choice, limits, backoff and interference policy without I/O.
+//!
+//! Everything here is a function or a small struct. Time and random numbers are
+//! passed in, so that the same input always gives the same decision.
 
 #![forbid(unsafe_code)]
+
+pub mod backoff;
+pub mod fairness;
+pub mod placement;
--- /dev/null
+++ b/hemlocksaddle-policy/src/placement.rs
@@ -0,0 +1,148 @@
+//! Choice of a rack and of a worker for an attempt.
+//!
+//! Racks are chosen by the queue owner from summaries that are up to a heartbeat
+//! old, so a random part keeps several queue owners from all choosing the same
+//! rack. Workers are chosen by the rack owner from its own state. Small tasks are
+//! packed onto the fullest worker that holds them, so that whole workers stay
+//! free for large ones; expected interference and tasks of the same job count
+//! against a worker.
+
+use hemlocksaddle_types::resources::Resources;
+
+/// Cost of one task of the same job in the same data centre, in thousandths.
+const SAME_DATA_CENTRE_MILLI: u64 = 40;
+/// Cost of one task of the same job in the same rack, in thousandths.
+const SAME_RACK_MILLI: u64 = 80;
+/// Cost of one task of the same job on the same worker, in thousandths.
+const SAME_WORKER_MILLI: u64 = 150;
+/// Width of the random part of a rack's cost, in thousandths.
+const RACK_RANDOM_MILLI: u64 = 120;
+
+/// What is known of a rack.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RackView {
+    /// Sum of what is free.
+    pub free: Resources,
+    /// Most that a single worker has free.
+    pub largest_free: Resources,
+    /// What urgent work could take from batch tasks.
+    pub evictable: Resources,
+    /// What the rack has in all.
+    pub capacity: Resources,
+    /// Tasks of the same job in the rack.
+    pub same_job: u32,
+    /// Tasks of the same job in the rack's data centre.
+    pub same_job_in_data_centre: u32,
+}
+
+/// What is known of a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkerView {
+    /// What is free.
+    pub free: Resources,
+    /// What the worker has in all.
+    pub capacity: Resources,
+    /// Tasks of the same job on the worker.
+    pub same_job: u32,
+    /// Slowdown that is expected from the worker's tasks, in thousandths above the uncontended time.
+    pub interference_milli: u64,
+}
+
+/// Index of the best rack for a demand; `None` if none seems to have room.
+///
+/// `random` is called once per rack.
+pub fn choose_rack(
+    demand: &Resources,
+    may_evict: bool,
+    racks: impl IntoIterator<Item = RackView>,
+    mut random: impl FnMut() -> u64,
+) -> Option<usize> {
+    let costs = racks.into_iter().enumerate().filter_map(|(index, rack)| {
+        let noise = random() % RACK_RANDOM_MILLI;
+        let cost = rack_cost(demand, may_evict, &rack)?;
+        Some((cost + noise, index))
+    });
+    costs.min().map(|(_, index)| index)
+}
+
+fn rack_cost(demand: &Resources, may_evict: bool, rack: &RackView) -> Option<u64> {
+    let fits = demand.fits_in(&rack.largest_free);
+    let fits_after_eviction = may_evict && demand.fits_in(&(rack.largest_free + rack.evictable));
+    if !fits && !fits_after_eviction {
+        return None;
+    }
+    let spread = u64::from(rack.same_job) * SAME_RACK_MILLI
+        + u64::from(rack.same_job_in_data_centre) * SAME_DATA_CENTRE_MILLI;
+    let eviction = if fits { 0 } else { 2_000 };
+    Some(used_share_milli(&rack.free, &rack.capacity) / 4 + spread + eviction)
+}
+
+/// Index of the best worker for a demand; `None` if none has room.
+pub fn choose_worker(
+    demand: &Resources,
+    workers: impl IntoIterator<Item = WorkerView>,
+) -> Option<usize> {
+    let costs = workers
+        .into_iter()
+        .enumerate()
+        .filter_map(|(index, worker)| {
+            let fits = demand.fits_in(&worker.free);
+            fits.then(|| (worker_cost(demand, &worker), index))
+        });
+    costs.min().map(|(_, index)| index)
+}
+
+fn worker_cost(demand: &Resources, worker: &WorkerView) -> u64 {
+    let left = worker.free.saturating_sub(demand);
+    let unused = 1_000 - used_share_milli(&left, &worker.capacity).min(1_000);
+    unused + u64::from(worker.same_job) * SAME_WORKER_MILLI + worker.interference_milli * 2
+}
+
+/// Largest used share over the dimensions, in thousandths.
+fn used_share_milli(free: &Resources, capacity: &Resources) -> u64 {
+    let share = |free: u64, capacity: u64| match capacity {
+        0 => 0,
+        _ => capacity.saturating_sub(free) * 1_000 / capacity,
+    };
+    share(free.cpu_milli, capacity.cpu_milli)
+        .max(share(free.memory_mb, capacity.memory_mb))
+        .max(share(free.accelerators, capacity.accelerators))
+}
+
+/// Batch task that an urgent one could displace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Victim<K> {
+    /// Task.
+    pub key: K,
+    /// What its eviction frees.
+    pub demand: Resources,
+    /// Progress since its last checkpoint in milliseconds, which an eviction may lose.
+    pub unsaved_ms: u64,
+    /// Whether its team is over quota; such tasks go first.
+    pub over_quota: bool,
+}
+
+/// Victims that lose least and make room for `missing`; `None` if all together do not.
+#[must_use]
+pub fn choose_victims<K: Copy>(
+    missing: &Resources,
+    mut victims: Vec<Victim<K>>,
+) -> Option<Vec<Victim<K>>> {
+    victims.sort_by_key(|victim| (!victim.over_quota, loss(victim)));
+    let mut chosen = Vec::new();
+    let mut freed = Resources::default();
+    for victim in victims {
+        if missing.fits_in(&freed) {
+            break;
+        }
+        freed += victim.demand;
+        chosen.push(victim);
+    }
+    missing.fits_in(&freed).then_some(chosen)
+}
+
+/// Work that an eviction loses: progress since the last checkpoint multiplied by the task's size.
+#[must_use]
+pub fn loss<K>(victim: &Victim<K>) -> u64 {
+    victim.unsaved_ms.saturating_mul(victim.demand.cpu_milli)
+}
