Keep the keys of non-idempotent requests per queue

Cause: a non-idempotent request must run at most once, also after its queue moved to another node, and the queue part needs a table to replay records into. Change: GuardTable with reset, apply, settled and forget for the queue part, and begin, mark_sent and finish for the request path; keys are bounded by age and number, responses by number. Conclusion: the queue part can call the table now.

--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod invariant;
 pub mod metrics;
 pub mod ports;
+pub mod requests;
 pub mod settings;
--- /dev/null
+++ b/hemlocksaddle-node/src/requests/guard.rs
@@ -0,0 +1,310 @@
+//! Keys of non-idempotent requests and what became of them.
+//!
+//! The owner of a queue holds one table per queue. It is rebuilt from the queue's
+//! stream: the queue part calls [`GuardTable::reset`] when it takes the queue
+//! over, [`GuardTable::apply`] for each valid record, and [`GuardTable::settled`]
+//! once it has read up to its own fence. Until then no request is accepted.
+//!
+//! An intent without an outcome means that the request may have run, and its key
+//! never runs again. An outcome that says "not run" frees the key.
+//!
+//! Keys are kept for the retention of the log, because a successor cannot read
+//! an older intent anyway. Their number is bounded: past [`MAX_KEYS`] new keys are
+//! refused rather than old ones forgotten, since a forgotten key could run twice.
+//! Of the responses only the latest [`MAX_RESPONSES`] are kept; a repeat of an
+//! older key is told that its outcome is not known.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+};
+
+use futures_channel::oneshot;
+use hemlocksaddle_types::{
+    clock::{Millis, WallMs},
+    name::{IdempotencyKey, ServiceName},
+    outcome::{ResultCode, RunState},
+    record::Record,
+    request::QuickResponse,
+    unit::{QueueIndex, Term},
+};
+
+/// Keys kept per queue; at about 150 bytes each, 10 MB.
+pub const MAX_KEYS: usize = 65_536;
+
+/// Responses kept per queue.
+pub const MAX_RESPONSES: usize = 4_096;
+
+/// Key of a request within all services.
+pub type GuardKey = (ServiceName, IdempotencyKey);
+
+/// What to do with a non-idempotent request.
+#[derive(Debug)]
+pub enum Begin {
+    /// First use of the key: make the intent durable, then run.
+    Run,
+    /// Same request is in progress; its response will arrive here.
+    Wait(oneshot::Receiver<QuickResponse>),
+    /// Recorded response of the earlier use.
+    Recorded(QuickResponse),
+    /// Earlier use may have run; its response is not known.
+    Unknown,
+    /// Key belongs to a request with another body.
+    Reused,
+    /// Table is full.
+    Full,
+    /// Queue is not owned under this term, or its stream is not read yet.
+    NotOwner,
+}
+
+#[derive(Debug)]
+enum State {
+    Pending {
+        sent: bool,
+        waiters: Vec<oneshot::Sender<QuickResponse>>,
+    },
+    Unknown,
+    Recorded(Rc<QuickResponse>),
+}
+
+#[derive(Debug)]
+struct Entry {
+    body_hash: u64,
+    at_ms: WallMs,
+    state: State,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    term: Term,
+    settled: bool,
+    entries: HashMap<GuardKey, Entry>,
+    by_age: VecDeque<(WallMs, GuardKey)>,
+    recorded: VecDeque<GuardKey>,
+}
+
+/// Keys of all queues that this node owns.
+#[derive(Debug)]
+pub struct GuardTable {
+    keep_ms: Millis,
+    max_keys: usize,
+    queues: RefCell<HashMap<QueueIndex, Queue>>,
+}
+
+impl GuardTable {
+    /// Empty table that keeps keys for a span.
+    #[must_use]
+    pub fn new(keep_ms: Millis) -> GuardTable {
+        GuardTable::with_max_keys(keep_ms, MAX_KEYS)
+    }
+
+    /// Empty table with another bound on the keys per queue.
+    #[must_use]
+    pub fn with_max_keys(keep_ms: Millis, max_keys: usize) -> GuardTable {
+        GuardTable {
+            keep_ms,
+            max_keys,
+            queues: RefCell::default(),
+        }
+    }
+
+    /// Empties the table of a queue; records of the stream follow.
+    pub fn reset(&self, queue: QueueIndex, term: Term) {
+        let fresh = Queue {
+            term,
+            ..Queue::default()
+        };
+        self.queues.borrow_mut().insert(queue, fresh);
+    }
+
+    /// Takes over one valid record of the queue's stream; other kinds are ignored.
+    pub fn apply(&self, queue: QueueIndex, record: &Record) {
+        let mut queues = self.queues.borrow_mut();
+        let Some(table) = queues.get_mut(&queue) else {
+            return;
+        };
+        match record {
+            Record::RequestIntent {
+                service,
+                key,
+                body_hash,
+                at_ms,
+            } => {
+                let entry = Entry {
+                    body_hash: *body_hash,
+                    at_ms: *at_ms,
+                    state: State::Unknown,
+                };
+                table.insert((service.clone(), key.clone()), entry);
+            }
+            Record::RequestOutcome {
+                service,
+                key,
+                response,
+            } => table.conclude(&(service.clone(), key.clone()), response),
+            _ => {}
+        }
+    }
+
+    /// All records up to the own fence were applied; requests are accepted from now on.
+    pub fn settled(&self, queue: QueueIndex) {
+        if let Some(table) = self.queues.borrow_mut().get_mut(&queue) {
+            table.settled = true;
+        }
+    }
+
+    /// Drops the table of a queue that is no longer owned.
+    pub fn forget(&self, queue: QueueIndex) {
+        self.queues.borrow_mut().remove(&queue);
+    }
+
+    /// Looks a key up and reserves it if it is new.
+    pub fn begin(
+        &self,
+        queue: QueueIndex,
+        term: Term,
+        key: &GuardKey,
+        body_hash: u64,
+        now: WallMs,
+    ) -> Begin {
+        let mut queues = self.queues.borrow_mut();
+        let table = queues.get_mut(&queue);
+        let Some(table) = table.filter(|table| table.settled && table.term == term) else {
+            return Begin::NotOwner;
+        };
+        table.drop_old(now, self.keep_ms);
+        if let Some(entry) = table.entries.get_mut(key) {
+            return entry.repeat(body_hash);
+        }
+        if table.entries.len() >= self.max_keys {
+            return Begin::Full;
+        }
+        let entry = Entry {
+            body_hash,
+            at_ms: now,
+            state: State::Pending {
+                sent: false,
+                waiters: Vec::new(),
+            },
+        };
+        table.insert(key.clone(), entry);
+        Begin::Run
+    }
+
+    /// Marks a reserved key as sent; `false` if it was sent before or is not reserved.
+    ///
+    /// A term that is no longer current counts as not reserved.
+    #[must_use]
+    pub fn mark_sent(&self, queue: QueueIndex, term: Term, key: &GuardKey) -> bool {
+        let mut queues = self.queues.borrow_mut();
+        let table = queues.get_mut(&queue).filter(|table| table.term == term);
+        let entry = table.and_then(|table| table.entries.get_mut(key));
+        match entry.map(|entry| &mut entry.state) {
+            Some(State::Pending { sent, .. }) => !std::mem::replace(sent, true),
+            _ => false,
+        }
+    }
+
+    /// Concludes a reserved key and gives the response to everyone who waits for it.
+    pub fn finish(&self, queue: QueueIndex, term: Term, key: &GuardKey, response: &QuickResponse) {
+        let mut queues = self.queues.borrow_mut();
+        if let Some(table) = queues.get_mut(&queue).filter(|table| table.term == term) {
+            table.conclude(key, response);
+        }
+    }
+
+    /// Keys held for a queue.
+    #[must_use]
+    pub fn len(&self, queue: QueueIndex) -> usize {
+        let queues = self.queues.borrow();
+        queues.get(&queue).map_or(0, |table| table.entries.len())
+    }
+}
+
+impl Entry {
+    fn repeat(&mut self, body_hash: u64) -> Begin {
+        if self.body_hash != body_hash {
+            return Begin::Reused;
+        }
+        match &mut self.state {
+            State::Pending { waiters, .. } => {
+                let (sender, receiver) = oneshot::channel();
+                waiters.push(sender);
+                Begin::Wait(receiver)
+            }
+            State::Unknown => Begin::Unknown,
+            State::Recorded(response) => Begin::Recorded(QuickResponse::clone(response)),
+        }
+    }
+}
+
+impl Queue {
+    fn insert(&mut self, key: GuardKey, entry: Entry) {
+        self.by_age.push_back((entry.at_ms, key.clone()));
+        self.entries.insert(key, entry);
+    }
+
+    /// Records without an intent are older than the retention and are ignored.
+    fn conclude(&mut self, key: &GuardKey, response: &QuickResponse) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let state = match response.code.run_state() {
+            RunState::Done => State::Recorded(Rc::new(response.clone())),
+            RunState::MayHaveRun | RunState::NotRun => State::Unknown,
+        };
+        let before = std::mem::replace(&mut entry.state, state);
+        match response.code.run_state() {
+            RunState::NotRun => drop(self.entries.remove(key)),
+            RunState::MayHaveRun => {}
+            RunState::Done => self.keep_response(key),
+        }
+        if let State::Pending { waiters, .. } = before {
+            for waiter in waiters {
+                // The receiver is gone if its caller gave up.
+                let _ = waiter.send(for_repeat(response));
+            }
+        }
+    }
+
+    fn keep_response(&mut self, key: &GuardKey) {
+        self.recorded.push_back(key.clone());
+        if self.recorded.len() <= MAX_RESPONSES {
+            return;
+        }
+        let oldest = self.recorded.pop_front();
+        let entry = oldest.and_then(|oldest| self.entries.get_mut(&oldest));
+        if let Some(entry) = entry {
+            entry.state = State::Unknown;
+        }
+    }
+
+    fn drop_old(&mut self, now: WallMs, keep_ms: Millis) {
+        while let Some((at_ms, key)) = self.by_age.front() {
+            if now.since(*at_ms) < keep_ms {
+                return;
+            }
+            // A freed and reused key has a younger entry, which stays.
+            if self
+                .entries
+                .get(key)
+                .is_some_and(|entry| entry.at_ms == *at_ms)
+            {
+                self.entries.remove(key);
+            }
+            self.by_age.pop_front();
+        }
+    }
+}
+
+/// What a repeat is told about a response that its first use received.
+fn for_repeat(response: &QuickResponse) -> QuickResponse {
+    match response.code.run_state() {
+        RunState::MayHaveRun => QuickResponse::refusal(
+            ResultCode::EarlierAttemptUnknown,
+            "an earlier request with this key may have run",
+        ),
+        RunState::NotRun | RunState::Done => response.clone(),
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -0,0 +1,3 @@
+//! Quick requests: routing to executors, retries and at-most-once execution.
+
+pub mod guard;
--- /dev/null
+++ b/hemlocksaddle-node/tests/guard.rs
@@ -0,0 +1,114 @@
+//! Keys of non-idempotent requests.
+
+use googletest::prelude::*;
+use hemlocksaddle_node::requests::guard::{Begin, GuardKey, GuardTable};
+use hemlocksaddle_types::{
+    clock::{Millis, WallMs},
+    name::{IdempotencyKey, ServiceName},
+    outcome::ResultCode,
+    record::Record,
+    request::QuickResponse,
+    unit::{QueueIndex, Term},
+};
+
+const QUEUE: QueueIndex = QueueIndex(3);
+const TERM: Term = Term(7);
+const KEEP: Millis = Millis(60_000);
+
+fn key(name: &str) -> GuardKey {
+    let service = ServiceName::try_from("decks").expect("valid");
+    (service, IdempotencyKey::try_from(name).expect("valid"))
+}
+
+fn intent(name: &str, body_hash: u64) -> Record {
+    let (service, key) = key(name);
+    Record::RequestIntent {
+        service,
+        key,
+        body_hash,
+        at_ms: WallMs(1_000),
+    }
+}
+
+fn outcome(name: &str, code: ResultCode) -> Record {
+    let (service, key) = key(name);
+    Record::RequestOutcome {
+        service,
+        key,
+        response: QuickResponse::refusal(code, name),
+    }
+}
+
+fn settled_table(records: &[Record]) -> GuardTable {
+    let table = GuardTable::with_max_keys(KEEP, 2);
+    table.reset(QUEUE, TERM);
+    for record in records {
+        table.apply(QUEUE, record);
+    }
+    table.settled(QUEUE);
+    table
+}
+
+fn begin(table: &GuardTable, name: &str, body_hash: u64, now: u64) -> Begin {
+    table.begin(QUEUE, TERM, &key(name), body_hash, WallMs(now))
+}
+
+/// Guards against running a request again that a previous owner had announced.
+#[googletest::test]
+fn replayed_records_decide_about_repeats() {
+    let records = [
+        intent("open", 1),
+        intent("done", 1),
+        outcome("done", ResultCode::Completed),
+        intent("freed", 1),
+        outcome("freed", ResultCode::DeadlineBeforeStart),
+    ];
+    let table = settled_table(&records);
+    expect_that!(begin(&table, "open", 1, 2_000), pat!(Begin::Unknown));
+    expect_that!(begin(&table, "done", 1, 2_000), pat!(Begin::Recorded(_)));
+    expect_that!(begin(&table, "done", 2, 2_000), pat!(Begin::Reused));
+    expect_that!(table.len(QUEUE), eq(2));
+}
+
+/// Guards against a freed key that stays blocked, and against forgetting a key because the table is full.
+#[googletest::test]
+fn full_table_refuses_new_keys_until_old_ones_expire() {
+    let table = settled_table(&[intent("a", 1)]);
+    expect_that!(begin(&table, "b", 1, 2_000), pat!(Begin::Run));
+    expect_that!(begin(&table, "c", 1, 2_000), pat!(Begin::Full));
+    let refused = QuickResponse::refusal(ResultCode::Overloaded, "");
+    table.finish(QUEUE, TERM, &key("b"), &refused);
+    expect_that!(begin(&table, "c", 1, 2_000), pat!(Begin::Run));
+    expect_that!(begin(&table, "b", 1, 1_000 + KEEP.0), pat!(Begin::Run));
+    expect_that!(begin(&table, "a", 1, 1_000 + KEEP.0), pat!(Begin::Full));
+}
+
+/// Guards against two runs of one key by requests that overlap, and against a second send.
+#[googletest::test]
+fn repeat_waits_for_the_run_in_progress() {
+    let table = settled_table(&[]);
+    expect_that!(begin(&table, "a", 1, 0), pat!(Begin::Run));
+    let Begin::Wait(mut waiter) = begin(&table, "a", 1, 0) else {
+        panic!("the key is in progress");
+    };
+    expect_true!(table.mark_sent(QUEUE, TERM, &key("a")));
+    expect_false!(table.mark_sent(QUEUE, TERM, &key("a")));
+    let response = QuickResponse::refusal(ResultCode::Completed, "answer");
+    table.finish(QUEUE, TERM, &key("a"), &response);
+    expect_that!(waiter.try_recv(), ok(some(eq(&response))));
+}
+
+/// Guards against accepting a request before the stream is read or under a term that has passed.
+#[googletest::test]
+fn unsettled_or_older_term_accepts_nothing() {
+    let table = GuardTable::new(KEEP);
+    expect_that!(begin(&table, "a", 1, 0), pat!(Begin::NotOwner));
+    table.reset(QUEUE, TERM);
+    expect_that!(begin(&table, "a", 1, 0), pat!(Begin::NotOwner));
+    table.settled(QUEUE);
+    expect_that!(begin(&table, "a", 1, 0), pat!(Begin::Run));
+    table.reset(QUEUE, Term(8));
+    table.settled(QUEUE);
+    expect_that!(begin(&table, "a", 1, 0), pat!(Begin::NotOwner));
+    expect_false!(table.mark_sent(QUEUE, TERM, &key("a")));
+}
--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod document;
 pub mod error;
+pub mod hash;
 pub mod host;
 pub mod job;
 pub mod name;
