--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod burn;
 pub mod core;
 pub mod env;
 pub mod event;
@@ -13,5 +14,6 @@
 pub mod metrics;
 pub mod node;
 pub mod ports;
+pub mod requests;
 pub mod settings;
 pub mod wait;
