Add the log writer and the calls between nodes

A lost batch is always settled with an empty batch so that the records of a stream keep their order.

--- /dev/null
+++ b/hemlocksaddle-node/src/journal/mod.rs
@@ -0,0 +1,236 @@
+//! Writer of records with group commit.
+//!
+//! Each stream has one task, which keeps at most one batch in flight. A batch
+//! whose answer is lost is settled by reading back; if it is not found, empty
+//! batches follow until one of them is seen. From then on the lost batch can
+//! never become valid, and its records go into a new batch. Empty batches rather
+//! than waiting records are used for this, so that the records of a stream keep
+//! the order in which they were given.
+//!
+//! Records whose caller gave up are not written again after their batch turned
+//! out void: the caller may have told someone that they are not in the log.
+
+mod writer;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use futures_channel::oneshot;
+use hemlocksaddle_types::{
+    clock::Millis,
+    record::{Offset, Record, Stream},
+    unit::Term,
+};
+
+use crate::{
+    core::{AppendError, AppendResult, Fenced, Journal},
+    env::Env,
+    ports::PortFuture,
+    stream,
+    stream::StreamReader,
+    wait::{jitter, within},
+};
+
+use writer::{Entry, StreamWriter};
+
+/// Records that may wait in one stream before calls with a limit are refused.
+pub const MAX_WAITING_RECORDS: usize = 4_096;
+
+/// Shortest interval between two batches of a stream.
+const MIN_INTERVAL_MS: Millis = Millis(20);
+
+/// First pause after a failed call to the log; doubles up to the longest.
+const FIRST_RETRY_MS: Millis = Millis(100);
+
+/// Longest pause after a failed call to the log.
+const LONGEST_RETRY_MS: Millis = Millis(1_600);
+
+/// Writer of all streams of a node.
+pub struct LogWriter {
+    env: Rc<Env>,
+    streams: RefCell<BTreeMap<Stream, Rc<StreamWriter>>>,
+    next_entry: Cell<u64>,
+}
+
+impl LogWriter {
+    /// Writer without streams.
+    #[must_use]
+    pub fn new(env: Rc<Env>) -> Rc<LogWriter> {
+        Rc::new(LogWriter {
+            env,
+            streams: RefCell::default(),
+            next_entry: Cell::new(1),
+        })
+    }
+
+    /// Lets read-back in a stream without fence start at an offset rather than at 0.
+    pub fn skip_to(&self, stream: Stream, next: Offset) {
+        self.writer(stream).skip_to(next);
+    }
+
+    /// Whether a batch of the stream has an unknown outcome.
+    #[must_use]
+    pub fn is_unsettled(&self, stream: Stream) -> bool {
+        let streams = self.streams.borrow();
+        streams
+            .get(&stream)
+            .is_some_and(|writer| writer.in_flight.borrow().is_some())
+    }
+
+    /// Offset up to which read-back of the stream has come.
+    #[must_use]
+    pub fn read_up_to(&self, stream: Stream) -> Offset {
+        let streams = self.streams.borrow();
+        let writer = streams.get(&stream);
+        writer.map_or(Offset(0), |writer| writer.reader.borrow().next())
+    }
+
+    /// Records that wait in the stream.
+    #[must_use]
+    pub fn waiting(&self, stream: Stream) -> usize {
+        let streams = self.streams.borrow();
+        streams
+            .get(&stream)
+            .map_or(0, |writer| writer.waiting_records())
+    }
+
+    /// Lets the tasks of all streams return after the node has ended.
+    pub fn close(&self) {
+        let streams = self.streams.borrow();
+        streams.values().for_each(|writer| writer.wake());
+    }
+
+    fn writer(&self, stream: Stream) -> Rc<StreamWriter> {
+        let mut streams = self.streams.borrow_mut();
+        let writer = streams
+            .entry(stream)
+            .or_insert_with(|| Rc::new(StreamWriter::new(&self.env, stream)));
+        writer.clone()
+    }
+
+    /// Interval between batches: the budget of all nodes, shared by nodes and streams.
+    fn interval(&self) -> Millis {
+        let streams = self.streams.borrow();
+        let has_records = |writer: &&Rc<StreamWriter>| writer.waiting_records() > 0;
+        let active = streams.values().filter(has_records).count().max(1) as u64;
+        let nodes = self.env.settings.peers.len().max(1) as u64;
+        let per_second = u64::from(self.env.settings.limits.appends_per_second.max(1));
+        Millis((nodes * 1_000 * active).div_ceil(per_second)).max(MIN_INTERVAL_MS)
+    }
+
+    /// Pause after the given number of failures in a row, with jitter.
+    fn retry_pause(&self, failures: u32) -> Millis {
+        let doubled = FIRST_RETRY_MS.0 << failures.min(10);
+        let span = Millis(doubled).min(LONGEST_RETRY_MS);
+        Millis(span.0 / 2) + jitter(&*self.env.ports.runtime, span)
+    }
+
+    fn enqueue(
+        self: &Rc<Self>,
+        writer: &Rc<StreamWriter>,
+        term: Term,
+        records: Vec<Record>,
+        is_fence: bool,
+    ) -> (u64, oneshot::Receiver<AppendResult>) {
+        let id = self.next_entry.get();
+        self.next_entry.set(id + 1);
+        let (waiter, result) = oneshot::channel();
+        writer.push(Entry::new(id, term, records, is_fence, waiter));
+        if !writer.is_running.replace(true) {
+            let task = writer::run(self.clone(), writer.clone());
+            self.env.spawn(task);
+        }
+        (id, result)
+    }
+
+    async fn read_all(&self, writer: &StreamWriter) {
+        let mut failures = 0;
+        loop {
+            let next = writer.reader.borrow().next();
+            match stream::read(&self.env, writer.stream, next, Millis(0)).await {
+                Ok(read) => {
+                    failures = 0;
+                    if writer.observe(read.batch) {
+                        return;
+                    }
+                }
+                Err(_) => {
+                    self.env.sleep(self.retry_pause(failures)).await;
+                    failures += 1;
+                }
+            }
+        }
+    }
+
+    async fn fence(
+        self: Rc<Self>,
+        stream: Stream,
+        term: Term,
+    ) -> std::result::Result<Vec<Record>, Fenced> {
+        let writer = self.writer(stream);
+        writer.wait_until_idle().await;
+        if writer.reader.borrow().highest_term() > term {
+            return Err(Fenced);
+        }
+        writer.reader.replace(StreamReader::new());
+        writer.collected.replace(Some(Vec::new()));
+        writer.term.set(term);
+        self.read_all(&writer).await;
+        if writer.reader.borrow().highest_term() > term {
+            writer.collected.take();
+            return Err(Fenced);
+        }
+        let (_, result) = self.enqueue(&writer, term, Vec::new(), true);
+        let is_durable = matches!(result.await, Ok(Ok(_)));
+        let records = writer.collected.take().unwrap_or_default();
+        match is_durable {
+            true => Ok(records),
+            false => Err(Fenced),
+        }
+    }
+}
+
+/// Journal with a shared writer.
+pub struct SharedJournal(pub Rc<LogWriter>);
+
+impl Journal for SharedJournal {
+    fn open(
+        &self,
+        stream: Stream,
+        term: Term,
+    ) -> PortFuture<'_, std::result::Result<Vec<Record>, Fenced>> {
+        Box::pin(self.0.clone().fence(stream, term))
+    }
+
+    fn append(
+        &self,
+        stream: Stream,
+        term: Term,
+        records: Vec<Record>,
+        within_ms: Option<Millis>,
+    ) -> PortFuture<'_, AppendResult> {
+        let log = &self.0;
+        let writer = log.writer(stream);
+        let is_full = within_ms.is_some() && writer.waiting_records() >= MAX_WAITING_RECORDS;
+        if is_full || !writer.accepts(term) {
+            return Box::pin(async { Err(AppendError::NotAppended) });
+        }
+        let (id, result) = log.enqueue(&writer, term, records, false);
+        Box::pin(async move {
+            // The task of the stream answers every entry; a lost answer means that the node ended.
+            let answered = async { result.await.unwrap_or(Err(AppendError::Unsettled)) };
+            let Some(span) = within_ms else {
+                return answered.await;
+            };
+            let answer = within(&*log.env.ports.runtime, span, answered).await;
+            answer.unwrap_or_else(|| Err(writer.give_up(id)))
+        })
+    }
+
+    fn log_is_up(&self) -> bool {
+        self.0.env.log_health.is_up(self.0.env.now())
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/peers/link.rs
@@ -0,0 +1,132 @@
+//! One connection to a peer after its hello.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    pin::pin,
+    rc::Rc,
+};
+
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use hemlocksaddle_types::peer::{Hello, Message, Request, Response, VERSION};
+
+use crate::{
+    core::CallError,
+    ports::{PeerReceiver, PeerSender, PortError},
+    wait::Signal,
+};
+
+/// Receiving half.
+pub(super) type Receiver = Box<dyn PeerReceiver>;
+
+/// Sending half with the calls that wait for a reply on this connection.
+pub(super) struct Link {
+    sender: Rc<dyn PeerSender>,
+    started_ms: u64,
+    version: u16,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Response>>>,
+    is_closed: Cell<bool>,
+    closed: Signal,
+}
+
+impl Link {
+    pub(super) fn new(sender: Rc<dyn PeerSender>, hello: &Hello) -> Link {
+        Link {
+            sender,
+            started_ms: hello.started_ms,
+            version: hello.version.min(VERSION),
+            waiting: RefCell::default(),
+            is_closed: Cell::new(false),
+            closed: Signal::default(),
+        }
+    }
+
+    pub(super) fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
+
+    /// Version that both ends know.
+    pub(super) fn version(&self) -> u16 {
+        self.version
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
+
+    /// Closes the connection; calls that wait on it end without a reply.
+    pub(super) fn close(&self) {
+        if !self.is_closed.replace(true) {
+            self.sender.close();
+            self.waiting.take();
+            self.closed.notify();
+        }
+    }
+
+    /// Runs a future until the connection is closed here.
+    pub(super) async fn until_closed<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        match select(pin!(future), pin!(self.closed.wait_past(0))).await {
+            Either::Left((value, _)) => Some(value),
+            Either::Right(_) => None,
+        }
+    }
+
+    pub(super) fn send_or_close(&self, message: Message) {
+        if !self.is_closed() && self.sender.send(message).is_err() {
+            self.close();
+        }
+    }
+
+    pub(super) fn call(
+        self: &Rc<Self>,
+        number: u64,
+        request: Request,
+    ) -> Result<PendingCall, CallError> {
+        if self.is_closed() {
+            return Err(CallError::NotSent);
+        }
+        let (waiter, reply) = oneshot::channel();
+        self.waiting.borrow_mut().insert(number, waiter);
+        let sent = self.sender.send(Message::Call(number, request));
+        if let Err(error) = sent {
+            self.close();
+            return Err(match error {
+                PortError::NotSent => CallError::NotSent,
+                PortError::Unknown => CallError::NoReply,
+            });
+        }
+        Ok(PendingCall {
+            link: self.clone(),
+            number,
+            reply,
+        })
+    }
+
+    /// Passes a reply to its call; `false` if no call waits for it.
+    pub(super) fn take_reply(&self, number: u64, response: Response) -> bool {
+        let waiter = self.waiting.borrow_mut().remove(&number);
+        // A caller that is gone counts as one that does not wait.
+        waiter.is_some_and(|waiter| waiter.send(response).is_ok())
+    }
+}
+
+/// Call that waits for its reply; gives its number up when dropped.
+pub(super) struct PendingCall {
+    link: Rc<Link>,
+    number: u64,
+    reply: oneshot::Receiver<Response>,
+}
+
+impl PendingCall {
+    /// Reply, or `None` if the connection was closed before it came.
+    pub(super) async fn reply(mut self) -> Option<Response> {
+        (&mut self.reply).await.ok()
+    }
+}
+
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        self.link.waiting.borrow_mut().remove(&self.number);
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/peers/mod.rs
@@ -0,0 +1,389 @@
+//! Calls and heartbeats between nodes.
+//!
+//! The node with the lower name dials; both directions carry calls. Each
+//! connection has one task that receives, so that a silent one is noticed where
+//! it is read. Call numbers are unique for the life of the process and are looked
+//! up in the connection that carried the call, so a late reply finds no other
+//! call to answer.
+//!
+//! A process that was replaced under the same name is told apart by its start: a
+//! connection of an earlier start never replaces one of a later start.
+
+mod link;
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::{Rc, Weak},
+};
+
+use futures_channel::oneshot;
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    name::NodeName,
+    outcome::ResultCode,
+    peer::{Heartbeat, Hello, Message, Request, Response, VERSION},
+    record::Offset,
+};
+
+use crate::{
+    core::{CallError, Calls, Handler, PeerState},
+    env::Env,
+    event::Event,
+    ports::{PeerAddress, PeerLink, PortFuture},
+    wait::{Signal, jitter, within},
+};
+
+use link::Link;
+
+/// Calls of one peer that may be in progress here; more are refused.
+pub const MAX_CALLS_PER_PEER: usize = 4_096;
+
+/// Time in which a connection must be made and the hello must have arrived.
+const HELLO_MS: Millis = Millis(2_000);
+
+/// First pause before a new connection; doubles up to the longest.
+const FIRST_REDIAL_MS: Millis = Millis(50);
+
+/// Longest pause before a new connection.
+const LONGEST_REDIAL_MS: Millis = Millis(1_000);
+
+/// Life of a connection after which redialling starts with the first pause again.
+const STABLE_MS: Millis = Millis(5_000);
+
+/// Peer of the settings.
+struct Peer {
+    address: PeerAddress,
+    link: RefCell<Option<Rc<Link>>>,
+    heard_ms: Cell<Option<MonoMs>>,
+    heartbeat: RefCell<Option<Rc<Heartbeat>>>,
+    calls_in_progress: Cell<usize>,
+}
+
+/// Connections to all peers.
+pub struct PeerCalls {
+    env: Rc<Env>,
+    peers: Vec<Rc<Peer>>,
+    handlers: RefCell<Vec<Weak<dyn Handler>>>,
+    next_call: Cell<u64>,
+    beat: Signal,
+}
+
+impl PeerCalls {
+    /// Peers of the settings, not connected.
+    #[must_use]
+    pub fn new(env: Rc<Env>) -> Rc<PeerCalls> {
+        let others = env.settings.peers.iter();
+        let others = others.filter(|peer| peer.node != env.settings.node);
+        let peers = others.map(|address| {
+            Rc::new(Peer {
+                address: address.clone(),
+                link: RefCell::default(),
+                heard_ms: Cell::default(),
+                heartbeat: RefCell::default(),
+                calls_in_progress: Cell::default(),
+            })
+        });
+        Rc::new(PeerCalls {
+            peers: peers.collect(),
+            env,
+            handlers: RefCell::default(),
+            next_call: Cell::new(1),
+            beat: Signal::default(),
+        })
+    }
+
+    /// Adds a part that handles calls; the first one that knows a call gets it.
+    pub fn add_handler(&self, handler: &Rc<dyn Handler>) {
+        self.handlers.borrow_mut().push(Rc::downgrade(handler));
+    }
+
+    /// Starts heartbeats and dials the peers with higher names.
+    pub fn start(self: &Rc<Self>) {
+        self.env.spawn(self.clone().run_heartbeats());
+        for peer in &self.peers {
+            if peer.address.node > *self.env.node() {
+                self.env.spawn(self.clone().run_dialler(peer.clone()));
+            }
+        }
+    }
+
+    /// Serves a connection that a peer opened.
+    pub fn accept(self: &Rc<Self>, link: PeerLink) {
+        let this = self.clone();
+        self.env.spawn(async move {
+            if let Some((peer, link, receiver)) = this.greet(link, None).await {
+                this.serve(&peer, link, receiver).await;
+            }
+        });
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
+        for peer in &self.peers {
+            if let Some(link) = peer.link.take() {
+                link.close();
+            }
+        }
+        self.beat.notify();
+    }
+
+    fn peer(&self, node: &NodeName) -> Option<&Rc<Peer>> {
+        self.peers.iter().find(|peer| peer.address.node == *node)
+    }
+
+    fn handlers(&self) -> Vec<Rc<dyn Handler>> {
+        let handlers = self.handlers.borrow();
+        handlers.iter().filter_map(Weak::upgrade).collect()
+    }
+
+    fn hello(&self) -> Message {
+        Message::Hello(Hello {
+            version: VERSION,
+            node: self.env.node().clone(),
+            data_centre: self.env.settings.data_centre.clone(),
+            started_ms: self.env.started_ms,
+        })
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let mut heartbeat = Heartbeat {
+            documents_next: Offset(0),
+            ready: self.env.ready.get(),
+            leaving: self.env.stopping.get(),
+            log_failed_ago_ms: None,
+            publish_unsettled: false,
+            slots: Vec::new(),
+            racks: Vec::new(),
+        };
+        let handlers = self.handlers();
+        handlers
+            .iter()
+            .for_each(|handler| handler.fill_heartbeat(&mut heartbeat));
+        heartbeat
+    }
+
+    async fn run_heartbeats(self: Rc<Self>) {
+        while !self.env.ended.get() {
+            let seen = self.beat.count();
+            let message = Message::Heartbeat(self.heartbeat());
+            for peer in &self.peers {
+                let link = peer.link.borrow().clone();
+                if let Some(link) = link {
+                    link.send_or_close(message.clone());
+                }
+            }
+            let interval = self.env.settings.timing.heartbeat_ms;
+            let beat = self.beat.wait_past(seen);
+            within(&*self.env.ports.runtime, interval, beat).await;
+        }
+    }
+
+    async fn run_dialler(self: Rc<Self>, peer: Rc<Peer>) {
+        let mut failures = 0_u32;
+        while !self.env.ended.get() {
+            let began_ms = self.env.now();
+            if let Some((_, link, receiver)) = self.dial(&peer).await {
+                self.serve(&peer, link, receiver).await;
+            }
+            let lived = self.env.now().since(began_ms);
+            failures = match lived >= STABLE_MS {
+                true => 0,
+                false => failures + 1,
+            };
+            let doubled = Millis(FIRST_REDIAL_MS.0 << failures.min(10));
+            let span = doubled.min(LONGEST_REDIAL_MS);
+            let pause = Millis(span.0 / 2) + jitter(&*self.env.ports.runtime, span);
+            self.env.sleep(pause).await;
+        }
+    }
+
+    async fn dial(&self, peer: &Rc<Peer>) -> Option<(Rc<Peer>, Rc<Link>, link::Receiver)> {
+        let connect = self.env.ports.peers.connect(&peer.address);
+        let connected = within(&*self.env.ports.runtime, HELLO_MS, connect).await;
+        self.greet(connected?.ok()?, Some(&peer.address.node)).await
+    }
+
+    /// Exchanges hellos and puts the connection in place of an earlier one.
+    async fn greet(
+        &self,
+        raw: PeerLink,
+        expected: Option<&NodeName>,
+    ) -> Option<(Rc<Peer>, Rc<Link>, link::Receiver)> {
+        let PeerLink {
+            sender,
+            mut receiver,
+        } = raw;
+        let sent = sender.send(self.hello());
+        let answer = within(&*self.env.ports.runtime, HELLO_MS, receiver.receive()).await;
+        let hello = match (sent, answer) {
+            (Ok(()), Some(Ok(Message::Hello(hello)))) => hello,
+            _ => {
+                sender.close();
+                return None;
+            }
+        };
+        let is_expected = expected.is_none_or(|expected| *expected == hello.node);
+        let peer = self.peer(&hello.node).filter(|_| is_expected).cloned();
+        let Some(peer) = peer else {
+            Event::PeerMessageInvalid.log(format_args!("hello of unknown node {}", hello.node));
+            sender.close();
+            return None;
+        };
+        let link = Rc::new(Link::new(sender, &hello));
+        match self.install(&peer, &link) {
+            true => Some((peer, link, receiver)),
+            false => {
+                link.close();
+                None
+            }
+        }
+    }
+
+    fn install(&self, peer: &Peer, link: &Rc<Link>) -> bool {
+        let current = peer.link.borrow().clone();
+        if let Some(current) = current {
+            if current.started_ms() > link.started_ms() {
+                return false;
+            }
+            current.close();
+        }
+        peer.link.replace(Some(link.clone()));
+        Event::PeerConnected.log(format_args!(
+            "{}, messages of version {}",
+            peer.address.node,
+            link.version()
+        ));
+        link.send_or_close(Message::Heartbeat(self.heartbeat()));
+        true
+    }
+
+    /// Receives until the connection is closed or silent.
+    async fn serve(self: &Rc<Self>, peer: &Rc<Peer>, link: Rc<Link>, mut receiver: link::Receiver) {
+        let silent_ms = self.env.settings.timing.peer_silent_ms;
+        while !link.is_closed() && !self.env.ended.get() {
+            let message = within(
+                &*self.env.ports.runtime,
+                silent_ms,
+                link.until_closed(receiver.receive()),
+            );
+            match message.await {
+                Some(Some(Ok(message))) => self.receive(peer, &link, message),
+                Some(Some(Err(_)) | None) | None => break,
+            }
+        }
+        link.close();
+        let is_current =
+            matches!(&*peer.link.borrow(), Some(current) if Rc::ptr_eq(current, &link));
+        if is_current {
+            peer.link.replace(None);
+            Event::PeerLost.log(format_args!("{}", peer.address.node));
+        }
+    }
+
+    fn receive(self: &Rc<Self>, peer: &Rc<Peer>, link: &Rc<Link>, message: Message) {
+        match message {
+            Message::Heartbeat(heartbeat) => {
+                peer.heard_ms.set(Some(self.env.now()));
+                peer.heartbeat.replace(Some(Rc::new(heartbeat)));
+            }
+            Message::Call(number, request) => self.answer(peer, link, number, &request),
+            Message::Reply(number, response) => {
+                if !link.take_reply(number, response) {
+                    Event::AnswerDropped.log(format_args!("reply {number} to no call"));
+                }
+            }
+            Message::Hello(hello) => {
+                Event::PeerMessageInvalid.log(format_args!("second hello of {}", hello.node));
+            }
+        }
+    }
+
+    fn answer(self: &Rc<Self>, peer: &Rc<Peer>, link: &Rc<Link>, number: u64, request: &Request) {
+        if peer.calls_in_progress.get() >= MAX_CALLS_PER_PEER {
+            let text = "too many calls in progress".into();
+            let refusal = Response::Refused(ResultCode::Overloaded, text);
+            link.send_or_close(Message::Reply(number, refusal));
+            return;
+        }
+        let Some(handling) = self.dispatch(&peer.address.node, request) else {
+            link.send_or_close(Message::Reply(number, Response::Unsupported));
+            return;
+        };
+        let (peer, link) = (peer.clone(), link.clone());
+        peer.calls_in_progress.set(peer.calls_in_progress.get() + 1);
+        self.env.spawn(async move {
+            let response = handling.await;
+            peer.calls_in_progress.set(peer.calls_in_progress.get() - 1);
+            link.send_or_close(Message::Reply(number, response));
+        });
+    }
+
+    fn dispatch(
+        &self,
+        from: &NodeName,
+        request: &Request,
+    ) -> Option<PortFuture<'static, Response>> {
+        let handlers = self.handlers();
+        handlers
+            .iter()
+            .find_map(|handler| handler.handle(from, request))
+    }
+
+    /// Handles a call of this node to itself, as a peer would: not cut off when the caller gives up.
+    async fn call_self(&self, request: Request, span: Millis) -> CallResult {
+        let Some(handling) = self.dispatch(self.env.node(), &request) else {
+            return Ok(Response::Unsupported);
+        };
+        let (waiter, reply) = oneshot::channel();
+        self.env.spawn(async move {
+            // A caller that gave up needs no reply.
+            let _ = waiter.send(handling.await);
+        });
+        let reply = within(&*self.env.ports.runtime, span, reply).await;
+        reply.and_then(Result::ok).ok_or(CallError::NoReply)
+    }
+
+    async fn call_peer(&self, node: &NodeName, request: Request, span: Millis) -> CallResult {
+        let link = self.peer(node).and_then(|peer| peer.link.borrow().clone());
+        let link = link.ok_or(CallError::NotSent)?;
+        let number = self.next_call.get();
+        self.next_call.set(number + 1);
+        let call = link.call(number, request)?;
+        let reply = within(&*self.env.ports.runtime, span, call.reply()).await;
+        reply.flatten().ok_or(CallError::NoReply)
+    }
+}
+
+/// Result of a call.
+pub type CallResult = std::result::Result<Response, CallError>;
+
+/// Calls over shared connections.
+pub struct SharedCalls(pub Rc<PeerCalls>);
+
+impl Calls for SharedCalls {
+    fn call(&self, node: &NodeName, request: Request, span: Millis) -> PortFuture<'_, CallResult> {
+        let node = node.clone();
+        Box::pin(async move {
+            match node == *self.0.env.node() {
+                true => self.0.call_self(request, span).await,
+                false => self.0.call_peer(&node, request, span).await,
+            }
+        })
+    }
+
+    fn peers(&self) -> Vec<PeerState> {
+        let peers = self.0.peers.iter();
+        peers
+            .map(|peer| PeerState {
+                node: peer.address.node.clone(),
+                data_centre: peer.address.data_centre.clone(),
+                heard_ms: peer.heard_ms.get(),
+                heartbeat: peer.heartbeat.borrow().clone(),
+            })
+            .collect()
+    }
+
+    fn beat_now(&self) {
+        self.0.beat.notify();
+    }
+}
