--- a/hemlocksaddle-types/src/document.rs
+++ b/hemlocksaddle-types/src/document.rs
@@ -34,8 +34,8 @@
 /// Longest latency objective and deadline in milliseconds: ten minutes.
 const MAX_SPAN_MS: u64 = 600_000;
 
-/// Longest window of an objective in hours: one year.
-const MAX_WINDOW_HOURS: u64 = 8_760;
+/// Longest window of an objective in hours: the 30 days for which nodes keep counts.
+const MAX_WINDOW_HOURS: u64 = 720;
 
 /// Largest quota in one dimension; sums over all teams stay far below overflow.
 const MAX_QUOTA: u64 = 1_000_000_000_000;
