Add ownership, configuration and the assembly of the node

Cause: the node had no owner of units, no documents in force and no way to be put together. Starts without the log need the confirmation of every running node. Node assembles all of it and takes a list of parts.

--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod burn;
+pub mod configuration;
 pub mod core;
 pub mod env;
 pub mod event;
@@ -14,9 +15,12 @@
 pub mod journal;
 pub mod metrics;
 pub mod node;
+pub mod ownership;
+pub mod parts;
 pub mod peers;
 pub mod ports;
 pub mod requests;
+pub mod restate;
 pub mod settings;
 pub mod stream;
 pub mod wait;
--- a/hemlocksaddle-node/src/node.rs
+++ b/hemlocksaddle-node/src/node.rs
@@ -1,55 +1,198 @@
 //! Assembly of a node.
+//!
+//! The inner modules (log writer, peers, configuration, ownership) are built
+//! here; queues, racks and requests plug in as a list of parts. Nothing refers
+//! back to what owns it except through `Weak`, so that a dropped node is freed
+//! once its runtime has dropped its tasks.
 
-use std::{cell::Cell, rc::Rc};
+mod status;
+
+use std::rc::Rc;
 
 use futures_util::future::join_all;
+use hemlocksaddle_types::{
+    clock::Millis,
+    document::{Document, Revision},
+    name::ServiceName,
+};
 
 use crate::{
-    core::{Core, Part},
+    configuration::{ConfigurationStore, SharedConfiguration},
+    core::{Calls, Configuration, Core, Handler, Journal, Part, PublishResult},
+    env::Env,
     event::Event,
+    explain::Explanations,
+    invariant::OnViolation,
+    journal::{LogWriter, SharedJournal},
+    ownership::{SharedOwnership, UnitTable},
+    parts,
+    peers::{PeerCalls, SharedCalls},
+    ports::{PeerLink, Ports},
+    settings::Settings,
 };
 
+pub use status::{LogStatus, NodeStatus, PeerStatus, UnitStatus};
+
+/// Interval at which a starting node checks whether it has caught up.
+const READY_EVERY_MS: Millis = Millis(100);
+
 /// Node with all its parts.
 pub struct Node {
+    env: Rc<Env>,
     core: Rc<Core>,
+    log: Rc<LogWriter>,
+    peers: Rc<PeerCalls>,
+    configuration: Rc<ConfigurationStore>,
+    ownership: Rc<UnitTable>,
     parts: Vec<Rc<dyn Part>>,
-    ready: Cell<bool>,
 }
 
 impl Node {
-    /// Node of parts that were built on the core, in the order in which they start.
+    /// Node with queues, racks and requests.
+    #[must_use]
+    pub fn new(ports: Ports, settings: Settings, on_violation: OnViolation) -> Rc<Node> {
+        Node::with_parts(ports, settings, on_violation, parts::all)
+    }
+
+    /// Node with the given parts, in the order in which they start and are asked to handle calls.
     #[must_use]
-    pub fn assemble(core: Rc<Core>, parts: Vec<Rc<dyn Part>>) -> Rc<Node> {
+    pub fn with_parts(
+        ports: Ports,
+        settings: Settings,
+        on_violation: OnViolation,
+        build: impl FnOnce(&Rc<Core>) -> Vec<Rc<dyn Part>>,
+    ) -> Rc<Node> {
+        let env = Env::new(ports, settings, on_violation);
+        let log = LogWriter::new(env.clone());
+        let peers = PeerCalls::new(env.clone());
+        let journal: Rc<dyn Journal> = Rc::new(SharedJournal(log.clone()));
+        let calls: Rc<dyn Calls> = Rc::new(SharedCalls(peers.clone()));
+        let configuration =
+            ConfigurationStore::new(env.clone(), journal.clone(), log.clone(), calls.clone());
+        let shared: Rc<dyn Configuration> = Rc::new(SharedConfiguration(configuration.clone()));
+        let ownership = UnitTable::new(
+            env.clone(),
+            journal.clone(),
+            log.clone(),
+            calls.clone(),
+            shared.clone(),
+        );
+        let core = Rc::new(Core {
+            ports: env.ports.clone(),
+            settings: env.settings.clone(),
+            started_ms: env.started_ms,
+            ownership: Rc::new(SharedOwnership(ownership.clone())),
+            configuration: shared,
+            calls,
+            journal,
+            invariants: env.invariants.clone(),
+            metrics: env.metrics.clone(),
+            explanations: Rc::new(Explanations::new(env.settings.node.clone())),
+            stopping: env.stopping.clone(),
+        });
+        let parts = build(&core);
+        let mut handlers: Vec<Rc<dyn Handler>> = vec![configuration.clone(), ownership.clone()];
+        handlers.extend(parts.iter().cloned().map(|part| part as Rc<dyn Handler>));
+        handlers
+            .iter()
+            .for_each(|handler| peers.add_handler(handler));
         Rc::new(Node {
+            env,
             core,
+            log,
+            peers,
+            configuration,
+            ownership,
             parts,
-            ready: Cell::new(false),
         })
     }
 
+    /// Starts all parts; the node serves once it has caught up.
+    pub fn start(&self) {
+        Event::NodeStarted.log(format_args!("{}", self.env.node()));
+        self.peers.start();
+        self.configuration.start();
+        self.ownership.start();
+        self.parts.iter().cloned().for_each(Part::start);
+        let readiness = wait_until_ready(
+            self.env.clone(),
+            self.configuration.clone(),
+            self.ownership.clone(),
+            self.core.calls.clone(),
+        );
+        self.env.spawn(readiness);
+    }
+
+    /// Serves a connection that a peer opened.
+    pub fn accept_peer(&self, link: PeerLink) {
+        self.peers.accept(link);
+    }
+
+    /// Whether the node has caught up and is not stopping.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.env.ready.get() && !self.env.stopping.get()
+    }
+
     /// What the parts share.
     #[must_use]
     pub fn core(&self) -> &Rc<Core> {
         &self.core
     }
 
-    /// Whether the node serves.
+    /// Publishes a document and waits for the verdict.
+    pub async fn publish(
+        &self,
+        service: ServiceName,
+        expected: Revision,
+        text: std::sync::Arc<str>,
+    ) -> PublishResult {
+        let publication = self.core.configuration.publish(service, expected, text);
+        publication.await
+    }
+
+    /// Documents in force with their revisions.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.ready.get()
+    pub fn documents(&self) -> Vec<(Rc<Document>, Revision)> {
+        self.core.configuration.documents()
     }
 
-    /// Starts all parts.
-    pub fn start(&self) {
-        Event::NodeStarted.log(format_args!("{}", self.core.settings.node));
-        self.parts.iter().cloned().for_each(Part::start);
+    /// All metrics in Prometheus text format.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        self.env.metrics.render(&self.env.invariants)
     }
 
-    /// Finishes accepted work and releases all units.
+    /// Finishes accepted work, releases all units and ends the node's tasks.
     pub async fn stop(&self) {
-        self.core.stopping.set(true);
-        Event::NodeStopping.log(format_args!("{}", self.core.settings.node));
+        if self.env.stopping.replace(true) {
+            return;
+        }
+        Event::NodeStopping.log(format_args!("{}", self.env.node()));
+        self.core.calls.beat_now();
         join_all(self.parts.iter().cloned().map(Part::stop)).await;
-        Event::NodeStopped.log(format_args!("{}", self.core.settings.node));
+        self.ownership.release_all().await;
+        self.env.ended.set(true);
+        self.peers.close();
+        self.log.close();
+        Event::NodeStopped.log(format_args!("{}", self.env.node()));
+    }
+}
+
+async fn wait_until_ready(
+    env: Rc<Env>,
+    configuration: Rc<ConfigurationStore>,
+    ownership: Rc<UnitTable>,
+    calls: Rc<dyn Calls>,
+) {
+    while !env.ended.get() {
+        let has_read = configuration.has_caught_up() && ownership.has_caught_up();
+        if has_read || configuration.matches_peers() {
+            env.ready.set(true);
+            Event::NodeReady.log(format_args!("{}", env.node()));
+            calls.beat_now();
+            return;
+        }
+        env.sleep(READY_EVERY_MS).await;
     }
 }
