--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod invariant;
 pub mod metrics;
 pub mod ports;
+pub mod rack;
 pub mod settings;
+pub mod wait;
--- /dev/null
+++ b/hemlocksaddle-node/src/rack/events.rs
@@ -0,0 +1,110 @@
+//! Delivery of task events to queue owners.
+//!
+//! An event is repeated until the owner of the task's queue acknowledges it. The
+//! owner does so only when the event is durable, so the worker may forget an
+//! ended task from then on.
+
+use std::rc::Rc;
+
+use hemlocksaddle_policy::backoff::jittered;
+use hemlocksaddle_types::{
+    clock::Millis,
+    peer::{KnownTask, Request, Response, TaskEvent},
+    unit::Unit,
+};
+
+use super::{
+    Racks,
+    state::{CommitmentKey, Phase, known},
+};
+
+/// Longest wait for an acknowledgement; covers an append to a slow log.
+const ACKNOWLEDGE_MS: Millis = Millis(5_000);
+/// Pause before an event is sent for the second time.
+const FIRST_PAUSE_MS: Millis = Millis(100);
+/// Longest pause between two sendings.
+const MAX_PAUSE_MS: Millis = Millis(2_000);
+
+impl Racks {
+    /// Starts the delivery of the events of commitments that are over.
+    pub(super) fn deliver_all(&self, over: Vec<CommitmentKey>) {
+        for key in over {
+            let Some(racks) = self.this.upgrade() else {
+                return;
+            };
+            self.count_event(key);
+            self.events_in_progress
+                .set(self.events_in_progress.get() + 1);
+            self.spawn(async move {
+                racks.deliver(key).await;
+                racks
+                    .events_in_progress
+                    .set(racks.events_in_progress.get() - 1);
+            });
+        }
+    }
+
+    fn count_event(&self, key: CommitmentKey) {
+        let label = match self.event_of(key).map(|known| known.event) {
+            Some(TaskEvent::Ended(..)) => "ended",
+            Some(TaskEvent::Lost(_)) => "lost",
+            Some(TaskEvent::NotStarted) => "not_started",
+            _ => return,
+        };
+        self.core.metrics.tasks.with_label_values(&[label]).inc();
+    }
+
+    async fn deliver(self: &Rc<Self>, key: CommitmentKey) {
+        let mut pause = FIRST_PAUSE_MS;
+        while let Some(event) = self.event_of(key) {
+            if self.acknowledged(key, &event).await {
+                self.forget(key, &event);
+                continue;
+            }
+            let runtime = &self.core.ports.runtime;
+            runtime.sleep(jittered(pause, runtime.random())).await;
+            pause = Millis((pause.0 * 2).min(MAX_PAUSE_MS.0));
+        }
+    }
+
+    async fn acknowledged(&self, key: CommitmentKey, event: &KnownTask) -> bool {
+        let worker = self.state.borrow().commitments.get(key).map(|c| c.worker);
+        if !worker.is_some_and(|worker| self.may_act_on(worker)) {
+            return false;
+        }
+        let queue = Unit::Queue(event.task.job.queue);
+        let Some(owner) = self.core.ownership.owner(&queue) else {
+            return false;
+        };
+        let request = Request::TaskEvent(event.clone());
+        let reply = self.core.calls.call(&owner, request, ACKNOWLEDGE_MS).await;
+        matches!(reply, Ok(Response::Ok))
+    }
+
+    /// Current event of a commitment that is over.
+    fn event_of(&self, key: CommitmentKey) -> Option<KnownTask> {
+        let state = self.state.borrow();
+        let commitment = state.commitments.get(key)?;
+        let worker = state.workers.get(commitment.worker)?;
+        match commitment.phase {
+            Phase::Finished(_) => Some(known(commitment, &worker.name)),
+            _ => None,
+        }
+    }
+
+    /// Removes a commitment whose event was acknowledged, unless it has a newer event.
+    fn forget(&self, key: CommitmentKey, event: &KnownTask) {
+        if self.event_of(key).as_ref() != Some(event) {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let Some(commitment) = state.remove(key, now) else {
+            return;
+        };
+        let ended = matches!(event.event, TaskEvent::Ended(..));
+        if let (true, Some(worker)) = (ended, state.workers.get_mut(commitment.worker)) {
+            worker.acknowledged.push(commitment.id);
+        }
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/rack/place.rs
@@ -0,0 +1,289 @@
+//! Decision on placements, and start orders.
+//!
+//! A commitment is made before the start order is sent and is taken back only if
+//! it is certain that the order was not carried out.
+
+use std::rc::Rc;
+
+use hemlocksaddle_policy::placement::{WorkerView, choose_worker};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    host::HostState,
+    job::Urgency,
+    peer::{Place, PlaceRefusal, Placed},
+    resources::Resources,
+    unit::Term,
+    worker::{StartReply, StartTask},
+};
+
+use super::{
+    Racks,
+    state::{Commitment, CommitmentKey, Phase, State, WorkerKey},
+};
+use crate::{invariant::Invariant, ports::PortError, wait::within};
+
+/// What a rack does with a placement.
+enum Decision {
+    /// Same attempt is known already.
+    Known(Placed),
+    /// Start on this worker.
+    Start(WorkerKey),
+    /// Not here.
+    Refuse(PlaceRefusal),
+}
+
+impl Racks {
+    /// Places an attempt on a worker, or states why not.
+    pub(super) async fn place(self: Rc<Self>, order: Place) -> Placed {
+        let deadline = self.now() + order.within_ms;
+        if let Err(refusal) = self.admit(&order) {
+            return Placed::Refused(refusal);
+        }
+        let placed = match self.decide(&order) {
+            Decision::Known(placed) => return placed,
+            Decision::Start(worker) => self.start_on(worker, &order, deadline).await,
+            Decision::Refuse(refusal) => Placed::Refused(refusal),
+        };
+        if let Placed::Refused(_) = placed {
+            let id = (order.task, order.attempt);
+            self.state.borrow_mut().close(id, self.now());
+        }
+        placed
+    }
+
+    /// Checks who orders and whether this node may act.
+    fn admit(&self, order: &Place) -> Result<(), PlaceRefusal> {
+        let owned = {
+            let state = self.state.borrow();
+            let rack = state.racks.get(&order.rack);
+            rack.map(|rack| (rack.term, rack.data_centre.clone()))
+        };
+        let (term, data_centre) = owned.ok_or(PlaceRefusal::NotOwner)?;
+        if self.stopping.get() || !self.has_right(&order.rack, term) {
+            return Err(PlaceRefusal::NotOwner);
+        }
+        self.check_queue_term(order)?;
+        match self.core.configuration.may_start_in(&data_centre) {
+            true => Ok(()),
+            false => Err(PlaceRefusal::DataCentreClosed),
+        }
+    }
+
+    fn check_queue_term(&self, order: &Place) -> Result<(), PlaceRefusal> {
+        let mut state = self.state.borrow_mut();
+        let queue = order.task.job.queue;
+        let highest = state.queue_terms.entry(queue).or_insert(Term(0));
+        if order.queue_term < *highest {
+            return Err(PlaceRefusal::StaleTerm);
+        }
+        *highest = order.queue_term;
+        Ok(())
+    }
+
+    fn decide(&self, order: &Place) -> Decision {
+        let state = self.state.borrow();
+        let id = (order.task, order.attempt);
+        if let Some(known) = state.by_attempt.get(&id) {
+            let worker = state.commitments.get(*known).map(|c| c.worker);
+            let worker = worker.and_then(|worker| state.workers.get(worker));
+            if let Some(worker) = worker {
+                return Decision::Known(Placed::Accepted(worker.name.clone()));
+            }
+        }
+        if state.is_closed(id) || state.deciding.contains_key(&id) {
+            return Decision::Refuse(PlaceRefusal::NoRoom);
+        }
+        let candidates = self.candidates(&state, order);
+        let views = candidates.iter().map(|(_, view)| *view);
+        match choose_worker(&order.demand, views) {
+            Some(index) => Decision::Start(candidates[index].0),
+            None => Decision::Refuse(self.why_no_room(&state, order)),
+        }
+    }
+
+    fn candidates(&self, state: &State, order: &Place) -> Vec<(WorkerKey, WorkerView)> {
+        let workers = state.workers_of(&order.rack);
+        workers
+            .filter(|(key, worker)| self.takes_starts(*key, worker))
+            .filter(|(_, worker)| !order.avoid.contains(&worker.name))
+            .map(|(key, worker)| {
+                let of_job = state.holding_on(key);
+                let of_job = of_job.filter(|(_, c)| c.id.0.job == order.task.job);
+                let view = WorkerView {
+                    free: state.free(key),
+                    capacity: worker.capacity,
+                    same_job: u32::try_from(of_job.count()).unwrap_or(u32::MAX),
+                    interference_milli: 0,
+                };
+                (key, view)
+            })
+            .collect()
+    }
+
+    fn why_no_room(&self, state: &State, order: &Place) -> PlaceRefusal {
+        let mut workers = state.workers_of(&order.rack);
+        if !workers.any(|(_, worker)| order.demand.fits_in(&worker.capacity)) {
+            return PlaceRefusal::NeverFits;
+        }
+        let mut workers = state.workers_of(&order.rack);
+        let failing = workers.any(|(key, worker)| {
+            order.demand.fits_in(&state.free(key)) && !self.takes_starts(key, worker)
+        });
+        match failing {
+            true => PlaceRefusal::WorkersFailing,
+            false => PlaceRefusal::NoRoom,
+        }
+    }
+
+    /// Commits resources and sends the start order.
+    async fn start_on(&self, worker: WorkerKey, order: &Place, deadline: MonoMs) -> Placed {
+        let now = self.now();
+        let Some(key) = self.commit_for(worker, order, now) else {
+            return Placed::Refused(PlaceRefusal::NoRoom);
+        };
+        if let Err(refusal) = self.prove_start(worker) {
+            self.state.borrow_mut().remove(key, now);
+            return Placed::Refused(refusal);
+        }
+        let left = deadline.since(now);
+        self.starts_in_progress
+            .set(self.starts_in_progress.get() + 1);
+        let placed = self.send_start(key, worker, order, left).await;
+        self.starts_in_progress
+            .set(self.starts_in_progress.get() - 1);
+        placed
+    }
+
+    fn commit_for(&self, worker: WorkerKey, order: &Place, now: MonoMs) -> Option<CommitmentKey> {
+        let timing = &self.core.settings.timing;
+        let mut state = self.state.borrow_mut();
+        let known = state.workers.get(worker)?;
+        let clock = known.clock?;
+        let fits = (state.held(worker) + order.demand).fits_in(&known.capacity);
+        let invariants = &self.core.invariants;
+        if !invariants.check(Invariant::HostCapacity, fits, || {
+            format!("worker {} has no room for {:?}", known.name, order.task)
+        }) {
+            return None;
+        }
+        let other = state.holding_task(order.task).map(|c| c.id.1);
+        if !invariants.check(Invariant::SinglePlace, other.is_none(), || {
+            format!("{:?} is held by attempt {other:?}", order.task)
+        }) {
+            return None;
+        }
+        Some(state.commit(Commitment {
+            id: (order.task, order.attempt),
+            worker,
+            service: order.service.clone(),
+            demand: order.demand,
+            urgency: order.urgency,
+            resumable: order.resumable,
+            phase: Phase::Starting,
+            lease_until_ms: now + timing.lease_ms.with_clock_margin(),
+            start_by_worker_ms: clock.lower_bound(now) + timing.start_by_ms,
+            progress_ms: order.checkpoint.as_ref().map_or(0, |c| c.progress_ms),
+            checkpoint_ms: order.checkpoint.as_ref().map_or(0, |c| c.progress_ms),
+            slowdown_milli: 0,
+            throttled: false,
+            stop_sent_ms: None,
+            stop_with_checkpoint: false,
+        }))
+    }
+
+    /// Right and start proof, checked directly before the send.
+    fn prove_start(&self, key: WorkerKey) -> Result<(), PlaceRefusal> {
+        if self.stopping.get() || !self.may_act_on(key) {
+            return Err(PlaceRefusal::NotOwner);
+        }
+        let state = self.state.borrow();
+        let worker = state.workers.get(key).ok_or(PlaceRefusal::NotOwner)?;
+        let open = self.core.configuration.may_start_in(&worker.data_centre);
+        if !open || worker.listed != HostState::Live {
+            return Err(PlaceRefusal::DataCentreClosed);
+        }
+        let out = self.core.configuration.is_out(&worker.data_centre);
+        let holds = self
+            .core
+            .invariants
+            .check(Invariant::NoStartInOutDataCentre, !out, || {
+                format!("start on {} in {}", worker.name, worker.data_centre)
+            });
+        match holds {
+            true => Ok(()),
+            false => Err(PlaceRefusal::DataCentreClosed),
+        }
+    }
+
+    async fn send_start(
+        &self,
+        key: CommitmentKey,
+        worker: WorkerKey,
+        order: &Place,
+        left: Millis,
+    ) -> Placed {
+        let Some((address, name, start)) = self.start_order(key, worker, order, left) else {
+            return Placed::Refused(PlaceRefusal::NotOwner);
+        };
+        let call = self.core.ports.workers.start(address, &name, start);
+        let limit = self.core.settings.timing.platform_call_ms;
+        let answer = within(&*self.core.ports.runtime, limit, call).await;
+        let answer = answer.unwrap_or(Err(PortError::Unknown));
+        let mut state = self.state.borrow_mut();
+        match answer {
+            Ok(StartReply::Started | StartReply::AlreadyKnown) => {
+                if let Some(commitment) = state.commitments.get_mut(key)
+                    && commitment.phase == Phase::Starting
+                {
+                    commitment.phase = Phase::Running;
+                }
+                Placed::Accepted(name)
+            }
+            Ok(StartReply::TooLate | StartReply::Refused(_)) | Err(PortError::NotSent) => {
+                state.remove(key, self.now());
+                Placed::Refused(PlaceRefusal::WorkersFailing)
+            }
+            Err(PortError::Unknown) => Placed::Accepted(name),
+        }
+    }
+
+    fn start_order(
+        &self,
+        key: CommitmentKey,
+        worker: WorkerKey,
+        order: &Place,
+        left: Millis,
+    ) -> Option<(
+        std::net::SocketAddr,
+        hemlocksaddle_types::name::WorkerName,
+        StartTask,
+    )> {
+        let timing = &self.core.settings.timing;
+        let state = self.state.borrow();
+        let commitment = state.commitments.get(key)?;
+        let known = state.workers.get(worker)?;
+        let worker_now = known.clock?.lower_bound(self.now());
+        let start_by = (worker_now + left).min(commitment.start_by_worker_ms);
+        let start = StartTask {
+            task: order.task,
+            attempt: order.attempt,
+            service: order.service.clone(),
+            demand: order.demand,
+            expected_run_ms: order.expected_run_ms,
+            urgency: order.urgency,
+            resumable: order.resumable,
+            checkpoint: order.checkpoint.clone(),
+            start_by_worker_ms: start_by,
+            lease_until_worker_ms: worker_now + timing.lease_ms,
+        };
+        Some((known.address, known.name.clone(), start))
+    }
+}
+
+/// What urgent work could take from a worker's batch tasks.
+pub(super) fn evictable(state: &State, key: WorkerKey) -> Resources {
+    let holding = state.holding_on(key);
+    holding
+        .filter(|(_, c)| c.urgency == Urgency::Batch && c.resumable && c.phase == Phase::Running)
+        .fold(Resources::default(), |sum, (_, c)| sum + c.demand)
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/rack/stop.rs
@@ -0,0 +1,114 @@
+//! Stops of attempts, repeated until the worker reports the end.
+
+use std::rc::Rc;
+
+use hemlocksaddle_types::{clock::Millis, name::RackName, peer::Response};
+
+use super::{
+    Racks,
+    state::{AttemptId, CommitmentKey, Phase},
+};
+use crate::wait::within;
+
+/// Pause between a stop order and the look at its effect.
+const LOOK_AFTER_MS: Millis = Millis(200);
+/// Pause before a stop is ordered again.
+const REPEAT_MS: Millis = Millis(2_000);
+
+impl Racks {
+    /// Answers a queue owner's order to stop an attempt.
+    ///
+    /// An attempt that is not known here is closed, so that a start order for it
+    /// that arrives late is refused.
+    pub(super) fn stop_task(
+        self: &Rc<Self>,
+        rack: &RackName,
+        id: AttemptId,
+        checkpoint: bool,
+    ) -> Response {
+        let term = self.state.borrow().racks.get(rack).map(|owned| owned.term);
+        if !term.is_some_and(|term| self.has_right(rack, term)) {
+            return Response::NotOwner;
+        }
+        let key = self.state.borrow().by_attempt.get(&id).copied();
+        match key {
+            Some(key) => self.begin_stop(key, checkpoint),
+            None => self.state.borrow_mut().close(id, self.now()),
+        }
+        Response::Ok
+    }
+
+    /// Orders a stop in the background, unless one is under way or the attempt is over.
+    pub(super) fn begin_stop(self: &Rc<Self>, key: CommitmentKey, checkpoint: bool) {
+        let now = self.now();
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(commitment) = state.commitments.get_mut(key) else {
+                return;
+            };
+            let under_way = commitment.stop_sent_ms.is_some();
+            if under_way || !commitment.holds() {
+                return;
+            }
+            commitment.stop_sent_ms = Some(now);
+            commitment.stop_with_checkpoint = checkpoint;
+        }
+        let racks = self.clone();
+        self.spawn(async move { racks.stop_until_over(key).await });
+    }
+
+    async fn stop_until_over(self: Rc<Self>, key: CommitmentKey) {
+        while self.running.get() && self.is_holding(key) {
+            self.order_stop(key).await;
+            self.core.ports.runtime.sleep(LOOK_AFTER_MS).await;
+            self.look_again(key).await;
+            if self.is_holding(key) {
+                self.core.ports.runtime.sleep(REPEAT_MS).await;
+            }
+        }
+    }
+
+    fn is_holding(&self, key: CommitmentKey) -> bool {
+        let state = self.state.borrow();
+        state.commitments.get(key).is_some_and(|c| c.holds())
+    }
+
+    async fn order_stop(&self, key: CommitmentKey) {
+        let order = {
+            let state = self.state.borrow();
+            let commitment = state.commitments.get(key);
+            commitment.and_then(|commitment| {
+                let worker = state.workers.get(commitment.worker)?;
+                let target = (commitment.worker, worker.address, worker.name.clone());
+                Some((target, commitment.id, commitment.stop_with_checkpoint))
+            })
+        };
+        let Some(((worker, address, name), (task, attempt), checkpoint)) = order else {
+            return;
+        };
+        if !self.may_act_on(worker) {
+            return;
+        }
+        let workers = &self.core.ports.workers;
+        let call = workers.stop(address, &name, task, attempt, checkpoint);
+        let limit = self.core.settings.timing.platform_call_ms;
+        let answer = within(&*self.core.ports.runtime, limit, call).await;
+        let mut state = self.state.borrow_mut();
+        let commitment = state.commitments.get_mut(key);
+        if let (Some(Ok(())), Some(commitment)) = (answer, commitment)
+            && commitment.phase == Phase::Running
+        {
+            commitment.phase = Phase::Stopping;
+        }
+    }
+
+    /// Asks the worker of an attempt for a report out of turn.
+    pub(super) async fn look_again(&self, key: CommitmentKey) {
+        let worker = self.state.borrow().commitments.get(key).map(|c| c.worker);
+        if let Some(worker) = worker
+            && self.may_act_on(worker)
+        {
+            self.renew(worker).await;
+        }
+    }
+}
