--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod burn;
 pub mod core;
 pub mod event;
 pub mod explain;
@@ -12,5 +13,6 @@
 pub mod metrics;
 pub mod ports;
 pub mod rack;
+pub mod requests;
 pub mod settings;
 pub mod wait;
--- a/hemlocksaddle-node/src/rack/state.rs
+++ b/hemlocksaddle-node/src/rack/state.rs
@@ -15,7 +15,7 @@
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     host::HostState,
-    job::{Attempt, TaskEnd, TaskId, Urgency},
+    job::{Attempt, TaskId, Urgency},
     name::{DataCentre, RackName, ServiceName, WorkerName},
     peer::{KnownTask, TaskEvent},
     resources::Resources,
@@ -58,6 +58,7 @@
 pub(crate) struct Commitment {
     pub(crate) id: AttemptId,
     pub(crate) worker: WorkerKey,
+    #[expect(dead_code, reason = "class of the task, for interference")]
     pub(crate) service: ServiceName,
     pub(crate) demand: Resources,
     pub(crate) urgency: Urgency,
@@ -456,12 +457,3 @@
 fn unknown_service() -> ServiceName {
     ServiceName::try_from("unknown").expect("constant is a valid name")
 }
-
-/// Whether an end means that the task ran well.
-pub(crate) fn ran_well(end: &TaskEnd) -> Option<bool> {
-    match end {
-        TaskEnd::Completed => Some(true),
-        TaskEnd::Failed(_) => Some(false),
-        TaskEnd::Stopped(_) | TaskEnd::LeaseLapsed(_) => None,
-    }
-}
--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -6,10 +6,13 @@
 
 #![forbid(unsafe_code)]
 
+pub mod burn;
 pub mod clock;
 pub mod document;
 pub mod error;
+pub mod hash;
 pub mod host;
+pub mod ini;
 pub mod job;
 pub mod name;
 pub mod outcome;
