--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod invariant;
 pub mod metrics;
 pub mod ports;
+pub mod queue;
 pub mod rack;
 pub mod requests;
 pub mod settings;
--- /dev/null
+++ b/hemlocksaddle-node/src/queue/client.rs
@@ -0,0 +1,174 @@
+//! Callers' side: routes job calls to the owner of the queue.
+//!
+//! A submission whose reply was lost may have been accepted. With a key it is
+//! repeated until a reply settles it; without one the caller is told that it may
+//! have run. A refusal after a lost reply does not settle it, because the first
+//! message may still arrive.
+
+use std::sync::Arc;
+
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    job::{JobId, JobSpec, JobStatus},
+    outcome::ResultCode,
+    peer::{Explanation, Request, Response},
+    unit::{QueueIndex, Unit},
+};
+
+use super::{Queues, accept::says_not_run, queue_of};
+use crate::{core::CallError, invariant::Invariant};
+
+/// Refusal with its code and a text for people.
+pub type Refusal = (ResultCode, Arc<str>);
+
+/// Longest time that a call looks for the owner of a queue.
+const ROUTE_MS: Millis = Millis(8_000);
+/// Longest wait for one reply.
+const REPLY_MS: Millis = Millis(4_000);
+/// Pause before the owner is looked for again.
+const PAUSE_MS: Millis = Millis(200);
+
+/// Outcome of one try to reach the owner.
+enum Tried {
+    /// Owner answered.
+    Answered(Response),
+    /// Certain not to have reached an owner.
+    NotReached,
+    /// Sent, but no reply came.
+    NoReply,
+}
+
+impl Queues {
+    /// Submits a job to the owner of its team's queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code of the refusal; one of the first group only if it is
+    /// certain that the job was not accepted.
+    pub async fn submit(&self, spec: JobSpec) -> Result<JobId, Refusal> {
+        let index = queue_of(&spec.team, self.core.settings.limits.queues);
+        let repeatable = spec.key.is_some();
+        let deadline = self.now() + ROUTE_MS;
+        let mut reply_lost = false;
+        while self.now() < deadline {
+            let request = Request::Submit(index, spec.clone());
+            match self.try_owner(index, request, REPLY_MS).await {
+                Tried::Answered(Response::Submitted(job)) => return Ok(job),
+                Tried::Answered(Response::Refused(code, text)) => {
+                    return Err(self.refusal(code, text, reply_lost));
+                }
+                Tried::NoReply => reply_lost = true,
+                Tried::Answered(_) | Tried::NotReached => {}
+            }
+            if reply_lost && !repeatable {
+                break;
+            }
+            self.core.ports.runtime.sleep(PAUSE_MS).await;
+        }
+        let text = Arc::from("the owner of the queue cannot be reached");
+        Err(self.refusal(ResultCode::OwnerUnreachable, text, reply_lost))
+    }
+
+    /// Refusal that is true even if an earlier reply was lost.
+    fn refusal(&self, code: ResultCode, text: Arc<str>, reply_lost: bool) -> Refusal {
+        let refusal = match reply_lost && says_not_run(code) {
+            true => {
+                let text = format!("no reply came to an earlier try; then: {text}");
+                (ResultCode::AnswerLost, Arc::from(text))
+            }
+            false => (code, text),
+        };
+        let truthful = !(reply_lost && says_not_run(refusal.0));
+        let detail = || String::from("submission without a reply refused as not run");
+        let invariants = &self.core.invariants;
+        match invariants.check(Invariant::TruthfulRefusal, truthful, detail) {
+            true => refusal,
+            false => (ResultCode::AnswerLost, refusal.1),
+        }
+    }
+
+    /// Status of a job, at the latest after the wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code of the refusal.
+    pub async fn job_status(&self, job: JobId, wait: Millis) -> Result<JobStatus, Refusal> {
+        let ends = self.now() + wait;
+        let route_until = ends + ROUTE_MS;
+        loop {
+            let left = ends.since(self.now());
+            let request = Request::JobStatus(job, left);
+            match self.try_owner(job.queue, request, left + REPLY_MS).await {
+                Tried::Answered(Response::JobStatus(status)) => return Ok(status),
+                Tried::Answered(Response::Refused(code, text)) => return Err((code, text)),
+                _ => self.pause(route_until).await?,
+            }
+        }
+    }
+
+    /// Cancels a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code of the refusal; a lost reply is settled by repeating.
+    pub async fn cancel(&self, job: JobId) -> Result<(), Refusal> {
+        let deadline = self.now() + ROUTE_MS;
+        let mut reply_lost = false;
+        loop {
+            match self
+                .try_owner(job.queue, Request::Cancel(job), REPLY_MS)
+                .await
+            {
+                Tried::Answered(Response::Ok) => return Ok(()),
+                Tried::Answered(Response::Refused(code, text)) => {
+                    return Err(self.refusal(code, text, reply_lost));
+                }
+                Tried::NoReply => reply_lost = true,
+                Tried::Answered(_) | Tried::NotReached => {}
+            }
+            if let Err((code, text)) = self.pause(deadline).await {
+                return Err(self.refusal(code, text, reply_lost));
+            }
+        }
+    }
+
+    /// Decisions about a job, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code of the refusal.
+    pub async fn explain_job(&self, job: JobId) -> Result<Vec<Explanation>, Refusal> {
+        let deadline = self.now() + ROUTE_MS;
+        loop {
+            match self
+                .try_owner(job.queue, Request::Explain(job), REPLY_MS)
+                .await
+            {
+                Tried::Answered(Response::Explained(lines)) => return Ok(lines),
+                Tried::Answered(Response::Refused(code, text)) => return Err((code, text)),
+                _ => self.pause(deadline).await?,
+            }
+        }
+    }
+
+    async fn pause(&self, deadline: MonoMs) -> Result<(), Refusal> {
+        if self.now() >= deadline {
+            let text = "the owner of the queue cannot be reached";
+            return Err((ResultCode::OwnerUnreachable, Arc::from(text)));
+        }
+        self.core.ports.runtime.sleep(PAUSE_MS).await;
+        Ok(())
+    }
+
+    async fn try_owner(&self, index: QueueIndex, request: Request, limit: Millis) -> Tried {
+        let Some(owner) = self.core.ownership.owner(&Unit::Queue(index)) else {
+            return Tried::NotReached;
+        };
+        match self.core.calls.call(&owner, request, limit).await {
+            Ok(Response::NotOwner | Response::Unsupported) => Tried::NotReached,
+            Ok(reply) => Tried::Answered(reply),
+            Err(CallError::NotSent) => Tried::NotReached,
+            Err(CallError::NoReply) => Tried::NoReply,
+        }
+    }
+}
--- a/hemlocksaddle-types/src/record.rs
+++ b/hemlocksaddle-types/src/record.rs
@@ -15,7 +15,7 @@
     clock::WallMs,
     document::Revision,
     job::{Attempt, Checkpoint, JobId, JobSpec, TaskEnd, TaskId},
-    name::{IdempotencyKey, NodeName, ServiceName, WorkerName},
+    name::{IdempotencyKey, NodeName, RackName, ServiceName},
     outcome::ResultCode,
     request::QuickResponse,
     unit::{QueueIndex, Term, Unit},
@@ -112,8 +112,8 @@
         task: TaskId,
         /// Attempt.
         attempt: Attempt,
-        /// Worker that gets it.
-        worker: WorkerName,
+        /// Rack that is asked to run it; the rack's owner chooses the worker.
+        rack: RackName,
     },
     /// Attempt ended with a checkpoint, or was lost; the task is queued again.
     TaskRequeued {
