--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod burn;
 pub mod core;
+pub mod env;
 pub mod event;
 pub mod explain;
 pub mod invariant;
 pub mod metrics;
+pub mod node;
 pub mod ports;
 pub mod queue;
 pub mod rack;
--- a/hemlocksaddle-node/src/queue/accept.rs
+++ b/hemlocksaddle-node/src/queue/accept.rs
@@ -73,12 +73,14 @@
         loop {
             let changed = {
                 let jobs = queue.jobs.borrow();
-                match jobs.jobs.get(&id) {
-                    Some(job) if job.durable => return Some(Response::Submitted(id)),
-                    Some(job) => job.changed.woken(),
-                    None => return None,
+                let job = jobs.jobs.get(&id)?;
+                if job.durable {
+                    return Some(Response::Submitted(id));
                 }
+                job.changed.clone()
             };
+            let seen = changed.count();
+            let changed = changed.wait_past(seen);
             let left = deadline.since(self.now());
             if left.0 == 0
                 || within(&*self.core.ports.runtime, left, changed)
@@ -239,7 +241,7 @@
         }
         self.explain(id, String::from("accepted; the record is durable"));
         queue.changed(id);
-        queue.work.wake();
+        queue.work.notify();
     }
 
     /// Forgets a job whose acceptance is certain not to be in the log.
@@ -289,13 +291,14 @@
                 let Some(job) = jobs.jobs.get(&id) else {
                     return Response::Refused(ResultCode::UnknownJob, Arc::from("no such job"));
                 };
-                (job.status(), job.changed.woken())
+                (job.status(), job.changed.clone())
             };
             let left = deadline.since(self.now());
             if status.result.is_some() || left.0 == 0 {
                 return Response::JobStatus(status);
             }
             let runtime = &*self.core.ports.runtime;
+            let changed = changed.wait_past(changed.count());
             if within(runtime, left, changed).await.is_some() && !self.may_act(&queue) {
                 return Response::NotOwner;
             }
--- a/hemlocksaddle-node/src/queue/dispatch.rs
+++ b/hemlocksaddle-node/src/queue/dispatch.rs
@@ -46,11 +46,16 @@
     /// Starts waiting tasks until the queue is closed.
     pub(super) async fn dispatch(self: &Rc<Self>, queue: &Rc<Queue>) {
         while queue.stage.get() != Stage::Closed && self.running.get() {
-            let woken = queue.work.woken();
+            let seen = queue.work.count();
             if self.may_act(queue) && !self.stopping.get() {
                 self.start_waiting(queue);
             }
-            within(&*self.core.ports.runtime, IDLE_MS, woken).await;
+            within(
+                &*self.core.ports.runtime,
+                IDLE_MS,
+                queue.work.wait_past(seen),
+            )
+            .await;
         }
     }
 
--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -122,7 +122,7 @@
             jobs.requeue(task.job, task.index, requeued);
         }
         self.conclude_if_over(queue, task.job);
-        queue.work.wake();
+        queue.work.notify();
     }
 
     /// Makes the end of an attempt durable and applies it.
@@ -212,7 +212,7 @@
         }
         self.stop_live(queue, id);
         self.conclude_if_over(queue, id);
-        queue.work.wake();
+        queue.work.notify();
     }
 
     fn note_effect(&self, known: &KnownTask, effect: &Effect) {
--- a/hemlocksaddle-node/src/queue/launch.rs
+++ b/hemlocksaddle-node/src/queue/launch.rs
@@ -62,7 +62,7 @@
         self.spawn(async move {
             queues.carry_out(&queue, &launch).await;
             queue.placing.set(queue.placing.get() - 1);
-            queue.work.wake();
+            queue.work.notify();
         });
     }
 
--- a/hemlocksaddle-node/src/queue/mod.rs
+++ b/hemlocksaddle-node/src/queue/mod.rs
@@ -26,12 +26,12 @@
 };
 
 use crate::{
-    core::{Core, Handler},
+    core::{Core, Handler, Part},
     explain::Subject,
     ports::PortFuture,
     rack::Racks,
     requests::guard::GuardTable,
-    wait::Notify,
+    wait::Signal,
 };
 
 mod accept;
@@ -79,7 +79,7 @@
     next_number: Cell<u32>,
     jobs: RefCell<Jobs>,
     /// Wakes the dispatcher.
-    work: Notify,
+    work: Signal,
     placing: Cell<usize>,
     /// Whether an attempt's state has to be asked for soon.
     doubtful: Cell<bool>,
@@ -95,7 +95,7 @@
             .get(&job)
             .map(|job| job.changed.clone());
         if let Some(changed) = changed {
-            changed.wake();
+            changed.notify();
         }
     }
 }
@@ -249,7 +249,7 @@
             stage: Cell::new(Stage::Opening),
             next_number: Cell::new(0),
             jobs: RefCell::default(),
-            work: Notify::default(),
+            work: Signal::default(),
             placing: Cell::new(0),
             doubtful: Cell::new(false),
         });
@@ -261,19 +261,29 @@
     /// Ends a queue's tasks and wakes everyone who waits for its jobs.
     fn close(&self, queue: &Queue) {
         queue.stage.set(Stage::Closed);
-        queue.work.wake();
+        queue.work.notify();
         if let Some(guard) = &*self.guard.borrow() {
             guard.forget(queue.index);
         }
         let jobs = queue.jobs.borrow();
-        let changed: Vec<Rc<Notify>> = jobs.jobs.values().map(|job| job.changed.clone()).collect();
+        let changed: Vec<Rc<Signal>> = jobs.jobs.values().map(|job| job.changed.clone()).collect();
         drop(jobs);
         for notify in changed {
-            notify.wake();
+            notify.notify();
         }
     }
 }
 
+impl Part for Queues {
+    fn start(self: Rc<Self>) {
+        Queues::start(&self);
+    }
+
+    fn stop(self: Rc<Self>) -> PortFuture<'static, ()> {
+        Queues::stop(&self)
+    }
+}
+
 impl Handler for Queues {
     fn handle(&self, _from: &NodeName, request: &Request) -> Option<PortFuture<'static, Response>> {
         let queues = self.this.upgrade()?;
--- a/hemlocksaddle-node/src/queue/recover.rs
+++ b/hemlocksaddle-node/src/queue/recover.rs
@@ -163,7 +163,7 @@
             self.stop_live(queue, id);
             self.conclude_if_over(queue, id);
         }
-        queue.work.wake();
+        queue.work.notify();
     }
 
     /// Applies what the racks know, and finds attempts that are lost.
--- a/hemlocksaddle-node/src/queue/state.rs
+++ b/hemlocksaddle-node/src/queue/state.rs
@@ -22,7 +22,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::wait::Notify;
+use crate::wait::Signal;
 
 /// Result of a job with a text for people.
 pub(crate) type Outcome = (ResultCode, Arc<str>);
@@ -72,7 +72,6 @@
 }
 
 /// Job of a queue.
-#[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) spec: Rc<JobSpec>,
@@ -99,7 +98,7 @@
     pub(crate) not_before_ms: MonoMs,
     /// Time at which the job's state was last written as a whole.
     pub(crate) restated_ms: WallMs,
-    pub(crate) changed: Rc<Notify>,
+    pub(crate) changed: Rc<Signal>,
 }
 
 /// Job as it is written again before its records expire.
@@ -274,7 +273,7 @@
 }
 
 /// Jobs of a queue.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct Jobs {
     pub(crate) jobs: HashMap<JobId, Job, FixedState>,
     pub(crate) keys: HashMap<SubmitKey, (u64, JobId), FixedState>,
--- a/hemlocksaddle-node/src/rack/mod.rs
+++ b/hemlocksaddle-node/src/rack/mod.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    core::{Core, Handler},
+    core::{Core, Handler, Part},
     ports::PortFuture,
 };
 
@@ -296,6 +296,16 @@
     }
 }
 
+impl Part for Racks {
+    fn start(self: Rc<Self>) {
+        Racks::start(&self);
+    }
+
+    fn stop(self: Rc<Self>) -> PortFuture<'static, ()> {
+        Racks::stop(&self)
+    }
+}
+
 impl Handler for Racks {
     fn handle(&self, _from: &NodeName, request: &Request) -> Option<PortFuture<'static, Response>> {
         let racks = self.this.upgrade()?;
