--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod node;
 pub mod peers;
 pub mod ports;
+pub mod queue;
+pub mod rack;
 pub mod requests;
 pub mod settings;
 pub mod stream;
