Read settings; connect nodes over authenticated WebSocket

Cause: a process learns its addresses, peers and key from one file, and nodes must not take messages from a process that merely reaches a port.

--- a/hemlocksaddle-adapters/src/lib.rs
+++ b/hemlocksaddle-adapters/src/lib.rs
@@ -1,3 +1,6 @@
-//! Adapters that connect the node's ports to sockets.
+//! Adapters that connect the ports of the node to sockets.
 
 #![forbid(unsafe_code)]
+
+pub mod peers;
+pub mod runtime;
--- /dev/null
+++ b/hemlocksaddle-adapters/src/peers/link.rs
@@ -0,0 +1,185 @@
+//! Both halves of an authenticated peer connection.
+//!
+//! Sending only queues: a task of its own writes, so that a slow peer never
+//! holds up the node. The queue is bounded in bytes. A peer that lets it fill up
+//! does not read, and its connection is closed; the node opens another one.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{
+    FutureExt, SinkExt, StreamExt,
+    future::{Either, Shared, select},
+    stream::{SplitSink, SplitStream},
+};
+use hemlocksaddle_node::{
+    event::Event,
+    ports::{PeerLink, PeerReceiver, PeerSender, PortError, PortFuture, Result},
+};
+use hemlocksaddle_types::peer::Message;
+use tokio_tungstenite::{WebSocketStream, tungstenite::Message as Frame};
+
+use super::{Stream, auth::MAX_MESSAGE_BYTES};
+
+/// Most bytes that wait to be written: two messages of the largest size.
+const MAX_QUEUED_BYTES: usize = 2 * MAX_MESSAGE_BYTES;
+
+/// Time that queued messages have to be written after the connection was closed.
+const LINGER: Duration = Duration::from_millis(1_000);
+
+/// State that the halves and the writing task share.
+struct Connection {
+    queue: RefCell<Option<mpsc::UnboundedSender<Bytes>>>,
+    queued_bytes: Cell<usize>,
+    closing: RefCell<Option<oneshot::Sender<()>>>,
+}
+
+type Closed = Shared<oneshot::Receiver<()>>;
+
+impl Connection {
+    fn close(&self) {
+        self.queue.take();
+        self.closing.take();
+    }
+}
+
+/// Makes a link of an authenticated connection.
+pub(super) fn link(socket: WebSocketStream<Stream>) -> PeerLink {
+    let (sink, stream) = socket.split();
+    let (queue, queued) = mpsc::unbounded();
+    let (closing, closed) = oneshot::channel();
+    let closed = closed.shared();
+    let connection = Rc::new(Connection {
+        queue: RefCell::new(Some(queue)),
+        queued_bytes: Cell::new(0),
+        closing: RefCell::new(Some(closing)),
+    });
+    let writer = write(sink, queued, Rc::clone(&connection), closed.clone());
+    compio::runtime::spawn(writer).detach();
+    PeerLink {
+        sender: Rc::new(Sender {
+            connection: Rc::clone(&connection),
+        }),
+        receiver: Box::new(Receiver {
+            connection,
+            stream,
+            closed,
+        }),
+    }
+}
+
+async fn write(
+    sink: SplitSink<WebSocketStream<Stream>, Frame>,
+    queued: mpsc::UnboundedReceiver<Bytes>,
+    connection: Rc<Connection>,
+    closed: Closed,
+) {
+    let writing = write_queued(sink, queued, Rc::clone(&connection)).boxed_local();
+    if let Either::Right((_, writing)) = select(writing, closed).await {
+        // Closed by this side: a reply that was queued before is still written.
+        let _ = compio::time::timeout(LINGER, writing).await;
+    }
+    connection.close();
+}
+
+async fn write_queued(
+    mut sink: SplitSink<WebSocketStream<Stream>, Frame>,
+    mut queued: mpsc::UnboundedReceiver<Bytes>,
+    connection: Rc<Connection>,
+) {
+    while let Some(bytes) = queued.next().await {
+        let length = bytes.len();
+        if sink.send(Frame::Binary(bytes)).await.is_err() {
+            return;
+        }
+        let left = connection.queued_bytes.get().saturating_sub(length);
+        connection.queued_bytes.set(left);
+    }
+    let _ = sink.close().await;
+}
+
+/// Sending half.
+struct Sender {
+    connection: Rc<Connection>,
+}
+
+impl PeerSender for Sender {
+    fn send(&self, message: Message) -> Result<()> {
+        let mut bytes = Vec::new();
+        if ciborium::into_writer(&message, &mut bytes).is_err() || bytes.len() > MAX_MESSAGE_BYTES {
+            // The peer would close the connection; a call that is dropped here times out.
+            log::error!(
+                target: "hemlocksaddle",
+                "message of {} bytes to a peer dropped; at most {MAX_MESSAGE_BYTES} are allowed",
+                bytes.len()
+            );
+            return Ok(());
+        }
+        let connection = &self.connection;
+        let queued_bytes = connection.queued_bytes.get() + bytes.len();
+        if queued_bytes > MAX_QUEUED_BYTES {
+            connection.close();
+            return Err(PortError::NotSent);
+        }
+        let queue = connection.queue.borrow();
+        let queue = queue.as_ref().ok_or(PortError::NotSent)?;
+        let sent = queue.unbounded_send(Bytes::from(bytes));
+        sent.map_err(|_| PortError::NotSent)?;
+        connection.queued_bytes.set(queued_bytes);
+        Ok(())
+    }
+
+    fn close(&self) {
+        self.connection.close();
+    }
+}
+
+/// Receiving half; dropping it closes the connection.
+struct Receiver {
+    connection: Rc<Connection>,
+    stream: SplitStream<WebSocketStream<Stream>>,
+    closed: Closed,
+}
+
+impl Receiver {
+    async fn next(&mut self) -> Result<Message> {
+        loop {
+            let frame = match select(self.stream.next(), self.closed.clone()).await {
+                Either::Left((Some(Ok(frame)), _)) => frame,
+                _ => return Err(PortError::Unknown),
+            };
+            let Frame::Binary(bytes) = frame else {
+                continue;
+            };
+            match ciborium::from_reader(bytes.as_ref()) {
+                Ok(message) => return Ok(message),
+                Err(cause) => Event::PeerMessageInvalid
+                    .log(format_args!("{} bytes dropped: {cause}", bytes.len())),
+            }
+        }
+    }
+}
+
+impl PeerReceiver for Receiver {
+    fn receive(&mut self) -> PortFuture<'_, Result<Message>> {
+        async {
+            let received = self.next().await;
+            if received.is_err() {
+                self.connection.close();
+            }
+            received
+        }
+        .boxed_local()
+    }
+}
+
+impl Drop for Receiver {
+    fn drop(&mut self) {
+        self.connection.close();
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-adapters/src/peers/mod.rs
@@ -0,0 +1,131 @@
+//! Connections between nodes: WebSocket with CBOR messages.
+//!
+//! Each connection is authenticated in both directions with the shared key
+//! before any message is decoded ([`auth`]). The connections are not encrypted:
+//! the nodes talk over the deployment's own network, and the key keeps out
+//! processes that merely reach a port.
+
+mod auth;
+pub mod key;
+mod link;
+
+use std::{cell::Cell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
+
+use compio::{
+    io::compat::AsyncStream,
+    net::{TcpListener, TcpStream},
+};
+use futures_util::FutureExt;
+use hemlocksaddle_node::ports::{PeerAddress, PeerLink, Peers, PortError, PortFuture, Result};
+use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+pub use auth::MAX_MESSAGE_BYTES;
+
+use key::PeerKey;
+
+/// Time that a connection has to be established and authenticated.
+///
+/// Equal to the silence after which the node replaces a connection.
+const SETUP: Duration = Duration::from_millis(2_000);
+
+/// Connections that are not authenticated yet; more are closed at once.
+const MAX_PENDING: usize = 64;
+
+/// Pause after an accept failed, for example for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+type Stream = Compat<Pin<Box<AsyncStream<TcpStream>>>>;
+
+fn stream(tcp: TcpStream) -> Stream {
+    // Without it, the reply to a small message waits for the delayed acknowledgement.
+    let _ = tcp.set_nodelay(true);
+    Box::pin(AsyncStream::new(tcp)).compat()
+}
+
+/// Opens connections to peers.
+pub struct WebSocketPeers {
+    key: PeerKey,
+}
+
+impl WebSocketPeers {
+    /// Adapter that authenticates with the key.
+    #[must_use]
+    pub fn new(key: PeerKey) -> WebSocketPeers {
+        WebSocketPeers { key }
+    }
+}
+
+impl Peers for WebSocketPeers {
+    fn connect(&self, peer: &PeerAddress) -> PortFuture<'_, Result<PeerLink>> {
+        let address = peer.address;
+        async move {
+            let link = compio::time::timeout(SETUP, open(address, &self.key)).await;
+            link.unwrap_or(Err(PortError::NotSent))
+        }
+        .boxed_local()
+    }
+}
+
+async fn open(address: SocketAddr, key: &PeerKey) -> Result<PeerLink> {
+    let tcp = TcpStream::connect(address).await;
+    let tcp = tcp.map_err(|_| PortError::NotSent)?;
+    let url = format!("ws://{address}/peers");
+    let config = Some(auth::config(auth::MAX_AUTH_BYTES));
+    let upgraded = client_async_with_config(url, stream(tcp), config).await;
+    let (socket, _) = upgraded.map_err(|_| PortError::NotSent)?;
+    let socket = auth::connect(socket, key).await?;
+    Ok(link::link(socket))
+}
+
+/// Accepts connections of peers until the returned future is dropped.
+pub async fn listen(listener: TcpListener, key: PeerKey, on_link: impl Fn(PeerLink) + 'static) {
+    let on_link = Rc::new(on_link);
+    let pending = Rc::new(Cell::new(0));
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            compio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Some(slot) = Pending::enter(&pending) else {
+            continue;
+        };
+        let key = key.clone();
+        let on_link = Rc::clone(&on_link);
+        let setup = async move {
+            let link = compio::time::timeout(SETUP, accept(tcp, &key)).await;
+            drop(slot);
+            if let Ok(Ok(link)) = link {
+                on_link(link);
+            }
+        };
+        compio::runtime::spawn(setup).detach();
+    }
+}
+
+async fn accept(tcp: TcpStream, key: &PeerKey) -> Result<PeerLink> {
+    let config = Some(auth::config(auth::MAX_AUTH_BYTES));
+    let upgraded = accept_async_with_config(stream(tcp), config).await;
+    let socket = upgraded.map_err(|_| PortError::NotSent)?;
+    let socket = auth::accept(socket, key).await?;
+    Ok(link::link(socket))
+}
+
+/// Place among the connections that are not authenticated yet.
+struct Pending(Rc<Cell<usize>>);
+
+impl Pending {
+    fn enter(count: &Rc<Cell<usize>>) -> Option<Pending> {
+        if count.get() >= MAX_PENDING {
+            return None;
+        }
+        count.set(count.get() + 1);
+        Some(Pending(Rc::clone(count)))
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/hemlocksaddle-daemon/src/lib.rs
+++ b/hemlocksaddle-daemon/src/lib.rs
@@ -1,3 +1,5 @@
 //! The node program.
 
 #![forbid(unsafe_code)]
+
+pub mod settings;
--- a/hemlocksaddle-types/src/ini.rs
+++ b/hemlocksaddle-types/src/ini.rs
@@ -15,6 +15,9 @@
 /// Longest value in bytes that an error message repeats.
 const MAX_QUOTED_BYTES: usize = 120;
 
+/// Section whose values are never repeated in errors.
+const SECRET_SECTION: &str = "secret";
+
 /// Sections and keys as written, each at most once.
 #[derive(Clone, Debug)]
 pub struct Raw {
@@ -43,17 +46,21 @@
     format!("{:?}... ({} bytes)", &text[..end], text.len())
 }
 
-/// Message for text that the library refuses, with the line that it stopped at.
-fn not_ini(text: &str, cause: &ParseError) -> String {
-    let line = text
-        .lines()
-        .nth(cause.line.saturating_sub(1))
-        .unwrap_or_default();
+/// Value as an error may show it.
+fn shown(section: &str, value: &str) -> String {
+    if section == SECRET_SECTION {
+        return format!("({} bytes, not shown)", value.len());
+    }
+    quoted(value)
+}
+
+/// Message for text that the library refuses.
+///
+/// The line itself is left out, because it may hold a secret.
+fn not_ini(cause: &ParseError) -> String {
     format!(
-        "line {} {} is not INI: {}; allowed are [SECTION], KEY = VALUE and lines that start with # or ;",
-        cause.line,
-        quoted(line),
-        cause.msg
+        "line {} is not INI: {}; allowed are [SECTION], KEY = VALUE and lines that start with # or ;",
+        cause.line, cause.msg
     )
 }
 
@@ -79,7 +86,7 @@
             ..ParseOption::default()
         };
         let parsed = Ini::load_from_str_opt(&without_indentation(text), options)
-            .map_err(|cause| error(source, not_ini(text, &cause)))?;
+            .map_err(|cause| error(source, not_ini(&cause)))?;
         let mut raw = Raw {
             source: Arc::from(source),
             sections: BTreeMap::new(),
@@ -101,14 +108,14 @@
                 let message = format!(
                     "key {} = {} is outside a section; keys are allowed in sections only",
                     quoted(key),
-                    quoted(value)
+                    shown(SECRET_SECTION, value)
                 );
                 return Err(error(&self.source, message));
             };
             if values.insert(key.to_owned(), value.to_owned()).is_some() {
                 let message = format!(
                     "[{name}] {key} = {} repeats the key; each key is allowed once",
-                    quoted(value)
+                    shown(name, value)
                 );
                 return Err(error(&self.source, message));
             }
@@ -162,7 +169,7 @@
         let message = format!(
             "[{}] {key} = {} is not valid; allowed: {allowed}",
             self.name,
-            quoted(value)
+            shown(&self.name, value)
         );
         error(&self.source, message)
     }
@@ -247,7 +254,7 @@
             "[{}] key {} = {} is unknown; allowed keys are {}",
             self.name,
             quoted(key),
-            quoted(value),
+            shown(&self.name, value),
             allowed.join(", ")
         );
         Err(error(&self.source, message))
