Reach the platform over HTTP with JSON

Cause: the node's rules depend on whether a failed call can have had an effect, and connections go silent while new ones work. Change: hemlocksaddle-adapters/src/platform implements Log, Hosts and Workers.

--- a/hemlocksaddle-adapters/src/lib.rs
+++ b/hemlocksaddle-adapters/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 
 pub mod peers;
+pub mod platform;
 pub mod runtime;
--- /dev/null
+++ b/hemlocksaddle-adapters/src/platform/mod.rs
@@ -0,0 +1,220 @@
+//! The platform's protocol over HTTP/1.1 with JSON.
+//!
+//! | call | body | answer |
+//! | --- | --- | --- |
+//! | `POST /streams/{stream}` | the record | `{"offset": N}` |
+//! | `GET /streams/{stream}?from=N&wait_ms=N` | | [`wire::ReadAnswer`] |
+//! | `GET /hosts` | | `HostList` |
+//! | `POST /workers/{worker}/start` | `StartTask` | `StartReply` |
+//! | `POST /workers/{worker}/renew` | `Renew` | `WorkerReport` |
+//! | `POST /workers/{worker}/stop` | [`wire::Stop`] | |
+//! | `POST /workers/{worker}/throttle` | [`wire::Throttle`] | |
+//!
+//! A status of the class 4xx and the status 503 state that the call had no
+//! effect. Any other status but 200 leaves its outcome unknown. A platform with
+//! another protocol is served by a module next to this one.
+
+mod client;
+pub mod wire;
+
+use std::{net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use hemlocksaddle_node::ports::{Hosts, Log, PortError, PortFuture, ReadBatch, Result, Workers};
+use hemlocksaddle_types::{
+    clock::Millis,
+    host::HostList,
+    job::{Attempt, TaskId},
+    name::WorkerName,
+    record::{Offset, Stream},
+    worker::{Renew, StartReply, StartTask, WorkerReport},
+};
+use http::{Method, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+
+use client::{Answer, Call, Client};
+
+/// Where the platform is, and how long a call to it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Log.
+    pub log: SocketAddr,
+    /// Host list.
+    pub hosts: SocketAddr,
+    /// Gateway to the workers; `None` if each is reached at its own address.
+    pub workers: Option<SocketAddr>,
+    /// Timeout of a call; a read that waits may take its wait in addition.
+    pub call_ms: Millis,
+}
+
+/// Platform that is reached over HTTP.
+pub struct HttpPlatform {
+    addresses: Addresses,
+    client: Client,
+}
+
+impl HttpPlatform {
+    /// Adapter for all three ports of the platform.
+    #[must_use]
+    pub fn new(addresses: Addresses) -> Rc<HttpPlatform> {
+        Rc::new(HttpPlatform {
+            addresses,
+            client: Client::default(),
+        })
+    }
+
+    async fn get<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: String,
+        wait: Millis,
+    ) -> Result<A> {
+        let call = Call {
+            method: Method::GET,
+            address,
+            path,
+            body: Bytes::new(),
+        };
+        let within = self.addresses.call_ms + wait;
+        decoded(&effective(self.client.call(call, within).await?)?)
+    }
+
+    async fn post(&self, address: SocketAddr, path: String, body: Bytes) -> Result<Bytes> {
+        let call = Call {
+            method: Method::POST,
+            address,
+            path,
+            body,
+        };
+        effective(self.client.call(call, self.addresses.call_ms).await?)
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        worker: &WorkerName,
+        action: &str,
+        order: &impl Serialize,
+    ) -> Result<Bytes> {
+        let body = serde_json::to_vec(order).map_err(|_| PortError::NotSent)?;
+        let address = self.addresses.workers.unwrap_or(address);
+        let path = format!("/workers/{worker}/{action}");
+        self.post(address, path, Bytes::from(body)).await
+    }
+}
+
+/// Body of an answer whose call took effect.
+fn effective((status, body): Answer) -> Result<Bytes> {
+    match status {
+        StatusCode::OK => Ok(body),
+        StatusCode::SERVICE_UNAVAILABLE => Err(PortError::NotSent),
+        status if status.is_client_error() => Err(PortError::NotSent),
+        _ => Err(PortError::Unknown),
+    }
+}
+
+fn decoded<A: DeserializeOwned>(body: &[u8]) -> Result<A> {
+    serde_json::from_slice(body).map_err(|cause| {
+        log::warn!(target: "hemlocksaddle", "answer of the platform cannot be decoded: {cause}");
+        PortError::Unknown
+    })
+}
+
+impl Log for HttpPlatform {
+    fn append(&self, stream: Stream, record: Bytes) -> PortFuture<'_, Result<Offset>> {
+        async move {
+            let path = format!("/streams/{}", stream.name());
+            let body = self.post(self.addresses.log, path, record).await?;
+            let appended: wire::AppendAnswer = decoded(&body)?;
+            Ok(appended.offset)
+        }
+        .boxed_local()
+    }
+
+    fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        wait: Millis,
+    ) -> PortFuture<'_, Result<ReadBatch>> {
+        async move {
+            let path = format!(
+                "/streams/{}?from={}&wait_ms={}",
+                stream.name(),
+                from.0,
+                wait.0
+            );
+            let answer: wire::ReadAnswer = self.get(self.addresses.log, path, wait).await?;
+            answer.try_into()
+        }
+        .boxed_local()
+    }
+}
+
+impl Hosts for HttpPlatform {
+    fn fetch(&self) -> PortFuture<'_, Result<HostList>> {
+        self.get(self.addresses.hosts, String::from("/hosts"), Millis(0))
+            .boxed_local()
+    }
+}
+
+impl Workers for HttpPlatform {
+    fn start(
+        &self,
+        address: SocketAddr,
+        worker: &WorkerName,
+        order: StartTask,
+    ) -> PortFuture<'_, Result<StartReply>> {
+        let worker = worker.clone();
+        async move { decoded(&self.order(address, &worker, "start", &order).await?) }.boxed_local()
+    }
+
+    fn renew(
+        &self,
+        address: SocketAddr,
+        worker: &WorkerName,
+        renew: Renew,
+    ) -> PortFuture<'_, Result<WorkerReport>> {
+        let worker = worker.clone();
+        async move { decoded(&self.order(address, &worker, "renew", &renew).await?) }.boxed_local()
+    }
+
+    fn stop(
+        &self,
+        address: SocketAddr,
+        worker: &WorkerName,
+        task: TaskId,
+        attempt: Attempt,
+        checkpoint: bool,
+    ) -> PortFuture<'_, Result<()>> {
+        let worker = worker.clone();
+        let order = wire::Stop {
+            task,
+            attempt,
+            checkpoint,
+        };
+        async move {
+            self.order(address, &worker, "stop", &order).await?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn throttle(
+        &self,
+        address: SocketAddr,
+        worker: &WorkerName,
+        task: TaskId,
+        attempt: Attempt,
+        on: bool,
+    ) -> PortFuture<'_, Result<()>> {
+        let worker = worker.clone();
+        let order = wire::Throttle { task, attempt, on };
+        async move {
+            self.order(address, &worker, "throttle", &order).await?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-adapters/src/platform/wire.rs
@@ -0,0 +1,83 @@
+//! Bodies of the platform's calls that are not types of the node already.
+//!
+//! Records are Base64 text inside JSON.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use hemlocksaddle_node::ports::{PortError, ReadBatch};
+use hemlocksaddle_types::{
+    job::{Attempt, TaskId},
+    record::Offset,
+};
+use serde::{Deserialize, Serialize};
+
+/// Answer to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppendAnswer {
+    /// Offset of the record.
+    pub offset: Offset,
+}
+
+/// Answer to a read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadAnswer {
+    /// First offset that is still kept.
+    pub first: Offset,
+    /// Offset after the last record of the stream.
+    pub next: Offset,
+    /// Offsets and records, ascending.
+    pub records: Vec<(Offset, String)>,
+}
+
+/// Order to stop an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stop {
+    /// Task.
+    pub task: TaskId,
+    /// Attempt.
+    pub attempt: Attempt,
+    /// Whether a checkpoint is made first.
+    pub checkpoint: bool,
+}
+
+/// Order to throttle an attempt or to lift the throttle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Throttle {
+    /// Task.
+    pub task: TaskId,
+    /// Attempt.
+    pub attempt: Attempt,
+    /// Whether the throttle is on.
+    pub on: bool,
+}
+
+impl From<ReadBatch> for ReadAnswer {
+    fn from(batch: ReadBatch) -> ReadAnswer {
+        let encode = |(offset, record): (Offset, Bytes)| (offset, STANDARD.encode(record));
+        ReadAnswer {
+            first: batch.first,
+            next: batch.next,
+            records: batch.records.into_iter().map(encode).collect(),
+        }
+    }
+}
+
+impl TryFrom<ReadAnswer> for ReadBatch {
+    type Error = PortError;
+
+    fn try_from(answer: ReadAnswer) -> Result<ReadBatch, PortError> {
+        let decode = |(offset, text): (Offset, String)| {
+            let record = STANDARD.decode(text).map_err(|_| PortError::Unknown)?;
+            Ok((offset, Bytes::from(record)))
+        };
+        Ok(ReadBatch {
+            records: answer
+                .records
+                .into_iter()
+                .map(decode)
+                .collect::<Result<_, _>>()?,
+            first: answer.first,
+            next: answer.next,
+        })
+    }
+}
