--- /dev/null
+++ b/hemlocksaddle-fakes/src/judge.rs
@@ -0,0 +1,426 @@
+//! Judges of what the nodes do, from what the platform sees.
+//!
+//! The judges read the log, the workers, the targets and the callers' answers,
+//! never a node's own account. Each finding has a rule, a time and a detail; the
+//! run goes on, so that one fault does not hide another.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    rc::Rc,
+    sync::Arc,
+};
+
+use hemlocksaddle_node::invariant::Invariant;
+use hemlocksaddle_types::{
+    clock::Millis,
+    document::{Document, Revision},
+    job::{Attempt, JobId, JobSpec, TaskEnd, TaskId},
+    name::{DataCentre, NodeName, ServiceName, WorkerName},
+    outcome::{ResultCode, RunState},
+    record::{Batch, Publish, Record, Stream},
+    resources::Resources,
+    worker::StartTask,
+};
+
+use crate::runtime::SimRuntime;
+
+/// Time after a take-out in which a start may still happen.
+const TAKE_OUT_MS: u64 = 4_000;
+/// Time in which an accepted document must be in force everywhere.
+const IN_FORCE_MS: u64 = 15_000;
+/// Appends a second of all nodes together, and the window over which they are counted.
+const APPENDS_PER_SECOND: usize = 300;
+const APPEND_WINDOW_US: u64 = 5_000_000;
+
+/// Rule that was broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// One of the sentences that must always hold.
+    Invariant(Invariant),
+    /// More requests at an executor than it has slots.
+    Slots,
+    /// More connections to an executor than it takes.
+    Connections,
+    /// Accepted document not in force everywhere in time.
+    ConfigurationLate,
+    /// More appends a second than the log takes.
+    LogBudget,
+    /// Accepted request or job without an end.
+    Unsettled,
+}
+
+/// Broken rule with time and detail.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// True time since the start of the run.
+    pub at: Millis,
+    /// Rule.
+    pub rule: Rule,
+    /// What was seen.
+    pub detail: String,
+}
+
+/// What is known of a task from its starts and ends.
+#[derive(Default)]
+struct TaskHistory {
+    attempt: Attempt,
+    place: Option<WorkerName>,
+    completed: bool,
+    /// Checkpoints from which the next attempt may resume; `None` stands for the start.
+    bases: Vec<Option<Arc<str>>>,
+}
+
+#[derive(Default)]
+struct State {
+    violations: Vec<Violation>,
+    writers: BTreeMap<(Stream, NodeName, u64), u64>,
+    documents: BTreeMap<ServiceName, (Revision, u64)>,
+    applied: BTreeMap<(NodeName, u64, ServiceName), Revision>,
+    out: BTreeMap<(Arc<str>, DataCentre), u64>,
+    jobs: BTreeMap<JobId, JobSpec>,
+    tasks: BTreeMap<TaskId, TaskHistory>,
+    started_keys: BTreeSet<Arc<str>>,
+    runs: BTreeMap<Arc<str>, u32>,
+    refused: BTreeSet<Arc<str>>,
+    appends_us: VecDeque<u64>,
+}
+
+/// Judges of one run.
+pub struct Judges {
+    sim: SimRuntime,
+    state: RefCell<State>,
+    /// Task starts seen.
+    pub starts: Cell<u64>,
+    /// Stops with a checkpoint seen.
+    pub evictions: Cell<u64>,
+}
+
+impl Judges {
+    /// Judges that have seen nothing.
+    #[must_use]
+    pub fn new(sim: &SimRuntime) -> Rc<Judges> {
+        Rc::new(Judges {
+            sim: sim.clone(),
+            state: RefCell::default(),
+            starts: Cell::new(0),
+            evictions: Cell::new(0),
+        })
+    }
+
+    /// Violations so far.
+    #[must_use]
+    pub fn violations(&self) -> Vec<Violation> {
+        self.state.borrow().violations.clone()
+    }
+
+    /// Records a violation.
+    pub fn report(&self, rule: Rule, detail: String) {
+        let at = self.sim.now();
+        let violation = Violation { at, rule, detail };
+        self.state.borrow_mut().violations.push(violation);
+    }
+
+    fn check(&self, holds: bool, invariant: Invariant, detail: impl FnOnce() -> String) {
+        if !holds {
+            self.report(Rule::Invariant(invariant), detail());
+        }
+    }
+
+    /// Counts an append that reached the log.
+    pub fn appended(&self) {
+        let now_us = self.sim.now_us();
+        let count = {
+            let times = &mut self.state.borrow_mut().appends_us;
+            times.push_back(now_us);
+            while times
+                .front()
+                .is_some_and(|at| at + APPEND_WINDOW_US < now_us)
+            {
+                times.pop_front();
+            }
+            times.len()
+        };
+        let limit = APPENDS_PER_SECOND * 5;
+        if count > limit {
+            self.report(
+                Rule::LogBudget,
+                format!("{count} appends in 5 s, at most {limit}"),
+            );
+            self.state.borrow_mut().appends_us.clear();
+        }
+    }
+
+    /// Takes note of a batch that is in the log now.
+    pub fn logged(&self, stream: Stream, batch: &Batch) {
+        let writer = (stream, batch.id.node.clone(), batch.id.started_ms);
+        let valid = {
+            let writers = &mut self.state.borrow_mut().writers;
+            let last = writers.entry(writer).or_default();
+            let valid = batch.id.number > *last;
+            *last = batch.id.number.max(*last);
+            valid
+        };
+        for record in batch.records.iter().filter(|_| valid) {
+            match record {
+                Record::Publish(publish) => self.published(publish),
+                Record::JobAccepted { job, spec, .. } => {
+                    self.state.borrow_mut().jobs.insert(*job, spec.clone());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn published(&self, publish: &Publish) {
+        let Ok(document) = Document::try_from(publish.text.clone()) else {
+            return;
+        };
+        let source = publish.service.as_str();
+        {
+            let documents = &mut self.state.borrow_mut().documents;
+            let entry = documents.entry(publish.service.clone()).or_default();
+            if entry.0 != publish.expected || document.service != publish.service {
+                return;
+            }
+            *entry = (Revision(publish.expected.0 + 1), self.sim.now().0);
+        }
+        let out = &document.data_centres_out;
+        self.keep_out(source, |data_centre| out.contains(data_centre));
+        out.iter().for_each(|name| self.take_out(source, name));
+    }
+
+    fn keep_out(&self, source: &str, is_out: impl Fn(&DataCentre) -> bool) {
+        let out = &mut self.state.borrow_mut().out;
+        out.retain(|(from, data_centre), _| **from != *source || is_out(data_centre));
+    }
+
+    /// Takes note that a source shows a data centre as out from now on.
+    pub fn take_out(&self, source: &str, data_centre: &DataCentre) {
+        let key = (Arc::from(source), data_centre.clone());
+        let now = self.sim.now().0;
+        self.state.borrow_mut().out.entry(key).or_insert(now);
+    }
+
+    /// Takes note that a source no longer shows a data centre as out.
+    pub fn take_in(&self, source: &str, data_centre: &DataCentre) {
+        self.keep_out(source, |out| out != data_centre);
+    }
+
+    /// Latest accepted revision of each service.
+    #[must_use]
+    pub fn revisions(&self) -> Vec<(ServiceName, Revision)> {
+        let state = self.state.borrow();
+        let documents = state.documents.iter();
+        documents
+            .map(|(name, (revision, _))| (name.clone(), *revision))
+            .collect()
+    }
+
+    /// Judges the documents in force at a node; `calm_ms` is how long nothing has kept it from the log.
+    pub fn in_force(
+        &self,
+        node: &NodeName,
+        start: u64,
+        documents: &[(ServiceName, Revision)],
+        calm_ms: u64,
+    ) {
+        let now = self.sim.now().0;
+        let mut late = Vec::new();
+        for (service, (accepted, at_ms)) in &self.state.borrow().documents {
+            let found = documents.iter().find(|(name, _)| name == service);
+            let revision = found.map_or(Revision(0), |(_, revision)| *revision);
+            if revision < *accepted && now.saturating_sub(*at_ms).min(calm_ms) > IN_FORCE_MS {
+                late.push(format!(
+                    "{node} has {service} at {revision:?}, accepted is {accepted:?}"
+                ));
+            }
+        }
+        late.into_iter()
+            .for_each(|detail| self.report(Rule::ConfigurationLate, detail));
+        for (service, revision) in documents {
+            let key = (node.clone(), start, service.clone());
+            let before = self.state.borrow_mut().applied.insert(key, *revision);
+            self.check(
+                before <= Some(*revision),
+                Invariant::ConfigurationNeverReverts,
+                || format!("{node} went back from {before:?} to {revision:?} of {service}"),
+            );
+        }
+    }
+
+    /// Specification of a job that the log holds.
+    #[must_use]
+    pub fn spec(&self, job: JobId) -> Option<JobSpec> {
+        self.state.borrow().jobs.get(&job).cloned()
+    }
+
+    /// Judges the start of an attempt on a worker.
+    pub fn task_starts(&self, order: &StartTask, worker: &WorkerName, data_centre: &DataCentre) {
+        self.starts.set(self.starts.get() + 1);
+        self.judge_data_centre(order, data_centre);
+        self.judge_place(order, worker);
+        self.judge_runs(order);
+    }
+
+    fn judge_data_centre(&self, order: &StartTask, data_centre: &DataCentre) {
+        let now = self.sim.now().0;
+        let since = {
+            let state = self.state.borrow();
+            let matching = state.out.iter().filter(|((_, out), _)| out == data_centre);
+            matching.map(|(_, since)| *since).min()
+        };
+        let in_time = since.is_none_or(|since| now <= since + TAKE_OUT_MS);
+        self.check(in_time, Invariant::NoStartInOutDataCentre, || {
+            format!(
+                "{:?} started in {data_centre}, out since {since:?} ms",
+                order.task
+            )
+        });
+    }
+
+    fn judge_place(&self, order: &StartTask, worker: &WorkerName) {
+        let base = order
+            .checkpoint
+            .as_ref()
+            .map(|checkpoint| checkpoint.name.clone());
+        let (single, resumes, before) = {
+            let state = &mut self.state.borrow_mut();
+            let history = state.tasks.entry(order.task).or_default();
+            let single =
+                history.place.is_none() && order.attempt > history.attempt && !history.completed;
+            let first = history.attempt == Attempt(0);
+            let resumes = history.bases.contains(&base) || (first && base.is_none());
+            let before = (history.attempt, history.place.replace(worker.clone()));
+            history.attempt = order.attempt;
+            history.completed = false;
+            history.bases = vec![base.clone()];
+            (single, resumes, before)
+        };
+        self.check(single, Invariant::SinglePlace, || {
+            format!(
+                "{:?} {:?} started on {worker} after {before:?}",
+                order.task, order.attempt
+            )
+        });
+        self.check(resumes, Invariant::ResumeOnce, || {
+            format!(
+                "{:?} {:?} resumes from {base:?} after {before:?}",
+                order.task, order.attempt
+            )
+        });
+    }
+
+    fn judge_runs(&self, order: &StartTask) {
+        let Some(spec) = self.spec(order.task.job) else {
+            return;
+        };
+        let once = spec.idempotent || spec.resumable || order.attempt == Attempt(1);
+        self.check(once, Invariant::AtMostOnce, || {
+            format!(
+                "{:?} {:?} of a non-idempotent job",
+                order.task, order.attempt
+            )
+        });
+        let Some(key) = spec.key else {
+            return;
+        };
+        let key: Arc<str> = key.into();
+        let refused = self.state.borrow().refused.contains(&key);
+        self.check(!refused, Invariant::TruthfulRefusal, || {
+            format!(
+                "{:?} of {key} started after it was reported as not run",
+                order.task
+            )
+        });
+        self.state.borrow_mut().started_keys.insert(key);
+    }
+
+    /// Takes note of the end of an attempt; `None` if it vanished with its worker.
+    pub fn task_ends(&self, task: TaskId, attempt: Attempt, end: Option<&TaskEnd>) {
+        let state = &mut self.state.borrow_mut();
+        let history = state.tasks.entry(task).or_default();
+        if history.attempt != attempt {
+            return;
+        }
+        history.place = None;
+        if let Some(checkpoint) = end.and_then(checkpoint_of) {
+            self.evictions.set(self.evictions.get() + 1);
+            history.bases.push(Some(checkpoint));
+        }
+    }
+
+    /// Takes note that the end of an attempt is durable: it decides how the task may go on.
+    pub fn end_acknowledged(&self, task: TaskId, attempt: Attempt, end: &TaskEnd) {
+        let state = &mut self.state.borrow_mut();
+        let history = state.tasks.entry(task).or_default();
+        if history.attempt != attempt {
+            return;
+        }
+        history.completed = *end == TaskEnd::Completed;
+        if let Some(checkpoint) = checkpoint_of(end) {
+            history.bases = vec![Some(checkpoint)];
+        }
+    }
+
+    /// Judges what is committed on a worker.
+    pub fn committed(&self, worker: &WorkerName, committed: Resources, capacity: &Resources) {
+        self.check(committed.fits_in(capacity), Invariant::HostCapacity, || {
+            format!("{worker} has {committed:?} committed of {capacity:?}")
+        });
+    }
+
+    /// Judges that an executor begins a request, known by its caller's tag.
+    pub fn request_runs(&self, tag: &Arc<str>, idempotent: bool) {
+        let (runs, refused) = {
+            let state = &mut self.state.borrow_mut();
+            let runs = state.runs.entry(tag.clone()).or_default();
+            *runs += 1;
+            (*runs, state.refused.contains(tag))
+        };
+        self.check(idempotent || runs == 1, Invariant::AtMostOnce, || {
+            format!("non-idempotent request {tag} runs {runs} times")
+        });
+        self.check(!refused, Invariant::TruthfulRefusal, || {
+            format!("request {tag} runs after it was answered as not run")
+        });
+    }
+
+    /// Judges the answer to a quick request.
+    pub fn answered(&self, tag: &Arc<str>, code: ResultCode, whole: bool) {
+        let runs = self.state.borrow().runs.get(tag).copied().unwrap_or(0);
+        if code.run_state() == RunState::NotRun {
+            self.refused(tag);
+        }
+        let done = code.run_state() == RunState::Done;
+        self.check(!done || (runs > 0 && whole), Invariant::OwnAnswer, || {
+            format!("request {tag} has the answer of another one, after {runs} runs")
+        });
+    }
+
+    /// Judges a refusal, of a request or of a job, that says "not run".
+    pub fn refused(&self, tag: &Arc<str>) {
+        let ran = {
+            let state = &mut self.state.borrow_mut();
+            state.refused.insert(tag.clone());
+            state.runs.contains_key(tag) || state.started_keys.contains(tag)
+        };
+        self.check(!ran, Invariant::TruthfulRefusal, || {
+            format!("{tag} is reported as not run, but it ran")
+        });
+    }
+
+    /// Takes note that a refused job is submitted again under its key.
+    pub fn submitted_again(&self, tag: &Arc<str>) {
+        self.state.borrow_mut().refused.remove(tag);
+    }
+}
+
+fn checkpoint_of(end: &TaskEnd) -> Option<Arc<str>> {
+    match end {
+        TaskEnd::Stopped(Some(checkpoint)) | TaskEnd::LeaseLapsed(Some(checkpoint)) => {
+            Some(checkpoint.name.clone())
+        }
+        _ => None,
+    }
+}
--- a/hemlocksaddle-fakes/src/lib.rs
+++ b/hemlocksaddle-fakes/src/lib.rs
@@ -6,4 +6,12 @@
 
 #![forbid(unsafe_code)]
 
+pub mod hosts;
+pub mod judge;
+pub mod log;
+pub mod network;
+pub mod peers;
+pub mod platform;
 pub mod runtime;
+pub mod targets;
+pub mod workers;
--- a/hemlocksaddle-fakes/src/runtime.rs
+++ b/hemlocksaddle-fakes/src/runtime.rs
@@ -80,6 +80,10 @@
         paused_until_us: 0,
         held: Vec::new(),
     };
+
+    fn rate(&self) -> u64 {
+        (1_000_000 + self.rate_ppm).unsigned_abs()
+    }
 }
 
 struct Inner {
@@ -150,6 +154,14 @@
         self.0.trace.set(mixed ^ (mixed >> 29));
     }
 
+    /// True time in microseconds at which a process's monotonic clock shows a time.
+    #[must_use]
+    pub fn true_us(&self, process: ProcessId, local: MonoMs) -> u64 {
+        let processes = self.0.processes.borrow();
+        let local_us = local.0.saturating_sub(processes[process].offset_ms) * 1_000;
+        local_us * 1_000_000 / processes[process].rate()
+    }
+
     /// Uniform random number below a bound.
     #[must_use]
     pub fn below(&self, bound: u64) -> u64 {
@@ -439,13 +451,11 @@
 
 impl ProcessRuntime {
     fn local_us(&self) -> u64 {
-        let rate = self.rate();
-        self.sim.now_us() * rate / 1_000_000
+        self.sim.now_us() * self.rate() / 1_000_000
     }
 
     fn rate(&self) -> u64 {
-        let ppm = self.sim.0.processes.borrow()[self.process].rate_ppm;
-        (1_000_000 + ppm).unsigned_abs()
+        self.sim.0.processes.borrow()[self.process].rate()
     }
 }
 
