--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod parts;
 pub mod peers;
 pub mod ports;
+pub mod queue;
+pub mod rack;
 pub mod requests;
 pub mod restate;
 pub mod settings;
