Build queues and racks into the node

Cause: Node::new assembled no parts. Change: parts::all builds queues and racks; racks stop last because they report what the queues hand back.

--- a/hemlocksaddle-node/src/parts.rs
+++ b/hemlocksaddle-node/src/parts.rs
@@ -2,10 +2,16 @@
 
 use std::rc::Rc;
 
-use crate::core::{Core, Part};
+use crate::{
+    core::{Core, Part},
+    queue::Queues,
+    rack::Racks,
+};
 
 /// All parts, built on the core.
+///
+/// The racks stop last: tasks that the queues hand back are reported by them.
 #[must_use]
-pub fn all(_core: &Rc<Core>) -> Vec<Rc<dyn Part>> {
-    Vec::new()
+pub fn all(core: &Rc<Core>) -> Vec<Rc<dyn Part>> {
+    vec![Queues::new(core.clone()), Racks::new(core.clone())]
 }
