Test ownership and configuration on the virtual clock

They found two faults, fixed here: a successor's promise kept the top-scored node from taking a released unit, so moves went back and forth; settling a publication that was given up borrowed its table twice.

--- a/hemlocksaddle-node/src/configuration/publish.rs
+++ b/hemlocksaddle-node/src/configuration/publish.rs
@@ -140,6 +140,12 @@
         }
     }
 
+    fn given_up(&self) -> Vec<u64> {
+        let pending = self.pending.borrow();
+        let given_up = pending.iter().filter(|(_, pending)| pending.is_given_up);
+        given_up.map(|(publish_id, _)| *publish_id).collect()
+    }
+
     /// Settles publications that were given up and turned out to be void.
     ///
     /// The journal does not write such records again, so once it has nothing
@@ -151,10 +157,7 @@
         if !is_settled || !has_read_all {
             return;
         }
-        let void = self.pending.borrow();
-        let void = void.iter().filter(|(_, pending)| pending.is_given_up);
-        let void: Vec<u64> = void.map(|(publish_id, _)| *publish_id).collect();
-        for publish_id in void {
+        for publish_id in self.given_up() {
             self.give_verdict(publish_id, Verdict::NotAppended);
         }
     }
--- a/hemlocksaddle-node/src/ownership/handover.rs
+++ b/hemlocksaddle-node/src/ownership/handover.rs
@@ -26,6 +26,9 @@
 /// Time to wait for another node's claim before the next move.
 const MOVE_MS: Millis = Millis(10_000);
 
+/// Pause after a unit came back, so that it is not offered in a loop.
+const FAILED_MOVE_MS: Millis = Millis(60_000);
+
 /// Time within which the log must have taken a release.
 const RELEASE_APPEND_MS: Millis = Millis(5_000);
 
@@ -135,6 +138,9 @@
         };
         // A unit that nobody takes is claimed by this node again, by rank.
         within(&*self.env.ports.runtime, MOVE_MS, taken).await;
+        if self.claims.borrow().owner(unit) == Some(self.env.node()) {
+            self.env.sleep(FAILED_MOVE_MS).await;
+        }
     }
 
     /// Notes that the stream has a record of the unit, which postpones restating it.
--- a/hemlocksaddle-node/src/ownership/takeover.rs
+++ b/hemlocksaddle-node/src/ownership/takeover.rs
@@ -138,14 +138,15 @@
     fn should_claim(&self, unit: &Unit, now: MonoMs) -> bool {
         let is_ours =
             self.claiming.borrow().contains(unit) || self.held.borrow().contains_key(unit);
-        if is_ours || self.is_bound(unit, now) {
+        if is_ours {
             return false;
         }
         let claims = self.claims.borrow();
         match claims.get(unit) {
             None => self.should_claim_unclaimed(unit, now),
+            // The owner gave up what was promised to it with the release.
             Some(state) if state.is_released => self.should_claim_released(unit, state, now),
-            Some(state) => self.should_claim_owned(unit, state, now),
+            Some(state) => !self.is_bound(unit, now) && self.should_claim_owned(state, now),
         }
     }
 
@@ -183,7 +184,7 @@
         beat.is_some_and(|beat| beat.ready && !beat.leaving)
     }
 
-    fn should_claim_owned(&self, _unit: &Unit, state: &UnitState, now: MonoMs) -> bool {
+    fn should_claim_owned(&self, state: &UnitState, now: MonoMs) -> bool {
         if !self.has_outlived_promises(now) {
             return false;
         }
--- /dev/null
+++ b/hemlocksaddle-node/tests/node/cluster.rs
@@ -0,0 +1,156 @@
+//! Several nodes without queues, racks and requests on the fake platform.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
+
+use hemlocksaddle_fakes::platform::{Deployment, Platform};
+use hemlocksaddle_node::{
+    core::PublishResult, invariant::OnViolation, node::Node, ports::PeerAddress,
+};
+use hemlocksaddle_types::{clock::Millis, document::Revision, name::NodeName, unit::Unit};
+
+/// Nodes of a deployment.
+pub(crate) struct Cluster {
+    /// Fakes.
+    pub(crate) platform: Platform,
+    nodes: RefCell<BTreeMap<NodeName, Rc<Node>>>,
+}
+
+impl Cluster {
+    /// Cluster of `nodes` nodes, none of them running.
+    pub(crate) fn new(nodes: usize, seed: u64) -> Cluster {
+        Cluster {
+            platform: Platform::new(Deployment::small().with_nodes(nodes), seed),
+            nodes: RefCell::default(),
+        }
+    }
+
+    /// Cluster whose nodes run and own all units.
+    pub(crate) fn settled(nodes: usize, seed: u64) -> Cluster {
+        let cluster = Cluster::new(nodes, seed);
+        (0..nodes).for_each(|index| cluster.start(index));
+        cluster.run(8_000);
+        cluster
+    }
+
+    pub(crate) fn run(&self, span_ms: u64) {
+        self.platform.run_for(Millis(span_ms));
+    }
+
+    pub(crate) fn address(&self, index: usize) -> &PeerAddress {
+        &self.platform.nodes[index]
+    }
+
+    pub(crate) fn name(&self, index: usize) -> &NodeName {
+        &self.address(index).node
+    }
+
+    /// Starts a node, or a new process of it after a kill.
+    pub(crate) fn start(&self, index: usize) {
+        let address = self.address(index);
+        let settings = self.platform.settings(address);
+        let ports = self.platform.ports(address);
+        let node = Node::with_parts(ports, settings, OnViolation::Panic, |_| Vec::new());
+        let endpoint = self.platform.endpoint(address);
+        let accepting = Rc::downgrade(&node);
+        self.platform
+            .peers
+            .listen(&address.node, &endpoint, move |link| {
+                if let Some(node) = accepting.upgrade() {
+                    node.accept_peer(link);
+                }
+            });
+        self.platform.network.set_dead(address.node.as_str(), false);
+        node.start();
+        self.nodes.borrow_mut().insert(address.node.clone(), node);
+    }
+
+    pub(crate) fn kill(&self, index: usize) {
+        let name = self.name(index);
+        self.nodes.borrow_mut().remove(name);
+        self.platform.sim.kill(name);
+        self.platform.network.set_dead(name.as_str(), true);
+        self.platform.peers.hang_up(name);
+    }
+
+    pub(crate) fn pause(&self, index: usize, span_ms: u64) {
+        self.platform.sim.pause(self.name(index), Millis(span_ms));
+    }
+
+    pub(crate) fn node(&self, index: usize) -> Rc<Node> {
+        self.nodes.borrow()[self.name(index)].clone()
+    }
+
+    /// Running nodes.
+    pub(crate) fn nodes(&self) -> Vec<Rc<Node>> {
+        self.nodes.borrow().values().cloned().collect()
+    }
+
+    /// Makes the log take and serve nothing, or ends that.
+    pub(crate) fn set_log_down(&self, down: bool) {
+        let mut faults = self.platform.log.faults.get();
+        faults.down = down;
+        self.platform.log.faults.set(faults);
+    }
+
+    /// Cuts or joins two places.
+    pub(crate) fn cut(&self, one: &str, other: &str, cut: bool) {
+        self.platform.network.set_cut(one, other, cut);
+    }
+
+    /// Publishes the deployment's document with data centres taken out, on a node.
+    pub(crate) fn publish(&self, index: usize, expected: u64, out: &[&str]) -> PublishResult {
+        let text = self.platform.deployment.document(out);
+        self.publish_text(index, expected, text)
+    }
+
+    /// Publishes a text on a node.
+    pub(crate) fn publish_text(&self, index: usize, expected: u64, text: String) -> PublishResult {
+        let node = self.node(index);
+        let service = self.platform.service();
+        let publication = node.publish(service, Revision(expected), Arc::from(text));
+        self.platform.sim.block_on(publication)
+    }
+
+    /// Revision in force at a node; 0 if there is none.
+    pub(crate) fn revision(&self, index: usize) -> u64 {
+        let documents = self.node(index).documents();
+        documents.first().map_or(0, |(_, revision)| revision.0)
+    }
+
+    /// Units that exist, with the number of running nodes that may act on each now.
+    pub(crate) fn rights(&self) -> BTreeMap<Unit, usize> {
+        let nodes = self.nodes();
+        let owned = nodes
+            .iter()
+            .flat_map(|node| node.core().ownership.owned())
+            .map(|(unit, _)| unit);
+        owned
+            .map(|unit| {
+                let acting = nodes
+                    .iter()
+                    .filter(|node| node.core().ownership.right(&unit).is_some());
+                let count = acting.count();
+                (unit, count)
+            })
+            .collect()
+    }
+
+    /// Runs in small steps and panics when two nodes may act on one unit at once.
+    pub(crate) fn run_watched(&self, span_ms: u64) {
+        for _ in 0..span_ms / 20 {
+            self.run(20);
+            for (unit, acting) in self.rights() {
+                let at = self.platform.sim.now();
+                assert!(acting <= 1, "{acting} nodes may act on {unit} at {at}");
+            }
+        }
+    }
+
+    /// Units on which exactly one running node may act.
+    pub(crate) fn acted_on(&self) -> usize {
+        self.rights()
+            .values()
+            .filter(|acting| **acting == 1)
+            .count()
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-node/tests/node/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the node's control core on the virtual clock.
+
+mod cluster;
+mod configuration;
+mod ownership;
