Test promises from both sides and each statement of the start proof

Change: a played peer acts as owner or successor at chosen times; tests for the binding and the counting of promises, promises during a claim under way, restarts, releases, relayed revisions and given-up records.

--- a/hemlocksaddle-node/tests/node/configuration.rs
+++ b/hemlocksaddle-node/tests/node/configuration.rs
@@ -11,9 +11,14 @@
     host::{Host, HostState},
     name::DataCentre,
     outcome::ResultCode,
+    peer::Heartbeat,
+    record::Offset,
 };
 
-use crate::cluster::Cluster;
+use crate::{
+    cluster::Cluster,
+    played::{PlayedPeer, outage_heartbeat},
+};
 
 fn centre(name: &str) -> DataCentre {
     DataCentre::try_from(name).expect("a name")
@@ -136,8 +141,28 @@
     expect_that!(cluster.revision(0), eq(3));
 }
 
-/// Guards against relayed documents that change a later verdict by log order,
-/// and against revisions that go back under faults.
+/// Guards against relayed documents that change a verdict by log order: a
+/// conflict that this node reads late must stay one.
+#[gtest]
+fn a_relayed_document_does_not_change_earlier_verdicts() {
+    let cluster = Cluster::settled(3, 2);
+    expect_that!(cluster.publish(0, 0, &[]), ok(anything()));
+    cluster.run(1_000);
+    cluster.cut("node-2", "log", true);
+    let ahead = cluster.publish(0, 3, &["dc-b"]);
+    expect_that!(code(ahead), eq(ResultCode::RevisionConflict));
+    expect_that!(cluster.publish(0, 1, &["dc-a"]), ok(anything()));
+    expect_that!(cluster.publish(0, 2, &["dc-c"]), ok(anything()));
+    cluster.run(5_000);
+    expect_that!(cluster.revision(2), eq(3));
+    cluster.cut("node-2", "log", false);
+    cluster.run(5_000);
+    expect_that!(cluster.revision(2), eq(3));
+    let node = cluster.node(2);
+    expect_true!(node.core().configuration.is_out(&centre("dc-c")));
+}
+
+/// Guards against revisions that go back under faults.
 #[gtest]
 fn revisions_never_go_back() {
     for seed in 0..6 {
@@ -242,6 +267,39 @@
     expect_false!(may_start(&cluster, 0, "dc-b"));
 }
 
+/// Guards against starts during an outage on a peer's word that proves nothing.
+#[gtest]
+fn each_statement_of_a_peer_is_needed() {
+    let cluster = Cluster::new(3, 10);
+    (0..2).for_each(|index| cluster.start(index));
+    let peer = PlayedPeer::new(&cluster, 2, |_| None);
+    cluster.run(3_000);
+    let next = Offset(0);
+    peer.heartbeat.replace(Some(outage_heartbeat(next)));
+    cluster.set_log_down(true);
+    cluster.run(8_000);
+    let is_allowed = |change: &dyn Fn(&mut Heartbeat)| {
+        let mut heartbeat = outage_heartbeat(next);
+        change(&mut heartbeat);
+        peer.heartbeat.replace(Some(heartbeat));
+        cluster.run(700);
+        may_start(&cluster, 0, "dc-b")
+    };
+    expect_true!(is_allowed(&|_| {}));
+    expect_false!(is_allowed(&|beat| beat.publish_unsettled = true));
+    expect_true!(is_allowed(&|_| {}));
+    expect_false!(is_allowed(&|beat| beat.documents_next = Offset(1)));
+    expect_true!(is_allowed(&|_| {}));
+    expect_false!(is_allowed(&|beat| beat.log_failed_ago_ms = None));
+    expect_true!(is_allowed(&|_| {}));
+    expect_false!(is_allowed(
+        &|beat| beat.log_failed_ago_ms = Some(Millis(2_001))
+    ));
+    peer.heartbeat.replace(None);
+    cluster.run(2_200);
+    expect_false!(may_start(&cluster, 0, "dc-b"));
+}
+
 /// Guards against a dead node that blocks starts for ever, and against starts
 /// without any node in a data centre that has live hosts.
 #[gtest]
--- a/hemlocksaddle-node/tests/node/journal.rs
+++ b/hemlocksaddle-node/tests/node/journal.rs
@@ -234,6 +234,13 @@
         bench.set_down(false);
         bench.run(10_000);
         bench.check_results(&format!("seed {seed}"));
+        // Nothing took effect during the outage, so what was given up then must never appear.
+        let given_up = results.iter().filter(|(_, result)| result.is_err());
+        let mut given_up = given_up.map(|(number, _)| number);
+        expect_false!(
+            given_up.any(|number| bench.valid().contains(number)),
+            "seed {seed}"
+        );
         let kept: Vec<u64> = bench.valid().into_iter().filter(|n| n % 2 == 1).collect();
         let expected: Vec<u64> = (0..40).filter(|number| number % 2 == 1).collect();
         expect_that!(kept, eq(&expected), "seed {seed}");
--- a/hemlocksaddle-node/tests/node/main.rs
+++ b/hemlocksaddle-node/tests/node/main.rs
@@ -5,3 +5,5 @@
 mod journal;
 mod ownership;
 mod peers;
+mod played;
+mod promises;
--- a/hemlocksaddle-node/tests/node/peers.rs
+++ b/hemlocksaddle-node/tests/node/peers.rs
@@ -6,19 +6,22 @@
 use hemlocksaddle_node::{
     core::{CallError, Core, Handler, Part},
     invariant::{Invariant, OnViolation},
-    ports::{PeerLink, PortFuture},
+    ports::PortFuture,
 };
 use hemlocksaddle_types::{
     clock::Millis,
     document::Revision,
     job::JobId,
     name::NodeName,
-    peer::{Heartbeat, Hello, Message, RelayedDocument, Request, Response, VERSION},
+    peer::{Heartbeat, RelayedDocument, Request, Response},
     record::Offset,
     unit::QueueIndex,
 };
 
-use crate::cluster::Cluster;
+use crate::{
+    cluster::Cluster,
+    played::{PlayedPeer, outage_heartbeat},
+};
 
 /// Part that answers cancels with the job's number, after as many milliseconds.
 struct Echo(Rc<Core>);
@@ -128,59 +131,6 @@
     );
 }
 
-/// Peer that is played by the test: says hello, beats, and answers every call the same way.
-fn play_peer(cluster: &Cluster, index: usize, started_ms: u64, response: Response) {
-    let address = cluster.address(index).clone();
-    let endpoint = cluster.platform.endpoint(&address);
-    let sim = cluster.platform.sim.clone();
-    let hello = Message::Hello(Hello {
-        version: VERSION,
-        node: address.node.clone(),
-        data_centre: address.data_centre.clone(),
-        started_ms,
-    });
-    let accept = move |link: PeerLink| {
-        let (hello, response, timer) = (hello.clone(), response.clone(), sim.clone());
-        let PeerLink {
-            sender,
-            mut receiver,
-        } = link;
-        let beating = sender.clone();
-        let mut sent = sender.send(hello);
-        sim.spawn(0, async move {
-            while beating.send(beat()).is_ok() {
-                timer.sleep(Millis(500)).await;
-            }
-        });
-        sim.spawn(0, async move {
-            while let (Ok(()), Ok(message)) = (sent, receiver.receive().await) {
-                if let Message::Call(number, _) = message {
-                    // A reply to no call, and one to a call that may come later.
-                    let stray = [number - 1, number + 1];
-                    let stray = stray.map(|number| Message::Reply(number, Response::Ok));
-                    let strays = stray.into_iter().try_for_each(|reply| sender.send(reply));
-                    let reply = sender.send(Message::Reply(number, response.clone()));
-                    sent = strays.and(reply);
-                }
-            }
-        });
-    };
-    let peers = &cluster.platform.peers;
-    peers.listen(&address.node, &endpoint, accept);
-}
-
-fn beat() -> Message {
-    Message::Heartbeat(Heartbeat {
-        documents_next: Offset(1_000),
-        ready: true,
-        leaving: false,
-        log_failed_ago_ms: None,
-        publish_unsettled: false,
-        slots: Vec::new(),
-        racks: Vec::new(),
-    })
-}
-
 fn relayed(cluster: &Cluster, revision: u64, text: String) -> Response {
     let document = RelayedDocument {
         service: cluster.platform.service(),
@@ -201,7 +151,10 @@
     cluster.run(1_000);
     cluster.cut("node-0", "log", true);
     let text = cluster.platform.deployment.document(out);
-    play_peer(&cluster, 2, 1, relayed(&cluster, revision, text));
+    let response = relayed(&cluster, revision, text);
+    let peer = PlayedPeer::new(&cluster, 2, move |_| Some(response.clone()));
+    let ahead = outage_heartbeat(Offset(1_000));
+    peer.heartbeat.replace(Some(ahead));
     cluster.run(8_000);
     cluster
 }
