--- a/hemlocksaddle-fakes/src/judge.rs
+++ b/hemlocksaddle-fakes/src/judge.rs
@@ -7,7 +7,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, VecDeque},
-    rc::Rc,
     sync::Arc,
 };
 
@@ -90,22 +89,48 @@
 pub struct Judges {
     sim: SimRuntime,
     state: RefCell<State>,
-    /// Task starts seen.
-    pub starts: Cell<u64>,
-    /// Stops with a checkpoint seen.
-    pub evictions: Cell<u64>,
+    counts: Cell<Counts>,
+}
+
+/// What happened in a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Appends that reached the log.
+    pub appends: u64,
+    /// Task starts.
+    pub starts: u64,
+    /// Tasks that were stopped with a checkpoint.
+    pub evictions: u64,
+    /// Work that completed, in core milliseconds.
+    pub work_core_ms: u64,
 }
 
 impl Judges {
     /// Judges that have seen nothing.
     #[must_use]
-    pub fn new(sim: &SimRuntime) -> Rc<Judges> {
-        Rc::new(Judges {
+    pub fn new(sim: &SimRuntime) -> Judges {
+        Judges {
             sim: sim.clone(),
             state: RefCell::default(),
-            starts: Cell::new(0),
-            evictions: Cell::new(0),
-        })
+            counts: Cell::default(),
+        }
+    }
+
+    /// What happened so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counts.get()
+    }
+
+    fn count(&self, count: impl FnOnce(&mut Counts)) {
+        let mut counts = self.counts.get();
+        count(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// Takes note of work that completed.
+    pub fn work_done(&self, core_ms: u64) {
+        self.count(|counts| counts.work_core_ms += core_ms);
     }
 
     /// Violations so far.
@@ -129,6 +154,7 @@
 
     /// Counts an append that reached the log.
     pub fn appended(&self) {
+        self.count(|counts| counts.appends += 1);
         let now_us = self.sim.now_us();
         let count = {
             let times = &mut self.state.borrow_mut().appends_us;
@@ -256,9 +282,16 @@
     }
 
     /// Judges the start of an attempt on a worker.
-    pub fn task_starts(&self, order: &StartTask, worker: &WorkerName, data_centre: &DataCentre) {
-        self.starts.set(self.starts.get() + 1);
-        self.judge_data_centre(order, data_centre);
+    pub fn task_starts(
+        &self,
+        order: &StartTask,
+        worker: &WorkerName,
+        data_centre: Option<&DataCentre>,
+    ) {
+        self.count(|counts| counts.starts += 1);
+        if let Some(data_centre) = data_centre {
+            self.judge_data_centre(order, data_centre);
+        }
         self.judge_place(order, worker);
         self.judge_runs(order);
     }
@@ -345,7 +378,7 @@
         }
         history.place = None;
         if let Some(checkpoint) = end.and_then(checkpoint_of) {
-            self.evictions.set(self.evictions.get() + 1);
+            self.count(|counts| counts.evictions += 1);
             history.bases.push(Some(checkpoint));
         }
     }
--- a/hemlocksaddle-fakes/src/network.rs
+++ b/hemlocksaddle-fakes/src/network.rs
@@ -6,7 +6,6 @@
 //! sender gives up or is killed, so that effects without an answer occur.
 
 use std::{
-    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     future::{Future, pending},
     rc::Rc,
@@ -18,30 +17,29 @@
 use hemlocksaddle_node::ports::{PortError, PortFuture, Result};
 use hemlocksaddle_types::{clock::Millis, name::DataCentre};
 
-use crate::runtime::{ENVIRONMENT, ProcessId, SimRuntime};
+use crate::{
+    platform::Platform,
+    runtime::{ENVIRONMENT, ProcessId},
+};
 
 /// Timeout of a call, as the adapters use it.
-pub const CALL_TIMEOUT: Millis = Millis(1_500);
+pub(crate) const CALL_TIMEOUT: Millis = Millis(1_500);
 
 /// Sender or receiver on the network.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
-    /// Process that is paused or killed with it.
-    pub process: ProcessId,
-    /// Name, unique in the run.
-    pub name: Arc<str>,
-    /// Data centre; `None` for the platform's services, which every data centre reaches.
-    pub data_centre: Option<DataCentre>,
+    pub(crate) process: ProcessId,
+    pub(crate) name: Arc<str>,
+    /// `None` for the platform's services, which every data centre reaches.
+    pub(crate) data_centre: Option<DataCentre>,
 }
 
 impl Endpoint {
-    /// Service of the platform.
-    #[must_use]
-    pub fn platform(name: &str) -> Endpoint {
+    pub(crate) fn new(process: ProcessId, name: &str, data_centre: Option<&DataCentre>) -> Self {
         Endpoint {
-            process: ENVIRONMENT,
+            process,
             name: name.into(),
-            data_centre: None,
+            data_centre: data_centre.cloned(),
         }
     }
 
@@ -51,127 +49,114 @@
     }
 }
 
+/// Connection of a process to a destination.
 type Connection = (ProcessId, Arc<str>);
 
-/// Network of one run.
-pub struct Network {
-    /// Executor of the run.
-    pub sim: SimRuntime,
-    /// Share of answers that are lost after the effect, in percent.
-    pub lost_answers_percent: Cell<u64>,
-    cut: RefCell<BTreeSet<(Arc<str>, Arc<str>)>>,
-    dead: RefCell<BTreeSet<Arc<str>>>,
-    connections: RefCell<BTreeMap<Connection, bool>>,
-    silences: Cell<u64>,
+#[derive(Default)]
+pub(crate) struct Network {
+    cut: BTreeSet<(Arc<str>, Arc<str>)>,
+    dead: BTreeSet<Arc<str>>,
+    /// Open connections, and whether each is silent.
+    connections: BTreeMap<Connection, bool>,
 }
 
-impl Network {
-    /// Network without faults.
-    #[must_use]
-    pub fn new(sim: &SimRuntime) -> Rc<Network> {
-        Rc::new(Network {
-            sim: sim.clone(),
-            lost_answers_percent: Cell::new(0),
-            cut: RefCell::default(),
-            dead: RefCell::default(),
-            connections: RefCell::default(),
-            silences: Cell::new(0),
-        })
-    }
-
-    /// Cuts or joins two places: names of endpoints or of data centres.
+impl Platform {
+    /// Cuts or joins two places: names of nodes, workers, data centres, `log` or `hosts`.
     pub fn set_cut(&self, one: &str, other: &str, cut: bool) {
         let pair = (Arc::from(one), Arc::from(other));
+        let all = &mut self.network.borrow_mut().cut;
         if cut {
-            self.cut.borrow_mut().insert(pair);
+            all.insert(pair)
         } else {
-            self.cut.borrow_mut().remove(&pair);
-        }
+            all.remove(&pair)
+        };
     }
 
-    /// Marks an endpoint as dead, which refuses connections, or as alive.
-    pub fn set_dead(&self, name: &str, dead: bool) {
-        self.connections
-            .borrow_mut()
-            .retain(|(_, destination), _| **destination != *name);
+    /// Marks a host as dead, which refuses connections, or as alive.
+    pub(crate) fn set_dead(&self, name: &str, dead: bool) {
+        let network = &mut self.network.borrow_mut();
+        network.connections.retain(|(_, to), _| **to != *name);
         if dead {
-            self.dead.borrow_mut().insert(name.into());
+            network.dead.insert(name.into())
         } else {
-            self.dead.borrow_mut().remove(name);
-        }
+            network.dead.remove(name)
+        };
     }
 
-    /// Whether an endpoint is dead.
+    /// Whether a host is dead.
     #[must_use]
     pub fn is_dead(&self, name: &str) -> bool {
-        self.dead.borrow().contains(name)
+        self.network.borrow().dead.contains(name)
     }
 
     /// Lets a share of the open connections go silent for good.
     pub fn silence(&self, percent: u64) {
-        self.silences.set(self.silences.get() + 1);
-        for silent in self.connections.borrow_mut().values_mut() {
+        for silent in self.network.borrow_mut().connections.values_mut() {
             *silent |= self.sim.below(100) < percent;
         }
+        self.silence_links(percent);
     }
 
-    /// Number of [`Network::silence`] calls, for fakes that keep connections of their own.
-    #[must_use]
-    pub fn silences(&self) -> u64 {
-        self.silences.get()
+    pub(crate) fn connected(&self, one: &Endpoint, other: &Endpoint) -> bool {
+        let cut = &self.network.borrow().cut;
+        let parts = |(a, b): &(Arc<str>, Arc<str>)| {
+            (one.is_in(a) && other.is_in(b)) || (one.is_in(b) && other.is_in(a))
+        };
+        !cut.iter().any(parts)
     }
 
-    /// Whether messages pass between two endpoints.
-    #[must_use]
-    pub fn connected(&self, one: &Endpoint, other: &Endpoint) -> bool {
-        let cut = self.cut.borrow();
-        !cut.iter()
-            .any(|(a, b)| (one.is_in(a) && other.is_in(b)) || (one.is_in(b) && other.is_in(a)))
+    /// Arrival of a message that is sent now.
+    pub(crate) fn arrival_us(&self) -> u64 {
+        let queued_us = if self.sim.below(100) == 0 { 10_000 } else { 0 };
+        self.sim.now_us() + 500 + self.sim.below(1_000) + queued_us
     }
 
-    /// Takes as long as a message takes one way.
-    pub async fn trip(&self) {
-        let jitter_us = self.sim.below(1_000);
-        let queued_us = if self.sim.below(100) == 0 { 10_000 } else { 0 };
-        let at_us = self.sim.now_us() + 500 + jitter_us + queued_us;
-        self.sim.sleep_until(at_us).await;
+    pub(crate) async fn trip(&self) {
+        let arrival_us = self.arrival_us();
+        self.sim.sleep_until(arrival_us).await;
     }
 
-    /// Calls a destination; `work` runs there, whatever becomes of the caller.
-    pub fn call<T, F>(
+    /// Calls a destination, where `work` runs.
+    ///
+    /// Unless `abort` is set, the work goes on whatever becomes of the caller;
+    /// otherwise it ends when the caller closes a connection that is not silent.
+    pub(crate) fn call<T: 'static, F: Future<Output = T> + 'static>(
         self: &Rc<Self>,
         from: &Endpoint,
-        to: &Endpoint,
+        to: Endpoint,
         within: Millis,
+        abort: bool,
         work: impl FnOnce() -> F + 'static,
-    ) -> PortFuture<'static, Result<T>>
-    where
-        T: 'static,
-        F: Future<Output = T> + 'static,
-    {
-        let (network, from, to) = (self.clone(), from.clone(), to.clone());
+    ) -> PortFuture<'static, Result<T>> {
+        let (platform, from) = (self.clone(), from.clone());
         Box::pin(async move {
             let connection = (from.process, to.name.clone());
-            network.open(&connection, &from, &to, within).await?;
-            let (answer, answered) = oneshot::channel();
-            let server = network.clone();
-            let carried = connection.clone();
-            network.sim.spawn(ENVIRONMENT, async move {
-                if let Some(output) = server.serve(&carried, &from, &to, work).await {
+            platform.open(&connection, &from, &to, within).await?;
+            let (mut answer, answered) = oneshot::channel();
+            let (server, carried) = (platform.clone(), connection.clone());
+            platform.sim.spawn(ENVIRONMENT, async move {
+                let closed = async {
+                    answer.cancellation().await;
+                    if !abort || server.is_silent(&carried) {
+                        pending::<()>().await;
+                    }
+                };
+                let serving = server.serve(&carried, &from, &to, work);
+                let served = select(Box::pin(serving), Box::pin(closed)).await;
+                if let Either::Left((Some(output), closed)) = served {
+                    drop(closed);
                     let _ = answer.send(output);
                 }
             });
-            let answered = async {
-                match answered.await {
-                    Ok(output) => output,
-                    Err(oneshot::Canceled) => pending().await,
-                }
-            };
-            let timeout = network.sim.sleep(within);
-            match select(Box::pin(answered), Box::pin(timeout)).await {
+            let timeout = platform.sim.sleep(within);
+            match select(Box::pin(or_never(answered)), timeout).await {
                 Either::Left((output, _)) => Ok(output),
                 Either::Right(_) => {
-                    network.connections.borrow_mut().remove(&connection);
+                    platform
+                        .network
+                        .borrow_mut()
+                        .connections
+                        .remove(&connection);
                     Err(PortError::Unknown)
                 }
             }
@@ -185,7 +170,7 @@
         to: &Endpoint,
         within: Millis,
     ) -> Result<()> {
-        if self.connections.borrow().contains_key(connection) {
+        if self.network.borrow().connections.contains_key(connection) {
             return Ok(());
         }
         self.trip().await;
@@ -196,12 +181,16 @@
         if self.is_dead(&to.name) {
             return Err(PortError::NotSent);
         }
-        self.connections
-            .borrow_mut()
-            .insert(connection.clone(), false);
+        let connections = &mut self.network.borrow_mut().connections;
+        connections.insert(connection.clone(), false);
         Ok(())
     }
 
+    fn is_silent(&self, connection: &Connection) -> bool {
+        self.network.borrow().connections.get(connection) == Some(&true)
+    }
+
+    /// Carries a request, its work and its answer; `None` if one of them is lost.
     async fn serve<T, F: Future<Output = T>>(
         &self,
         connection: &Connection,
@@ -209,10 +198,8 @@
         to: &Endpoint,
         work: impl FnOnce() -> F,
     ) -> Option<T> {
-        let passes = || {
-            let silent = self.connections.borrow().get(connection) == Some(&true);
-            !silent && self.connected(from, to) && !self.is_dead(&to.name)
-        };
+        let passes =
+            || !self.is_silent(connection) && self.connected(from, to) && !self.is_dead(&to.name);
         if !passes() {
             return None;
         }
@@ -221,10 +208,18 @@
             return None;
         }
         let output = work().await;
-        if self.sim.below(100) < self.lost_answers_percent.get() || !passes() {
+        let lost_percent = self.faults.borrow().lost_answers_percent;
+        if self.sim.below(100) < lost_percent || !passes() {
             return None;
         }
         self.trip().await;
         Some(output)
     }
 }
+
+async fn or_never<T>(answered: oneshot::Receiver<T>) -> T {
+    match answered.await {
+        Ok(output) => output,
+        Err(oneshot::Canceled) => pending().await,
+    }
+}
--- a/hemlocksaddle-fakes/src/peers.rs
+++ b/hemlocksaddle-fakes/src/peers.rs
@@ -14,7 +14,8 @@
 use hemlocksaddle_types::{clock::Millis, name::NodeName, peer::Message};
 
 use crate::{
-    network::{CALL_TIMEOUT, Endpoint, Network},
+    network::{CALL_TIMEOUT, Endpoint},
+    platform::{NodePorts, Platform},
     runtime::ENVIRONMENT,
 };
 
@@ -29,107 +30,95 @@
     wires: RefCell<Vec<mpsc::UnboundedSender<Message>>>,
 }
 
-type Accept = Rc<dyn Fn(PeerLink)>;
-
-/// All connections between nodes of one run.
-pub struct FakePeers {
-    network: Rc<Network>,
-    listeners: RefCell<BTreeMap<NodeName, (Endpoint, Accept)>>,
-    links: RefCell<Vec<Weak<Link>>>,
+impl Link {
+    fn close(&self) {
+        self.closed.set(true);
+        if !self.silent.get() {
+            let wires = self.wires.borrow();
+            wires.iter().for_each(mpsc::UnboundedSender::close_channel);
+        }
+    }
 }
 
-impl FakePeers {
-    /// No connections.
-    #[must_use]
-    pub fn new(network: &Rc<Network>) -> Rc<FakePeers> {
-        Rc::new(FakePeers {
-            network: network.clone(),
-            listeners: RefCell::default(),
-            links: RefCell::default(),
-        })
-    }
+type Accept = Rc<dyn Fn(PeerLink)>;
 
-    /// Port of one process.
-    #[must_use]
-    pub fn port(self: &Rc<Self>, from: &Endpoint) -> Rc<dyn Peers> {
-        Rc::new(PeersPort(self.clone(), from.clone()))
-    }
+#[derive(Default)]
+pub(crate) struct Links {
+    listeners: BTreeMap<NodeName, (Endpoint, Accept)>,
+    links: Vec<Weak<Link>>,
+}
 
-    /// Lets a node take connections.
-    pub fn listen(&self, node: &NodeName, at: &Endpoint, accept: impl Fn(PeerLink) + 'static) {
-        let listener = (at.clone(), Rc::new(accept) as Accept);
-        self.listeners.borrow_mut().insert(node.clone(), listener);
+impl Platform {
+    /// Lets a node's present process take connections.
+    pub fn listen(&self, node: &PeerAddress, accept: impl Fn(PeerLink) + 'static) {
+        let listener = (self.endpoint(node), Rc::new(accept) as Accept);
+        let listeners = &mut self.links.borrow_mut().listeners;
+        listeners.insert(node.node.clone(), listener);
     }
 
-    /// Ends a node's listener and closes its connections, as the death of its process does.
+    /// Ends a node's listener and closes its connections, as the end of its process does.
     pub fn hang_up(&self, node: &NodeName) {
-        self.listeners.borrow_mut().remove(node);
-        let links = self.links.borrow().clone();
-        for link in links.iter().filter_map(Weak::upgrade) {
+        self.links.borrow_mut().listeners.remove(node);
+        for link in self.open_links() {
             if link.ends.iter().any(|end| *end.name == *node.as_str()) {
                 link.close();
             }
         }
     }
 
-    /// Lets a share of the open connections go silent for good.
-    pub fn silence(&self, percent: u64) {
-        self.links
-            .borrow_mut()
-            .retain(|link| link.strong_count() > 0);
-        for link in self.links.borrow().iter().filter_map(Weak::upgrade) {
+    pub(crate) fn silence_links(&self, percent: u64) {
+        for link in self.open_links() {
             link.silent
-                .set(link.silent.get() || self.network.sim.below(100) < percent);
+                .set(link.silent.get() || self.sim.below(100) < percent);
         }
     }
 
-    /// Carries the messages of one direction; returns the two halves of that direction.
-    fn wire(&self, link: &Rc<Link>) -> (Rc<dyn PeerSender>, Box<dyn PeerReceiver>) {
-        let (put, mut carried) = mpsc::unbounded::<(u64, Message)>();
+    fn open_links(&self) -> Vec<Rc<Link>> {
+        let links = &mut self.links.borrow_mut().links;
+        links.retain(|link| link.strong_count() > 0);
+        links.iter().filter_map(Weak::upgrade).collect()
+    }
+
+    /// Two halves of one direction of a connection.
+    fn wire(self: &Rc<Self>, link: &Rc<Link>) -> (Rc<dyn PeerSender>, Box<dyn PeerReceiver>) {
+        let (put, sent) = mpsc::unbounded();
         let (deliver, messages) = mpsc::unbounded();
         link.wires.borrow_mut().push(deliver.clone());
-        let (network, weak) = (self.network.clone(), Rc::downgrade(link));
-        self.network.sim.spawn(ENVIRONMENT, async move {
-            while let Some((at_us, message)) = carried.next().await {
-                network.sim.sleep_until(at_us).await;
-                while weak.upgrade().is_some_and(|link| {
-                    !link.closed.get() && !network.connected(&link.ends[0], &link.ends[1])
-                }) {
-                    network.sim.sleep(RETRY).await;
-                }
-                let silent = weak.upgrade().is_some_and(|link| link.silent.get());
-                if !silent && deliver.unbounded_send(message).is_err() {
-                    return;
-                }
-            }
-            deliver.close_channel();
-        });
+        let carry = self.clone().carry(link.clone(), sent, deliver);
+        self.sim.spawn(ENVIRONMENT, carry);
         let sending = Sender {
             link: link.clone(),
-            network: self.network.clone(),
+            platform: self.clone(),
             put,
             last_us: Cell::new(0),
         };
-        let receiving = Receiver(messages);
-        (Rc::new(sending), Box::new(receiving))
+        (Rc::new(sending), Box::new(Receiver(messages)))
     }
-}
 
-impl Link {
-    fn close(&self) {
-        self.closed.set(true);
-        if !self.silent.get() {
-            self.wires
-                .borrow()
-                .iter()
-                .for_each(mpsc::UnboundedSender::close_channel);
+    async fn carry(
+        self: Rc<Self>,
+        link: Rc<Link>,
+        mut sent: mpsc::UnboundedReceiver<(u64, Message)>,
+        deliver: mpsc::UnboundedSender<Message>,
+    ) {
+        while let Some((arrival_us, message)) = sent.next().await {
+            self.sim.sleep_until(arrival_us).await;
+            while !link.closed.get() && !self.connected(&link.ends[0], &link.ends[1]) {
+                self.sim.sleep(RETRY).await;
+            }
+            if !link.silent.get() && deliver.unbounded_send(message).is_err() {
+                return;
+            }
+        }
+        if !link.silent.get() {
+            deliver.close_channel();
         }
     }
 }
 
 struct Sender {
     link: Rc<Link>,
-    network: Rc<Network>,
+    platform: Rc<Platform>,
     put: mpsc::UnboundedSender<(u64, Message)>,
     last_us: Cell<u64>,
 }
@@ -139,10 +128,9 @@
         if self.link.closed.get() {
             return Err(PortError::NotSent);
         }
-        let sim = &self.network.sim;
-        let at_us = (sim.now_us() + 500 + sim.below(1_000)).max(self.last_us.get());
-        self.last_us.set(at_us);
-        let sent = self.put.unbounded_send((at_us, message));
+        let arrival_us = self.platform.arrival_us().max(self.last_us.get());
+        self.last_us.set(arrival_us);
+        let sent = self.put.unbounded_send((arrival_us, message));
         sent.map_err(|_| PortError::NotSent)
     }
 
@@ -159,37 +147,32 @@
     }
 }
 
-struct PeersPort(Rc<FakePeers>, Endpoint);
-
-impl Peers for PeersPort {
+impl Peers for NodePorts {
     fn connect(&self, peer: &PeerAddress) -> PortFuture<'_, Result<PeerLink>> {
-        let (peers, from, node) = (self.0.clone(), self.1.clone(), peer.node.clone());
+        let (platform, from, node) = (self.platform.clone(), self.from.clone(), peer.node.clone());
         Box::pin(async move {
-            let sim = peers.network.sim.clone();
-            sim.sleep(Millis(1)).await;
-            let listener = peers.listeners.borrow().get(&node).cloned();
-            let Some((at, accept)) = listener else {
-                return Err(PortError::NotSent);
-            };
-            if !peers.network.connected(&from, &at) {
-                sim.sleep(CALL_TIMEOUT).await;
+            platform.trip().await;
+            let listener = platform.links.borrow().listeners.get(&node).cloned();
+            let (at, accept) = listener.ok_or(PortError::NotSent)?;
+            if !platform.connected(&from, &at) {
+                platform.sim.sleep(CALL_TIMEOUT).await;
                 return Err(PortError::NotSent);
             }
+            let process = at.process;
             let link = Rc::new(Link {
-                ends: [from, at.clone()],
+                ends: [from, at],
                 silent: Cell::new(false),
                 closed: Cell::new(false),
                 wires: RefCell::default(),
             });
-            peers.links.borrow_mut().push(Rc::downgrade(&link));
-            let (sender, far_receiver) = peers.wire(&link);
-            let (far_sender, receiver) = peers.wire(&link);
-            sim.spawn(at.process, async move {
-                accept(PeerLink {
-                    sender: far_sender,
-                    receiver: far_receiver,
-                });
-            });
+            platform.links.borrow_mut().links.push(Rc::downgrade(&link));
+            let (sender, far_receiver) = platform.wire(&link);
+            let (far_sender, receiver) = platform.wire(&link);
+            let far = PeerLink {
+                sender: far_sender,
+                receiver: far_receiver,
+            };
+            platform.sim.spawn(process, async move { accept(far) });
             Ok(PeerLink { sender, receiver })
         })
     }
--- a/hemlocksaddle-fakes/src/platform.rs
+++ b/hemlocksaddle-fakes/src/platform.rs
@@ -1,23 +1,36 @@
-//! Deployments: hosts, services and nodes with their ports.
+//! A deployment with its platform: hosts, services, faults, and the ports of its nodes.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell, collections::BTreeMap, future::Future, net::SocketAddr, rc::Rc, sync::Arc,
+};
 
 use hemlocksaddle_node::{
-    ports::{PeerAddress, Ports},
+    ports::{PeerAddress, PortFuture, Ports, Result},
     settings::{Limits, Settings, Timing},
 };
 use hemlocksaddle_types::{
     clock::Millis,
     host::{Host, HostRole, HostState},
-    name::{DataCentre, ExecutorName, NodeName, RackName, ServiceName, TeamName, WorkerName},
+    name::{DataCentre, ServiceName, WorkerName},
+    record::Stream,
     resources::Resources,
 };
 
 use crate::{
-    hosts::FakeHosts, judge::Judges, log::FakeLog, network::Endpoint, network::Network,
-    peers::FakePeers, runtime::SimRuntime, targets::FakeTargets, workers::FakeWorkers,
+    judge::Judges,
+    log::Records,
+    network::{Endpoint, Network},
+    peers::Links,
+    runtime::{ENVIRONMENT, SimRuntime},
+    targets::Executor,
+    workers::{Truth, Worker},
 };
 
+/// Slots of each executor.
+const SLOTS: usize = 8;
+/// Interval at which workers that nobody calls are brought up to date.
+const TICK: Millis = Millis(250);
+
 /// Size and names of a deployment.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -33,7 +46,7 @@
     pub workers: (usize, usize),
     /// What each worker has.
     pub capacity: Resources,
-    /// Executors in all, with 8 slots each.
+    /// Executors in all.
     pub executors: usize,
     /// Queues.
     pub queues: u16,
@@ -83,49 +96,50 @@
         }
     }
 
-    /// Same deployment with another number of nodes.
+    /// Data centre of a rack, executor or node by its number.
     #[must_use]
-    pub fn with_nodes(mut self, nodes: usize) -> Deployment {
-        self.nodes = nodes;
-        self
-    }
-
-    fn data_centre(&self, index: usize) -> DataCentre {
-        name(self.data_centres[index % 3])
+    pub fn data_centre(&self, index: usize) -> DataCentre {
+        name(self.data_centres[index % self.data_centres.len()])
     }
 
     fn hosts(&self) -> Vec<Host> {
         let mut hosts = Vec::new();
+        let mut add = |role, data_centre, address| {
+            hosts.push(Host {
+                role,
+                data_centre,
+                address,
+                state: HostState::Live,
+            });
+        };
         for index in 0..self.workers.0 {
             let rack = index / self.workers.1;
             let role = HostRole::Worker {
-                name: name::<WorkerName>(&format!("worker-{index}")),
-                rack: name::<RackName>(&format!("rack-{rack}")),
+                name: name(&format!("worker-{index}")),
+                rack: name(&format!("rack-{rack}")),
                 capacity: self.capacity,
             };
-            hosts.push(host(role, self.data_centre(rack), 8, index));
+            add(role, self.data_centre(rack), address(8, index));
         }
         for index in 0..self.executors {
             let role = HostRole::Executor {
-                name: name::<ExecutorName>(&index.to_string()),
+                name: name(&index.to_string()),
             };
-            hosts.push(host(role, self.data_centre(index), 7, index));
+            add(role, self.data_centre(index), address(7, index));
         }
         for peer in self.peers() {
-            let role = HostRole::Node { name: peer.node };
-            hosts.push(Host {
-                role,
-                data_centre: peer.data_centre,
-                address: peer.address,
-                state: HostState::Live,
-            });
+            add(
+                HostRole::Node { name: peer.node },
+                peer.data_centre,
+                peer.address,
+            );
         }
         hosts
     }
 
     fn peers(&self) -> Vec<PeerAddress> {
         let peer = |index| PeerAddress {
-            node: name::<NodeName>(&format!("node-{index}")),
+            node: name(&format!("node-{index}")),
             data_centre: self.data_centre(index),
             address: address(6, index),
         };
@@ -135,81 +149,133 @@
     /// Text of the service's document with data centres taken out.
     #[must_use]
     pub fn document(&self, out: &[&str]) -> String {
-        let mut text = format!(
+        let executor = |index| {
+            let data_centre = self.data_centre(index);
+            format!("executor.{index} = {data_centre} {}\n", address(7, index))
+        };
+        let executors: String = (0..self.executors).map(executor).collect();
+        let workers = self.workers.0 as u64;
+        format!(
             "[service]\nname = {}\nteam = {}\ndata_centres_out = {}\n\
              [objective]\nlatency_ms = 250\nsuccess_percent = 99.9\nwindow_hours = 720\n\
-             [targets]\nslots = 8\nconnections = 60\nmax_deadline_ms = 10000\n",
+             [targets]\nslots = {SLOTS}\nconnections = 60\nmax_deadline_ms = 10000\n{executors}\
+             [quota]\ncpu_milli = {}\nmemory_mb = {}\naccelerators = 0\n",
             self.service,
             self.team,
-            out.join(", ")
-        );
-        for index in 0..self.executors {
-            let data_centre = self.data_centre(index);
-            text += &format!("executor.{index} = {data_centre} {}\n", address(7, index));
+            out.join(", "),
+            self.capacity.cpu_milli * workers,
+            self.capacity.memory_mb * workers
+        )
+    }
+}
+
+/// What is wrong with the platform, besides what is cut, dead or silent.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    /// The log takes and serves nothing.
+    pub log_down: bool,
+    /// Added to each call to the log on average.
+    pub log_slow: Millis,
+    /// Share of appends that take effect without an answer, in percent.
+    pub log_lost_percent: u64,
+    /// Share of appends that take effect long after the caller gave up, in percent.
+    pub log_late_percent: u64,
+    /// Time for which the log keeps records.
+    pub log_retention: Millis,
+    /// Age of the host list that is served.
+    pub hosts_lag: Millis,
+    /// Share of all answers that are lost after the effect, in percent.
+    pub lost_answers_percent: u64,
+    /// Share of executors' answers that come after their deadline, in percent.
+    pub late_answers_percent: u64,
+    /// Mean service time of executors.
+    pub service_ms: u64,
+    /// Added to each pair's slowdown by batch tasks, in thousandths.
+    pub noise_milli: u64,
+}
+
+impl Default for Faults {
+    fn default() -> Faults {
+        Faults {
+            log_down: false,
+            log_slow: Millis(0),
+            log_lost_percent: 0,
+            log_late_percent: 0,
+            log_retention: Millis(24 * 3_600_000),
+            hosts_lag: Millis(500),
+            lost_answers_percent: 0,
+            late_answers_percent: 0,
+            service_ms: 20,
+            noise_milli: 0,
         }
-        let workers = self.workers.0 as u64;
-        let (cpu_milli, memory_mb) = (self.capacity.cpu_milli, self.capacity.memory_mb);
-        text += &format!(
-            "[quota]\ncpu_milli = {}\nmemory_mb = {}\naccelerators = 0\n",
-            cpu_milli * workers,
-            memory_mb * workers
-        );
-        text
     }
 }
 
-/// Fakes of one deployment, and what starts nodes on it.
+/// Platform of one run.
 pub struct Platform {
     /// Executor and clock.
     pub sim: SimRuntime,
     /// Size and names.
     pub deployment: Deployment,
-    /// Network.
-    pub network: Rc<Network>,
     /// Judges.
-    pub judges: Rc<Judges>,
-    /// Log.
-    pub log: Rc<FakeLog>,
-    /// Host list.
-    pub hosts: Rc<FakeHosts>,
-    /// Workers.
-    pub workers: Rc<FakeWorkers>,
-    /// Executors.
-    pub targets: Rc<FakeTargets>,
-    /// Connections between nodes.
-    pub peers: Rc<FakePeers>,
+    pub judges: Judges,
+    /// Faults in force.
+    pub faults: RefCell<Faults>,
+    /// What the tasks of a job really do, by the job's idempotency key.
+    pub truths: RefCell<BTreeMap<Arc<str>, Truth>>,
     /// Nodes of the settings.
     pub nodes: Vec<PeerAddress>,
     /// Intervals that every node gets.
     pub timing: RefCell<Timing>,
+    pub(crate) network: RefCell<Network>,
+    pub(crate) log: RefCell<BTreeMap<Stream, Records>>,
+    pub(crate) hosts: RefCell<Vec<(u64, Vec<Host>)>>,
+    pub(crate) workers: RefCell<BTreeMap<WorkerName, Worker>>,
+    pub(crate) targets: RefCell<BTreeMap<SocketAddr, Executor>>,
+    pub(crate) links: RefCell<Links>,
 }
 
 impl Platform {
-    /// Platform at time zero, without nodes.
+    /// Platform at time zero, without running nodes.
     #[must_use]
-    pub fn new(deployment: Deployment, seed: u64) -> Platform {
+    pub fn new(deployment: Deployment, seed: u64) -> Rc<Platform> {
         let sim = SimRuntime::new(seed);
-        let network = Network::new(&sim);
-        let judges = Judges::new(&sim);
-        let list = deployment.hosts();
-        let targets = FakeTargets::new(&network, &judges);
-        for host in &list {
-            if let HostRole::Executor { .. } = host.role {
-                targets.add(host.address, &host.data_centre, 8);
-            }
-        }
-        Platform {
-            log: FakeLog::new(&network, &judges),
-            workers: FakeWorkers::new(&network, &judges, &list),
-            hosts: FakeHosts::new(&network, list),
-            peers: FakePeers::new(&network),
+        let hosts = deployment.hosts();
+        let platform = Rc::new(Platform {
+            judges: Judges::new(&sim),
+            faults: RefCell::default(),
+            truths: RefCell::default(),
             nodes: deployment.peers(),
             timing: RefCell::default(),
-            targets,
-            judges,
-            network,
+            network: RefCell::default(),
+            log: RefCell::default(),
+            hosts: RefCell::new(vec![(0, hosts.clone())]),
+            workers: RefCell::default(),
+            targets: RefCell::default(),
+            links: RefCell::default(),
             deployment,
             sim,
+        });
+        for host in &hosts {
+            platform.add_worker(host);
+            platform.add_executor(host);
+        }
+        let ticking = Rc::downgrade(&platform);
+        platform.sim.spawn(ENVIRONMENT, async move {
+            while let Some(platform) = ticking.upgrade() {
+                platform.advance_all();
+                platform.sim.sleep(TICK).await;
+            }
+        });
+        platform
+    }
+
+    fn add_executor(&self, host: &Host) {
+        if matches!(host.role, HostRole::Executor { .. }) {
+            let name = host.address.to_string();
+            let endpoint = Endpoint::new(ENVIRONMENT, &name, Some(&host.data_centre));
+            let executor = Executor::new(endpoint, SLOTS);
+            self.targets.borrow_mut().insert(host.address, executor);
         }
     }
 
@@ -219,33 +285,25 @@
         name(self.deployment.service)
     }
 
-    /// Team of the service.
-    #[must_use]
-    pub fn team(&self) -> TeamName {
-        name(self.deployment.team)
-    }
-
-    /// Endpoint of a node's present process.
-    #[must_use]
-    pub fn endpoint(&self, node: &PeerAddress) -> Endpoint {
-        Endpoint {
-            process: self.sim.node_process(&node.node),
-            name: node.node.clone().into(),
-            data_centre: Some(node.data_centre.clone()),
-        }
+    pub(crate) fn endpoint(&self, node: &PeerAddress) -> Endpoint {
+        let process = self.sim.node_process(&node.node);
+        Endpoint::new(process, node.node.as_str(), Some(&node.data_centre))
     }
 
     /// Ports of a node's present process.
     #[must_use]
-    pub fn ports(&self, node: &PeerAddress) -> Ports {
-        let endpoint = self.endpoint(node);
+    pub fn ports(self: &Rc<Self>, node: &PeerAddress) -> Ports {
+        let ports = Rc::new(NodePorts {
+            platform: self.clone(),
+            from: self.endpoint(node),
+        });
         Ports {
             runtime: self.sim.node_runtime(&node.node),
-            log: self.log.port(&endpoint),
-            hosts: self.hosts.port(&endpoint),
-            workers: self.workers.port(&endpoint),
-            targets: self.targets.port(&endpoint),
-            peers: self.peers.port(&endpoint),
+            log: ports.clone(),
+            hosts: ports.clone(),
+            workers: ports.clone(),
+            targets: ports.clone(),
+            peers: ports,
         }
     }
 
@@ -263,16 +321,23 @@
             },
         }
     }
+}
 
-    /// Runs for a span of true time.
-    pub fn run_for(&self, span: Millis) {
-        self.sim.run_for(span);
-    }
+/// All ports of one process.
+pub(crate) struct NodePorts {
+    pub(crate) platform: Rc<Platform>,
+    pub(crate) from: Endpoint,
 }
 
-impl Drop for Platform {
-    fn drop(&mut self) {
-        self.sim.close();
+impl NodePorts {
+    pub(crate) fn call_platform<T: 'static, F: Future<Output = T> + 'static>(
+        &self,
+        service: &str,
+        within: Millis,
+        work: impl FnOnce() -> F + 'static,
+    ) -> PortFuture<'static, Result<T>> {
+        let to = Endpoint::new(ENVIRONMENT, service, None);
+        self.platform.call(&self.from, to, within, false, work)
     }
 }
 
@@ -284,21 +349,12 @@
     }
 }
 
-fn host(role: HostRole, data_centre: DataCentre, net: u8, index: usize) -> Host {
-    Host {
-        role,
-        data_centre,
-        address: address(net, index),
-        state: HostState::Live,
-    }
-}
-
 fn address(net: u8, index: usize) -> SocketAddr {
     let host = u8::try_from(index + 1).expect("at most 254 hosts of a kind");
     SocketAddr::from(([127, 0, net, host], 7_000))
 }
 
 /// Name that is known to be valid.
-fn name<T: for<'a> TryFrom<&'a str>>(text: &str) -> T {
+pub(crate) fn name<T: for<'a> TryFrom<&'a str>>(text: &str) -> T {
     T::try_from(text).unwrap_or_else(|_| panic!("{text:?} is not a valid name"))
 }
--- a/hemlocksaddle-fakes/src/runtime.rs
+++ b/hemlocksaddle-fakes/src/runtime.rs
@@ -6,7 +6,7 @@
 //! its own clocks, which differ from the true time in value and in rate.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Ref, RefCell, RefMut},
     collections::BTreeMap,
     future::Future,
     pin::{Pin, pin},
@@ -28,12 +28,16 @@
 
 /// Wall-clock time at which every run starts.
 const EPOCH_MS: u64 = 1_700_000_000_000;
+/// Largest error of a process's wall clock.
+const MAX_WALL_OFFSET_MS: u64 = 50;
 /// Largest rate error of a process's clock in millionths.
-const MAX_RATE_PPM: i64 = 10_000;
+const MAX_RATE_PPM: u64 = 10_000;
+/// Longest sleep, so that times in microseconds do not overflow: about 100 days.
+const MAX_SLEEP_US: u64 = 1 << 43;
+/// Multiplier of the trace hash (FNV-1a).
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
 /// Polls without any passing of time after which the run is taken for a busy loop.
 const MAX_POLLS_PER_INSTANT: u64 = 2_000_000;
-/// Identifier of the future that [`SimRuntime::block_on`] runs.
-const MAIN: u64 = u64::MAX;
 
 /// Index of a process: something with clocks of its own that can be paused or killed.
 pub type ProcessId = usize;
@@ -62,72 +66,69 @@
     waker: Arc<TaskWaker>,
 }
 
+#[derive(Default)]
 struct Process {
     offset_ms: u64,
-    wall_offset_ms: u64,
     rate_ppm: i64,
-    alive: bool,
+    dead: bool,
     paused_until_us: u64,
     held: Vec<u64>,
 }
 
 impl Process {
-    const ENVIRONMENT: Process = Process {
-        offset_ms: 0,
-        wall_offset_ms: 0,
-        rate_ppm: 0,
-        alive: true,
-        paused_until_us: 0,
-        held: Vec::new(),
-    };
-
     fn rate(&self) -> u64 {
         (1_000_000 + self.rate_ppm).unsigned_abs()
     }
 }
 
-struct Inner {
-    now_us: Cell<u64>,
-    polls: Cell<u64>,
-    trace: Cell<u64>,
-    next: Cell<u64>,
-    random: RefCell<Pcg64Mcg>,
-    tasks: RefCell<BTreeMap<u64, Task>>,
-    woken: Arc<Mutex<Vec<u64>>>,
-    ready: RefCell<Vec<u64>>,
-    timers: RefCell<BTreeMap<(u64, u64), Waker>>,
-    processes: RefCell<Vec<Process>>,
-    nodes: RefCell<BTreeMap<NodeName, ProcessId>>,
+struct State {
+    now_us: u64,
+    polls: u64,
+    trace: u64,
+    next: u64,
+    random: Pcg64Mcg,
+    tasks: BTreeMap<u64, Task>,
+    ready: Vec<u64>,
+    timers: BTreeMap<(u64, u64), Waker>,
+    processes: Vec<Process>,
+    nodes: BTreeMap<NodeName, ProcessId>,
 }
 
 /// Executor, clock and randomness of one run.
 #[derive(Clone)]
-pub struct SimRuntime(Rc<Inner>);
-
-/// What one step of the executor did.
-enum Step {
-    Task,
-    Main,
-    Idle,
+pub struct SimRuntime {
+    state: Rc<RefCell<State>>,
+    woken: Arc<Mutex<Vec<u64>>>,
 }
 
 impl SimRuntime {
     /// Executor at time zero.
     #[must_use]
     pub fn new(seed: u64) -> SimRuntime {
-        SimRuntime(Rc::new(Inner {
-            now_us: Cell::new(0),
-            polls: Cell::new(0),
-            trace: Cell::new(0xcbf2_9ce4_8422_2325),
-            next: Cell::new(1),
-            random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
-            tasks: RefCell::default(),
+        let state = State {
+            now_us: 0,
+            polls: 0,
+            trace: seed,
+            next: 1,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            tasks: BTreeMap::new(),
+            ready: Vec::new(),
+            timers: BTreeMap::new(),
+            processes: vec![Process::default()],
+            nodes: BTreeMap::new(),
+        };
+        SimRuntime {
+            state: Rc::new(RefCell::new(state)),
             woken: Arc::default(),
-            ready: RefCell::default(),
-            timers: RefCell::default(),
-            processes: RefCell::new(vec![Process::ENVIRONMENT]),
-            nodes: RefCell::default(),
-        }))
+        }
+    }
+
+    fn get(&self) -> Ref<'_, State> {
+        self.state.borrow()
+    }
+
+    fn edit(&self) -> RefMut<'_, State> {
+        self.state.borrow_mut()
     }
 
     /// True time since the start of the run.
@@ -139,50 +140,38 @@
     /// True time since the start of the run in microseconds.
     #[must_use]
     pub fn now_us(&self) -> u64 {
-        self.0.now_us.get()
+        self.get().now_us
     }
 
-    /// Hash over everything that was mixed in and over the order in which tasks ran.
+    /// Hash over the order in which tasks ran, with the times.
     #[must_use]
     pub fn trace_hash(&self) -> u64 {
-        self.0.trace.get()
-    }
-
-    /// Mixes a value into the trace hash.
-    pub fn mix(&self, value: u64) {
-        let mixed = (self.0.trace.get() ^ value).wrapping_mul(0x0100_0000_01b3);
-        self.0.trace.set(mixed ^ (mixed >> 29));
+        self.get().trace
     }
 
     /// True time in microseconds at which a process's monotonic clock shows a time.
     #[must_use]
     pub fn true_us(&self, process: ProcessId, local: MonoMs) -> u64 {
-        let processes = self.0.processes.borrow();
-        let local_us = local.0.saturating_sub(processes[process].offset_ms) * 1_000;
-        local_us * 1_000_000 / processes[process].rate()
+        let process = &self.get().processes[process];
+        let local_us = local.0.saturating_sub(process.offset_ms) * 1_000;
+        local_us * 1_000_000 / process.rate()
     }
 
     /// Uniform random number below a bound.
     #[must_use]
     pub fn below(&self, bound: u64) -> u64 {
-        self.0.random.borrow_mut().random_range(0..bound.max(1))
+        self.edit().random.random_range(0..bound.max(1))
     }
 
     /// New process with clocks of its own.
-    #[must_use = "tasks are spawned on a process"]
+    #[must_use]
     pub fn process(&self) -> ProcessId {
         let process = Process {
             offset_ms: self.below(1_000_000_000),
-            wall_offset_ms: self.below(50),
-            rate_ppm: self
-                .below(2 * MAX_RATE_PPM.unsigned_abs() + 1)
-                .cast_signed()
-                - MAX_RATE_PPM,
-            alive: true,
-            paused_until_us: 0,
-            held: Vec::new(),
+            rate_ppm: self.below(2 * MAX_RATE_PPM + 1).cast_signed() - MAX_RATE_PPM.cast_signed(),
+            ..Process::default()
         };
-        let mut processes = self.0.processes.borrow_mut();
+        let processes = &mut self.edit().processes;
         processes.push(process);
         processes.len() - 1
     }
@@ -190,10 +179,8 @@
     /// Clock, tasks and randomness of a process.
     #[must_use]
     pub fn runtime(&self, process: ProcessId) -> Rc<dyn Runtime> {
-        Rc::new(ProcessRuntime {
-            sim: self.clone(),
-            process,
-        })
+        let sim = self.clone();
+        Rc::new(ProcessRuntime { sim, process })
     }
 
     /// Runtime of the process that runs a node; a new process after the node was killed.
@@ -205,212 +192,177 @@
     /// Process that runs a node; a new one after the node was killed.
     #[must_use]
     pub fn node_process(&self, node: &NodeName) -> ProcessId {
-        let known = self.0.nodes.borrow().get(node).copied();
-        if let Some(process) = known.filter(|process| self.is_alive(*process)) {
+        let known = self.get().nodes.get(node).copied();
+        if let Some(process) = known.filter(|process| !self.get().processes[*process].dead) {
             return process;
         }
         let process = self.process();
-        self.0.nodes.borrow_mut().insert(node.clone(), process);
+        self.edit().nodes.insert(node.clone(), process);
         process
     }
 
-    /// Whether a process was not killed.
-    #[must_use]
-    pub fn is_alive(&self, process: ProcessId) -> bool {
-        self.0.processes.borrow()[process].alive
-    }
-
     /// Stops polling a node's tasks for a span, while its clocks go on.
     pub fn pause(&self, node: &NodeName, span: Millis) {
-        self.pause_process(self.node_process(node), span);
-    }
-
-    /// Drops all tasks of a node.
-    pub fn kill(&self, node: &NodeName) {
-        self.kill_process(self.node_process(node));
-    }
-
-    /// Stops polling a process's tasks for a span, while its clocks go on.
-    pub fn pause_process(&self, process: ProcessId, span: Millis) {
+        let process = self.node_process(node);
         let until_us = self.now_us() + span.0 * 1_000;
-        let paused_until_us = {
-            let state = &mut self.0.processes.borrow_mut()[process];
-            state.paused_until_us = state.paused_until_us.max(until_us);
-            state.paused_until_us
-        };
+        self.edit().processes[process].paused_until_us = until_us;
         let sim = self.clone();
         self.spawn(ENVIRONMENT, async move {
-            sim.sleep_until(paused_until_us).await;
-            let mut processes = sim.0.processes.borrow_mut();
-            let held = std::mem::take(&mut processes[process].held);
-            sim.0.ready.borrow_mut().extend(held);
+            sim.sleep_until(until_us).await;
+            let held = std::mem::take(&mut sim.edit().processes[process].held);
+            sim.edit().ready.extend(held);
         });
     }
 
-    /// Drops all tasks of a process.
-    pub fn kill_process(&self, process: ProcessId) {
-        self.0.processes.borrow_mut()[process].alive = false;
-        let killed: Vec<Task> = {
-            let mut tasks = self.0.tasks.borrow_mut();
-            tasks
-                .extract_if(.., |_, task| task.process == process)
-                .map(|(_, task)| task)
-                .collect()
+    /// Drops all tasks of a node.
+    pub fn kill(&self, node: &NodeName) {
+        let process = self.node_process(node);
+        self.edit().processes[process].dead = true;
+        let killed = {
+            let state = &mut *self.edit();
+            let killed = state
+                .tasks
+                .extract_if(.., |_, task| task.process == process);
+            killed.collect::<Vec<_>>()
         };
         drop(killed);
     }
 
     /// Drops all tasks, which breaks the reference cycles between them and the executor.
     pub fn close(&self) {
-        let tasks = std::mem::take(&mut *self.0.tasks.borrow_mut());
+        let tasks = std::mem::take(&mut self.edit().tasks);
         drop(tasks);
     }
 
     /// Runs a future in the background of a process.
     pub fn spawn(&self, process: ProcessId, future: impl Future<Output = ()> + 'static) {
-        if !self.is_alive(process) {
+        if self.get().processes[process].dead {
             return;
         }
         let id = self.unique();
-        let waker = self.waker(id);
+        let waker = Arc::new(TaskWaker {
+            id,
+            queued: AtomicBool::new(false),
+            woken: self.woken.clone(),
+        });
         let task = Task {
             process,
             future: Box::pin(future),
             waker: waker.clone(),
         };
-        self.0.tasks.borrow_mut().insert(id, task);
+        self.edit().tasks.insert(id, task);
         waker.wake();
     }
 
     /// Completes at a true time.
-    pub fn sleep_until(&self, at_us: u64) -> impl Future<Output = ()> + 'static {
-        Sleep {
-            sim: self.clone(),
-            at_us,
-            key: None,
-        }
+    pub fn sleep_until(&self, at_us: u64) -> impl Future<Output = ()> + Unpin + 'static {
+        let sim = self.clone();
+        let key = (at_us, self.unique());
+        Sleep { sim, key }
     }
 
     /// Completes after a span of true time.
-    pub fn sleep(&self, span: Millis) -> impl Future<Output = ()> + 'static {
-        self.sleep_until(self.now_us().saturating_add(span.0.saturating_mul(1_000)))
+    pub fn sleep(&self, span: Millis) -> impl Future<Output = ()> + Unpin + 'static {
+        let span_us = span.0.saturating_mul(1_000);
+        self.sleep_until(self.now_us().saturating_add(span_us))
     }
 
     /// Runs until the future is ready.
     ///
     /// # Panics
     ///
-    /// Panics if nothing is left that could wake the future.
+    /// Panics if no task is ready and no timer is set.
     pub fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
         let mut future = pin!(future);
-        let main = self.waker(MAIN);
-        let waker = Waker::from(main.clone());
-        main.clone().wake();
         loop {
-            match self.step(u64::MAX) {
-                Step::Task => {}
-                Step::Idle => panic!("no task is ready and no timer is set"),
-                Step::Main => {
-                    main.queued.store(false, Ordering::Relaxed);
-                    let poll = future.as_mut().poll(&mut Context::from_waker(&waker));
-                    if let Poll::Ready(output) = poll {
-                        return output;
-                    }
-                }
+            let poll = future
+                .as_mut()
+                .poll(&mut Context::from_waker(Waker::noop()));
+            if let Poll::Ready(output) = poll {
+                return output;
             }
+            assert!(self.step(u64::MAX), "nothing is left that could go on");
         }
     }
 
     /// Runs for a span of true time.
     pub fn run_for(&self, span: Millis) {
         let end_us = self.now_us() + span.0 * 1_000;
-        while matches!(self.step(end_us), Step::Task) {}
-        self.0.now_us.set(end_us);
+        while self.step(end_us) {}
+        self.edit().now_us = end_us;
     }
 
     fn unique(&self) -> u64 {
-        let id = self.0.next.get();
-        self.0.next.set(id + 1);
-        id
-    }
-
-    fn waker(&self, id: u64) -> Arc<TaskWaker> {
-        Arc::new(TaskWaker {
-            id,
-            queued: AtomicBool::new(false),
-            woken: self.0.woken.clone(),
-        })
-    }
-
-    fn step(&self, end_us: u64) -> Step {
-        loop {
-            self.collect_woken();
-            let count = self.0.ready.borrow().len();
-            if count > 0 {
-                let index = usize::try_from(self.below(count as u64)).unwrap_or(0);
-                let id = self.0.ready.borrow_mut().swap_remove(index);
-                if id == MAIN {
-                    return Step::Main;
-                }
-                self.poll(id);
-                return Step::Task;
-            }
-            if !self.fire_timer(end_us) {
-                return Step::Idle;
-            }
+        let state = &mut self.edit();
+        state.next += 1;
+        state.next
+    }
+
+    /// Polls a ready task that the seed picks, or fires the next timer up to the end.
+    fn step(&self, end_us: u64) -> bool {
+        let mut woken = self.woken.lock().unwrap_or_else(PoisonError::into_inner);
+        self.edit().ready.append(&mut woken);
+        drop(woken);
+        let count = self.get().ready.len();
+        if count == 0 {
+            return self.fire_timer(end_us);
         }
-    }
-
-    fn collect_woken(&self) {
-        let mut woken = self.0.woken.lock().unwrap_or_else(PoisonError::into_inner);
-        self.0.ready.borrow_mut().append(&mut woken);
+        let index = usize::try_from(self.below(count as u64)).unwrap_or(0);
+        let id = self.edit().ready.swap_remove(index);
+        self.poll(id);
+        true
     }
 
     fn fire_timer(&self, end_us: u64) -> bool {
-        let entry = {
-            let mut timers = self.0.timers.borrow_mut();
-            match timers.first_entry() {
-                Some(entry) if entry.key().0 <= end_us => entry.remove_entry(),
-                _ => return false,
-            }
+        let state = &mut *self.edit();
+        let Some(entry) = state.timers.first_entry() else {
+            return false;
         };
-        let ((at_us, _), waker) = entry;
-        if at_us > self.now_us() {
-            self.0.now_us.set(at_us);
-            self.0.polls.set(0);
+        let (at_us, _) = *entry.key();
+        if at_us > end_us {
+            return false;
+        }
+        entry.remove().wake();
+        if at_us > state.now_us {
+            (state.now_us, state.polls) = (at_us, 0);
         }
-        waker.wake();
         true
     }
 
     fn poll(&self, id: u64) {
-        let Some(mut task) = self.0.tasks.borrow_mut().remove(&id) else {
+        let Some(mut task) = self.edit().tasks.remove(&id) else {
             return;
         };
         if self.hold_if_paused(task.process, id) {
-            self.0.tasks.borrow_mut().insert(id, task);
+            self.edit().tasks.insert(id, task);
             return;
         }
-        self.0.polls.set(self.0.polls.get() + 1);
-        assert!(
-            self.0.polls.get() < MAX_POLLS_PER_INSTANT,
-            "task {id} of process {} is polled again and again while no time passes",
-            task.process
-        );
-        self.mix(self.now_us() ^ id.rotate_left(40));
+        self.trace(id);
         task.waker.queued.store(false, Ordering::Relaxed);
         let waker = Waker::from(task.waker.clone());
         let poll = task.future.as_mut().poll(&mut Context::from_waker(&waker));
-        if poll.is_pending() && self.is_alive(task.process) {
-            self.0.tasks.borrow_mut().insert(id, task);
+        if poll.is_pending() && !self.get().processes[task.process].dead {
+            self.edit().tasks.insert(id, task);
         }
     }
 
+    fn trace(&self, id: u64) {
+        let state = &mut self.edit();
+        state.polls += 1;
+        assert!(
+            state.polls < MAX_POLLS_PER_INSTANT,
+            "task {id} spins while no time passes"
+        );
+        let mixed = (state.trace ^ state.now_us ^ id.rotate_left(40)).wrapping_mul(FNV_PRIME);
+        state.trace = mixed ^ (mixed >> 29);
+    }
+
     fn hold_if_paused(&self, process: ProcessId, id: u64) -> bool {
-        let state = &mut self.0.processes.borrow_mut()[process];
-        let paused = state.paused_until_us > self.now_us();
+        let state = &mut *self.edit();
+        let process = &mut state.processes[process];
+        let paused = process.paused_until_us > state.now_us;
         if paused {
-            state.held.push(id);
+            process.held.push(id);
         }
         paused
     }
@@ -418,29 +370,25 @@
 
 struct Sleep {
     sim: SimRuntime,
-    at_us: u64,
-    key: Option<(u64, u64)>,
+    key: (u64, u64),
 }
 
 impl Future for Sleep {
     type Output = ();
-    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        if self.sim.now_us() >= self.at_us {
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let state = &mut *self.sim.edit();
+        if state.now_us >= self.key.0 {
             return Poll::Ready(());
         }
-        let key = self.key.unwrap_or_else(|| (self.at_us, self.sim.unique()));
-        self.key = Some(key);
-        let waker = context.waker().clone();
-        self.sim.0.timers.borrow_mut().insert(key, waker);
+        state.timers.insert(self.key, context.waker().clone());
         Poll::Pending
     }
 }
 
 impl Drop for Sleep {
     fn drop(&mut self) {
-        if let Some(key) = self.key {
-            self.sim.0.timers.borrow_mut().remove(&key);
-        }
+        let waker = self.sim.edit().timers.remove(&self.key);
+        drop(waker);
     }
 }
 
@@ -449,31 +397,23 @@
     process: ProcessId,
 }
 
-impl ProcessRuntime {
-    fn local_us(&self) -> u64 {
-        self.sim.now_us() * self.rate() / 1_000_000
-    }
-
-    fn rate(&self) -> u64 {
-        self.sim.0.processes.borrow()[self.process].rate()
-    }
-}
-
 impl Runtime for ProcessRuntime {
     fn now(&self) -> MonoMs {
-        let offset_ms = self.sim.0.processes.borrow()[self.process].offset_ms;
-        MonoMs(offset_ms + self.local_us() / 1_000)
+        let state = self.sim.get();
+        let process = &state.processes[self.process];
+        MonoMs(process.offset_ms + state.now_us * process.rate() / 1_000_000_000)
     }
 
     fn wall_now(&self) -> WallMs {
-        let offset_ms = self.sim.0.processes.borrow()[self.process].wall_offset_ms;
+        let offset_ms = self.sim.get().processes[self.process].offset_ms % MAX_WALL_OFFSET_MS;
         WallMs(EPOCH_MS + offset_ms + self.sim.now().0)
     }
 
     fn sleep(&self, span: Millis) -> PortFuture<'static, ()> {
-        let local_us = self.local_us() + span.0.saturating_mul(1_000).min(1 << 43);
-        let at_us = local_us * 1_000_000 / self.rate() + 1;
-        Box::pin(self.sim.sleep_until(at_us))
+        let rate = self.sim.get().processes[self.process].rate();
+        let local_us = self.sim.now_us() * rate / 1_000_000;
+        let wake_us = local_us + span.0.saturating_mul(1_000).min(MAX_SLEEP_US);
+        Box::pin(self.sim.sleep_until(wake_us * 1_000_000 / rate + 1))
     }
 
     fn spawn(&self, future: PortFuture<'static, ()>) {
@@ -481,6 +421,6 @@
     }
 
     fn random(&self) -> u64 {
-        self.sim.0.random.borrow_mut().random()
+        self.sim.edit().random.random()
     }
 }
--- a/hemlocksaddle-fakes/src/workers.rs
+++ b/hemlocksaddle-fakes/src/workers.rs
@@ -4,28 +4,20 @@
 //! the work, the lapse of a lease. Tasks slow each other by an amount that
 //! depends on the pair of services; reports show it one window late.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::BTreeMap,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, net::SocketAddr};
 
-use hemlocksaddle_node::ports::{PortFuture, Result, Workers};
+use hemlocksaddle_node::ports::{PortError, PortFuture, Result, Workers};
 use hemlocksaddle_types::{
-    clock::Millis,
     host::{Host, HostRole},
     job::{Attempt, Checkpoint, TaskEnd, TaskId, Urgency},
-    name::{DataCentre, ServiceName, WorkerName},
+    name::{ServiceName, WorkerName},
     resources::Resources,
     worker::{EndedTask, Renew, RunningTask, StartReply, StartTask, WorkerReport},
 };
 
 use crate::{
-    judge::Judges,
-    network::{CALL_TIMEOUT, Endpoint, Network},
-    runtime::ENVIRONMENT,
+    network::{CALL_TIMEOUT, Endpoint},
+    platform::{NodePorts, Platform},
 };
 
 /// Run time between two checkpoints that a worker takes on its own.
@@ -36,14 +28,12 @@
 const WINDOW_US: u64 = 5_000_000;
 /// Run time after which a task fails that is bound to.
 const FAILS_AFTER_US: u64 = 200_000;
-/// Interval at which workers that nobody calls are brought up to date.
-const TICK: Millis = Millis(250);
 
 /// What a job's tasks really do, as opposed to what was declared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Truth {
     /// Run time of each task, uncontended.
-    pub run_ms: Millis,
+    pub run_ms: u64,
     /// Usage in percent of the declared demand.
     pub usage_percent: u64,
     /// Whether each task fails.
@@ -57,15 +47,16 @@
     truth: Truth,
     done_us: u64,
     lease_us: u64,
-    stop_us: Option<u64>,
+    stop_us: u64,
     throttled: bool,
+    /// Time and progress at the start of the window that is being measured.
     window: (u64, u64),
+    /// Slowdowns of the last two windows; the older one is reported.
     measured: [u64; 2],
 }
 
-struct Worker {
+pub(crate) struct Worker {
     endpoint: Endpoint,
-    data_centre: DataCentre,
     capacity: Resources,
     incarnation: u64,
     fails_all: bool,
@@ -74,124 +65,77 @@
     ended: BTreeMap<Key, TaskEnd>,
 }
 
-/// All workers of one run.
-pub struct FakeWorkers {
-    network: Rc<Network>,
-    judges: Rc<Judges>,
-    workers: RefCell<BTreeMap<WorkerName, Worker>>,
-    /// What the tasks of a job really do, by the job's idempotency key.
-    pub truths: RefCell<BTreeMap<Arc<str>, Truth>>,
-    /// Added to each pair's slowdown in thousandths: a wave of noise.
-    pub noise_milli: Cell<u64>,
-    /// Run time that completed, in core milliseconds.
-    pub work_done: Cell<u64>,
-}
-
-impl FakeWorkers {
-    /// Workers of a host list.
-    #[must_use]
-    pub fn new(network: &Rc<Network>, judges: &Rc<Judges>, hosts: &[Host]) -> Rc<FakeWorkers> {
-        let mut workers = BTreeMap::new();
-        for host in hosts {
-            if let HostRole::Worker { name, capacity, .. } = &host.role {
-                let endpoint = Endpoint {
-                    process: network.sim.process(),
-                    name: name.clone().into(),
-                    data_centre: Some(host.data_centre.clone()),
-                };
-                let worker = Worker {
-                    endpoint,
-                    data_centre: host.data_centre.clone(),
-                    capacity: *capacity,
-                    incarnation: 1,
-                    fails_all: false,
-                    updated_us: 0,
-                    running: BTreeMap::new(),
-                    ended: BTreeMap::new(),
-                };
-                workers.insert(name.clone(), worker);
-            }
-        }
-        let fakes = Rc::new(FakeWorkers {
-            network: network.clone(),
-            judges: judges.clone(),
-            workers: RefCell::new(workers),
-            truths: RefCell::default(),
-            noise_milli: Cell::new(0),
-            work_done: Cell::new(0),
-        });
-        let ticking = fakes.clone();
-        network.sim.spawn(ENVIRONMENT, async move {
-            loop {
-                ticking.network.sim.sleep(TICK).await;
-                ticking.advance_all();
-            }
-        });
-        fakes
-    }
-
-    /// Port of one process.
-    #[must_use]
-    pub fn port(self: &Rc<Self>, from: &Endpoint) -> Rc<dyn Workers> {
-        Rc::new(WorkersPort(self.clone(), from.clone()))
+impl Platform {
+    pub(crate) fn add_worker(&self, host: &Host) {
+        let HostRole::Worker { name, capacity, .. } = &host.role else {
+            return;
+        };
+        let worker = Worker {
+            endpoint: Endpoint::new(self.sim.process(), name.as_str(), Some(&host.data_centre)),
+            capacity: *capacity,
+            incarnation: 1,
+            fails_all: false,
+            updated_us: 0,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+        };
+        self.workers.borrow_mut().insert(name.clone(), worker);
     }
 
     /// Kills a worker with all its tasks.
-    pub fn kill(&self, name: &WorkerName) {
-        self.advance_all();
-        self.network.set_dead(name.as_str(), true);
-        if let Some(worker) = self.workers.borrow_mut().get_mut(name) {
+    pub fn kill_worker(&self, name: &WorkerName) {
+        self.edit_worker(name, |worker| {
             for (task, attempt) in std::mem::take(&mut worker.running).into_keys() {
                 self.judges.task_ends(task, attempt, None);
             }
             worker.ended.clear();
-        }
+        });
+        self.set_dead(name.as_str(), true);
     }
 
     /// Starts a dead worker again, with a new clock and a new incarnation.
-    pub fn restart(&self, name: &WorkerName) {
-        if let Some(worker) = self.workers.borrow_mut().get_mut(name) {
-            worker.endpoint.process = self.network.sim.process();
+    pub fn restart_worker(&self, name: &WorkerName) {
+        self.edit_worker(name, |worker| {
+            worker.endpoint.process = self.sim.process();
             worker.incarnation += 1;
-            worker.updated_us = self.network.sim.now_us();
-        }
-        self.network.set_dead(name.as_str(), false);
+        });
+        self.set_dead(name.as_str(), false);
     }
 
     /// Lets a worker fail everything that it starts from now on, or no longer.
     pub fn set_fails_all(&self, name: &WorkerName, fails: bool) {
-        if let Some(worker) = self.workers.borrow_mut().get_mut(name) {
-            worker.fails_all = fails;
-        }
+        self.edit_worker(name, |worker| worker.fails_all = fails);
     }
 
-    /// Tasks that run now, with their workers.
+    /// Tasks that run now.
     #[must_use]
-    pub fn running(&self) -> Vec<(WorkerName, TaskId, Attempt)> {
-        self.advance_all();
+    pub fn running_tasks(&self) -> usize {
         let workers = self.workers.borrow();
-        let each = workers.iter().flat_map(|(name, worker)| {
-            let keys = worker.running.keys();
-            keys.map(|(task, attempt)| (name.clone(), *task, *attempt))
-        });
-        each.collect()
+        workers.values().map(|worker| worker.running.len()).sum()
     }
 
-    fn advance_all(&self) {
+    /// Brings all workers up to date.
+    pub(crate) fn advance_all(&self) {
         for worker in self.workers.borrow_mut().values_mut() {
             self.advance(worker);
         }
     }
 
+    fn edit_worker<T>(&self, name: &WorkerName, edit: impl FnOnce(&mut Worker) -> T) -> Option<T> {
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.get_mut(name)?;
+        self.advance(worker);
+        Some(edit(worker))
+    }
+
     fn advance(&self, worker: &mut Worker) {
-        let now_us = self.network.sim.now_us();
+        let now_us = self.sim.now_us();
         while worker.updated_us < now_us {
             let from_us = worker.updated_us;
-            let noise = self.noise_milli.get();
-            let speeds: Vec<u64> = worker
-                .running
-                .values()
-                .map(|task| speed_milli(task, worker, noise))
+            let noise_milli = self.faults.borrow().noise_milli;
+            let tasks = worker.running.values();
+            let speeds: Vec<u64> = tasks
+                .map(|task| worker.speed_milli(task, noise_milli))
                 .collect();
             let events = worker.running.values().zip(&speeds);
             let next_us = events
@@ -202,18 +146,11 @@
                 task.done_us += (to_us - from_us) * speed / 1_000;
             }
             worker.updated_us = to_us;
-            self.end_due(worker);
-        }
-    }
-
-    fn end_due(&self, worker: &mut Worker) {
-        let now_us = worker.updated_us;
-        let due = worker.running.iter().filter_map(|(key, task)| {
-            let end = task.end_at(now_us)?;
-            Some((*key, end))
-        });
-        for ((task, attempt), end) in due.collect::<Vec<_>>() {
-            self.end(worker, (task, attempt), end);
+            let running = worker.running.iter();
+            let due = running.filter_map(|(key, task)| Some((*key, task.end_at(to_us)?)));
+            for (key, end) in due.collect::<Vec<_>>() {
+                self.end(worker, key, end);
+            }
         }
     }
 
@@ -223,42 +160,40 @@
         };
         self.judges.task_ends(key.0, key.1, Some(&end));
         if end == TaskEnd::Completed {
-            let core_ms = task.truth.run_ms.0 * task.order.demand.cpu_milli / 1_000;
-            self.work_done.set(self.work_done.get() + core_ms);
+            let core_ms = task.truth.run_ms * task.order.demand.cpu_milli / 1_000;
+            self.judges.work_done(core_ms);
         }
         worker.ended.insert(key, end);
     }
 
-    fn start(&self, name: &WorkerName, order: StartTask) -> StartReply {
-        self.advance_all();
-        let mut workers = self.workers.borrow_mut();
-        let Some(worker) = workers.get_mut(name) else {
-            return StartReply::Refused("no such worker".into());
-        };
+    fn start_task(&self, worker: &mut Worker, name: &WorkerName, order: StartTask) -> StartReply {
         let key = (order.task, order.attempt);
         if worker.running.contains_key(&key) || worker.ended.contains_key(&key) {
             return StartReply::AlreadyKnown;
         }
-        let sim = &self.network.sim;
-        if sim.runtime(worker.endpoint.process).now() > order.start_by_worker_ms {
+        let process = worker.endpoint.process;
+        if self.sim.runtime(process).now() > order.start_by_worker_ms {
             return StartReply::TooLate;
         }
-        self.judges.task_starts(&order, name, &worker.data_centre);
-        let truth = self.truth(&order, worker.fails_all);
-        let progress_ms = order.checkpoint.as_ref().map_or(0, |from| from.progress_ms);
+        self.judges
+            .task_starts(&order, name, worker.endpoint.data_centre.as_ref());
+        let done_us = order
+            .checkpoint
+            .as_ref()
+            .map_or(0, |from| from.progress_ms * 1_000);
         let task = Running {
-            truth,
-            done_us: progress_ms * 1_000,
-            lease_us: sim.true_us(worker.endpoint.process, order.lease_until_worker_ms),
-            stop_us: None,
+            truth: self.truth(&order, worker.fails_all),
+            done_us,
+            lease_us: self.sim.true_us(process, order.lease_until_worker_ms),
+            stop_us: u64::MAX,
             throttled: false,
-            window: (sim.now_us(), progress_ms * 1_000),
+            window: (self.sim.now_us(), done_us),
             measured: [1_000; 2],
             order,
         };
         worker.running.insert(key, task);
-        let committed = worker.running.values().map(|task| task.order.demand);
-        let committed = committed.fold(Resources::default(), |sum, demand| sum + demand);
+        let demands = worker.running.values().map(|task| task.order.demand);
+        let committed = demands.fold(Resources::default(), |sum, demand| sum + demand);
         self.judges.committed(name, committed, &worker.capacity);
         self.kill_for_memory(worker);
         StartReply::Started
@@ -271,132 +206,107 @@
             .values()
             .map(|task| task.usage().memory_mb)
             .sum();
-        if used <= worker.capacity.memory_mb {
-            return;
-        }
-        let excess = |task: &Running| {
-            task.usage()
-                .memory_mb
-                .saturating_sub(task.order.demand.memory_mb)
-        };
-        let worst = worker.running.iter().max_by_key(|(_, task)| excess(task));
-        if let Some(key) = worst.map(|(key, _)| *key) {
+        let worst = worker
+            .running
+            .iter()
+            .max_by_key(|(_, task)| task.truth.usage_percent);
+        let worst = worst.map(|(key, _)| *key);
+        if let Some(key) = worst.filter(|_| used > worker.capacity.memory_mb) {
             self.end(worker, key, TaskEnd::Failed("out of memory".into()));
         }
     }
 
     fn truth(&self, order: &StartTask, fails_all: bool) -> Truth {
-        let declared = Truth {
-            run_ms: Millis(order.expected_run_ms),
-            usage_percent: 100,
-            fails: false,
-        };
         let key = self.judges.spec(order.task.job).and_then(|spec| spec.key);
         let truths = self.truths.borrow();
-        let found = key.and_then(|key| truths.get(key.as_str()).copied());
-        let mut truth = found.unwrap_or(declared);
+        let known = key.and_then(|key| truths.get(key.as_str()).copied());
+        let mut truth = known.unwrap_or(Truth {
+            run_ms: order.expected_run_ms,
+            usage_percent: 100,
+            fails: false,
+        });
         truth.fails |= fails_all;
         truth
     }
 
-    fn renew(&self, name: &WorkerName, renew: &Renew) -> WorkerReport {
-        let mut workers = self.workers.borrow_mut();
-        let Some(worker) = workers.get_mut(name) else {
-            return WorkerReport::default();
-        };
-        self.advance(worker);
-        let sim = &self.network.sim;
-        for (task, attempt) in &renew.acknowledged {
-            if let Some(end) = worker.ended.remove(&(*task, *attempt)) {
-                self.judges.end_acknowledged(*task, *attempt, &end);
+    fn renew(&self, worker: &mut Worker, renew: &Renew) -> WorkerReport {
+        for key in &renew.acknowledged {
+            if let Some(end) = worker.ended.remove(key) {
+                self.judges.end_acknowledged(key.0, key.1, &end);
             }
         }
+        let process = worker.endpoint.process;
         if let Some(until) = renew.lease_until_worker_ms {
-            let lease_us = sim.true_us(worker.endpoint.process, until);
+            let lease_us = self.sim.true_us(process, until);
             for key in &renew.tasks {
                 if let Some(task) = worker.running.get_mut(key) {
                     task.lease_us = task.lease_us.max(lease_us);
                 }
             }
         }
+        let now_us = self.sim.now_us();
+        let ended = worker.ended.iter().map(|((task, attempt), end)| EndedTask {
+            task: *task,
+            attempt: *attempt,
+            end: end.clone(),
+        });
         WorkerReport {
-            worker_ms: sim.runtime(worker.endpoint.process).now(),
+            worker_ms: self.sim.runtime(process).now(),
             incarnation: worker.incarnation,
             capacity: worker.capacity,
+            ended: ended.collect(),
             running: worker
                 .running
                 .values_mut()
-                .map(|task| task.report(sim.now_us()))
-                .collect(),
-            ended: worker
-                .ended
-                .iter()
-                .map(|(key, end)| ended(*key, end))
+                .map(|task| task.report(now_us))
                 .collect(),
         }
     }
 
-    fn stop(&self, name: &WorkerName, key: Key, checkpoint: bool) {
-        let mut workers = self.workers.borrow_mut();
-        let Some(worker) = workers.get_mut(name) else {
-            return;
-        };
-        self.advance(worker);
+    fn stop_task(&self, worker: &mut Worker, key: Key, checkpoint: bool) {
         if !checkpoint {
-            return self.end(worker, key, TaskEnd::Stopped(None));
-        }
-        if let Some(task) = worker.running.get_mut(&key) {
-            let at_us = worker.updated_us + CHECKPOINT_US;
-            task.stop_us = Some(task.stop_us.unwrap_or(at_us));
+            self.end(worker, key, TaskEnd::Stopped(None));
+        } else if let Some(task) = worker.running.get_mut(&key) {
+            task.stop_us = task.stop_us.min(worker.updated_us + CHECKPOINT_US);
         }
     }
+}
 
-    fn throttle(&self, name: &WorkerName, key: Key, on: bool) {
-        if let Some(worker) = self.workers.borrow_mut().get_mut(name) {
-            self.advance(worker);
-            if let Some(task) = worker.running.get_mut(&key) {
-                task.throttled = on;
-            }
+impl Worker {
+    /// Speed of a task in thousandths of its uncontended speed.
+    fn speed_milli(&self, task: &Running, noise_milli: u64) -> u64 {
+        let slowing = |other: &Running| {
+            let is_batch = other.order.urgency == Urgency::Batch;
+            let noise_milli = if is_batch { noise_milli } else { 0 };
+            let milli = pair_milli(&task.order.service, &other.order.service) + noise_milli;
+            milli * other.usage().cpu_milli / self.capacity.cpu_milli.max(1)
+        };
+        let key = (task.order.task, task.order.attempt);
+        let others = self.running.iter().filter(|(other, _)| **other != key);
+        let total: u64 = others.map(|(_, other)| slowing(other)).sum();
+        let speed = 1_000_000 / (1_000 + total);
+        if task.throttled {
+            speed / 4 + 1
+        } else {
+            speed + 1
         }
     }
-
-    fn call<T: 'static>(
-        self: &Rc<Self>,
-        from: &Endpoint,
-        worker: &WorkerName,
-        work: impl FnOnce(&FakeWorkers) -> T + 'static,
-    ) -> PortFuture<'static, Result<T>> {
-        let to = self
-            .workers
-            .borrow()
-            .get(worker)
-            .map(|worker| worker.endpoint.clone());
-        let to = to.unwrap_or_else(|| Endpoint::platform(worker.as_str()));
-        let workers = self.clone();
-        let network = &self.network;
-        network.call(
-            from,
-            &to,
-            CALL_TIMEOUT,
-            move || async move { work(&workers) },
-        )
-    }
 }
 
 impl Running {
     fn work_us(&self) -> u64 {
+        let work_us = self.truth.run_ms * 1_000;
         if self.truth.fails {
-            return FAILS_AFTER_US;
+            FAILS_AFTER_US
+        } else {
+            work_us
         }
-        self.truth.run_ms.0 * 1_000
     }
 
     fn next_event_us(&self, now_us: u64, speed_milli: u64) -> u64 {
         let left_us = self.work_us().saturating_sub(self.done_us);
         let end_us = now_us + (left_us * 1_000).div_ceil(speed_milli);
-        end_us
-            .min(self.lease_us)
-            .min(self.stop_us.unwrap_or(u64::MAX))
+        end_us.min(self.lease_us).min(self.stop_us)
     }
 
     fn end_at(&self, now_us: u64) -> Option<TaskEnd> {
@@ -408,15 +318,13 @@
                 TaskEnd::Completed
             });
         }
-        if self.stop_us.is_some_and(|at_us| at_us <= now_us) {
+        if self.stop_us <= now_us {
             return Some(TaskEnd::Stopped(self.checkpoint_at(self.done_us)));
         }
-        if self.lease_us <= now_us {
-            return Some(TaskEnd::LeaseLapsed(self.checkpoint_at(self.kept_us())));
-        }
-        None
+        (self.lease_us <= now_us).then(|| TaskEnd::LeaseLapsed(self.checkpoint_at(self.kept_us())))
     }
 
+    /// Progress that the last checkpoint preserves.
     fn kept_us(&self) -> u64 {
         let base_ms = self
             .order
@@ -430,27 +338,21 @@
     fn checkpoint_at(&self, done_us: u64) -> Option<Checkpoint> {
         let (task, attempt) = (self.order.task, self.order.attempt);
         let progress_ms = done_us / 1_000;
-        let name = format!("{}/{}/{}/{progress_ms}", task.job, task.index, attempt.0);
-        (self.order.resumable && done_us > 0).then(|| Checkpoint {
-            name: name.into(),
-            progress_ms,
-        })
+        let name = format!("{}/{}/{}/{progress_ms}", task.job, task.index, attempt.0).into();
+        (self.order.resumable && done_us > 0).then_some(Checkpoint { name, progress_ms })
     }
 
     fn usage(&self) -> Resources {
-        let of = |amount: u64| amount * self.truth.usage_percent / 100;
-        Resources {
-            cpu_milli: of(self.order.demand.cpu_milli),
-            memory_mb: of(self.order.demand.memory_mb),
-            accelerators: self.order.demand.accelerators,
-        }
+        let mut usage = self.order.demand;
+        usage.cpu_milli = usage.cpu_milli * self.truth.usage_percent / 100;
+        usage.memory_mb = usage.memory_mb * self.truth.usage_percent / 100;
+        usage
     }
 
     fn report(&mut self, now_us: u64) -> RunningTask {
         let (since_us, done_us) = self.window;
         if now_us - since_us >= WINDOW_US {
-            let progress_us = (self.done_us - done_us).max(1);
-            let slowdown_milli = (now_us - since_us) * 1_000 / progress_us;
+            let slowdown_milli = (now_us - since_us) * 1_000 / (self.done_us - done_us).max(1);
             self.measured = [self.measured[1], slowdown_milli];
             self.window = (now_us, self.done_us);
         }
@@ -470,47 +372,32 @@
     }
 }
 
-fn ended(key: Key, end: &TaskEnd) -> EndedTask {
-    EndedTask {
-        task: key.0,
-        attempt: key.1,
-        end: end.clone(),
-    }
-}
-
-/// Speed of a task in thousandths of its uncontended speed.
-fn speed_milli(task: &Running, worker: &Worker, noise_milli: u64) -> u64 {
-    let slowing = |other: &Running| {
-        let noisy = if other.order.urgency == Urgency::Batch {
-            noise_milli
-        } else {
-            0
-        };
-        let milli = pair_milli(&task.order.service, &other.order.service) + noisy;
-        milli * other.usage().cpu_milli / worker.capacity.cpu_milli.max(1)
-    };
-    let others = worker
-        .running
-        .iter()
-        .filter(|(key, _)| **key != (task.order.task, task.order.attempt));
-    let total: u64 = others.map(|(_, other)| slowing(other)).sum();
-    let speed = 1_000_000 / (1_000 + total);
-    if task.throttled { speed / 4 } else { speed }.max(1)
-}
-
 /// Slowdown in thousandths that a service that fills a worker causes for another.
 fn pair_milli(slowed: &ServiceName, slowing: &ServiceName) -> u64 {
-    let hash = |name: &ServiceName| {
-        name.as_str()
-            .bytes()
-            .fold(7, |sum: u64, byte| sum * 31 % 65_521 + u64::from(byte))
-    };
-    (hash(slowed) + 3 * hash(slowing)) % 500
+    let sum = |name: &ServiceName| name.as_str().bytes().map(u64::from).sum::<u64>();
+    (sum(slowed) * 7 + sum(slowing) * 31) % 500
 }
 
-struct WorkersPort(Rc<FakeWorkers>, Endpoint);
+impl NodePorts {
+    fn call_worker<T: 'static>(
+        &self,
+        name: &WorkerName,
+        work: impl FnOnce(&Platform, &mut Worker) -> T + 'static,
+    ) -> PortFuture<'static, Result<T>> {
+        let (platform, name) = (self.platform.clone(), name.clone());
+        let to = platform.edit_worker(&name, |worker| worker.endpoint.clone());
+        let to = to.unwrap_or_else(|| Endpoint::new(0, name.as_str(), None));
+        let call = self
+            .platform
+            .call(&self.from, to, CALL_TIMEOUT, false, move || async move {
+                platform.advance_all();
+                platform.edit_worker(&name, |worker| work(&platform, worker))
+            });
+        Box::pin(async move { call.await?.ok_or(PortError::NotSent) })
+    }
+}
 
-impl Workers for WorkersPort {
+impl Workers for NodePorts {
     fn start(
         &self,
         _: SocketAddr,
@@ -518,8 +405,9 @@
         order: StartTask,
     ) -> PortFuture<'_, Result<StartReply>> {
         let name = worker.clone();
-        self.0
-            .call(&self.1, worker, move |workers| workers.start(&name, order))
+        self.call_worker(worker, move |platform, worker| {
+            platform.start_task(worker, &name, order)
+        })
     }
 
     fn renew(
@@ -528,9 +416,9 @@
         worker: &WorkerName,
         renew: Renew,
     ) -> PortFuture<'_, Result<WorkerReport>> {
-        let name = worker.clone();
-        self.0
-            .call(&self.1, worker, move |workers| workers.renew(&name, &renew))
+        self.call_worker(worker, move |platform, worker| {
+            platform.renew(worker, &renew)
+        })
     }
 
     fn stop(
@@ -541,9 +429,8 @@
         attempt: Attempt,
         checkpoint: bool,
     ) -> PortFuture<'_, Result<()>> {
-        let name = worker.clone();
-        self.0.call(&self.1, worker, move |workers| {
-            workers.stop(&name, (task, attempt), checkpoint)
+        self.call_worker(worker, move |platform, worker| {
+            platform.stop_task(worker, (task, attempt), checkpoint);
         })
     }
 
@@ -555,9 +442,10 @@
         attempt: Attempt,
         on: bool,
     ) -> PortFuture<'_, Result<()>> {
-        let name = worker.clone();
-        self.0.call(&self.1, worker, move |workers| {
-            workers.throttle(&name, (task, attempt), on)
+        self.call_worker(worker, move |_, worker| {
+            if let Some(task) = worker.running.get_mut(&(task, attempt)) {
+                task.throttled = on;
+            }
         })
     }
 }
--- a/hemlocksaddle-fakes/tests/fakes.rs
+++ b/hemlocksaddle-fakes/tests/fakes.rs
@@ -6,7 +6,6 @@
 use googletest::prelude::*;
 use hemlocksaddle_fakes::{
     judge::Rule,
-    log::LogFaults,
     platform::{Deployment, Platform},
 };
 use hemlocksaddle_node::{
@@ -27,7 +26,7 @@
 };
 
 struct Bench {
-    platform: Platform,
+    platform: Rc<Platform>,
     ports: Ports,
     worker: Host,
     executor: SocketAddr,
@@ -36,7 +35,7 @@
 impl Bench {
     fn new() -> Bench {
         let platform = Platform::new(Deployment::small(), 7);
-        let hosts = platform.hosts.true_hosts();
+        let hosts = platform.true_hosts();
         let executor = hosts
             .iter()
             .find(|host| matches!(host.role, HostRole::Executor { .. }));
@@ -138,11 +137,7 @@
 fn an_append_whose_answer_is_lost_is_in_the_log() {
     let bench = Bench::new();
     let log = &bench.ports.log;
-    let faults = LogFaults {
-        lost_percent: 100,
-        ..LogFaults::default()
-    };
-    bench.platform.log.faults.set(faults);
+    bench.platform.faults.borrow_mut().log_lost_percent = 100;
     let append = log.append(Stream::Claims, Bytes::from_static(b"x"));
     expect_that!(
         bench.platform.sim.block_on(append),
@@ -163,7 +158,7 @@
         eq(&StartReply::Started)
     );
     let late = bench.order(2, 1, Millis(8_000));
-    bench.platform.run_for(Millis(13_000));
+    bench.platform.sim.run_for(Millis(13_000));
     expect_that!(bench.start(late), eq(&StartReply::TooLate));
     let report = bench.renew(Renew::default());
     expect_that!(report.running, is_empty());
@@ -182,7 +177,7 @@
         bench.send("a"),
         ok(eq(&Bytes::from_static(b"answer to order 1")))
     );
-    bench.platform.network.silence(100);
+    bench.platform.silence(100);
     expect_that!(bench.send("b"), err(eq(&PortError::Unknown)));
     expect_that!(bench.send("c"), ok(anything()));
     expect_that!(bench.broken(), is_empty());
@@ -221,7 +216,7 @@
 fn the_resume_judge_fires() {
     expect_broken(Rule::Invariant(Invariant::ResumeOnce), |bench| {
         bench.start(bench.order(1, 1, Millis(3_000)));
-        bench.platform.run_for(Millis(4_000));
+        bench.platform.sim.run_for(Millis(4_000));
         let name = "elsewhere".into();
         let checkpoint = Some(Checkpoint {
             name,
@@ -243,7 +238,7 @@
                 .platform
                 .judges
                 .take_out("hosts", &bench.worker.data_centre);
-            bench.platform.run_for(Millis(4_100));
+            bench.platform.sim.run_for(Millis(4_100));
             bench.start(bench.order(1, 1, Millis(8_000)));
         },
     );
@@ -284,8 +279,8 @@
     expect_broken(
         Rule::Invariant(Invariant::NoWorkForLeavingTarget),
         |bench| {
-            bench.platform.targets.set_leaving(&bench.executor, true);
-            bench.platform.run_for(Millis(5_100));
+            bench.platform.set_leaving(&bench.executor, true);
+            bench.platform.sim.run_for(Millis(5_100));
             bench.send("a").expect("an answer");
         },
     );
@@ -302,13 +297,13 @@
             let _ = call.await;
         }));
     }
-    bench.platform.run_for(Millis(2_000));
+    bench.platform.sim.run_for(Millis(2_000));
 }
 
 #[gtest]
 fn the_slot_judge_fires() {
     expect_broken(Rule::Slots, |bench| {
-        bench.platform.targets.service_ms.set(400);
+        bench.platform.faults.borrow_mut().service_ms = 400;
         send_at_once(bench, 9, 60);
     });
 }
@@ -327,6 +322,6 @@
                 let _ = log.append(Stream::Claims, Bytes::new()).await;
             }));
         }
-        bench.platform.run_for(Millis(2_000));
+        bench.platform.sim.run_for(Millis(2_000));
     });
 }
