Route quick requests to executors and back

Cause: the node had no path for requests of callers. Change: policy for routing, admission and retry budgets; pools of executors with slots in an arena, one queue per service, forwarding to peers, pulls answered by forwarding, non-idempotent requests behind an intent, early refusal, backoff per executor. Shared and additive: Response::Ran (answer with slot counts), SlotSummary.mean_us (defaulted), Display of RequestId and REQUEST_ID_HEADER; GuardTable::mark_sent now tells an unreserved key from a second send.

--- a/hemlocksaddle-node/src/requests/guard.rs
+++ b/hemlocksaddle-node/src/requests/guard.rs
@@ -36,6 +36,12 @@
 /// Responses kept per queue.
 pub const MAX_RESPONSES: usize = 4_096;
 
+/// Start of the keys that nodes generate for requests without one.
+pub const GENERATED_PREFIX: &str = "auto.";
+
+/// Time for which a generated key is kept; only the entry node can repeat it, within its deadline.
+const KEEP_GENERATED: Millis = Millis(60_000);
+
 /// Key of a request within all services.
 pub type GuardKey = (ServiceName, IdempotencyKey);
 
@@ -81,6 +87,7 @@
     settled: bool,
     entries: HashMap<GuardKey, Entry>,
     by_age: VecDeque<(WallMs, GuardKey)>,
+    generated_by_age: VecDeque<(WallMs, GuardKey)>,
     recorded: VecDeque<GuardKey>,
 }
 
@@ -192,17 +199,17 @@
         Begin::Run
     }
 
-    /// Marks a reserved key as sent; `false` if it was sent before or is not reserved.
+    /// Marks a reserved key as sent and returns whether this is the first time.
     ///
-    /// A term that is no longer current counts as not reserved.
+    /// `None` means that the key is not reserved under this term.
     #[must_use]
-    pub fn mark_sent(&self, queue: QueueIndex, term: Term, key: &GuardKey) -> bool {
+    pub fn mark_sent(&self, queue: QueueIndex, term: Term, key: &GuardKey) -> Option<bool> {
         let mut queues = self.queues.borrow_mut();
         let table = queues.get_mut(&queue).filter(|table| table.term == term);
         let entry = table.and_then(|table| table.entries.get_mut(key));
         match entry.map(|entry| &mut entry.state) {
-            Some(State::Pending { sent, .. }) => !std::mem::replace(sent, true),
-            _ => false,
+            Some(State::Pending { sent, .. }) => Some(!std::mem::replace(sent, true)),
+            _ => None,
         }
     }
 
@@ -241,7 +248,13 @@
 
 impl Queue {
     fn insert(&mut self, key: GuardKey, entry: Entry) {
-        self.by_age.push_back((entry.at_ms, key.clone()));
+        let generated = key.1.as_str().starts_with(GENERATED_PREFIX);
+        let by_age = if generated {
+            &mut self.generated_by_age
+        } else {
+            &mut self.by_age
+        };
+        by_age.push_back((entry.at_ms, key.clone()));
         self.entries.insert(key, entry);
     }
 
@@ -281,20 +294,27 @@
     }
 
     fn drop_old(&mut self, now: WallMs, keep_ms: Millis) {
-        while let Some((at_ms, key)) = self.by_age.front() {
-            if now.since(*at_ms) < keep_ms {
-                return;
-            }
-            // A freed and reused key has a younger entry, which stays.
-            if self
-                .entries
-                .get(key)
-                .is_some_and(|entry| entry.at_ms == *at_ms)
-            {
-                self.entries.remove(key);
-            }
-            self.by_age.pop_front();
+        drop_older(&mut self.entries, &mut self.by_age, now, keep_ms);
+        let keep_ms = keep_ms.min(KEEP_GENERATED);
+        drop_older(&mut self.entries, &mut self.generated_by_age, now, keep_ms);
+    }
+}
+
+fn drop_older(
+    entries: &mut HashMap<GuardKey, Entry>,
+    by_age: &mut VecDeque<(WallMs, GuardKey)>,
+    now: WallMs,
+    keep_ms: Millis,
+) {
+    while let Some((at_ms, key)) = by_age.front() {
+        if now.since(*at_ms) < keep_ms {
+            return;
+        }
+        // A freed and reused key has a younger entry, which stays.
+        if entries.get(key).is_some_and(|entry| entry.at_ms == *at_ms) {
+            entries.remove(key);
         }
+        by_age.pop_front();
     }
 }
 
--- a/hemlocksaddle-node/src/requests/mod.rs
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -1,3 +1,396 @@
 //! Quick requests: routing to executors, retries and at-most-once execution.
+//!
+//! The entry node keeps a request from the caller's connection to the answer. An
+//! idempotent request is routed directly ([`route`]); any other one goes through
+//! the owner of its key's queue ([`guarded`]), which makes the intent durable
+//! and then routes it in the same way. The state of a service (own executors,
+//! their slots, waiting requests, counts of peers) is in [`pool`].
 
+mod balance;
 pub mod guard;
+mod guarded;
+mod peers;
+mod pool;
+mod route;
+mod send;
+mod sent;
+mod waiting;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
+    rc::{Rc, Weak},
+};
+
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    document::Document,
+    host::{HostList, HostState},
+    name::{ExecutorName, NodeName, ServiceName},
+    outcome::{ResultCode, RunState},
+    peer::{Heartbeat, Request, Response},
+    request::{QuickRequest, QuickResponse, RequestId},
+    unit::Unit,
+};
+
+use self::{guard::GuardTable, pool::Pool, route::Origin, sent::SentOnce, waiting::Grant};
+use crate::{
+    burn::Burn,
+    core::{Core, Handler},
+    invariant::Invariant,
+    ports::PortFuture,
+};
+
+/// Interval at which ownership, documents and queues are looked at.
+const TICK: Millis = Millis(20);
+
+/// Shortest time between two heartbeats that are sent because a queue grew or emptied.
+const ANNOUNCE_EVERY: Millis = Millis(100);
+
+/// Interval at which a planned stop looks whether requests are still in progress.
+const STOP_POLL: Millis = Millis(10);
+
+/// Quick requests of this node.
+pub struct Requests {
+    me: Weak<Requests>,
+    core: Rc<Core>,
+    guards: Rc<GuardTable>,
+    burn: Burn,
+    pools: RefCell<BTreeMap<ServiceName, Pool>>,
+    leaving: RefCell<Leaving>,
+    sent_once: RefCell<SentOnce>,
+    next_number: Cell<u64>,
+    in_progress: Cell<u32>,
+    outcomes_pending: Cell<u32>,
+    stopping: Cell<bool>,
+    announced: Cell<(MonoMs, bool)>,
+}
+
+/// Addresses that the host list shows as leaving or gone.
+#[derive(Default)]
+struct Leaving {
+    list: Option<Rc<HostList>>,
+    addresses: HashSet<SocketAddr>,
+}
+
+/// Counts a request while it is in progress.
+struct InProgress(Rc<Requests>);
+
+impl InProgress {
+    fn new(requests: &Rc<Requests>) -> InProgress {
+        requests.in_progress.set(requests.in_progress.get() + 1);
+        InProgress(requests.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+    }
+}
+
+impl Requests {
+    /// Quick requests over what the node's other parts offer.
+    #[must_use]
+    pub fn new(core: Rc<Core>) -> Rc<Requests> {
+        let keep_ms = core.settings.timing.retention_ms;
+        let since_ms = core.ports.runtime.wall_now();
+        Rc::new_cyclic(|me| Requests {
+            me: me.clone(),
+            core,
+            guards: Rc::new(GuardTable::new(keep_ms)),
+            burn: Burn::new(since_ms),
+            pools: RefCell::default(),
+            leaving: RefCell::default(),
+            sent_once: RefCell::default(),
+            next_number: Cell::new(1),
+            in_progress: Cell::new(0),
+            outcomes_pending: Cell::new(0),
+            stopping: Cell::new(false),
+            announced: Cell::new((MonoMs(0), false)),
+        })
+    }
+
+    /// Keys of non-idempotent requests, for the part that reads the queues' streams.
+    #[must_use]
+    pub fn guards(&self) -> Rc<GuardTable> {
+        self.guards.clone()
+    }
+
+    /// Counts of good and total requests.
+    #[must_use]
+    pub fn burn(&self) -> &Burn {
+        &self.burn
+    }
+
+    /// Starts the background work.
+    pub fn start(self: &Rc<Self>) {
+        self.refresh();
+        let requests = self.clone();
+        self.core.ports.runtime.spawn(Box::pin(async move {
+            while !requests.is_idle_after_stop() {
+                requests.core.ports.runtime.sleep(TICK).await;
+                requests.tick();
+            }
+        }));
+    }
+
+    /// Takes no new requests, hands back those that wait for others, and finishes the rest.
+    pub fn stop(self: &Rc<Self>) -> PortFuture<'static, ()> {
+        let requests = self.clone();
+        Box::pin(async move {
+            requests.stopping.set(true);
+            requests.hand_back();
+            while !requests.is_idle_after_stop() {
+                requests.core.ports.runtime.sleep(STOP_POLL).await;
+            }
+            let left = requests.in_progress.get();
+            let _ = requests
+                .core
+                .invariants
+                .check(Invariant::GracefulStop, left == 0, || {
+                    format!("stopped with {left} requests in progress")
+                });
+        })
+    }
+
+    /// Identifier for a request that this node takes from a caller.
+    pub fn next_request_id(&self) -> RequestId {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        RequestId {
+            node: self.core.settings.node.clone(),
+            started_ms: self.core.started_ms,
+            number,
+        }
+    }
+
+    /// Runs a request of a caller and returns its answer or a refusal.
+    pub async fn quick(&self, request: QuickRequest) -> QuickResponse {
+        let started = self.now();
+        let service = request.service.clone();
+        let response = self.admit_and_run(request).await;
+        let code = response.code.number().to_string();
+        self.core.metrics.results.with_label_values(&[&code]).inc();
+        if let Some(document) = self.core.configuration.document(&service) {
+            let succeeded = response.code == ResultCode::Completed;
+            let good = Burn::is_good(&document, self.now().since(started), succeeded);
+            self.burn
+                .record(&service, self.core.ports.runtime.wall_now(), good);
+        }
+        response
+    }
+
+    async fn admit_and_run(&self, request: QuickRequest) -> QuickResponse {
+        let Some(requests) = self.me.upgrade() else {
+            return stopping();
+        };
+        if self.is_stopping() {
+            return stopping();
+        }
+        let Some(document) = self.core.configuration.document(&request.service) else {
+            let detail = format!("no document describes the service {}", request.service);
+            return QuickResponse::refusal(ResultCode::UnknownService, &detail);
+        };
+        let _in_progress = InProgress::new(&requests);
+        let allowed = request.deadline_ms.min(document.max_deadline_ms);
+        let deadline = self.now() + allowed;
+        self.ensure_pool(&document);
+        self.with_pool(&request.service, |pool| pool.budget.deposit());
+        if request.idempotent {
+            requests.route(&request, deadline, Origin::Entry).await
+        } else {
+            requests.through_owner(request, deadline).await
+        }
+    }
+
+    async fn forwarded(self: Rc<Self>, request: QuickRequest) -> Response {
+        let _in_progress = InProgress::new(&self);
+        let now = self.now();
+        let service = request.service.clone();
+        let slots = self.with_pool(&service, |pool| pool.load(now).slots);
+        if slots.unwrap_or(0) == 0 {
+            return Response::NotOwner;
+        }
+        let deadline = now + request.deadline_ms;
+        let response = if self.is_stopping() {
+            stopping()
+        } else {
+            self.route(&request, deadline, Origin::Peer).await
+        };
+        let now = self.now();
+        match self.with_pool(&service, |pool| pool.summary(now)) {
+            Some(summary) => Response::Ran(response, summary),
+            None => Response::Quick(response),
+        }
+    }
+
+    fn tick(self: &Rc<Self>) {
+        self.refresh();
+        let now = self.now();
+        let services: Vec<ServiceName> = self.pools.borrow().keys().cloned().collect();
+        let mut backlog = false;
+        for service in services {
+            self.with_pool(&service, |pool| pool.update_speeds(now));
+            self.dispatch(&service);
+            self.spread(&service);
+            self.pull(&service);
+            let own = self.with_pool(&service, |pool| pool.load(now));
+            backlog |= own.is_some_and(|own| hemlocksaddle_policy::routing::worth_pulling(&own));
+        }
+        self.announce(backlog, now);
+    }
+
+    /// Sends a heartbeat when a backlog has begun or ended.
+    fn announce(&self, backlog: bool, now: MonoMs) {
+        let (at, before) = self.announced.get();
+        if backlog != before && now.since(at) >= ANNOUNCE_EVERY {
+            self.announced.set((now, backlog));
+            self.core.calls.beat_now();
+        }
+    }
+
+    /// Gives requests that peers forwarded back to them; they run elsewhere.
+    fn hand_back(&self) {
+        for pool in self.pools.borrow_mut().values_mut() {
+            for waiter in pool.waiting.take_forwarded() {
+                let _ = waiter.sender.send(Grant::HandBack);
+            }
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stopping.get() || self.core.stopping.get()
+    }
+
+    fn is_idle_after_stop(&self) -> bool {
+        let slots_in_use: usize = self.pools.borrow().values().map(Pool::in_use).sum();
+        let outcomes = self.outcomes_pending.get() > 0 && self.core.journal.log_is_up();
+        self.stopping.get() && self.in_progress.get() == 0 && slots_in_use == 0 && !outcomes
+    }
+
+    fn ensure_pool(&self, document: &Document) {
+        if self.pools.borrow().contains_key(&document.service) {
+            return;
+        }
+        let retry_percent = self.core.settings.limits.retry_percent;
+        let pool = Pool::new(document, retry_percent);
+        self.pools
+            .borrow_mut()
+            .insert(document.service.clone(), pool);
+        self.refresh();
+    }
+
+    /// Takes over ownership, documents and host list.
+    fn refresh(&self) {
+        self.refresh_leaving();
+        let mut owned: HashMap<ServiceName, HashSet<ExecutorName>> = HashMap::new();
+        for (unit, _) in self.core.ownership.owned() {
+            if let Unit::Target(service, executor) = unit {
+                owned.entry(service).or_default().insert(executor);
+            }
+        }
+        let documents = self.core.configuration.documents();
+        let retry_percent = self.core.settings.limits.retry_percent;
+        let mut pools = self.pools.borrow_mut();
+        for (document, _) in &documents {
+            let mut open = owned.remove(&document.service).unwrap_or_default();
+            self.retain_in_service(document, &mut open);
+            let pool = pools
+                .entry(document.service.clone())
+                .or_insert_with(|| Pool::new(document, retry_percent));
+            pool.refresh(document, &open);
+        }
+        pools.retain(|service, pool| {
+            let listed = documents.iter().any(|(d, _)| d.service == *service);
+            listed || pool.in_use() > 0 || pool.waiting.len() > 0
+        });
+    }
+
+    /// Removes executors that are leaving, and those of data centres that the document takes out.
+    fn retain_in_service(&self, document: &Document, open: &mut HashSet<ExecutorName>) {
+        for executor in &document.executors {
+            let out = document.data_centres_out.contains(&executor.data_centre);
+            if out || self.is_leaving(executor.address) {
+                open.remove(&executor.name);
+            }
+        }
+    }
+
+    /// Takes over a host list that is newer than the one in use.
+    fn refresh_if_hosts_changed(&self) {
+        let hosts = self.core.configuration.hosts();
+        let same = |known: &Rc<HostList>| Rc::ptr_eq(known, &hosts);
+        if !self.leaving.borrow().list.as_ref().is_some_and(same) {
+            self.refresh();
+        }
+    }
+
+    fn refresh_leaving(&self) {
+        let hosts = self.core.configuration.hosts();
+        let mut leaving = self.leaving.borrow_mut();
+        if leaving
+            .list
+            .as_ref()
+            .is_some_and(|known| Rc::ptr_eq(known, &hosts))
+        {
+            return;
+        }
+        let not_live = hosts
+            .hosts
+            .iter()
+            .filter(|host| host.state != HostState::Live);
+        leaving.addresses = not_live.map(|host| host.address).collect();
+        leaving.list = Some(hosts);
+    }
+
+    fn is_leaving(&self, address: SocketAddr) -> bool {
+        self.leaving.borrow().addresses.contains(&address)
+    }
+
+    fn with_pool<T>(&self, service: &ServiceName, act: impl FnOnce(&mut Pool) -> T) -> Option<T> {
+        self.pools.borrow_mut().get_mut(service).map(act)
+    }
+
+    fn now(&self) -> MonoMs {
+        self.core.ports.runtime.now()
+    }
+
+    fn sleep_until(&self, at: MonoMs) -> PortFuture<'static, ()> {
+        let runtime = &self.core.ports.runtime;
+        runtime.sleep(at.since(runtime.now()))
+    }
+}
+
+impl Handler for Requests {
+    fn handle(&self, from: &NodeName, request: &Request) -> Option<PortFuture<'static, Response>> {
+        let requests = self.me.upgrade()?;
+        match request {
+            Request::Forward(request) => Some(Box::pin(requests.forwarded(request.clone()))),
+            Request::Guarded(request) => Some(Box::pin(requests.guarded(request.clone()))),
+            Request::Pull(service, count) => {
+                self.hand_over(service, from, *count);
+                Some(Box::pin(std::future::ready(Response::Ok)))
+            }
+            _ => None,
+        }
+    }
+
+    fn fill_heartbeat(&self, heartbeat: &mut Heartbeat) {
+        let now = self.now();
+        let pools = self.pools.borrow();
+        heartbeat
+            .slots
+            .extend(pools.values().map(|pool| pool.summary(now)));
+    }
+}
+
+fn stopping() -> QuickResponse {
+    QuickResponse::refusal(ResultCode::Stopping, "the node is stopping")
+}
+
+/// Whether a response is certain to be final for the key of its request.
+fn has_run(response: &QuickResponse) -> bool {
+    response.code.run_state() != RunState::NotRun
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/requests/pool.rs
@@ -0,0 +1,363 @@
+//! Executors of one service that this node owns, and their slots.
+//!
+//! Executors and slots live in arenas. An executor that has left the document,
+//! whose unit was lost, or that the host list shows as leaving is closed: it gets
+//! no new request and stays in the arena until its last one has ended.
+
+use std::collections::HashSet;
+
+use hemlocksaddle_policy::{
+    admission::Queue,
+    backoff::{Allow, Backoff, Steps},
+    retry::Budget,
+    routing::{self, Candidate, Load, Speed},
+};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    document::Document,
+    name::{ExecutorName, ServiceName},
+    peer::SlotSummary,
+    request::RequestId,
+    unit::Unit,
+};
+use slotmap::{SlotMap, new_key_type};
+
+use super::{peers::PeerView, waiting::Waiting};
+
+new_key_type! {
+    /// Key of an executor.
+    pub(super) struct ExecutorKey;
+    /// Key of a slot with a request.
+    pub(super) struct SlotKey;
+}
+
+/// Waits of an executor that fails.
+const LADDER: Steps = Steps {
+    first_ms: Millis(200),
+    max_ms: Millis(10_000),
+    probe_ms: Millis(10_000),
+};
+
+/// Error answers in a row after which an executor is set aside while others succeed.
+///
+/// An executor that fails at once looks fast and would attract most requests.
+const ERRORS_IN_A_ROW: u32 = 5;
+
+/// How an executor failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Failure {
+    /// No connection.
+    Unreachable,
+    /// No answer.
+    NoAnswer,
+    /// Answers with errors.
+    Errors,
+}
+
+/// How a request on a slot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// Never sent, for a reason that says nothing about the executor.
+    Unused,
+    /// Answered without an error of the executor.
+    Answered,
+    /// Failed.
+    Failed(Failure),
+}
+
+/// Executor that this node owns or owned.
+pub(super) struct Executor {
+    /// Name.
+    pub(super) name: ExecutorName,
+    /// IP number and port.
+    pub(super) address: std::net::SocketAddr,
+    /// Unit of ownership.
+    pub(super) unit: Unit,
+    /// Whether it may get new requests.
+    pub(super) open: bool,
+    in_use: u32,
+    errors_in_a_row: u32,
+    speed: Speed,
+}
+
+/// Slot with a request.
+pub(super) struct Slot {
+    /// Executor.
+    pub(super) executor: ExecutorKey,
+    /// Request that holds the slot.
+    pub(super) request: RequestId,
+    since_ms: MonoMs,
+    probe: bool,
+}
+
+/// State of one service.
+pub(super) struct Pool {
+    /// Service.
+    pub(super) service: ServiceName,
+    /// Requests that wait.
+    pub(super) waiting: Waiting,
+    /// Peers.
+    pub(super) peers: Vec<PeerView>,
+    /// Time of the last look at the heartbeats.
+    pub(super) peers_ms: MonoMs,
+    /// Second sends.
+    pub(super) budget: Budget,
+    /// Connections that an executor takes.
+    pub(super) connections: u32,
+    /// Longest deadline of a request.
+    pub(super) max_deadline_ms: Millis,
+    slots_each: u32,
+    executors: SlotMap<ExecutorKey, Executor>,
+    slots: SlotMap<SlotKey, Slot>,
+    backoff: Backoff<ExecutorName, Failure>,
+    reference_ms: f64,
+}
+
+impl Pool {
+    pub(super) fn new(document: &Document, retry_percent: u32) -> Pool {
+        Pool {
+            service: document.service.clone(),
+            waiting: Waiting::default(),
+            peers: Vec::new(),
+            peers_ms: MonoMs(0),
+            budget: Budget::new(retry_percent),
+            connections: document.connections,
+            max_deadline_ms: document.max_deadline_ms,
+            slots_each: document.slots,
+            executors: SlotMap::with_key(),
+            slots: SlotMap::with_key(),
+            backoff: Backoff::new(LADDER),
+            reference_ms: routing::ASSUMED_SERVICE_MS,
+        }
+    }
+
+    /// Takes over the document and the executors that may get requests.
+    pub(super) fn refresh(&mut self, document: &Document, open: &HashSet<ExecutorName>) {
+        self.slots_each = document.slots;
+        self.connections = document.connections;
+        self.max_deadline_ms = document.max_deadline_ms;
+        for executor in self.executors.values_mut() {
+            executor.open = false;
+        }
+        for listed in &document.executors {
+            if open.contains(&listed.name) {
+                self.open(listed);
+            }
+        }
+        self.executors
+            .retain(|_, executor| executor.open || executor.in_use > 0);
+        let executors = &self.executors;
+        self.backoff
+            .retain(|name| executors.values().any(|executor| executor.name == *name));
+    }
+
+    fn open(&mut self, listed: &hemlocksaddle_types::document::Executor) {
+        let mut known = self.executors.values_mut();
+        let same = known.find(|e| e.name == listed.name && e.address == listed.address);
+        if let Some(executor) = same {
+            executor.open = true;
+            return;
+        }
+        self.executors.insert(Executor {
+            name: listed.name.clone(),
+            address: listed.address,
+            unit: Unit::Target(self.service.clone(), listed.name.clone()),
+            open: true,
+            in_use: 0,
+            errors_in_a_row: 0,
+            speed: Speed::default(),
+        });
+    }
+
+    /// Updates which executors are slow.
+    pub(super) fn update_speeds(&mut self, now: MonoMs) {
+        let open = self.executors.values().filter(|executor| executor.open);
+        let mut means: Vec<f64> = open
+            .filter_map(|executor| executor.speed.answered_mean_ms(now.0))
+            .collect();
+        if !means.is_empty() {
+            // A reference near zero would call every delay slow.
+            self.reference_ms = routing::reference_ms(&mut means).max(1.0);
+        }
+        for executor in self.executors.values_mut() {
+            executor.speed.update_slow(now.0, self.reference_ms);
+        }
+    }
+
+    /// Executors that may get a request now, slow or not.
+    fn usable(&self, slow: bool, now: MonoMs) -> impl Iterator<Item = (ExecutorKey, &Executor)> {
+        let may_ask = move |name| !matches!(self.backoff.peek(name, now), Allow::NotBefore(_));
+        self.executors
+            .iter()
+            .filter(move |(_, executor)| executor.open && executor.speed.is_slow() == slow)
+            .filter(move |(_, executor)| may_ask(&executor.name))
+    }
+
+    /// Slots of the executors that are not slow; of the slow ones if there are no others.
+    pub(super) fn load(&self, now: MonoMs) -> Load {
+        let fast = self.load_of(false, now);
+        if fast.slots > 0 {
+            fast
+        } else {
+            self.load_of(true, now)
+        }
+    }
+
+    fn load_of(&self, slow: bool, now: MonoMs) -> Load {
+        let mut load = Load {
+            waiting: self.waiting.len(),
+            mean_ms: self.reference_ms,
+            ..Load::default()
+        };
+        for (_, executor) in self.usable(slow, now) {
+            load.slots += self.slots_each;
+            load.free += self.slots_each.saturating_sub(executor.in_use);
+        }
+        load
+    }
+
+    /// Mean service time of executors that are not slow.
+    pub(super) fn reference_ms(&self) -> f64 {
+        self.reference_ms
+    }
+
+    /// Queue that a request would join.
+    pub(super) fn queue(&self, waiting_per_slot: u32, now: MonoMs) -> Queue {
+        let load = self.load(now);
+        Queue {
+            waiting: load.waiting,
+            limit: waiting_per_slot.saturating_mul(load.slots),
+            slots: load.slots,
+            mean_ms: load.mean_ms,
+        }
+    }
+
+    /// Counts for peers.
+    pub(super) fn summary(&self, now: MonoMs) -> SlotSummary {
+        let load = self.load(now);
+        SlotSummary {
+            service: self.service.clone(),
+            free: load.free,
+            total: load.slots,
+            waiting: load.waiting,
+            // A mean service time fits into 71 minutes.
+            mean_us: (load.mean_ms * 1_000.0) as u32,
+        }
+    }
+
+    /// Gives a free slot to a request, avoiding one executor.
+    pub(super) fn reserve(
+        &mut self,
+        request: &RequestId,
+        avoid: Option<&ExecutorName>,
+        now: MonoMs,
+        random: u64,
+    ) -> Option<SlotKey> {
+        let fast = self.load_of(false, now);
+        let executor = self.choose(false, avoid, now, random).or_else(|| {
+            let allowed = fast.slots == 0 || self.slow_pays(&fast, now);
+            allowed.then(|| self.choose(true, avoid, now, random))?
+        })?;
+        let state = self.executors.get_mut(executor)?;
+        let probe = self.backoff.take(&state.name, now) == Allow::Probe;
+        state.in_use += 1;
+        state.speed.start(now.0);
+        Some(self.slots.insert(Slot {
+            executor,
+            request: request.clone(),
+            since_ms: now,
+            probe,
+        }))
+    }
+
+    fn slow_pays(&self, fast: &Load, now: MonoMs) -> bool {
+        let means = self
+            .usable(true, now)
+            .map(|(_, executor)| executor.speed.mean_ms(now.0, self.reference_ms));
+        let fastest = means.min_by(f64::total_cmp);
+        fastest.is_some_and(|mean_ms| routing::use_slow(fast, mean_ms))
+    }
+
+    fn choose(
+        &self,
+        slow: bool,
+        avoid: Option<&ExecutorName>,
+        now: MonoMs,
+        random: u64,
+    ) -> Option<ExecutorKey> {
+        let (keys, candidates): (Vec<ExecutorKey>, Vec<Candidate>) = self
+            .usable(slow, now)
+            .filter(|(_, executor)| avoid != Some(&executor.name))
+            .map(|(key, executor)| (key, self.candidate(executor, now)))
+            .unzip();
+        let index = routing::executor(&candidates, random)?;
+        Some(keys[index])
+    }
+
+    fn candidate(&self, executor: &Executor, now: MonoMs) -> Candidate {
+        Candidate {
+            in_use: executor.in_use,
+            slots: self.slots_each,
+            mean_ms: executor.speed.mean_ms(now.0, self.reference_ms),
+        }
+    }
+
+    /// Slot and its executor.
+    pub(super) fn slot(&self, key: SlotKey) -> Option<(&Slot, &Executor)> {
+        let slot = self.slots.get(key)?;
+        Some((slot, self.executors.get(slot.executor)?))
+    }
+
+    /// Ends a request on its slot; returns the executor if it is set aside by this.
+    pub(super) fn release(
+        &mut self,
+        key: SlotKey,
+        end: End,
+        now: MonoMs,
+        random: u64,
+    ) -> Option<ExecutorName> {
+        let slot = self.slots.remove(key)?;
+        let executor = self.executors.get_mut(slot.executor)?;
+        executor.in_use = executor.in_use.saturating_sub(1);
+        let answered = end == End::Answered;
+        executor.speed.end(slot.since_ms.0, now.0, answered);
+        match end {
+            End::Unused => return None,
+            End::Answered => executor.errors_in_a_row = 0,
+            End::Failed(Failure::Errors) => executor.errors_in_a_row += 1,
+            End::Failed(_) => {}
+        }
+        let name = executor.name.clone();
+        let failure = self.failure_to_count(slot.executor, end);
+        match failure {
+            None => {
+                self.backoff.succeeded(&name);
+                None
+            }
+            // Several requests that fail together count once.
+            Some(_) if !slot.probe && self.backoff.peek(&name, now) != Allow::Yes => None,
+            Some(failure) => {
+                self.backoff.refused(&name, failure, now, random);
+                Some(name)
+            }
+        }
+    }
+
+    fn failure_to_count(&self, key: ExecutorKey, end: End) -> Option<Failure> {
+        match end {
+            End::Failed(Failure::Errors) => {
+                let errors = self.executors[key].errors_in_a_row;
+                let mut others = self.executors.iter().filter(|(other, _)| *other != key);
+                let others_succeed = others.any(|(_, other)| other.errors_in_a_row == 0);
+                (errors >= ERRORS_IN_A_ROW && others_succeed).then_some(Failure::Errors)
+            }
+            End::Failed(failure) => Some(failure),
+            End::Unused | End::Answered => None,
+        }
+    }
+
+    /// Requests on slots.
+    pub(super) fn in_use(&self) -> usize {
+        self.slots.len()
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/requests/send.rs
@@ -0,0 +1,210 @@
+//! Sending a request to an executor on a reserved slot.
+//!
+//! A send runs in the background until the executor has answered or the longest
+//! deadline of the service has passed, even if its caller gives up earlier. The
+//! slot is held as long, because the executor may still be working.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    name::{ExecutorName, ServiceName},
+    request::{QuickRequest, QuickResponse, REQUEST_ID_HEADER, RequestId},
+    unit::Unit,
+};
+
+use super::{
+    Requests,
+    pool::{End, Failure, SlotKey},
+};
+use crate::{event::Event, invariant::Invariant, ports::PortError};
+
+/// Status from which an answer counts as an error of the executor.
+const SERVER_ERROR: u16 = 500;
+
+/// What became of one attempt to run a request.
+#[derive(Debug)]
+pub(super) enum Attempt {
+    /// Executor answered.
+    Answer(QuickResponse),
+    /// Peer refused it without running it.
+    Refused(QuickResponse),
+    /// Certain not to have been sent.
+    NotSent,
+    /// May have run; no answer will come.
+    Lost,
+    /// May have run; the caller's deadline has passed.
+    Late,
+}
+
+/// Slot that is freed when this is dropped.
+pub(super) struct SlotGuard {
+    requests: Rc<Requests>,
+    service: ServiceName,
+    key: SlotKey,
+    end: Cell<End>,
+}
+
+struct Target {
+    name: ExecutorName,
+    address: SocketAddr,
+    unit: Unit,
+    request: RequestId,
+    open: bool,
+    connections: u32,
+    within: Millis,
+}
+
+impl SlotGuard {
+    pub(super) fn new(requests: Rc<Requests>, service: ServiceName, key: SlotKey) -> SlotGuard {
+        SlotGuard {
+            requests,
+            service,
+            key,
+            end: Cell::new(End::Unused),
+        }
+    }
+
+    /// Name of the executor.
+    pub(super) fn executor(&self) -> Option<ExecutorName> {
+        self.target().map(|target| target.name)
+    }
+
+    fn target(&self) -> Option<Target> {
+        let pools = self.requests.pools.borrow();
+        let pool = pools.get(&self.service)?;
+        let (slot, executor) = pool.slot(self.key)?;
+        Some(Target {
+            name: executor.name.clone(),
+            address: executor.address,
+            unit: executor.unit.clone(),
+            request: slot.request.clone(),
+            open: executor.open,
+            connections: pool.connections,
+            within: pool.max_deadline_ms,
+        })
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.requests
+            .release(&self.service, self.key, self.end.get());
+    }
+}
+
+impl Requests {
+    /// Runs a request on its slot and waits for the answer until the deadline.
+    pub(super) async fn run_on_slot(
+        self: &Rc<Self>,
+        guard: SlotGuard,
+        request: &QuickRequest,
+        deadline: MonoMs,
+    ) -> Attempt {
+        let (sender, receiver) = oneshot::channel();
+        let requests = self.clone();
+        let request = request.clone();
+        self.core.ports.runtime.spawn(Box::pin(async move {
+            let attempt = requests.send(&guard, request, deadline).await;
+            drop(guard);
+            // The receiver is gone if the caller's deadline has passed.
+            let _ = sender.send(attempt);
+        }));
+        match select(receiver, self.sleep_until(deadline)).await {
+            Either::Left((Ok(attempt), _)) => attempt,
+            Either::Left((Err(oneshot::Canceled), _)) => Attempt::Lost,
+            Either::Right(((), _)) => Attempt::Late,
+        }
+    }
+
+    async fn send(
+        &self,
+        guard: &SlotGuard,
+        mut request: QuickRequest,
+        deadline: MonoMs,
+    ) -> Attempt {
+        let Some(target) = self.checked_target(guard, &request) else {
+            return Attempt::NotSent;
+        };
+        let id = request.id.clone();
+        let idempotent = request.idempotent;
+        request.deadline_ms = deadline.since(self.now());
+        let targets = &self.core.ports.targets;
+        let result = targets
+            .send(
+                target.address,
+                &guard.service,
+                target.connections,
+                request,
+                target.within,
+            )
+            .await;
+        let (attempt, end) = self.judge(&id, &target, result);
+        if matches!(attempt, Attempt::NotSent) && !idempotent {
+            self.sent_once.borrow_mut().withdraw(&id);
+        }
+        guard.end.set(end);
+        attempt
+    }
+
+    /// Checks everything that has to hold directly before a send.
+    fn checked_target(&self, guard: &SlotGuard, request: &QuickRequest) -> Option<Target> {
+        self.refresh_if_hosts_changed();
+        let target = guard.target()?;
+        if !target.open || self.core.ownership.right(&target.unit).is_none() {
+            return None;
+        }
+        let invariants = &self.core.invariants;
+        let own_slot = target.request == request.id;
+        let leaving = self.is_leaving(target.address);
+        let holds = invariants.check(Invariant::OwnAnswer, own_slot, || {
+            format!("slot of {} is used by {}", target.request, request.id)
+        }) && invariants.check(Invariant::NoWorkForLeavingTarget, !leaving, || {
+            format!("request {} for leaving {}", request.id, target.unit)
+        }) && (request.idempotent || self.first_send(&request.id));
+        holds.then_some(target)
+    }
+
+    fn first_send(&self, id: &RequestId) -> bool {
+        let first = self.sent_once.borrow_mut().note(id);
+        self.core
+            .invariants
+            .check(Invariant::AtMostOnce, first, || {
+                format!("non-idempotent request {id} is sent again")
+            })
+    }
+
+    fn judge(
+        &self,
+        id: &RequestId,
+        target: &Target,
+        result: crate::ports::Result<QuickResponse>,
+    ) -> (Attempt, End) {
+        match result {
+            Ok(response) => self.judge_answer(id, target, response),
+            Err(PortError::NotSent) => (Attempt::NotSent, End::Failed(Failure::Unreachable)),
+            Err(PortError::Unknown) => (Attempt::Lost, End::Failed(Failure::NoAnswer)),
+        }
+    }
+
+    fn judge_answer(
+        &self,
+        id: &RequestId,
+        target: &Target,
+        mut response: QuickResponse,
+    ) -> (Attempt, End) {
+        let answered = response.headers.remove(REQUEST_ID_HEADER);
+        if answered.is_some_and(|answered| *answered != *id.to_string()) {
+            Event::AnswerDropped.log(format_args!("{} answered another than {id}", target.unit));
+            return (Attempt::Lost, End::Failed(Failure::NoAnswer));
+        }
+        let end = if response.status >= SERVER_ERROR {
+            End::Failed(Failure::Errors)
+        } else {
+            End::Answered
+        };
+        (Attempt::Answer(response), end)
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-node/src/requests/sent.rs
@@ -0,0 +1,37 @@
+//! Identifiers of non-idempotent requests that were sent, for the assertion that
+//! none is sent twice.
+
+use std::collections::{HashSet, VecDeque};
+
+use hemlocksaddle_types::request::RequestId;
+
+/// Identifiers kept; a node sends far fewer within the longest deadline.
+const MAX_IDS: usize = 65_536;
+
+/// Latest identifiers.
+#[derive(Default)]
+pub(super) struct SentOnce {
+    ids: HashSet<RequestId>,
+    order: VecDeque<RequestId>,
+}
+
+impl SentOnce {
+    /// Notes a send; `false` if the request was sent before.
+    pub(super) fn note(&mut self, id: &RequestId) -> bool {
+        if !self.ids.insert(id.clone()) {
+            return false;
+        }
+        self.order.push_back(id.clone());
+        if self.order.len() > MAX_IDS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.ids.remove(&oldest);
+        }
+        true
+    }
+
+    /// Takes a note back, because the request certainly did not leave.
+    pub(super) fn withdraw(&mut self, id: &RequestId) {
+        self.ids.remove(id);
+    }
+}
--- a/hemlocksaddle-node/tests/guard.rs
+++ b/hemlocksaddle-node/tests/guard.rs
@@ -91,8 +91,8 @@
     let Begin::Wait(mut waiter) = begin(&table, "a", 1, 0) else {
         panic!("the key is in progress");
     };
-    expect_true!(table.mark_sent(QUEUE, TERM, &key("a")));
-    expect_false!(table.mark_sent(QUEUE, TERM, &key("a")));
+    expect_that!(table.mark_sent(QUEUE, TERM, &key("a")), some(eq(true)));
+    expect_that!(table.mark_sent(QUEUE, TERM, &key("a")), some(eq(false)));
     let response = QuickResponse::refusal(ResultCode::Completed, "answer");
     table.finish(QUEUE, TERM, &key("a"), &response);
     expect_that!(waiter.try_recv(), ok(some(eq(&response))));
@@ -110,5 +110,5 @@
     table.reset(QUEUE, Term(8));
     table.settled(QUEUE);
     expect_that!(begin(&table, "a", 1, 0), pat!(Begin::NotOwner));
-    expect_false!(table.mark_sent(QUEUE, TERM, &key("a")));
+    expect_that!(table.mark_sent(QUEUE, TERM, &key("a")), none());
 }
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -5,6 +5,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod backoff;
 pub mod fairness;
 pub mod placement;
+pub mod retry;
+pub mod routing;
--- /dev/null
+++ b/hemlocksaddle-policy/src/routing.rs
@@ -0,0 +1,258 @@
+//! Choice of the node and the executor that serve a request.
+//!
+//! A node knows its own slots exactly and those of its peers with a delay. It
+//! uses an own free slot first. Otherwise it compares the expected delay of
+//! waiting here with that of each peer, hops included, so that a request is not
+//! sent away when a slot here is expected to be free sooner. Among peers with
+//! free slots the one with the most wins.
+//!
+//! Alternatives considered: a random choice, two choices on the node's own
+//! counts, and a subset of executors for each node. All of them exceed an
+//! executor's slots when several nodes choose independently. The example
+//! `routing` measures them.
+
+/// Both hops between two nodes, in milliseconds; data centres are about 1 ms apart.
+pub const HOPS_MS: f64 = 2.0;
+
+/// Service time that is assumed before the first answer, in milliseconds.
+pub const ASSUMED_SERVICE_MS: f64 = 20.0;
+
+/// Completions over which an executor's speed is averaged.
+const SPEED_WINDOW: f64 = 64.0;
+
+/// Completions at the reference speed that an executor is credited with.
+///
+/// With fewer, a single long request marks an executor as slow.
+const PRIOR_COMPLETIONS: f64 = 8.0;
+
+/// Time in which evidence about an executor loses half its weight, in milliseconds.
+///
+/// An avoided executor gives no new evidence, so the old must fade for it to be
+/// tried again; 10 s keeps the requests that try it far below 1%.
+const EVIDENCE_HALF_LIFE_MS: f64 = 10_000.0;
+
+/// Multiple of the reference from which an executor counts as slow.
+const SLOW_FACTOR: f64 = 1.8;
+
+/// Multiple below which a slow executor counts as fast again.
+const FAST_AGAIN_FACTOR: f64 = 1.5;
+
+/// Slots and queue of a node for one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Free slots of executors that are not slow.
+    pub free: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Slots of executors that are not slow.
+    pub slots: u32,
+    /// Mean service time in milliseconds.
+    pub mean_ms: f64,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Own free slot.
+    Own,
+    /// Peer with this index.
+    Peer(usize),
+    /// Own queue.
+    Wait,
+    /// No node has a slot.
+    Nowhere,
+}
+
+impl Load {
+    /// Expected delay of a request that arrives now, in milliseconds.
+    #[must_use]
+    pub fn expected_wait_ms(&self) -> f64 {
+        if self.slots == 0 {
+            return f64::INFINITY;
+        }
+        if self.free > self.waiting {
+            return 0.0;
+        }
+        f64::from(self.waiting + 1 - self.free) * self.mean_ms / f64::from(self.slots)
+    }
+}
+
+/// Chooses the place of a request; `random` breaks ties between peers.
+#[must_use]
+pub fn place(own: &Load, peers: &[Load], random: u64) -> Place {
+    if own.free > own.waiting {
+        return Place::Own;
+    }
+    let own_ms = own.expected_wait_ms();
+    let best = best_peer(peers, random);
+    match best {
+        Some((index, peer_ms)) if peer_ms + HOPS_MS < own_ms => Place::Peer(index),
+        _ if own.slots > 0 => Place::Wait,
+        _ => Place::Nowhere,
+    }
+}
+
+/// Chooses the place of the request that is last in the own queue.
+#[must_use]
+pub fn place_last(own: &Load, peers: &[Load], random: u64) -> Place {
+    let before_it = Load {
+        waiting: own.waiting.saturating_sub(1),
+        ..*own
+    };
+    place(&before_it, peers, random)
+}
+
+/// Peer with the shortest expected wait, the one with most free slots among those without a wait.
+fn best_peer(peers: &[Load], random: u64) -> Option<(usize, f64)> {
+    let count = peers.len();
+    let start = usize::try_from(random % u64::try_from(count.max(1)).unwrap_or(1)).unwrap_or(0);
+    let mut best: Option<(usize, f64, u32)> = None;
+    for step in 0..count {
+        let index = (start + step) % count;
+        let wait_ms = peers[index].expected_wait_ms();
+        let free = peers[index].free;
+        let better = match best {
+            None => wait_ms.is_finite(),
+            Some((_, best_ms, best_free)) => {
+                wait_ms < best_ms || (wait_ms == best_ms && free > best_free)
+            }
+        };
+        if better {
+            best = Some((index, wait_ms, free));
+        }
+    }
+    best.map(|(index, wait_ms, _)| (index, wait_ms))
+}
+
+/// Whether an idle node gains by pulling requests that wait at a peer.
+#[must_use]
+pub fn worth_pulling(peer: &Load) -> bool {
+    peer.waiting > 0 && peer.expected_wait_ms() > HOPS_MS
+}
+
+/// Executor as the choice sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Requests in progress.
+    pub in_use: u32,
+    /// Requests that it takes at once.
+    pub slots: u32,
+    /// Mean service time in milliseconds.
+    pub mean_ms: f64,
+}
+
+/// Chooses the executor with the least work per slot; `random` breaks ties.
+#[must_use]
+pub fn executor(candidates: &[Candidate], random: u64) -> Option<usize> {
+    let count = candidates.len();
+    let start = usize::try_from(random % u64::try_from(count.max(1)).unwrap_or(1)).unwrap_or(0);
+    let order = (0..count).map(|step| (start + step) % count);
+    let with_room = order.filter(|index| candidates[*index].in_use < candidates[*index].slots);
+    with_room.min_by(|a, b| candidates[*a].work().total_cmp(&candidates[*b].work()))
+}
+
+impl Candidate {
+    fn work(&self) -> f64 {
+        f64::from(self.in_use + 1) / f64::from(self.slots.max(1)) * self.mean_ms
+    }
+}
+
+/// Whether a waiting request should take a slot of a slow executor.
+///
+/// It should if the wait for a fast one exceeds what the slow one costs more.
+#[must_use]
+pub fn use_slow(fast: &Load, slow_mean_ms: f64) -> bool {
+    fast.expected_wait_ms() > slow_mean_ms - fast.mean_ms
+}
+
+/// Estimate of an executor's mean service time.
+///
+/// Requests in progress count with their age, which is the maximum-likelihood
+/// estimate for exponential times. An executor that stops answering is
+/// recognised without waiting for its answers.
+#[derive(Clone, Debug, Default)]
+pub struct Speed {
+    completed: f64,
+    busy_ms: f64,
+    aged_ms: u64,
+    in_use: u32,
+    started_sum_ms: u64,
+    slow: bool,
+}
+
+impl Speed {
+    /// Counts a request that starts now.
+    pub fn start(&mut self, now_ms: u64) {
+        self.in_use += 1;
+        self.started_sum_ms += now_ms;
+    }
+
+    /// Counts the end of a request; without an answer it gives no evidence of speed.
+    pub fn end(&mut self, started_ms: u64, now_ms: u64, answered: bool) {
+        self.in_use = self.in_use.saturating_sub(1);
+        self.started_sum_ms = self.started_sum_ms.saturating_sub(started_ms);
+        if !answered {
+            return;
+        }
+        self.fade(now_ms);
+        let keep = 1.0 - 1.0 / SPEED_WINDOW;
+        self.completed = self.completed * keep + 1.0;
+        self.busy_ms = self.busy_ms * keep + now_ms.saturating_sub(started_ms) as f64;
+    }
+
+    /// Mean service time, drawn towards the reference while there is little evidence.
+    #[must_use]
+    pub fn mean_ms(&self, now_ms: u64, reference_ms: f64) -> f64 {
+        let ages_ms = (u64::from(self.in_use) * now_ms).saturating_sub(self.started_sum_ms) as f64;
+        let weight = self.faded(now_ms);
+        let busy_ms = self.busy_ms * weight + ages_ms + PRIOR_COMPLETIONS * reference_ms;
+        busy_ms / (self.completed * weight + PRIOR_COMPLETIONS)
+    }
+
+    /// Mean of the answers alone, if there are enough of them.
+    #[must_use]
+    pub fn answered_mean_ms(&self, now_ms: u64) -> Option<f64> {
+        let enough = self.completed * self.faded(now_ms) >= PRIOR_COMPLETIONS;
+        enough.then(|| self.busy_ms / self.completed)
+    }
+
+    /// Updates and returns whether the executor is slow, with hysteresis.
+    pub fn update_slow(&mut self, now_ms: u64, reference_ms: f64) -> bool {
+        let factor = if self.slow {
+            FAST_AGAIN_FACTOR
+        } else {
+            SLOW_FACTOR
+        };
+        self.slow = self.mean_ms(now_ms, reference_ms) > factor * reference_ms;
+        self.slow
+    }
+
+    /// Whether the executor was slow at the last update.
+    #[must_use]
+    pub fn is_slow(&self) -> bool {
+        self.slow
+    }
+
+    fn faded(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.aged_ms) as f64;
+        0.5_f64.powf(age_ms / EVIDENCE_HALF_LIFE_MS)
+    }
+
+    fn fade(&mut self, now_ms: u64) {
+        let weight = self.faded(now_ms);
+        self.completed *= weight;
+        self.busy_ms *= weight;
+        self.aged_ms = now_ms;
+    }
+}
+
+/// Median of the means, as the reference of what is usual.
+#[must_use]
+pub fn reference_ms(means: &mut [f64]) -> f64 {
+    if means.is_empty() {
+        return ASSUMED_SERVICE_MS;
+    }
+    let middle = (means.len() - 1) / 2;
+    let (_, median, _) = means.select_nth_unstable_by(middle, f64::total_cmp);
+    *median
+}
--- a/hemlocksaddle-types/src/peer.rs
+++ b/hemlocksaddle-types/src/peer.rs
@@ -70,7 +70,7 @@
     pub racks: Vec<RackSummary>,
 }
 
-/// Free slots of one node for one service.
+/// Free slots of one node for one service, without those of slow executors.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotSummary {
     /// Service.
@@ -81,6 +81,9 @@
     pub total: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Mean service time in microseconds; 0 if it is not known.
+    #[serde(default)]
+    pub mean_us: u32,
 }
 
 /// Free resources of a rack.
@@ -236,6 +239,8 @@
     Documents(Vec<RelayedDocument>, Offset),
     /// Answer to a quick request.
     Quick(QuickResponse),
+    /// Answer to a forwarded request, with the slots of the node that ran it.
+    Ran(QuickResponse, SlotSummary),
     /// Requests handed over.
     Pulled(Vec<QuickRequest>),
     /// Job is accepted, newly or before.
--- a/hemlocksaddle-types/src/request.rs
+++ b/hemlocksaddle-types/src/request.rs
@@ -1,6 +1,6 @@
 //! Quick requests and their responses.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, fmt, sync::Arc};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,15 @@
     pub number: u64,
 }
 
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:x}/{:x}", self.node, self.started_ms, self.number)
+    }
+}
+
+/// Header that carries the identifier to a target; a target may return it with its answer.
+pub const REQUEST_ID_HEADER: &str = "request-id";
+
 /// Request with an answer, checked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuickRequest {
