--- /dev/null
+++ b/hemlocksaddle-fakes/src/cluster.rs
@@ -0,0 +1,235 @@
+//! Real nodes on a platform: start, death, pause, planned stop, and calls from outside.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::Future,
+    rc::Rc,
+};
+
+use futures_channel::oneshot;
+use hemlocksaddle_node::{
+    core::Part,
+    invariant::{Invariant, OnViolation},
+    node::Node,
+    queue::Queues,
+    rack::Racks,
+    requests::Requests,
+};
+use hemlocksaddle_types::{
+    clock::Millis,
+    host::{HostRole, HostState},
+};
+
+use crate::{
+    judge::Rule,
+    platform::{Deployment, Platform},
+    runtime::ENVIRONMENT,
+};
+
+/// Interval at which the documents in force and the host list are looked at.
+const WATCH: Millis = Millis(500);
+
+/// Running node with the parts that callers reach.
+#[derive(Clone)]
+pub struct Member {
+    /// Node.
+    pub node: Rc<Node>,
+    /// Quick requests.
+    pub requests: Rc<Requests>,
+    /// Jobs.
+    pub queues: Rc<Queues>,
+    started_ms: u64,
+    /// Calls that were not answered yet.
+    calls: Rc<Cell<u64>>,
+    leaving: Rc<Cell<bool>>,
+}
+
+/// Nodes of one run.
+pub struct Cluster {
+    /// Platform that the nodes run on.
+    pub platform: Rc<Platform>,
+    members: RefCell<BTreeMap<usize, Member>>,
+    disturbances: Cell<u64>,
+    disturbed_ms: Cell<u64>,
+}
+
+impl Cluster {
+    /// All nodes of a deployment, started.
+    #[must_use]
+    pub fn start(deployment: Deployment, seed: u64) -> Rc<Cluster> {
+        let cluster = Rc::new(Cluster {
+            platform: Platform::new(deployment, seed),
+            members: RefCell::default(),
+            disturbances: Cell::default(),
+            disturbed_ms: Cell::default(),
+        });
+        (0..cluster.platform.nodes.len()).for_each(|index| cluster.start_node(index));
+        let watching = cluster.clone();
+        cluster.platform.sim.spawn(ENVIRONMENT, async move {
+            loop {
+                watching.platform.sim.sleep(WATCH).await;
+                watching.watch();
+            }
+        });
+        cluster
+    }
+
+    /// Starts a node unless it runs.
+    pub fn start_node(&self, index: usize) {
+        if self.members.borrow().contains_key(&index) {
+            return;
+        }
+        let platform = &self.platform;
+        let peer = &platform.nodes[index];
+        let mut parts = None;
+        let (ports, settings) = (platform.ports(peer), platform.settings(peer));
+        let node = Node::with_parts(ports, settings, OnViolation::Record, |core| {
+            let requests = Requests::new(core.clone());
+            let queues = Queues::new(core.clone());
+            let racks = Racks::new(core.clone());
+            queues.attach_racks(racks.clone());
+            queues.attach_guard(requests.guards());
+            parts = Some((requests.clone(), queues.clone()));
+            let all: [Rc<dyn Part>; 3] = [requests, queues, racks];
+            all.to_vec()
+        });
+        let Some((requests, queues)) = parts else {
+            return;
+        };
+        let accepting = node.clone();
+        platform.listen(peer, move |link| accepting.accept_peer(link));
+        node.start();
+        let member = Member {
+            node,
+            requests,
+            queues,
+            started_ms: platform.sim.now().0,
+            calls: Rc::default(),
+            leaving: Rc::default(),
+        };
+        self.members.borrow_mut().insert(index, member);
+    }
+
+    /// Ends a node's process at once.
+    pub fn kill_node(&self, index: usize) {
+        let name = &self.platform.nodes[index].node;
+        let member = self.members.borrow_mut().remove(&index);
+        self.platform.sim.kill(name);
+        self.platform.hang_up(name);
+        if let Some(member) = member {
+            for (invariant, detail) in member.node.core().invariants.recorded() {
+                let detail = format!("asserted by {name}: {detail}");
+                self.platform
+                    .judges
+                    .report(Rule::Invariant(invariant), detail);
+            }
+        }
+    }
+
+    /// Stops a node as planned; returns whether it ended by itself before the span.
+    pub async fn stop_node(&self, index: usize, within: Millis) -> bool {
+        let Some(member) = self.member(index) else {
+            return true;
+        };
+        member.leaving.set(true);
+        let stopped = self.call(index, |member| async move { member.node.stop().await });
+        let timeout = self.platform.sim.sleep(within);
+        let ended = futures_util::future::select(Box::pin(stopped), timeout).await;
+        let ended = matches!(ended, futures_util::future::Either::Left((Some(()), _)));
+        if ended && member.calls.get() > 0 {
+            let detail = format!("node {index} ended with {} calls", member.calls.get());
+            self.platform
+                .judges
+                .report(Rule::Invariant(Invariant::GracefulStop), detail);
+        }
+        self.kill_node(index);
+        ended
+    }
+
+    /// Node that runs, by its number.
+    #[must_use]
+    pub fn member(&self, index: usize) -> Option<Member> {
+        self.members.borrow().get(&index).cloned()
+    }
+
+    /// Numbers of the nodes that take new callers.
+    #[must_use]
+    pub fn serving(&self) -> Vec<usize> {
+        let members = self.members.borrow();
+        let serving = members.iter().filter(|(_, member)| !member.leaving.get());
+        serving.map(|(index, _)| *index).collect()
+    }
+
+    /// Calls a node in its own process; `None` if the process ends before it answers.
+    pub async fn call<T: 'static, F: Future<Output = T> + 'static>(
+        &self,
+        index: usize,
+        call: impl FnOnce(Member) -> F,
+    ) -> Option<T> {
+        let member = self.member(index)?;
+        let calls = member.calls.clone();
+        let future = call(member);
+        let (answer, answered) = oneshot::channel();
+        let node = &self.platform.nodes[index].node;
+        let process = self.platform.sim.node_process(node);
+        calls.set(calls.get() + 1);
+        self.platform.sim.spawn(process, async move {
+            let output = future.await;
+            calls.set(calls.get() - 1);
+            let _ = answer.send(output);
+        });
+        answered.await.ok()
+    }
+
+    /// Takes note that a fault begins or ends that may keep documents from nodes.
+    pub fn disturb(&self, begins: bool) {
+        let count = self.disturbances.get();
+        self.disturbances
+            .set(if begins { count + 1 } else { count - 1 });
+        self.disturbed_ms.set(self.platform.sim.now().0);
+    }
+
+    fn watch(&self) {
+        let platform = &self.platform;
+        let now = platform.sim.now().0;
+        if self.disturbances.get() > 0 {
+            self.disturbed_ms.set(now);
+        }
+        let members = self.members.borrow().clone();
+        for (index, member) in members.iter().filter(|(_, member)| member.node.is_ready()) {
+            let documents = member.node.documents().into_iter();
+            let documents: Vec<_> = documents
+                .map(|(document, revision)| (document.service.clone(), revision))
+                .collect();
+            let calm_ms = now - member.started_ms.max(self.disturbed_ms.get());
+            let name = &platform.nodes[*index].node;
+            platform
+                .judges
+                .in_force(name, member.started_ms, &documents, calm_ms);
+        }
+        self.watch_hosts();
+    }
+
+    /// Tells the judges what the host list shows.
+    fn watch_hosts(&self) {
+        let platform = &self.platform;
+        let hosts = platform.served_hosts().hosts;
+        for index in 0..platform.deployment.data_centres.len() {
+            let data_centre = platform.deployment.data_centre(index);
+            let mut workers = hosts.iter().filter(|host| {
+                host.data_centre == data_centre && matches!(host.role, HostRole::Worker { .. })
+            });
+            if workers.all(|host| host.state != HostState::Live) {
+                platform.judges.take_out("hosts", &data_centre);
+            } else {
+                platform.judges.take_in("hosts", &data_centre);
+            }
+        }
+        for host in hosts {
+            if matches!(host.role, HostRole::Executor { .. }) {
+                platform.set_leaving(&host.address, host.state != HostState::Live);
+            }
+        }
+    }
+}
--- a/hemlocksaddle-fakes/src/judge.rs
+++ b/hemlocksaddle-fakes/src/judge.rs
@@ -19,6 +19,7 @@
     outcome::{ResultCode, RunState},
     record::{Batch, Publish, Record, Stream},
     resources::Resources,
+    unit::Term,
     worker::StartTask,
 };
 
@@ -66,6 +67,7 @@
     attempt: Attempt,
     place: Option<WorkerName>,
     completed: bool,
+    ran_to_end: bool,
     /// Checkpoints from which the next attempt may resume; `None` stands for the start.
     bases: Vec<Option<Arc<str>>>,
 }
@@ -74,10 +76,12 @@
 struct State {
     violations: Vec<Violation>,
     writers: BTreeMap<(Stream, NodeName, u64), u64>,
+    terms: BTreeMap<Stream, Term>,
     documents: BTreeMap<ServiceName, (Revision, u64)>,
     applied: BTreeMap<(NodeName, u64, ServiceName), Revision>,
     out: BTreeMap<(Arc<str>, DataCentre), u64>,
     jobs: BTreeMap<JobId, JobSpec>,
+    results: BTreeMap<JobId, ResultCode>,
     tasks: BTreeMap<TaskId, TaskHistory>,
     started_keys: BTreeSet<Arc<str>>,
     runs: BTreeMap<Arc<str>, u32>,
@@ -177,27 +181,80 @@
         }
     }
 
-    /// Takes note of a batch that is in the log now.
+    /// Takes note of a batch that is in the log now, unless the readers' rules make it void.
     pub fn logged(&self, stream: Stream, batch: &Batch) {
         let writer = (stream, batch.id.node.clone(), batch.id.started_ms);
-        let valid = {
-            let writers = &mut self.state.borrow_mut().writers;
-            let last = writers.entry(writer).or_default();
-            let valid = batch.id.number > *last;
-            *last = batch.id.number.max(*last);
-            valid
-        };
-        for record in batch.records.iter().filter(|_| valid) {
+        {
+            let state = &mut *self.state.borrow_mut();
+            let last = state.writers.entry(writer).or_default();
+            let term = state.terms.entry(stream).or_default();
+            if batch.id.number <= *last || batch.term < *term {
+                return;
+            }
+            (*last, *term) = (batch.id.number, batch.term);
+        }
+        for record in &batch.records {
             match record {
                 Record::Publish(publish) => self.published(publish),
                 Record::JobAccepted { job, spec, .. } => {
                     self.state.borrow_mut().jobs.insert(*job, spec.clone());
                 }
+                Record::JobEnded { job, result, .. } => self.job_ended(*job, *result),
                 _ => {}
             }
         }
     }
 
+    fn job_ended(&self, job: JobId, result: ResultCode) {
+        let Some(spec) = self.spec(job) else {
+            return;
+        };
+        let before = self.state.borrow_mut().results.insert(job, result);
+        self.check(
+            before.is_none_or(|before| before == result),
+            Invariant::OwnAnswer,
+            || format!("job {job} ended with {before:?} and then with {result:?}"),
+        );
+        if let (RunState::NotRun, Some(key)) = (result.run_state(), &spec.key) {
+            self.refused(&key.clone().into());
+        }
+        let completed = {
+            let state = self.state.borrow();
+            let tasks = (0..spec.tasks).filter_map(|index| state.tasks.get(&TaskId { job, index }));
+            tasks.filter(|task| task.ran_to_end).count()
+        };
+        let whole = result != ResultCode::Completed || completed == spec.tasks as usize;
+        self.check(whole, Invariant::OwnAnswer, || {
+            format!(
+                "job {job} is reported as completed, with {completed} of {} tasks",
+                spec.tasks
+            )
+        });
+    }
+
+    /// Jobs that the log holds as accepted and not as ended.
+    #[must_use]
+    pub fn unsettled_jobs(&self) -> Vec<JobId> {
+        let state = self.state.borrow();
+        let jobs = state
+            .jobs
+            .keys()
+            .filter(|job| !state.results.contains_key(job));
+        jobs.copied().collect()
+    }
+
+    /// Number of jobs that the log holds as accepted.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.state.borrow().jobs.len()
+    }
+
+    /// Result of a job that the log holds.
+    #[must_use]
+    pub fn result(&self, job: JobId) -> Option<ResultCode> {
+        self.state.borrow().results.get(&job).copied()
+    }
+
     fn published(&self, publish: &Publish) {
         let Ok(document) = Document::try_from(publish.text.clone()) else {
             return;
@@ -233,16 +290,6 @@
         self.keep_out(source, |out| out != data_centre);
     }
 
-    /// Latest accepted revision of each service.
-    #[must_use]
-    pub fn revisions(&self) -> Vec<(ServiceName, Revision)> {
-        let state = self.state.borrow();
-        let documents = state.documents.iter();
-        documents
-            .map(|(name, (revision, _))| (name.clone(), *revision))
-            .collect()
-    }
-
     /// Judges the documents in force at a node; `calm_ms` is how long nothing has kept it from the log.
     pub fn in_force(
         &self,
@@ -377,6 +424,7 @@
             return;
         }
         history.place = None;
+        history.ran_to_end |= end == Some(&TaskEnd::Completed);
         if let Some(checkpoint) = end.and_then(checkpoint_of) {
             self.count(|counts| counts.evictions += 1);
             history.bases.push(Some(checkpoint));
--- a/hemlocksaddle-fakes/src/lib.rs
+++ b/hemlocksaddle-fakes/src/lib.rs
@@ -6,12 +6,16 @@
 
 #![forbid(unsafe_code)]
 
+pub mod cluster;
 pub mod hosts;
 pub mod judge;
 pub mod log;
 pub mod network;
 pub mod peers;
 pub mod platform;
+pub mod run;
 pub mod runtime;
+pub mod schedule;
 pub mod targets;
 pub mod workers;
+pub mod workload;
--- /dev/null
+++ b/hemlocksaddle-fakes/src/run.rs
@@ -0,0 +1,170 @@
+//! Randomised run: real nodes, drawn work, drawn faults, and a verdict.
+
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+use hemlocksaddle_types::{clock::Millis, job::JobId};
+use serde::Serialize;
+
+use crate::{
+    cluster::Cluster,
+    judge::Rule,
+    platform::Deployment,
+    runtime::ENVIRONMENT,
+    schedule::{Planned, draw},
+    workload::Workload,
+};
+
+/// Longest time that everything may take to settle after the last fault.
+const SETTLE: Millis = Millis(30 * 60_000);
+/// Interval at which a run looks whether everything has settled.
+const LOOK: Millis = Millis(1_000);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Seed of work, faults and interleaving.
+    pub seed: u64,
+    /// Time for which work arrives and faults strike.
+    pub span: Millis,
+    /// Faults that are left out, by their number.
+    pub skipped: BTreeSet<usize>,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Outcome {
+    /// Seed.
+    pub seed: u64,
+    /// Hash over the order in which all tasks ran.
+    pub trace_hash: String,
+    /// Virtual time until everything had settled, in milliseconds.
+    pub settled_ms: u64,
+    /// Faults with their numbers.
+    pub faults: Vec<String>,
+    /// Results of quick requests by code; 0 stands for a node that died.
+    pub results: BTreeMap<u16, u64>,
+    /// Jobs that the log holds as accepted.
+    pub jobs: usize,
+    /// Task starts.
+    pub task_starts: u64,
+    /// Appends to the log.
+    pub appends: u64,
+    /// 99th percentile of the latency of quick requests that completed, in milliseconds.
+    pub quick_p99_ms: u64,
+    /// Batch work that completed, in cores.
+    pub work_cores: f64,
+    /// Tasks that were evicted.
+    pub evictions: u64,
+    /// Batch work that completed while a data centre left and returned, in cores.
+    pub work_in_changes_cores: f64,
+    /// Violations and what did not settle.
+    pub violations: Vec<String>,
+}
+
+/// Runs a plan to its end.
+#[must_use]
+pub fn run(plan: &Plan) -> Outcome {
+    let cluster = Cluster::start(plan.deployment.clone(), plan.seed);
+    let sim = cluster.platform.sim.clone();
+    let workload = Workload::start(&cluster, plan.seed);
+    let planned = draw(plan.seed, plan.span);
+    let kept = planned.iter().enumerate();
+    let kept = kept.filter(|(number, _)| !plan.skipped.contains(number));
+    let changes = Rc::new(Cell::new((0, 0)));
+    let striking = Rc::new(Cell::new(0));
+    for (_, fault) in kept.clone() {
+        striking.set(striking.get() + 1);
+        let (workload, striking) = (workload.clone(), striking.clone());
+        let strike = strike(workload, *fault, changes.clone());
+        sim.spawn(ENVIRONMENT, async move {
+            strike.await;
+            striking.set(striking.get() - 1);
+        });
+    }
+    sim.run_for(plan.span);
+    workload.end();
+    let mut left = Vec::new();
+    for _ in 0..SETTLE.0 / LOOK.0 {
+        sim.run_for(LOOK);
+        left = cluster.platform.judges.unsettled_jobs();
+        if left.is_empty() && workload.open.get() == 0 && striking.get() == 0 {
+            break;
+        }
+    }
+    report_unsettled(&workload, &left, striking.get());
+    (0..cluster.platform.nodes.len()).for_each(|index| cluster.kill_node(index));
+    let faults = kept
+        .map(|(number, fault)| describe(number, fault))
+        .collect();
+    let outcome = summary(plan.seed, &workload, faults, changes.get());
+    sim.close();
+    outcome
+}
+
+async fn strike(workload: Rc<Workload>, fault: Planned, changes: Rc<Cell<(u64, u64)>>) {
+    let cluster = workload.cluster.clone();
+    let sim = &cluster.platform.sim;
+    sim.sleep_until(fault.at.0 * 1_000).await;
+    let (began, before) = (sim.now().0, cluster.platform.judges.counts().work_core_ms);
+    workload.strike(fault).await;
+    if fault.kind.is_change() {
+        let (span_ms, core_ms) = changes.get();
+        let done = cluster.platform.judges.counts().work_core_ms - before;
+        changes.set((span_ms + sim.now().0 - began, core_ms + done));
+    }
+}
+
+fn report_unsettled(workload: &Workload, left: &[JobId], striking: usize) {
+    let judges = &workload.cluster.platform.judges;
+    for job in left {
+        judges.report(Rule::Unsettled, format!("job {job} has no result"));
+    }
+    let open = workload.open.get();
+    if open > 0 || striking > 0 {
+        let detail = format!("{open} calls have no answer, {striking} faults did not end");
+        judges.report(Rule::Unsettled, detail);
+    }
+}
+
+fn describe(number: usize, fault: &Planned) -> String {
+    format!(
+        "{number}: at {} for {}: {:?}",
+        fault.at, fault.lasts, fault.kind
+    )
+}
+
+fn summary(seed: u64, workload: &Workload, faults: Vec<String>, changes: (u64, u64)) -> Outcome {
+    let platform = &workload.cluster.platform;
+    let counts = platform.judges.counts();
+    let mut latencies = workload.latencies.take();
+    latencies.sort_unstable();
+    let cores = |core_ms: u64, span_ms: u64| core_ms as f64 / span_ms.max(1) as f64;
+    let violations = platform.judges.violations().into_iter();
+    let violations =
+        violations.map(|found| format!("{} {:?}: {}", found.at, found.rule, found.detail));
+    let settled_ms = platform.sim.now().0;
+    Outcome {
+        seed,
+        trace_hash: format!("{:016x}", platform.sim.trace_hash()),
+        settled_ms,
+        faults,
+        results: workload.results.take(),
+        jobs: platform.judges.jobs(),
+        task_starts: counts.starts,
+        appends: counts.appends,
+        quick_p99_ms: latencies
+            .get(latencies.len() * 99 / 100)
+            .copied()
+            .unwrap_or(0),
+        work_cores: cores(counts.work_core_ms, settled_ms),
+        evictions: counts.evictions,
+        work_in_changes_cores: cores(changes.1, changes.0),
+        violations: violations.collect(),
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-fakes/src/workload.rs
@@ -0,0 +1,344 @@
+//! Callers and operators: quick requests, jobs of all kinds, publications.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use hemlocksaddle_node::invariant::Invariant;
+use hemlocksaddle_types::{
+    clock::Millis,
+    document::Revision,
+    job::{JobId, JobSpec, Urgency},
+    outcome::{ResultCode, RunState},
+    request::{QuickRequest, QuickResponse, RequestId},
+    resources::Resources,
+};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{cluster::Cluster, judge::Rule, platform::name, runtime::ENVIRONMENT, workers::Truth};
+
+/// Mean time between quick requests at the usual load, per executor.
+const REQUEST_EVERY_US: u64 = 600_000;
+/// Mean time between jobs, per worker.
+const JOB_EVERY_US: u64 = 60_000_000;
+/// Pause before a caller repeats a call.
+const AGAIN: Millis = Millis(2_000);
+/// Times that a caller submits a job.
+const SUBMISSIONS: u32 = 8;
+
+/// What callers and operators did.
+pub struct Workload {
+    /// Nodes.
+    pub cluster: Rc<Cluster>,
+    /// Share of the usual load, in percent.
+    pub load_percent: Cell<u64>,
+    /// Data centres that operators want out.
+    pub out: RefCell<BTreeSet<&'static str>>,
+    /// Calls that wait for an answer.
+    pub open: Cell<u64>,
+    /// Latencies of quick requests that completed, in milliseconds.
+    pub latencies: RefCell<Vec<u64>>,
+    /// Results of quick requests by code; 0 stands for none.
+    pub results: RefCell<BTreeMap<u16, u64>>,
+    /// Jobs that were acknowledged.
+    pub jobs: RefCell<Vec<JobId>>,
+    ended: Cell<bool>,
+    random: RefCell<Pcg64Mcg>,
+    published: RefCell<BTreeSet<Revision>>,
+}
+
+impl Workload {
+    /// Callers that begin at once.
+    #[must_use]
+    pub fn start(cluster: &Rc<Cluster>, seed: u64) -> Rc<Workload> {
+        let workload = Rc::new(Workload {
+            cluster: cluster.clone(),
+            load_percent: Cell::new(100),
+            out: RefCell::default(),
+            open: Cell::default(),
+            latencies: RefCell::default(),
+            results: RefCell::default(),
+            jobs: RefCell::default(),
+            ended: Cell::default(),
+            random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            published: RefCell::default(),
+        });
+        workload.spawn(workload.clone().publish());
+        let deployment = &cluster.platform.deployment;
+        let request_us = REQUEST_EVERY_US / deployment.executors as u64;
+        let job_us = JOB_EVERY_US / deployment.workers.0 as u64;
+        workload.spawn(workload.clone().repeat(request_us, |workload, number| {
+            workload.spawn(workload.clone().request(number));
+        }));
+        workload.spawn(workload.clone().repeat(job_us, |workload, number| {
+            workload.spawn(workload.clone().job(number));
+        }));
+        workload
+    }
+
+    /// Ends the arrival of new work.
+    pub fn end(&self) {
+        self.ended.set(true);
+    }
+
+    fn spawn(&self, future: impl Future<Output = ()> + 'static) {
+        self.cluster.platform.sim.spawn(ENVIRONMENT, future);
+    }
+
+    /// Uniform random number below a bound.
+    pub fn below(&self, bound: u64) -> u64 {
+        self.random.borrow_mut().random_range(0..bound.max(1))
+    }
+
+    async fn sleep(&self, span: Millis) {
+        self.cluster.platform.sim.sleep(span).await;
+    }
+
+    /// Node that the balancer picks.
+    async fn entry(&self) -> usize {
+        loop {
+            let serving = self.cluster.serving();
+            if let Some(index) = serving.choose(&mut *self.random.borrow_mut()) {
+                return *index;
+            }
+            self.sleep(Millis(100)).await;
+        }
+    }
+
+    async fn repeat(self: Rc<Self>, mean_us: u64, arrive: impl Fn(&Rc<Workload>, u64)) {
+        for number in 0.. {
+            let wait_us = self.below(2 * mean_us) * 100 / self.load_percent.get().max(1);
+            let at_us = self.cluster.platform.sim.now_us() + wait_us;
+            self.cluster.platform.sim.sleep_until(at_us).await;
+            if self.ended.get() {
+                return;
+            }
+            arrive(&self, number);
+        }
+    }
+
+    async fn request(self: Rc<Self>, number: u64) {
+        let idempotent = self.below(10) < 7;
+        let tag: Arc<str> = format!("request-{number}").into();
+        let header = |key: &str, value: String| (Arc::from(key), Arc::from(value));
+        let request = QuickRequest {
+            id: RequestId {
+                node: name("caller"),
+                started_ms: 0,
+                number,
+            },
+            service: self.cluster.platform.service(),
+            key: (!idempotent).then(|| name(&tag)),
+            idempotent,
+            deadline_ms: Millis(500 + self.below(5_000)),
+            urgency: Urgency::Normal,
+            headers: BTreeMap::from([
+                header("tag", tag.to_string()),
+                header("service-ms", (10 + self.below(40)).to_string()),
+            ]),
+            body: Bytes::from(format!("order {number}")),
+        };
+        let repeated = (!idempotent && self.below(5) == 0).then(|| request.clone());
+        self.send(request, &tag, true).await;
+        if let Some(request) = repeated {
+            self.send(request, &tag, false).await;
+        }
+    }
+
+    async fn send(&self, mut request: QuickRequest, tag: &Arc<str>, first: bool) {
+        let sim = &self.cluster.platform.sim;
+        let (sent, entry) = (sim.now().0, self.entry().await);
+        let expected = [b"answer to ", &*request.body].concat();
+        self.open.set(self.open.get() + 1);
+        let answer: Option<QuickResponse> = self
+            .cluster
+            .call(entry, |member| async move {
+                request.id = member.requests.next_request_id();
+                member.requests.quick(request).await
+            })
+            .await;
+        self.open.set(self.open.get() - 1);
+        let code = answer.as_ref().map(|answer| answer.code);
+        let number = code.map_or(0, ResultCode::number);
+        *self.results.borrow_mut().entry(number).or_default() += 1;
+        let Some(answer) = answer else {
+            return;
+        };
+        let is_done = answer.code.run_state() == RunState::Done;
+        if first || is_done {
+            let whole = answer.body == expected;
+            self.cluster
+                .platform
+                .judges
+                .answered(tag, answer.code, whole);
+        }
+        if first && is_done {
+            self.latencies.borrow_mut().push(sim.now().0 - sent);
+        }
+    }
+
+    async fn job(self: Rc<Self>, number: u64) {
+        let spec = self.draw_job(number);
+        let tag: Arc<str> = format!("job-{number}").into();
+        let judges = &self.cluster.platform.judges;
+        for _ in 0..SUBMISSIONS {
+            let entry = self.entry().await;
+            let submitted = spec.clone();
+            self.open.set(self.open.get() + 1);
+            let answer = self
+                .cluster
+                .call(entry, |member| async move {
+                    member.queues.submit(submitted).await
+                })
+                .await;
+            self.open.set(self.open.get() - 1);
+            match answer {
+                Some(Ok(job)) => return self.accepted(job).await,
+                Some(Err((code, _))) if code.run_state() == RunState::NotRun => {
+                    judges.refused(&tag);
+                    if code == ResultCode::CanNeverRun {
+                        return;
+                    }
+                    self.sleep(AGAIN).await;
+                    judges.submitted_again(&tag);
+                }
+                _ => self.sleep(AGAIN).await,
+            }
+        }
+    }
+
+    /// Draws a job: sizes and run times are often declared wrongly, and some jobs can never run.
+    fn draw_job(&self, number: u64) -> JobSpec {
+        let tag = format!("job-{number}");
+        let kind = self.below(20);
+        let expected_run_ms = 2_000 + self.below(60_000);
+        let truth = Truth {
+            run_ms: expected_run_ms * [100, 100, 30, 300][self.below(4) as usize] / 100,
+            usage_percent: [100, 80, 100, 160][self.below(4) as usize],
+            fails: kind == 1,
+        };
+        self.cluster
+            .platform
+            .truths
+            .borrow_mut()
+            .insert(tag.as_str().into(), truth);
+        let capacity = self.cluster.platform.deployment.capacity;
+        let share = if kind == 0 { 40 } else { 1 + self.below(8) };
+        let deployment = &self.cluster.platform.deployment;
+        JobSpec {
+            service: self.cluster.platform.service(),
+            team: name(deployment.team),
+            key: Some(name(&tag)),
+            body_hash: number,
+            tasks: 1 + u32::try_from(self.below(4)).unwrap_or(0),
+            demand: Resources {
+                cpu_milli: capacity.cpu_milli * share / 16,
+                memory_mb: capacity.memory_mb * share / 20,
+                accelerators: 0,
+            },
+            expected_run_ms,
+            urgency: [
+                Urgency::Urgent,
+                Urgency::Normal,
+                Urgency::Batch,
+                Urgency::Batch,
+            ][self.below(4) as usize],
+            idempotent: self.below(2) == 0,
+            resumable: self.below(2) == 0,
+            deadline_ms: None,
+        }
+    }
+
+    async fn accepted(&self, job: JobId) {
+        if self.cluster.platform.judges.spec(job).is_none() {
+            let detail = format!("job {job} was acknowledged but is not in the log");
+            self.cluster.platform.judges.report(Rule::Unsettled, detail);
+        }
+        self.jobs.borrow_mut().push(job);
+        match self.below(10) {
+            0 => {
+                let later = Millis(self.below(60_000));
+                self.sleep(later).await;
+                self.cancel(job).await;
+            }
+            1..4 => self.follow(job).await,
+            _ => {}
+        }
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: JobId) {
+        let entry = self.entry().await;
+        let call = |member: crate::cluster::Member| async move { member.queues.cancel(job).await };
+        let _ = self.cluster.call(entry, call).await;
+    }
+
+    /// Asks for a job's result until there is one, and compares it with the log.
+    async fn follow(&self, job: JobId) {
+        while !self.ended.get() {
+            let entry = self.entry().await;
+            let wait = Millis(10_000);
+            let call = |member: crate::cluster::Member| async move {
+                member.queues.job_status(job, wait).await
+            };
+            let Some(Ok(status)) = self.cluster.call(entry, call).await else {
+                self.sleep(AGAIN).await;
+                continue;
+            };
+            if let Some(result) = status.result {
+                let logged = self.cluster.platform.judges.result(job);
+                if logged != Some(result) {
+                    let detail = format!("job {job}: told {result:?}, log has {logged:?}");
+                    let rule = Rule::Invariant(Invariant::OwnAnswer);
+                    self.cluster.platform.judges.report(rule, detail);
+                }
+                return;
+            }
+        }
+    }
+
+    /// Cancels every second job that was acknowledged lately.
+    pub async fn cancel_wave(&self) {
+        let jobs: Vec<JobId> = self.jobs.borrow().iter().rev().take(40).copied().collect();
+        for job in jobs.into_iter().step_by(2) {
+            self.cancel(job).await;
+        }
+    }
+
+    /// Publishes what operators want until it is accepted.
+    pub async fn publish(self: Rc<Self>) {
+        while !self.publish_once().await {
+            self.sleep(AGAIN).await;
+        }
+    }
+
+    /// Publishes once, on the revision that the entry node has; returns whether it was accepted.
+    pub async fn publish_once(&self) -> bool {
+        let platform = &self.cluster.platform;
+        let out: Vec<&str> = self.out.borrow().iter().copied().collect();
+        let text: Arc<str> = platform.deployment.document(&out).into();
+        let (service, entry) = (platform.service(), self.entry().await);
+        let call = |member: crate::cluster::Member| async move {
+            let documents = member.node.documents();
+            let known = documents
+                .iter()
+                .find(|(document, _)| document.service == service);
+            let expected = known.map_or(Revision(0), |(_, revision)| *revision);
+            member.node.publish(service, expected, text).await
+        };
+        let Some(Ok(revision)) = self.cluster.call(entry, call).await else {
+            return false;
+        };
+        if !self.published.borrow_mut().insert(revision) {
+            let detail = format!("{revision:?} was acknowledged to two operators");
+            let rule = Rule::Invariant(Invariant::ConfigurationNeverReverts);
+            platform.judges.report(rule, detail);
+        }
+        true
+    }
+}
--- a/hemlocksaddle-node/src/requests/mod.rs
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -37,7 +37,7 @@
 use self::{guard::GuardTable, pool::Pool, route::Origin, sent::SentOnce, waiting::Grant};
 use crate::{
     burn::Burn,
-    core::{Core, Handler},
+    core::{Core, Handler, Part},
     invariant::Invariant,
     ports::PortFuture,
 };
@@ -363,6 +363,16 @@
     }
 }
 
+impl Part for Requests {
+    fn start(self: Rc<Self>) {
+        Requests::start(&self);
+    }
+
+    fn stop(self: Rc<Self>) -> PortFuture<'static, ()> {
+        Requests::stop(&self)
+    }
+}
+
 impl Handler for Requests {
     fn handle(&self, from: &NodeName, request: &Request) -> Option<PortFuture<'static, Response>> {
         let requests = self.me.upgrade()?;
