Test jobs, recovery and random faults of queues and racks

Change: calls that change state are handled in tasks of their own (detach). Attempts on a rack that changed its owner are in doubt until the new owner lists them. job_status asks again until the caller's wait is over. Conclusion: the thin path and recovery hold on stand-ins of the other parts.

--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod burn;
 pub mod core;
+pub mod detach;
 pub mod env;
 pub mod event;
 pub mod explain;
--- a/hemlocksaddle-node/src/queue/client.rs
+++ b/hemlocksaddle-node/src/queue/client.rs
@@ -99,7 +99,12 @@
             let left = ends.since(self.now());
             let request = Request::JobStatus(job, left);
             match self.try_owner(job.queue, request, left + REPLY_MS).await {
-                Tried::Answered(Response::JobStatus(status)) => return Ok(status),
+                Tried::Answered(Response::JobStatus(status)) => {
+                    // The owner bounds the wait of one call.
+                    if status.result.is_some() || self.now() >= ends {
+                        return Ok(status);
+                    }
+                }
                 Tried::Answered(Response::Refused(code, text)) => return Err((code, text)),
                 _ => self.pause(route_until).await?,
             }
--- a/hemlocksaddle-node/src/queue/mod.rs
+++ b/hemlocksaddle-node/src/queue/mod.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     core::{Core, Handler, Part},
+    detach::detached,
     explain::Subject,
     ports::PortFuture,
     rack::Racks,
@@ -287,18 +288,23 @@
 impl Handler for Queues {
     fn handle(&self, _from: &NodeName, request: &Request) -> Option<PortFuture<'static, Response>> {
         let queues = self.this.upgrade()?;
-        let request = request.clone();
-        match request {
+        let runtime = &*self.core.ports.runtime;
+        match request.clone() {
             Request::Submit(index, spec) => {
-                Some(Box::pin(async move { queues.accept(index, spec).await }))
+                let work = async move { queues.accept(index, spec).await };
+                Some(detached(runtime, work))
             }
             Request::JobStatus(job, wait) => {
                 Some(Box::pin(async move { queues.status(job, wait).await }))
             }
-            Request::Cancel(job) => Some(Box::pin(async move { queues.cancel_here(job).await })),
+            Request::Cancel(job) => {
+                let work = async move { queues.cancel_here(job).await };
+                Some(detached(runtime, work))
+            }
             Request::Explain(job) => Some(Box::pin(async move { queues.explain_here(job) })),
             Request::TaskEvent(event) => {
-                Some(Box::pin(async move { queues.take_event(event).await }))
+                let work = async move { queues.take_event(event).await };
+                Some(detached(runtime, work))
             }
             _ => None,
         }
--- a/hemlocksaddle-node/src/queue/recover.rs
+++ b/hemlocksaddle-node/src/queue/recover.rs
@@ -37,6 +37,9 @@
 /// Answers of one round: per rack whether it is settled, and what it knows.
 type Round = BTreeMap<RackName, (bool, Vec<KnownTask>)>;
 
+/// Owners of all racks.
+type Owners = BTreeMap<RackName, Option<NodeName>>;
+
 impl Queues {
     /// Runs a queue from take-over until it is closed.
     pub(super) async fn run(self: Rc<Self>, queue: Rc<Queue>) {
@@ -76,7 +79,7 @@
 
     async fn look_for_attempts(self: Rc<Self>, queue: &Rc<Queue>) {
         let mut compared_ms = self.now();
-        let mut owners = BTreeMap::new();
+        let mut owners = Owners::new();
         while queue.stage.get() != Stage::Closed && self.running.get() {
             self.core.ports.runtime.sleep(ROUND_MS).await;
             let now_owners = self.rack_owners();
@@ -87,7 +90,7 @@
                 continue;
             }
             if moved {
-                queue.doubtful.set(true);
+                self.doubt_moved(queue, &owners, &now_owners);
                 owners = now_owners;
             }
             compared_ms = self.now();
@@ -108,7 +111,7 @@
         racks.collect()
     }
 
-    fn rack_owners(&self) -> BTreeMap<RackName, Option<NodeName>> {
+    fn rack_owners(&self) -> Owners {
         let owner = |rack: RackName| {
             let unit = hemlocksaddle_types::unit::Unit::Rack(rack.clone());
             (rack, self.core.ownership.owner(&unit))
@@ -116,6 +119,19 @@
         self.known_racks().into_iter().map(owner).collect()
     }
 
+    /// Puts attempts in doubt whose rack has another owner, until that owner has listed them.
+    fn doubt_moved(&self, queue: &Queue, before: &Owners, after: &Owners) {
+        let moved = |rack: &RackName| before.get(rack) != after.get(rack);
+        let mut jobs = queue.jobs.borrow_mut();
+        let live = jobs.jobs.values_mut().flat_map(|job| job.live.values_mut());
+        for live in live {
+            if live.phase == LivePhase::Running && live.rack.as_ref().is_some_and(moved) {
+                live.phase = LivePhase::Unknown;
+            }
+        }
+        queue.doubtful.set(true);
+    }
+
     /// Asks all nodes for the queue's attempts.
     async fn ask_all(&self, queue: &Queue) -> Round {
         let own = self.core.settings.node.clone();
--- a/hemlocksaddle-node/src/rack/mod.rs
+++ b/hemlocksaddle-node/src/rack/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     core::{Core, Handler, Part},
+    detach::detached,
     ports::PortFuture,
 };
 
@@ -312,9 +313,8 @@
         match request {
             Request::Place(order) => {
                 let order = order.clone();
-                Some(Box::pin(async move {
-                    Response::Placed(racks.place(order).await)
-                }))
+                let work = async move { Response::Placed(racks.place(order).await) };
+                Some(detached(&*self.core.ports.runtime, work))
             }
             Request::TasksOf(queue) => {
                 let tasks = self.tasks_of(*queue);
--- /dev/null
+++ b/hemlocksaddle-node/tests/batch/main.rs
@@ -0,0 +1,7 @@
+//! Tests of queues and racks on the virtual clock.
+
+mod jobs;
+mod leaving;
+mod recovery;
+mod workers;
+mod world;
--- /dev/null
+++ b/hemlocksaddle-node/tests/batch/workers.rs
@@ -0,0 +1,383 @@
+//! Workers in memory, with faults and a judge.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use hemlocksaddle_fakes::runtime::SimRuntime;
+use hemlocksaddle_node::ports::{PortError, PortFuture, Result, Workers};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    job::{Attempt, Checkpoint, JobId, TaskEnd, TaskId},
+    name::WorkerName,
+    resources::Resources,
+    worker::{EndedTask, Renew, RunningTask, StartReply, StartTask, WorkerReport},
+};
+
+/// One attempt on a worker as it was seen from outside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Run {
+    pub(crate) task: TaskId,
+    pub(crate) attempt: Attempt,
+    pub(crate) worker: WorkerName,
+    pub(crate) from_ms: u64,
+    pub(crate) until_ms: Option<u64>,
+    pub(crate) checkpoint: Option<Checkpoint>,
+    pub(crate) completed: bool,
+    /// Time at which the rack's owner acknowledged the report of the completion.
+    pub(crate) acknowledged_ms: Option<u64>,
+}
+
+struct Task {
+    order: StartTask,
+    started_ms: u64,
+    lease_until_ms: u64,
+    throttled: bool,
+    run: usize,
+}
+
+pub(crate) struct Worker {
+    pub(crate) capacity: Resources,
+    /// Worker's clock is this far ahead of the true time.
+    clock_ahead_ms: u64,
+    incarnation: u64,
+    tasks: BTreeMap<(TaskId, Attempt), Task>,
+    ended: Vec<EndedTask>,
+    /// Calls are not answered, although they may take effect.
+    pub(crate) deaf: bool,
+    /// Every task fails at once.
+    pub(crate) failing: bool,
+    /// Answers to start orders are lost.
+    pub(crate) lose_start_answers: bool,
+    /// Reported slowdown in thousandths.
+    pub(crate) slowdown_milli: u64,
+}
+
+/// All workers.
+pub(crate) struct Platform {
+    sim: SimRuntime,
+    pub(crate) workers: RefCell<BTreeMap<WorkerName, Worker>>,
+    pub(crate) runs: RefCell<Vec<Run>>,
+    /// True run time of every task.
+    pub(crate) run_ms: Cell<u64>,
+    /// Tasks whose true run time differs.
+    pub(crate) run_ms_of: RefCell<BTreeMap<TaskId, u64>>,
+    pub(crate) throttles: RefCell<Vec<(TaskId, bool)>>,
+    /// Jobs whose tasks must not run twice.
+    pub(crate) once: RefCell<BTreeSet<JobId>>,
+}
+
+impl Platform {
+    pub(crate) fn new(sim: SimRuntime) -> Rc<Platform> {
+        Rc::new(Platform {
+            sim,
+            workers: RefCell::default(),
+            runs: RefCell::default(),
+            run_ms: Cell::new(3_000),
+            run_ms_of: RefCell::default(),
+            throttles: RefCell::default(),
+            once: RefCell::default(),
+        })
+    }
+
+    pub(crate) fn add(&self, name: &WorkerName, capacity: Resources) {
+        let number = self.workers.borrow().len() as u64;
+        let worker = Worker {
+            capacity,
+            clock_ahead_ms: 1_000_000 + number * 77_777,
+            incarnation: 1,
+            tasks: BTreeMap::new(),
+            ended: Vec::new(),
+            deaf: false,
+            failing: false,
+            lose_start_answers: false,
+            slowdown_milli: 0,
+        };
+        self.workers.borrow_mut().insert(name.clone(), worker);
+    }
+
+    pub(crate) fn with<T>(&self, name: &WorkerName, act: impl FnOnce(&mut Worker) -> T) -> T {
+        let mut workers = self.workers.borrow_mut();
+        act(workers.get_mut(name).expect("worker exists"))
+    }
+
+    /// Restarts a worker's process: whatever ran is gone without a report.
+    pub(crate) fn restart(&self, name: &WorkerName) {
+        self.advance(name);
+        let now = self.sim.now().0;
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.get_mut(name).expect("worker exists");
+        worker.incarnation += 1;
+        worker.ended.clear();
+        for task in std::mem::take(&mut worker.tasks).into_values() {
+            self.runs.borrow_mut()[task.run].until_ms = Some(now);
+        }
+    }
+
+    /// Lets the tasks of all workers end that are due.
+    pub(crate) fn advance_all(&self) {
+        let names: Vec<WorkerName> = self.workers.borrow().keys().cloned().collect();
+        names.iter().for_each(|name| self.advance(name));
+    }
+
+    fn advance(&self, name: &WorkerName) {
+        let now = self.sim.now().0;
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.get_mut(name).expect("worker exists");
+        let mut over = Vec::new();
+        for (id, task) in &worker.tasks {
+            let due = task.started_ms + self.left_ms(&task.order);
+            let due = if worker.failing { task.started_ms } else { due };
+            let end = match due <= task.lease_until_ms {
+                _ if due.min(task.lease_until_ms) > now => continue,
+                true if worker.failing => TaskEnd::Failed(Arc::from("host is broken")),
+                true => TaskEnd::Completed,
+                false => TaskEnd::LeaseLapsed(checkpoint(&task.order, task, now)),
+            };
+            over.push((*id, due.min(task.lease_until_ms), end));
+        }
+        for (id, at_ms, end) in over {
+            self.end(worker, id, at_ms, end);
+        }
+    }
+
+    fn end(&self, worker: &mut Worker, id: (TaskId, Attempt), at_ms: u64, end: TaskEnd) {
+        let Some(task) = worker.tasks.remove(&id) else {
+            return;
+        };
+        let mut runs = self.runs.borrow_mut();
+        runs[task.run].until_ms = Some(at_ms);
+        runs[task.run].completed = end == TaskEnd::Completed;
+        let (task, attempt) = id;
+        worker.ended.push(EndedTask { task, attempt, end });
+    }
+
+    fn left_ms(&self, order: &StartTask) -> u64 {
+        let of_task = self.run_ms_of.borrow().get(&order.task).copied();
+        let done = order.checkpoint.as_ref().map_or(0, |c| c.progress_ms);
+        of_task.unwrap_or(self.run_ms.get()).saturating_sub(done)
+    }
+
+    fn take_start(&self, name: &WorkerName, order: StartTask) -> StartReply {
+        self.advance(name);
+        let now = self.sim.now().0;
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.get_mut(name).expect("worker exists");
+        let id = (order.task, order.attempt);
+        let ended = worker.ended.iter().any(|e| (e.task, e.attempt) == id);
+        if ended || worker.tasks.contains_key(&id) {
+            return StartReply::AlreadyKnown;
+        }
+        let worker_now = now + worker.clock_ahead_ms;
+        if order.start_by_worker_ms.0 < worker_now {
+            return StartReply::TooLate;
+        }
+        let mut runs = self.runs.borrow_mut();
+        runs.push(Run {
+            task: order.task,
+            attempt: order.attempt,
+            worker: name.clone(),
+            from_ms: now,
+            until_ms: None,
+            checkpoint: order.checkpoint.clone(),
+            completed: false,
+            acknowledged_ms: None,
+        });
+        let task = Task {
+            started_ms: now,
+            lease_until_ms: order.lease_until_worker_ms.0 - worker.clock_ahead_ms,
+            throttled: false,
+            run: runs.len() - 1,
+            order,
+        };
+        worker.tasks.insert(id, task);
+        let used = worker
+            .tasks
+            .values()
+            .fold(Resources::default(), |sum, task| sum + task.order.demand);
+        assert!(
+            used.fits_in(&worker.capacity),
+            "worker {name} holds {used:?}"
+        );
+        StartReply::Started
+    }
+
+    fn take_renewal(&self, name: &WorkerName, renew: &Renew) -> WorkerReport {
+        self.advance(name);
+        let now = self.sim.now().0;
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.get_mut(name).expect("worker exists");
+        if let Some(until) = renew.lease_until_worker_ms {
+            for id in &renew.tasks {
+                if let Some(task) = worker.tasks.get_mut(id) {
+                    let until_ms = until.0 - worker.clock_ahead_ms;
+                    task.lease_until_ms = task.lease_until_ms.max(until_ms);
+                }
+            }
+        }
+        let acknowledged: BTreeSet<_> = renew.acknowledged.iter().copied().collect();
+        for run in self.runs.borrow_mut().iter_mut() {
+            let named = acknowledged.contains(&(run.task, run.attempt));
+            if named && run.completed && run.acknowledged_ms.is_none() {
+                run.acknowledged_ms = Some(now);
+            }
+        }
+        worker
+            .ended
+            .retain(|e| !acknowledged.contains(&(e.task, e.attempt)));
+        let running = worker.tasks.values();
+        WorkerReport {
+            worker_ms: MonoMs(now + worker.clock_ahead_ms),
+            incarnation: worker.incarnation,
+            capacity: worker.capacity,
+            running: running
+                .map(|task| running_task(task, worker, now))
+                .collect(),
+            ended: worker.ended.clone(),
+        }
+    }
+
+    async fn answer<T>(&self, name: &WorkerName, act: impl FnOnce() -> T) -> Result<T> {
+        self.sim.sleep(Millis(1)).await;
+        let deaf = self.workers.borrow().get(name).is_none_or(|w| w.deaf);
+        if deaf {
+            self.sim.sleep(Millis(60_000)).await;
+            return Err(PortError::Unknown);
+        }
+        let answer = act();
+        self.sim.sleep(Millis(1)).await;
+        Ok(answer)
+    }
+
+    /// Fails if a task ran in two places at once, resumed twice or completed twice.
+    pub(crate) fn judge(&self) {
+        self.advance_all();
+        let runs = self.runs.borrow();
+        for (index, run) in runs.iter().enumerate() {
+            for other in runs[..index].iter().filter(|other| other.task == run.task) {
+                let over = other.until_ms.is_some_and(|until| until <= run.from_ms);
+                assert!(over, "two places at once: {other:?} and {run:?}");
+                let known = other.acknowledged_ms.is_some_and(|at| at <= run.from_ms);
+                assert!(!known, "ran again after completion: {run:?}");
+                let once = self.once.borrow().contains(&run.task.job);
+                assert!(!once, "ran twice although it must not: {run:?}");
+                let attempts = (other.attempt, run.attempt);
+                assert!(attempts.0 < attempts.1, "attempt repeated: {run:?}");
+            }
+        }
+    }
+}
+
+fn checkpoint(order: &StartTask, task: &Task, now: u64) -> Option<Checkpoint> {
+    let done = order.checkpoint.as_ref().map_or(0, |c| c.progress_ms);
+    order.resumable.then(|| Checkpoint {
+        name: Arc::from(format!("{:?}/{}", order.task, order.attempt.0)),
+        progress_ms: done + now - task.started_ms,
+    })
+}
+
+fn running_task(task: &Task, worker: &Worker, now: u64) -> RunningTask {
+    let order = &task.order;
+    let done = order.checkpoint.as_ref().map_or(0, |c| c.progress_ms);
+    RunningTask {
+        task: order.task,
+        attempt: order.attempt,
+        service: order.service.clone(),
+        demand: order.demand,
+        usage: order.demand,
+        progress_ms: done + now - task.started_ms,
+        checkpoint_ms: done,
+        slowdown_milli: worker.slowdown_milli,
+        urgency: order.urgency,
+        resumable: order.resumable,
+        throttled: task.throttled,
+    }
+}
+
+/// Port of one node.
+pub(crate) struct WorkersPort(pub(crate) Rc<Platform>);
+
+impl Workers for WorkersPort {
+    fn start(
+        &self,
+        _address: SocketAddr,
+        worker: &WorkerName,
+        order: StartTask,
+    ) -> PortFuture<'_, Result<StartReply>> {
+        let (platform, name) = (self.0.clone(), worker.clone());
+        Box::pin(async move {
+            let reply = platform
+                .answer(&name, || platform.take_start(&name, order))
+                .await?;
+            let lost = platform.with(&name, |worker| worker.lose_start_answers);
+            if lost {
+                return Err(PortError::Unknown);
+            }
+            Ok(reply)
+        })
+    }
+
+    fn renew(
+        &self,
+        _address: SocketAddr,
+        worker: &WorkerName,
+        renew: Renew,
+    ) -> PortFuture<'_, Result<WorkerReport>> {
+        let (platform, name) = (self.0.clone(), worker.clone());
+        Box::pin(async move {
+            platform
+                .answer(&name, || platform.take_renewal(&name, &renew))
+                .await
+        })
+    }
+
+    fn stop(
+        &self,
+        _address: SocketAddr,
+        worker: &WorkerName,
+        task: TaskId,
+        attempt: Attempt,
+        with_checkpoint: bool,
+    ) -> PortFuture<'_, Result<()>> {
+        let (platform, name) = (self.0.clone(), worker.clone());
+        Box::pin(async move {
+            let act = || {
+                platform.advance(&name);
+                let now = platform.sim.now().0;
+                let mut workers = platform.workers.borrow_mut();
+                let worker = workers.get_mut(&name).expect("worker exists");
+                let known = worker.tasks.get(&(task, attempt));
+                let saved = known.and_then(|t| checkpoint(&t.order, t, now));
+                let end = TaskEnd::Stopped(saved.filter(|_| with_checkpoint));
+                platform.end(worker, (task, attempt), now, end);
+            };
+            platform.answer(&name, act).await
+        })
+    }
+
+    fn throttle(
+        &self,
+        _address: SocketAddr,
+        worker: &WorkerName,
+        task: TaskId,
+        attempt: Attempt,
+        on: bool,
+    ) -> PortFuture<'_, Result<()>> {
+        let (platform, name) = (self.0.clone(), worker.clone());
+        Box::pin(async move {
+            let act = || {
+                platform.throttles.borrow_mut().push((task, on));
+                platform.with(&name, |worker| {
+                    if let Some(known) = worker.tasks.get_mut(&(task, attempt)) {
+                        known.throttled = on;
+                    }
+                });
+            };
+            platform.answer(&name, act).await
+        })
+    }
+}
