Serve callers over HTTP and send requests to targets

Cause: the node had no socket for callers and operators and none to executors. Change: callers server on compio and hyper against the trait Service, with limits on bodies, headers, header read time, connections and read-ahead, result codes on every refusal, long polls answered at a planned stop, and a stop that finishes requests in progress. HttpTargets: one request per connection, reuse within 5 s and for idempotent requests only, whole answers only, not sent against unknown. Targets take POST /v1/services/{service}/requests, as callers use it. Requests implements core::Part.

--- /dev/null
+++ b/hemlocksaddle-adapters/src/callers/mod.rs
@@ -0,0 +1,151 @@
+//! HTTP server for callers and operators.
+//!
+//! Every connection has one task and carries one request at a time; what a caller
+//! sends ahead stays in a bounded buffer. Limits of the headers are checked here
+//! with a result code; hyper's own limits are twice as high and end the
+//! connection with a bare status. At a planned stop the server accepts no
+//! connection, answers long polls at once, and closes each connection after the
+//! request in progress.
+
+mod parse;
+mod reply;
+mod routes;
+mod service;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use compio::{
+    BufResult,
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
+use hemlocksaddle_node::{settings::Limits, wait::Signal};
+use hyper::{server::conn::http1, service::service_fn};
+
+pub use self::service::{Refusal, Service};
+
+/// Pause after a failed accept, for example when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest wait for connections at a planned stop; above the longest deadline of a request.
+const STOP_WITHIN: Duration = Duration::from_secs(30);
+
+/// Answer to a connection above the limit.
+const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nresult-code: 1006\r\n\
+    run-state: not_run\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Server for callers and operators.
+pub struct Callers {
+    service: Rc<dyn Service>,
+    limits: Limits,
+    connections: Cell<usize>,
+    changed: Signal,
+    stop: Signal,
+}
+
+/// Counts a connection while it is open.
+struct Open(Rc<Callers>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+        self.0.changed.notify();
+    }
+}
+
+impl Callers {
+    /// Server in front of a service.
+    #[must_use]
+    pub fn new(service: Rc<dyn Service>, limits: Limits) -> Rc<Callers> {
+        Rc::new(Callers {
+            service,
+            limits,
+            connections: Cell::new(0),
+            changed: Signal::default(),
+            stop: Signal::default(),
+        })
+    }
+
+    /// Open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Accepts connections until [`Callers::stop`].
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        while !self.is_stopping() {
+            let accept = Box::pin(listener.accept());
+            let stopped = Box::pin(self.stop.wait_past(0));
+            match select(accept, stopped).await {
+                Either::Left((Ok((stream, _)), _)) => self.accepted(stream).await,
+                Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_PAUSE).await,
+                Either::Right(((), _)) => return,
+            }
+        }
+    }
+
+    /// Stops accepting and waits until every request in progress is answered.
+    ///
+    /// Returns the number of connections that were still open after the longest
+    /// wait, 0 unless a caller does not read its answer.
+    pub async fn stop(&self) -> usize {
+        self.stop.notify();
+        let closed = async {
+            loop {
+                let seen = self.changed.count();
+                if self.connections.get() == 0 {
+                    return;
+                }
+                self.changed.wait_past(seen).await;
+            }
+        };
+        // Connections that are left are reported, not waited for without end.
+        let _ = compio::time::timeout(STOP_WITHIN, closed).await;
+        self.connections.get()
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stop.count() > 0
+    }
+
+    async fn accepted(self: &Rc<Self>, mut stream: TcpStream) {
+        if self.connections.get() >= self.limits.caller_connections {
+            let BufResult(_, _) = stream.write_all(TOO_MANY).await;
+            return;
+        }
+        self.connections.set(self.connections.get() + 1);
+        let open = Open(self.clone());
+        let server = self.clone();
+        compio::runtime::spawn(async move {
+            server.connection(stream).await;
+            drop(open);
+        })
+        .detach();
+    }
+
+    async fn connection(self: &Rc<Self>, stream: TcpStream) {
+        let server = self.clone();
+        let service = service_fn(move |request| routes::answer(server.clone(), request));
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(CompioTimer)
+            .header_read_timeout(Duration::from_millis(self.limits.header_read_ms.0))
+            .max_headers(2 * self.limits.headers)
+            .max_header_size(2 * self.limits.header_bytes)
+            .max_buf_size(4 * self.limits.header_bytes)
+            .pipeline_flush(false);
+        let connection = builder.serve_connection(HyperStream::new_plain(stream), service);
+        let stopped = Box::pin(self.stop.wait_past(0));
+        match select(Box::pin(connection), stopped).await {
+            Either::Left(_) => {}
+            Either::Right(((), mut connection)) => {
+                connection.as_mut().graceful_shutdown();
+                // An error here is the caller's: it closed the connection or stopped reading.
+                let _ = connection.await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-adapters/src/callers/parse.rs
@@ -0,0 +1,224 @@
+//! Requests of callers, converted to checked types.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hemlocksaddle_node::{requests::guard::GENERATED_PREFIX, settings::Limits};
+use hemlocksaddle_types::{
+    clock::{Millis, WallMs},
+    document::{Document, Revision},
+    hash::stable_hash,
+    job::{JobSpec, Urgency},
+    name::{IdempotencyKey, ServiceName},
+    outcome::ResultCode,
+    request::{QuickRequest, RequestId},
+    resources::Resources,
+};
+use http::{HeaderMap, Uri};
+use serde::Deserialize;
+
+use super::service::Refusal;
+use crate::headers;
+
+/// Result of a conversion.
+pub(super) type Result<T> = std::result::Result<T, Refusal>;
+
+/// Tasks of one job.
+const MAX_TASKS: u32 = 10_000;
+
+/// Longest wait of a long poll.
+const MAX_WAIT: Millis = Millis(30_000);
+
+/// Headers of this interface.
+pub(super) struct Options {
+    key: Option<IdempotencyKey>,
+    idempotent: bool,
+    deadline_ms: Option<Millis>,
+    urgency: Urgency,
+}
+
+/// Body of a job.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody {
+    #[serde(default = "one")]
+    tasks: u32,
+    cpu_milli: u64,
+    memory_mb: u64,
+    #[serde(default)]
+    accelerators: u64,
+    expected_run_ms: u64,
+    #[serde(default)]
+    resumable: bool,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Refusal of input that cannot be understood.
+pub(super) fn malformed(detail: impl Into<Arc<str>>) -> Refusal {
+    (ResultCode::Malformed, detail.into())
+}
+
+/// Checks the number and size of headers.
+pub(super) fn check_limits(headers: &HeaderMap, limits: &Limits) -> Result<()> {
+    let bytes: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len())
+        .sum();
+    if headers.len() <= limits.headers && bytes <= limits.header_bytes {
+        return Ok(());
+    }
+    let detail = format!(
+        "{} headers of {bytes} bytes; allowed are {} headers of {} bytes",
+        headers.len(),
+        limits.headers,
+        limits.header_bytes
+    );
+    Err((ResultCode::HeaderLimits, detail.into()))
+}
+
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(malformed(format!("header {name} is given more than once")));
+    }
+    let text = value.to_str();
+    text.map(Some)
+        .map_err(|_| malformed(format!("header {name} is not text")))
+}
+
+impl TryFrom<&HeaderMap> for Options {
+    type Error = Refusal;
+    fn try_from(headers: &HeaderMap) -> Result<Options> {
+        Ok(Options {
+            key: single(headers, "idempotency-key")?.map(key).transpose()?,
+            idempotent: match single(headers, "idempotent")? {
+                None | Some("false") => false,
+                Some("true") => true,
+                Some(other) => return Err(not_one_of("Idempotent", other, "true, false")),
+            },
+            deadline_ms: single(headers, "deadline-ms")?
+                .map(|text| number("header Deadline-Ms", text))
+                .transpose()?
+                .map(Millis),
+            urgency: match single(headers, "urgency")? {
+                None | Some("normal") => Urgency::Normal,
+                Some("urgent") => Urgency::Urgent,
+                Some("batch") => Urgency::Batch,
+                Some(other) => return Err(not_one_of("Urgency", other, "urgent, normal, batch")),
+            },
+        })
+    }
+}
+
+fn key(text: &str) -> Result<IdempotencyKey> {
+    if text.starts_with(GENERATED_PREFIX) {
+        let detail = format!("idempotency keys that start with {GENERATED_PREFIX} are reserved");
+        return Err(malformed(detail));
+    }
+    IdempotencyKey::try_from(text).map_err(|error| malformed(error.to_string()))
+}
+
+fn not_one_of(header: &str, found: &str, allowed: &str) -> Refusal {
+    malformed(format!(
+        "header {header} is {found:?}; allowed are {allowed}"
+    ))
+}
+
+/// Decimal number above zero.
+fn number(what: &str, text: &str) -> Result<u64> {
+    let parsed = text.parse::<u64>().ok().filter(|number| *number > 0);
+    parsed.ok_or_else(|| malformed(format!("{what} is {text:?}; allowed is a number from 1")))
+}
+
+/// Service of a path segment.
+pub(super) fn service(segment: &str) -> Result<ServiceName> {
+    ServiceName::try_from(segment).map_err(|error| malformed(error.to_string()))
+}
+
+/// Value of a query parameter that is a number; other parameters are malformed.
+fn query_number(uri: &Uri, name: &str) -> Result<Option<u64>> {
+    let Some(query) = uri.query().filter(|query| !query.is_empty()) else {
+        return Ok(None);
+    };
+    let value = query.split_once('=').filter(|(found, _)| *found == name);
+    let number = value.and_then(|(_, value)| value.parse().ok());
+    number
+        .map(Some)
+        .ok_or_else(|| malformed(format!("query {query:?}; allowed is {name}=NUMBER")))
+}
+
+/// Wait of a long poll.
+pub(super) fn wait(uri: &Uri) -> Result<Millis> {
+    let wait = query_number(uri, "wait_ms")?.unwrap_or(0);
+    Ok(Millis(wait).min(MAX_WAIT))
+}
+
+/// Revision that an operator edited.
+pub(super) fn expected_revision(uri: &Uri) -> Result<Revision> {
+    let revision = query_number(uri, "expected_revision")?;
+    let missing = || malformed("query expected_revision=NUMBER is missing");
+    revision.map(Revision).ok_or_else(missing)
+}
+
+/// Quick request; without a deadline the longest of the service applies.
+pub(super) fn quick(
+    id: RequestId,
+    service: ServiceName,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<QuickRequest> {
+    let options = Options::try_from(headers)?;
+    let passed = headers::passed(headers).ok_or_else(|| malformed("a header is not text"))?;
+    Ok(QuickRequest {
+        id,
+        service,
+        key: options.key,
+        idempotent: options.idempotent,
+        deadline_ms: options.deadline_ms.unwrap_or(Millis(u64::MAX)),
+        urgency: options.urgency,
+        headers: passed,
+        body,
+    })
+}
+
+/// Job for the team of the service's document.
+pub(super) fn job(
+    document: &Document,
+    now: WallMs,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Result<JobSpec> {
+    let options = Options::try_from(headers)?;
+    let parsed: JobBody =
+        serde_json::from_slice(body).map_err(|error| malformed(format!("job body: {error}")))?;
+    if !(1..=MAX_TASKS).contains(&parsed.tasks) {
+        let detail = format!("tasks is {}; allowed are 1 to {MAX_TASKS}", parsed.tasks);
+        return Err(malformed(detail));
+    }
+    if parsed.cpu_milli == 0 || parsed.memory_mb == 0 {
+        return Err(malformed("cpu_milli and memory_mb must be at least 1"));
+    }
+    Ok(JobSpec {
+        service: document.service.clone(),
+        team: document.team.clone(),
+        key: options.key,
+        body_hash: stable_hash(&[body]),
+        tasks: parsed.tasks,
+        demand: Resources {
+            cpu_milli: parsed.cpu_milli,
+            memory_mb: parsed.memory_mb,
+            accelerators: parsed.accelerators,
+        },
+        expected_run_ms: parsed.expected_run_ms,
+        urgency: options.urgency,
+        idempotent: options.idempotent,
+        resumable: parsed.resumable,
+        deadline_ms: options.deadline_ms.map(|span| now + span),
+    })
+}
--- a/hemlocksaddle-adapters/src/lib.rs
+++ b/hemlocksaddle-adapters/src/lib.rs
@@ -2,6 +2,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod callers;
+mod headers;
 pub mod peers;
 pub mod platform;
 pub mod runtime;
+pub mod targets;
--- /dev/null
+++ b/hemlocksaddle-adapters/tests/callers.rs
@@ -0,0 +1,452 @@
+//! HTTP server for callers over loopback connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use compio::{
+    BufResult,
+    io::{AsyncRead, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    runtime::Runtime,
+};
+use futures_channel::oneshot;
+use futures_util::future::{FutureExt, pending, ready};
+use googletest::prelude::*;
+use hemlocksaddle_adapters::callers::{Callers, Refusal, Service};
+use hemlocksaddle_node::{ports::PortFuture, settings::Limits};
+use hemlocksaddle_types::{
+    burn::NodeBurn,
+    clock::{Millis, WallMs},
+    document::{Document, Revision},
+    job::{JobId, JobSpec, JobStatus},
+    name::{NodeName, ServiceName},
+    outcome::ResultCode,
+    peer::Explanation,
+    request::{QuickRequest, QuickResponse, RequestId},
+    unit::QueueIndex,
+};
+
+const DOCUMENT: &str = "[service]\nname = orders\nteam = makers\ndata_centres_out =\n\
+    [objective]\nlatency_ms = 250\nsuccess_percent = 99.9\nwindow_hours = 720\n\
+    [targets]\nslots = 8\nconnections = 60\nmax_deadline_ms = 10000\n\
+    executor.1 = khomas-a 127.0.0.1:7101\n\
+    [quota]\ncpu_milli = 400000\nmemory_mb = 1500000\naccelerators = 0\n";
+
+const JOB: JobId = JobId {
+    queue: QueueIndex(3),
+    number: 0x1_0000_0001,
+};
+
+/// Node that answers what the test says.
+struct FakeNode {
+    ready: Cell<bool>,
+    seen: RefCell<Vec<QuickRequest>>,
+    jobs: RefCell<Vec<JobSpec>>,
+    polls: Cell<u32>,
+    /// Requests wait for this, if it is set.
+    hold: RefCell<Option<oneshot::Receiver<()>>>,
+}
+
+impl Service for FakeNode {
+    fn is_ready(&self) -> bool {
+        self.ready.get()
+    }
+    fn wall_now(&self) -> WallMs {
+        WallMs(1_000)
+    }
+    fn next_request_id(&self) -> RequestId {
+        RequestId {
+            node: NodeName::try_from("n1").expect("valid"),
+            started_ms: 1,
+            number: 1,
+        }
+    }
+    fn quick(&self, request: QuickRequest) -> PortFuture<'_, QuickResponse> {
+        let busy = request.body == "busy";
+        self.seen.borrow_mut().push(request);
+        let hold = self.hold.borrow_mut().take();
+        Box::pin(async move {
+            if let Some(hold) = hold {
+                let _ = hold.await;
+            }
+            if busy {
+                let refusal = QuickResponse::refusal(ResultCode::Overloaded, "too much");
+                return refusal.with_retry_after(Millis(1_500));
+            }
+            let mut response = QuickResponse::refusal(ResultCode::Completed, "confirmed");
+            response.status = 201;
+            response.headers.insert("x-order".into(), "7".into());
+            response
+        })
+    }
+    fn submit(&self, spec: JobSpec) -> PortFuture<'_, std::result::Result<JobId, Refusal>> {
+        self.jobs.borrow_mut().push(spec);
+        ready(Ok(JOB)).boxed_local()
+    }
+    fn job_status(
+        &self,
+        job: JobId,
+        wait: Millis,
+    ) -> PortFuture<'_, std::result::Result<JobStatus, Refusal>> {
+        if wait > Millis(0) {
+            self.polls.set(self.polls.get() + 1);
+            return pending().boxed_local();
+        }
+        let status = JobStatus {
+            job,
+            queued: 1,
+            running: 0,
+            completed: 0,
+            result: None,
+            detail: "waits for room".into(),
+        };
+        ready(Ok(status)).boxed_local()
+    }
+    fn cancel(&self, _job: JobId) -> PortFuture<'_, std::result::Result<(), Refusal>> {
+        ready(Err((ResultCode::UnknownJob, "no such job".into()))).boxed_local()
+    }
+    fn explain(
+        &self,
+        _job: JobId,
+    ) -> PortFuture<'_, std::result::Result<Vec<Explanation>, Refusal>> {
+        ready(Ok(Vec::new())).boxed_local()
+    }
+    fn publish(
+        &self,
+        _service: ServiceName,
+        expected: Revision,
+        _text: Arc<str>,
+    ) -> PortFuture<'_, std::result::Result<Revision, Refusal>> {
+        let conflict = (ResultCode::RevisionConflict, "the revision is 4".into());
+        let verdict = if expected == Revision(4) {
+            Ok(Revision(5))
+        } else {
+            Err(conflict)
+        };
+        ready(verdict).boxed_local()
+    }
+    fn documents(&self) -> Vec<(Rc<Document>, Revision)> {
+        let document = Document::try_from(Arc::<str>::from(DOCUMENT)).expect("valid");
+        vec![(Rc::new(document), Revision(4))]
+    }
+    fn status(&self) -> serde_json::Value {
+        serde_json::json!({"node": "n1"})
+    }
+    fn burn(&self) -> NodeBurn {
+        NodeBurn {
+            since_ms: WallMs(0),
+            services: Vec::new(),
+        }
+    }
+    fn metrics_text(&self) -> String {
+        String::from("hemlocksaddle_results_total 0\n")
+    }
+}
+
+struct Bench {
+    node: Rc<FakeNode>,
+    server: Rc<Callers>,
+    address: SocketAddr,
+}
+
+impl Bench {
+    async fn start(limits: Limits) -> Bench {
+        let node = Rc::new(FakeNode {
+            ready: Cell::new(true),
+            seen: RefCell::default(),
+            jobs: RefCell::default(),
+            polls: Cell::new(0),
+            hold: RefCell::default(),
+        });
+        let server = Callers::new(node.clone(), limits);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let address = listener.local_addr().expect("bound");
+        compio::runtime::spawn(server.clone().serve(listener)).detach();
+        Bench {
+            node,
+            server,
+            address,
+        }
+    }
+
+    /// Sends a text on a new connection and reads until the server closes it.
+    async fn exchange(&self, text: impl Into<Vec<u8>>) -> String {
+        let mut stream = TcpStream::connect(self.address).await.expect("connects");
+        let BufResult(written, _) = stream.write_all(text.into()).await;
+        written.expect("written");
+        read_all(&mut stream).await
+    }
+}
+
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut all = Vec::new();
+    loop {
+        let BufResult(read, buffer) = stream.read(Vec::with_capacity(4_096)).await;
+        match read {
+            Ok(count) if count > 0 => all.extend(buffer),
+            _ => return String::from_utf8(all).expect("text"),
+        }
+    }
+}
+
+fn http(method: &str, path: &str, headers: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: n1\r\nconnection: close\r\n\
+         content-length: {}\r\n{headers}\r\n{body}",
+        body.len()
+    )
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    Runtime::new().expect("runtime").block_on(test)
+}
+
+const QUICK: &str = "/v1/services/orders/requests";
+const JOBS: &str = "/v1/services/orders/jobs";
+const JOB_BODY: &str = r#"{"cpu_milli":1000,"memory_mb":500,"expected_run_ms":60000}"#;
+
+/// Guards against lost headers and bodies, and against answers without code and run state.
+#[googletest::test]
+fn quick_request_and_answer_are_passed_whole() {
+    run(async {
+        let bench = Bench::start(Limits::default()).await;
+        let headers = "idempotency-key: k1\r\nidempotent: true\r\ndeadline-ms: 700\r\n\
+                       urgency: urgent\r\nx-member: 12\r\n";
+        let answer = bench.exchange(http("POST", QUICK, headers, "order")).await;
+        expect_that!(answer, starts_with("HTTP/1.1 201 Created\r\n"));
+        for part in [
+            "result-code: 3001\r\n",
+            "run-state: done\r\n",
+            "x-order: 7\r\n",
+        ] {
+            expect_that!(answer, contains_substring(part));
+        }
+        expect_that!(answer, ends_with("\r\n\r\nconfirmed"));
+        let seen = bench.node.seen.borrow()[0].clone();
+        expect_that!(seen.body, eq(&Bytes::from_static(b"order")));
+        expect_that!(seen.deadline_ms, eq(Millis(700)));
+        expect_true!(seen.idempotent);
+        let passed: Vec<&str> = seen.headers.keys().map(AsRef::as_ref).collect();
+        expect_that!(passed, elements_are![eq(&"x-member")]);
+    });
+}
+
+/// Guards against unclear errors: each request is answered with status, code and run state of the table.
+#[googletest::test]
+fn refusals_have_status_code_and_run_state() {
+    let many_headers: String = (0..70).map(|n| format!("x-{n}: 1\r\n")).collect();
+    let long_header = format!("x-long: {}\r\n", "a".repeat(17 << 10));
+    let cases = [
+        (http("GET", "/v1/nothing", "", ""), "400", "1001"),
+        (http("PATCH", QUICK, "", ""), "400", "1001"),
+        (
+            http("POST", "/v1/services/-/requests", "", ""),
+            "400",
+            "1001",
+        ),
+        (
+            http("POST", QUICK, "idempotent: maybe\r\n", ""),
+            "400",
+            "1001",
+        ),
+        (http("POST", QUICK, "deadline-ms: 0\r\n", ""), "400", "1001"),
+        (
+            http("POST", QUICK, "deadline-ms: 1\r\ndeadline-ms: 2\r\n", ""),
+            "400",
+            "1001",
+        ),
+        (http("POST", QUICK, "urgency: now\r\n", ""), "400", "1001"),
+        (
+            http("POST", QUICK, "idempotency-key: a b\r\n", ""),
+            "400",
+            "1001",
+        ),
+        (
+            http("POST", QUICK, "idempotency-key: auto.1\r\n", ""),
+            "400",
+            "1001",
+        ),
+        (http("POST", QUICK, &many_headers, ""), "431", "1003"),
+        (http("POST", QUICK, &long_header, ""), "431", "1003"),
+        (http("POST", QUICK, "", "busy"), "503", "1006"),
+        (
+            http("POST", "/v1/services/none/jobs", "", JOB_BODY),
+            "404",
+            "1004",
+        ),
+        (http("POST", JOBS, "", "{}"), "400", "1001"),
+        (
+            http("POST", JOBS, "", &JOB_BODY.replace("cpu", "gpu")),
+            "400",
+            "1001",
+        ),
+        (http("GET", "/v1/jobs/x", "", ""), "400", "1001"),
+        (http("GET", "/v1/jobs/3-1?wait=1", "", ""), "400", "1001"),
+        (http("DELETE", "/v1/jobs/3-1", "", ""), "404", "1015"),
+        (
+            http("PUT", "/v1/documents/orders", "", DOCUMENT),
+            "400",
+            "1001",
+        ),
+        (
+            http(
+                "PUT",
+                "/v1/documents/orders?expected_revision=2",
+                "",
+                DOCUMENT,
+            ),
+            "409",
+            "1013",
+        ),
+        (http("GET", "/v1/documents/none", "", ""), "404", "1004"),
+    ];
+    run(async {
+        let bench = Bench::start(Limits::default()).await;
+        for (request, status, code) in cases {
+            let line = request.lines().next().unwrap_or_default().to_string();
+            let answer = bench.exchange(request).await;
+            expect_that!(answer, starts_with(format!("HTTP/1.1 {status} ")), "{line}");
+            expect_that!(
+                answer,
+                contains_substring(format!("result-code: {code}\r\n")),
+                "{line}"
+            );
+            expect_that!(
+                answer,
+                contains_substring("run-state: not_run\r\n"),
+                "{line}"
+            );
+        }
+        let busy = bench.exchange(http("POST", QUICK, "", "busy")).await;
+        expect_that!(busy, contains_substring("retry-after: 2\r\n"));
+    });
+}
+
+/// Guards against reading a body without bound.
+#[googletest::test]
+fn body_over_the_limit_is_refused() {
+    run(async {
+        let limits = Limits {
+            body_bytes: 10,
+            ..Limits::default()
+        };
+        let bench = Bench::start(limits).await;
+        let answer = bench.exchange(http("POST", QUICK, "", "eleven byte")).await;
+        expect_that!(answer, starts_with("HTTP/1.1 413 "));
+        expect_that!(answer, contains_substring("result-code: 1002\r\n"));
+        expect_that!(bench.node.seen.borrow().len(), eq(0));
+    });
+}
+
+/// Guards the interface of jobs, documents and probes that the command line uses.
+#[googletest::test]
+fn jobs_documents_and_probes() {
+    run(async {
+        let bench = Bench::start(Limits::default()).await;
+        let accepted = bench.exchange(http("POST", JOBS, "", JOB_BODY)).await;
+        expect_that!(accepted, starts_with("HTTP/1.1 202 "));
+        expect_that!(
+            accepted,
+            contains_substring("location: /v1/jobs/3-100000001\r\n")
+        );
+        expect_that!(bench.node.jobs.borrow()[0].team.as_str(), eq("makers"));
+        let cases = [
+            ("GET", "/v1/jobs/3-100000001", "\"queued\":1"),
+            ("GET", "/v1/jobs/3-100000001/explain", "[]"),
+            ("GET", "/v1/documents", "\"revision\":4"),
+            ("GET", "/v1/documents/orders", "\"service\":\"orders\""),
+            (
+                "PUT",
+                "/v1/documents/orders?expected_revision=4",
+                "\"revision\":5",
+            ),
+            ("GET", "/v1/status", "\"node\":\"n1\""),
+            ("GET", "/v1/burn", "\"services\":[]"),
+            ("GET", "/metrics", "hemlocksaddle_results_total"),
+            ("GET", "/healthz", "alive"),
+            ("GET", "/readyz", "ready"),
+        ];
+        for (method, path, part) in cases {
+            let answer = bench.exchange(http(method, path, "", DOCUMENT)).await;
+            expect_that!(answer, starts_with("HTTP/1.1 200 "), "{path}");
+            expect_that!(answer, contains_substring(part), "{path}");
+        }
+        bench.node.ready.set(false);
+        let not_ready = bench.exchange(http("GET", "/readyz", "", "")).await;
+        expect_that!(not_ready, contains_substring("result-code: 1008\r\n"));
+        let alive = bench.exchange(http("GET", "/healthz", "", "")).await;
+        expect_that!(alive, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+/// Guards against answers in another order than the requests of a connection.
+#[googletest::test]
+fn pipelined_requests_are_answered_in_order() {
+    run(async {
+        let bench = Bench::start(Limits::default()).await;
+        let first = format!("POST {QUICK} HTTP/1.1\r\nhost: n1\r\ncontent-length: 4\r\n\r\nbusy");
+        let answer = bench
+            .exchange(first + &http("POST", QUICK, "", "order"))
+            .await;
+        let busy = answer.find("result-code: 1006").expect("first answer");
+        let confirmed = answer.find("result-code: 3001").expect("second answer");
+        expect_that!(busy, lt(confirmed));
+    });
+}
+
+/// Guards against connections without bound.
+#[googletest::test]
+fn connections_above_the_limit_are_refused() {
+    run(async {
+        let limits = Limits {
+            caller_connections: 1,
+            ..Limits::default()
+        };
+        let bench = Bench::start(limits).await;
+        let _held = TcpStream::connect(bench.address).await.expect("connects");
+        while bench.server.connections() == 0 {
+            compio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        let mut refused = TcpStream::connect(bench.address).await.expect("connects");
+        let answer = read_all(&mut refused).await;
+        expect_that!(answer, contains_substring("result-code: 1006\r\n"));
+    });
+}
+
+/// Guards against a planned stop that cuts off a request or waits for a long poll.
+#[googletest::test]
+fn planned_stop_finishes_requests_and_answers_long_polls() {
+    run(async {
+        let bench = Bench::start(Limits::default()).await;
+        let (release, hold) = oneshot::channel();
+        bench.node.hold.replace(Some(hold));
+        let mut running = TcpStream::connect(bench.address).await.expect("connects");
+        let request = format!("POST {QUICK} HTTP/1.1\r\nhost: n1\r\ncontent-length: 0\r\n\r\n");
+        let BufResult(written, _) = running.write_all(request).await;
+        written.expect("written");
+        while bench.node.seen.borrow().is_empty() {
+            compio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        let mut polling = TcpStream::connect(bench.address).await.expect("connects");
+        let poll = format!("GET /v1/jobs/{JOB}?wait_ms=30000 HTTP/1.1\r\nhost: n1\r\n\r\n");
+        let BufResult(written, _) = polling.write_all(poll).await;
+        written.expect("written");
+        while bench.node.polls.get() == 0 {
+            compio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        let server = bench.server.clone();
+        let stop = compio::runtime::spawn(async move { server.stop().await });
+        let polled = read_all(&mut polling).await;
+        expect_that!(polled, contains_substring("\"queued\":1"));
+        release.send(()).expect("the request is in progress");
+        let answer = read_all(&mut running).await;
+        expect_that!(answer, ends_with("\r\n\r\nconfirmed"));
+        expect_that!(stop.await.expect("stops"), eq(0));
+        expect_that!(TcpStream::connect(bench.address).await, err(anything()));
+    });
+}
--- a/hemlocksaddle-node/src/requests/mod.rs
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -37,7 +37,7 @@
 use self::{guard::GuardTable, pool::Pool, route::Origin, sent::SentOnce, waiting::Grant};
 use crate::{
     burn::Burn,
-    core::{Core, Handler},
+    core::{Core, Handler, Part},
     invariant::Invariant,
     ports::PortFuture,
 };
@@ -386,6 +386,16 @@
     }
 }
 
+impl Part for Requests {
+    fn start(self: Rc<Self>) {
+        Requests::start(&self);
+    }
+
+    fn stop(self: Rc<Self>) -> PortFuture<'static, ()> {
+        Requests::stop(&self)
+    }
+}
+
 fn stopping() -> QuickResponse {
     QuickResponse::refusal(ResultCode::Stopping, "the node is stopping")
 }
