--- a/hemlocksaddle-node/src/requests/mod.rs
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -29,7 +29,7 @@
     host::{HostList, HostState},
     name::{ExecutorName, NodeName, ServiceName},
     outcome::{ResultCode, RunState},
-    peer::{Heartbeat, Request, Response},
+    peer::{Heartbeat, Request, Response, SlotSummary},
     request::{QuickRequest, QuickResponse, RequestId},
     unit::Unit,
 };
@@ -219,13 +219,23 @@
         } else {
             self.route(&request, deadline, Origin::Peer).await
         };
-        let now = self.now();
-        match self.with_pool(&service, |pool| pool.summary(now)) {
+        let summary = self.with_pool(&service, |pool| self.summary(pool));
+        match summary {
             Some(summary) => Response::Ran(response, summary),
             None => Response::Quick(response),
         }
     }
 
+    /// Counts for peers; a node that is stopping offers no slots.
+    fn summary(&self, pool: &Pool) -> SlotSummary {
+        let mut summary = pool.summary(self.now());
+        if self.is_stopping() {
+            summary.free = 0;
+            summary.total = 0;
+        }
+        summary
+    }
+
     fn tick(self: &Rc<Self>) {
         self.refresh();
         let now = self.now();
@@ -378,11 +388,10 @@
     }
 
     fn fill_heartbeat(&self, heartbeat: &mut Heartbeat) {
-        let now = self.now();
         let pools = self.pools.borrow();
         heartbeat
             .slots
-            .extend(pools.values().map(|pool| pool.summary(now)));
+            .extend(pools.values().map(|pool| self.summary(pool)));
     }
 }
 
--- a/hemlocksaddle-node/src/requests/pool.rs
+++ b/hemlocksaddle-node/src/requests/pool.rs
@@ -298,7 +298,7 @@
         Candidate {
             in_use: executor.in_use,
             slots: self.slots_each,
-            mean_ms: executor.speed.mean_ms(now.0, self.reference_ms),
+            mean_ms: executor.speed.weight_ms(now.0, self.reference_ms),
         }
     }
 
--- a/hemlocksaddle-policy/src/routing.rs
+++ b/hemlocksaddle-policy/src/routing.rs
@@ -31,6 +31,12 @@
 /// tried again; 10 s keeps the requests that try it far below 1%.
 const EVIDENCE_HALF_LIFE_MS: f64 = 10_000.0;
 
+/// Multiple of the reference below which executors count as equally fast.
+///
+/// Averages of equal executors differ by chance; without this margin the one
+/// with the lowest average would get most requests under low load.
+const EQUAL_FACTOR: f64 = 1.3;
+
 /// Multiple of the reference from which an executor counts as slow.
 const SLOW_FACTOR: f64 = 1.8;
 
@@ -209,6 +215,16 @@
         busy_ms / (self.completed * weight + PRIOR_COMPLETIONS)
     }
 
+    /// Mean service time for the choice of an executor; the reference if it is close to that.
+    #[must_use]
+    pub fn weight_ms(&self, now_ms: u64, reference_ms: f64) -> f64 {
+        let mean_ms = self.mean_ms(now_ms, reference_ms);
+        if mean_ms < EQUAL_FACTOR * reference_ms {
+            return reference_ms;
+        }
+        mean_ms
+    }
+
     /// Mean of the answers alone, if there are enough of them.
     #[must_use]
     pub fn answered_mean_ms(&self, now_ms: u64) -> Option<f64> {
