--- /dev/null
+++ b/hemlocksaddle-fakes/src/http/control.rs
@@ -0,0 +1,177 @@
+//! Control calls of tests and examples.
+//!
+//! | call | body | effect |
+//! | --- | --- | --- |
+//! | `GET /judged` | | answers with [`Judged`] |
+//! | `POST /log` | [`SetLog`] | sets the faults of the log |
+//! | `POST /lose` | [`Lose`] | loses the next answers of log and workers after their effect |
+//! | `POST /hosts` | [`SetHosts`] | changes the state of hosts |
+//! | `POST /workers` | [`SetWorker`] | kills or restarts a worker |
+
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use hemlocksaddle_types::{
+    clock::Millis,
+    host::{Host, HostRole, HostState},
+    name::{DataCentre, WorkerName},
+};
+use http::{StatusCode, request::Parts};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use super::{
+    Shared,
+    server::{Answer, json, status},
+};
+use crate::{judge::Rule, log::LogFaults};
+
+/// Faults of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SetLog {
+    /// Nothing is taken or served.
+    pub down: bool,
+    /// Added to each call in milliseconds.
+    pub slow_ms: u64,
+    /// Share of appends that take effect without an answer, in percent.
+    pub lost_percent: u64,
+    /// Share of appends that take effect long after the caller gave up, in percent.
+    pub late_percent: u64,
+}
+
+/// Number of answers to lose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lose {
+    /// Answers.
+    pub count: u64,
+}
+
+/// New state of hosts; a host has to match all that is given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetHosts {
+    /// State.
+    pub state: HostState,
+    /// Data centre.
+    pub data_centre: Option<DataCentre>,
+    /// Name of the worker, executor or node.
+    pub name: Option<Arc<str>>,
+}
+
+/// Death or restart of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetWorker {
+    /// Worker.
+    pub name: WorkerName,
+    /// Whether it is dead.
+    pub dead: bool,
+}
+
+/// What the judges saw.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Judged {
+    /// Broken rules: name of the rule, and what was seen when.
+    pub violations: Vec<(String, String)>,
+    /// Task starts.
+    pub starts: u64,
+    /// Stops with a checkpoint.
+    pub evictions: u64,
+    /// Run time of completed tasks in core milliseconds.
+    pub work_done_core_ms: u64,
+    /// Tasks that run now.
+    pub running: u64,
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Requests whose connection was closed before their answer.
+    pub aborted_requests: u64,
+}
+
+pub(super) fn handle(shared: &Shared, parts: &Parts, body: &Bytes) -> Answer {
+    match parts.uri.path() {
+        "/judged" => json(&judged(shared)),
+        "/log" => with(body, |set| set_log(shared, &set)),
+        "/lose" => with(body, |lose: Lose| shared.lose.set(lose.count)),
+        "/hosts" => with(body, |set| set_hosts(shared, &set)),
+        "/workers" => with(body, |set| set_worker(shared, &set)),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn with<T: DeserializeOwned>(body: &Bytes, apply: impl FnOnce(T)) -> Answer {
+    let Ok(value) = serde_json::from_slice(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    apply(value);
+    status(StatusCode::OK)
+}
+
+fn judged(shared: &Shared) -> Judged {
+    let judges = &shared.judges;
+    let violations = judges.violations().into_iter().map(|violation| {
+        let rule = match violation.rule {
+            Rule::Invariant(invariant) => invariant.name().to_owned(),
+            rule => format!("{rule:?}"),
+        };
+        (rule, format!("at {}: {}", violation.at, violation.detail))
+    });
+    Judged {
+        violations: violations.collect(),
+        starts: judges.starts.get(),
+        evictions: judges.evictions.get(),
+        work_done_core_ms: shared.workers.work_done.get(),
+        running: shared.workers.running().len() as u64,
+        appends: shared.log.appends.get(),
+        aborted_requests: shared.targets.aborted.get(),
+    }
+}
+
+fn set_log(shared: &Shared, set: &SetLog) {
+    shared.log.faults.set(LogFaults {
+        down: set.down,
+        slow: Millis(set.slow_ms),
+        lost_percent: set.lost_percent,
+        late_percent: set.late_percent,
+    });
+}
+
+fn set_hosts(shared: &Shared, set: &SetHosts) {
+    let matches = |host: &Host| {
+        let in_place = set
+            .data_centre
+            .as_ref()
+            .is_none_or(|data_centre| *data_centre == host.data_centre);
+        let named = set
+            .name
+            .as_ref()
+            .is_none_or(|name| **name == *name_of(host));
+        in_place && named
+    };
+    let matching: Vec<Host> = shared
+        .hosts
+        .true_hosts()
+        .into_iter()
+        .filter(matches)
+        .collect();
+    shared.hosts.set_state(set.state, matches);
+    for host in matching {
+        if let HostRole::Executor { .. } = host.role {
+            let leaving = set.state != HostState::Live;
+            shared.targets.set_leaving(&host.address, leaving);
+        }
+    }
+}
+
+fn name_of(host: &Host) -> Rc<str> {
+    match &host.role {
+        HostRole::Worker { name, .. } => name.as_str().into(),
+        HostRole::Executor { name } => name.as_str().into(),
+        HostRole::Node { name } => name.as_str().into(),
+    }
+}
+
+fn set_worker(shared: &Shared, set: &SetWorker) {
+    if set.dead {
+        shared.workers.kill(&set.name);
+    } else {
+        shared.workers.restart(&set.name);
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-fakes/src/http/mod.rs
@@ -0,0 +1,228 @@
+//! The same platform behind HTTP sockets, for process tests and examples.
+//!
+//! The in-memory fakes run on their virtual clock, which [`StandIn::run`] moves
+//! with the real one in steps of a millisecond. A call becomes a task on that
+//! clock; its task ends early if the caller closes the connection.
+
+pub mod control;
+mod routes;
+mod server;
+
+use std::{
+    cell::Cell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use futures_channel::oneshot;
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
+use hemlocksaddle_types::{
+    clock::Millis,
+    host::{Host, HostRole},
+    name::ServiceName,
+};
+use http::request::Parts;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    hosts::FakeHosts,
+    judge::{Judges, Rule},
+    log::FakeLog,
+    network::{Endpoint, Network},
+    runtime::{ENVIRONMENT, SimRuntime},
+    targets::FakeTargets,
+    workers::FakeWorkers,
+};
+use server::{Answer, serve};
+
+/// Step by which the virtual clock follows the real one.
+const STEP: Duration = Duration::from_millis(1);
+
+/// What a stand-in consists of.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Hosts. Workers and executors get free ports in place of their addresses.
+    pub hosts: Vec<Host>,
+    /// Service of the executors.
+    pub service: ServiceName,
+    /// Slots of each executor.
+    pub slots: usize,
+    /// Connections that each executor takes.
+    pub connections: usize,
+    /// Seed of service times and clocks.
+    pub seed: u64,
+}
+
+/// Where the parts of a stand-in listen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// Log.
+    pub log: SocketAddr,
+    /// Host list.
+    pub hosts: SocketAddr,
+    /// All workers.
+    pub workers: SocketAddr,
+    /// Control calls.
+    pub control: SocketAddr,
+    /// Executors in the order of the hosts.
+    pub executors: Vec<SocketAddr>,
+}
+
+/// State that the handlers share.
+struct Shared {
+    sim: SimRuntime,
+    caller: Endpoint,
+    log: Rc<FakeLog>,
+    hosts: Rc<FakeHosts>,
+    workers: Rc<FakeWorkers>,
+    targets: Rc<FakeTargets>,
+    judges: Rc<Judges>,
+    service: ServiceName,
+    connections: u32,
+    requests: Cell<u64>,
+    lose: Cell<u64>,
+}
+
+impl Shared {
+    /// Runs a call on the virtual clock; it is dropped if this future is.
+    async fn run<T: 'static>(
+        self: &Rc<Self>,
+        call: impl Future<Output = T> + 'static,
+    ) -> Option<T> {
+        let (mut answer, answered) = oneshot::channel();
+        self.sim.spawn(ENVIRONMENT, async move {
+            let ended = select(Box::pin(call), answer.cancellation()).await;
+            if let Either::Left((output, _)) = ended {
+                let _ = answer.send(output);
+            }
+        });
+        answered.await.ok()
+    }
+
+    /// Drops the answer if it is one of those to be lost.
+    fn unless_lost(&self, answer: Answer) -> Answer {
+        let left = self.lose.get();
+        self.lose.set(left.saturating_sub(1));
+        answer.filter(|_| left == 0)
+    }
+}
+
+/// Platform that listens on loopback sockets.
+pub struct StandIn {
+    shared: Rc<Shared>,
+    /// Where the parts listen.
+    pub addresses: Addresses,
+}
+
+impl StandIn {
+    /// Binds all parts to free ports and starts to listen.
+    pub async fn start(mut layout: Layout) -> io::Result<StandIn> {
+        let platform = TcpListener::bind("127.0.0.1:0").await?;
+        let control = TcpListener::bind("127.0.0.1:0").await?;
+        let address = platform.local_addr()?;
+        let mut executors = Vec::new();
+        for host in &mut layout.hosts {
+            match host.role {
+                HostRole::Worker { .. } => host.address = address,
+                HostRole::Executor { .. } => {
+                    let listener = TcpListener::bind("127.0.0.1:0").await?;
+                    host.address = listener.local_addr()?;
+                    executors.push((host.address, listener));
+                }
+                HostRole::Node { .. } => {}
+            }
+        }
+        let addresses = Addresses {
+            log: address,
+            hosts: address,
+            workers: address,
+            control: control.local_addr()?,
+            executors: executors.iter().map(|(address, _)| *address).collect(),
+        };
+        let shared = shared(layout);
+        listen(&shared, platform, routes::platform);
+        listen(&shared, control, |shared, parts, body| async move {
+            control::handle(&shared, &parts, &body)
+        });
+        for (address, listener) in executors {
+            listen_executor(&shared, address, listener);
+        }
+        Ok(StandIn { shared, addresses })
+    }
+
+    /// Moves the virtual clock with the real one, for ever.
+    pub async fn run(&self) {
+        let started = Instant::now();
+        loop {
+            compio::time::sleep(STEP).await;
+            let due = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let sim = &self.shared.sim;
+            sim.run_for(Millis(due.saturating_sub(sim.now().0)));
+        }
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        self.shared.sim.close();
+    }
+}
+
+fn shared(layout: Layout) -> Rc<Shared> {
+    let sim = SimRuntime::new(layout.seed);
+    let network = Network::new(&sim);
+    let judges = Judges::new(&sim);
+    let targets = FakeTargets::new(&network, &judges);
+    for host in &layout.hosts {
+        if let HostRole::Executor { .. } = host.role {
+            targets.add(host.address, &host.data_centre, layout.slots);
+        }
+    }
+    Rc::new(Shared {
+        caller: Endpoint::platform("http"),
+        log: FakeLog::new(&network, &judges),
+        workers: FakeWorkers::new(&network, &judges, &layout.hosts),
+        hosts: FakeHosts::new(&network, layout.hosts),
+        targets,
+        judges,
+        service: layout.service,
+        connections: u32::try_from(layout.connections).unwrap_or(u32::MAX),
+        requests: Cell::new(0),
+        lose: Cell::new(0),
+        sim,
+    })
+}
+
+fn listen<F>(
+    shared: &Rc<Shared>,
+    listener: TcpListener,
+    handle: impl Fn(Rc<Shared>, Parts, Bytes) -> F + 'static,
+) where
+    F: Future<Output = Answer> + 'static,
+{
+    let shared = shared.clone();
+    let handler = move |parts, body| handle(shared.clone(), parts, body).boxed_local();
+    serve(listener, Rc::new(handler), |_| {});
+}
+
+fn listen_executor(shared: &Rc<Shared>, address: SocketAddr, listener: TcpListener) {
+    let (judging, shared) = (shared.clone(), shared.clone());
+    let handler =
+        move |parts, body| routes::executor(shared.clone(), address, parts, body).boxed_local();
+    serve(listener, Rc::new(handler), move |open| {
+        if open > judging.connections as usize {
+            let detail = format!(
+                "{address} has {open} connections, at most {}",
+                judging.connections
+            );
+            judging.judges.report(Rule::Connections, detail);
+        }
+    });
+}
--- /dev/null
+++ b/hemlocksaddle-fakes/src/http/routes.rs
@@ -0,0 +1,211 @@
+//! Calls of the nodes: log, host list, workers and executors.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use hemlocksaddle_node::ports::{PortError, Result};
+use hemlocksaddle_types::{
+    clock::Millis,
+    job::{Attempt, TaskId, Urgency},
+    name::{IdempotencyKey, NodeName, WorkerName},
+    record::{Offset, Stream},
+    request::{QuickRequest, RequestId},
+    unit::QueueIndex,
+};
+use http::{Method, StatusCode, request::Parts};
+use serde::{Deserialize, Serialize};
+use serde_json::json as object;
+
+use super::{
+    Shared,
+    server::{Answer, json, status},
+};
+
+/// Deadline of a request that states none.
+const DEADLINE: Millis = Millis(10_000);
+
+pub(super) async fn platform(shared: Rc<Shared>, parts: Parts, body: Bytes) -> Answer {
+    let path = parts.uri.path().to_owned();
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    match (parts.method.clone(), segments.as_slice()) {
+        (Method::GET, ["hosts"]) => hosts(&shared).await,
+        (Method::GET, ["streams", stream]) => match named_stream(stream) {
+            Some(stream) => read(&shared, stream, parts.uri.query().unwrap_or_default()).await,
+            None => status(StatusCode::NOT_FOUND),
+        },
+        (Method::POST, ["streams", stream]) => match named_stream(stream) {
+            Some(stream) => append(&shared, stream, body).await,
+            None => status(StatusCode::NOT_FOUND),
+        },
+        (Method::POST, ["workers", worker, action]) => {
+            worker_call(&shared, worker, action, &body).await
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Answer that states whether a failed call can have had an effect.
+fn stated<T: Serialize>(result: Result<T>) -> Answer {
+    match result {
+        Ok(value) => json(&value),
+        Err(PortError::NotSent) => status(StatusCode::SERVICE_UNAVAILABLE),
+        Err(PortError::Unknown) => None,
+    }
+}
+
+async fn hosts(shared: &Rc<Shared>) -> Answer {
+    let port = shared.hosts.port(&shared.caller);
+    let list = shared.run(async move { port.fetch().await }).await?;
+    stated(list)
+}
+
+fn named_stream(name: &str) -> Option<Stream> {
+    match name {
+        "documents" => Some(Stream::Documents),
+        "claims" => Some(Stream::Claims),
+        _ => {
+            let index = name.strip_prefix("queue-")?.parse().ok()?;
+            Some(Stream::Queue(QueueIndex(index)))
+        }
+    }
+}
+
+async fn read(shared: &Rc<Shared>, stream: Stream, query: &str) -> Answer {
+    let value = |key: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let value = pairs.find(|(name, _)| *name == key)?.1;
+        value.parse::<u64>().ok()
+    };
+    let (Some(from), Some(wait)) = (value("from"), value("wait_ms")) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let port = shared.log.port(&shared.caller);
+    let reading = async move { port.read(stream, Offset(from), Millis(wait)).await };
+    let batch = shared.run(reading).await?;
+    stated(batch.map(|batch| {
+        let records = batch.records.iter();
+        let records: Vec<_> = records
+            .map(|(offset, record)| (offset, STANDARD.encode(record)))
+            .collect();
+        object!({ "first": batch.first, "next": batch.next, "records": records })
+    }))
+}
+
+async fn append(shared: &Rc<Shared>, stream: Stream, record: Bytes) -> Answer {
+    let port = shared.log.port(&shared.caller);
+    let offset = shared
+        .run(async move { port.append(stream, record).await })
+        .await?;
+    shared.unless_lost(stated(offset.map(|offset| object!({ "offset": offset }))))
+}
+
+#[derive(Deserialize)]
+struct Stop {
+    task: TaskId,
+    attempt: Attempt,
+    checkpoint: bool,
+}
+
+#[derive(Deserialize)]
+struct Throttle {
+    task: TaskId,
+    attempt: Attempt,
+    on: bool,
+}
+
+async fn worker_call(shared: &Rc<Shared>, worker: &str, action: &str, body: &Bytes) -> Answer {
+    let Ok(worker) = WorkerName::try_from(worker) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let port = shared.workers.port(&shared.caller);
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer = match action {
+        "start" => {
+            let Ok(order) = serde_json::from_slice(body) else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            let call = async move { port.start(address, &worker, order).await };
+            stated(shared.run(call).await?)
+        }
+        "renew" => {
+            let Ok(renew) = serde_json::from_slice(body) else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            let call = async move { port.renew(address, &worker, renew).await };
+            stated(shared.run(call).await?)
+        }
+        "stop" => {
+            let Ok(Stop {
+                task,
+                attempt,
+                checkpoint,
+            }) = serde_json::from_slice(body)
+            else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            let call = async move { port.stop(address, &worker, task, attempt, checkpoint).await };
+            stated(shared.run(call).await?)
+        }
+        "throttle" => {
+            let Ok(Throttle { task, attempt, on }) = serde_json::from_slice(body) else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            let call = async move { port.throttle(address, &worker, task, attempt, on).await };
+            stated(shared.run(call).await?)
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    };
+    shared.unless_lost(answer)
+}
+
+/// Serves a request of the executor at an address.
+pub(super) async fn executor(
+    shared: Rc<Shared>,
+    address: SocketAddr,
+    parts: Parts,
+    body: Bytes,
+) -> Answer {
+    let number = shared.requests.get() + 1;
+    shared.requests.set(number);
+    let request = quick_request(&shared, number, &parts, body)?;
+    let port = shared.targets.port(&shared.caller);
+    let (service, connections) = (shared.service.clone(), shared.connections);
+    let within = request.deadline_ms;
+    let serving = async move {
+        port.send(address, &service, connections, request, within)
+            .await
+    };
+    match shared.run(serving).await? {
+        Ok(response) => Some((StatusCode::OK, response.body)),
+        Err(_) => None,
+    }
+}
+
+fn quick_request(shared: &Shared, number: u64, parts: &Parts, body: Bytes) -> Option<QuickRequest> {
+    let headers = parts.headers.iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        Some((Arc::from(name.as_str()), Arc::from(value)))
+    });
+    let headers: BTreeMap<Arc<str>, Arc<str>> = headers.collect();
+    let key = headers.get("idempotency-key").cloned();
+    let deadline = headers
+        .get("deadline-ms")
+        .and_then(|text| text.parse().ok());
+    Some(QuickRequest {
+        id: RequestId {
+            node: NodeName::try_from("http").ok()?,
+            started_ms: 0,
+            number,
+        },
+        service: shared.service.clone(),
+        key: key.and_then(|key| IdempotencyKey::try_from(key).ok()),
+        idempotent: headers
+            .get("idempotent")
+            .is_some_and(|text| **text == *"true"),
+        deadline_ms: deadline.map_or(DEADLINE, Millis),
+        urgency: Urgency::Normal,
+        headers,
+        body,
+    })
+}
--- /dev/null
+++ b/hemlocksaddle-fakes/src/http/server.rs
@@ -0,0 +1,89 @@
+//! Small HTTP server around a handler.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::HyperStream;
+use futures_util::future::LocalBoxFuture;
+use http::{Request, Response, StatusCode, request::Parts};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use serde::Serialize;
+
+/// Pause after an accept failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answer, or nothing if the connection is closed without one.
+pub(super) type Answer = Option<(StatusCode, Bytes)>;
+
+/// Handler of a listener.
+pub(super) type Handler = Rc<dyn Fn(Parts, Bytes) -> LocalBoxFuture<'static, Answer>>;
+
+/// Answer with a JSON body.
+pub(super) fn json(value: &impl Serialize) -> Answer {
+    match serde_json::to_vec(value) {
+        Ok(body) => Some((StatusCode::OK, Bytes::from(body))),
+        Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// Answer without a body.
+pub(super) fn status(status: StatusCode) -> Answer {
+    Some((status, Bytes::new()))
+}
+
+/// Serves connections in the background; `opened` gets the number of open ones after each accept.
+pub(super) fn serve(listener: TcpListener, handler: Handler, opened: impl Fn(usize) + 'static) {
+    let accepting = async move {
+        let open = Rc::new(Cell::new(0));
+        loop {
+            let Ok((tcp, _)) = listener.accept().await else {
+                compio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            open.set(open.get() + 1);
+            opened(open.get());
+            let (handler, open) = (handler.clone(), open.clone());
+            let connection = async move {
+                serve_connection(tcp, handler).await;
+                open.set(open.get() - 1);
+            };
+            compio::runtime::spawn(connection).detach();
+        }
+    };
+    compio::runtime::spawn(accepting).detach();
+}
+
+async fn serve_connection(tcp: TcpStream, handler: Handler) {
+    let _ = tcp.set_nodelay(true);
+    let service = service_fn(move |request| answer(handler.clone(), request));
+    let connection = http1::Builder::new().serve_connection(HyperStream::new_plain(tcp), service);
+    let _ = connection.await;
+}
+
+/// Stands for an answer that is lost; hyper closes the connection.
+#[derive(Debug)]
+struct Lost;
+
+impl std::fmt::Display for Lost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("answer lost on purpose")
+    }
+}
+
+impl std::error::Error for Lost {}
+
+async fn answer(
+    handler: Handler,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Lost> {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return Err(Lost);
+    };
+    let (status, body) = handler(parts, body.to_bytes()).await.ok_or(Lost)?;
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    Ok(response)
+}
--- a/hemlocksaddle-fakes/src/lib.rs
+++ b/hemlocksaddle-fakes/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod hosts;
+pub mod http;
 pub mod judge;
 pub mod log;
 pub mod network;
