Add the node program

Cause: a node has to start from a settings file, stop on a signal without cutting off requests, and say why it does not serve yet. Targets and the callers' server are not connected yet.

--- a/hemlocksaddle-daemon/src/lib.rs
+++ b/hemlocksaddle-daemon/src/lib.rs
@@ -2,4 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod program;
 pub mod settings;
+
+pub use program::{run, run_node};
