--- a/hemlocksaddle-fakes/src/http/control.rs
+++ b/hemlocksaddle-fakes/src/http/control.rs
@@ -6,6 +6,7 @@
 //! | `POST /log` | [`SetLog`] | sets the faults of the log |
 //! | `POST /lose` | [`Lose`] | loses the next answers of log and workers after their effect |
 //! | `POST /hosts` | [`SetHosts`] | changes the state of hosts |
+//! | `POST /answers` | list of [`Answered`] | judges what callers were told |
 //! | `POST /workers` | [`SetWorker`] | kills or restarts a worker |
 
 use std::{rc::Rc, sync::Arc};
@@ -15,6 +16,7 @@
     clock::Millis,
     host::{Host, HostRole, HostState},
     name::{DataCentre, WorkerName},
+    outcome::ResultCode,
 };
 use http::{StatusCode, request::Parts};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -66,6 +68,17 @@
     pub dead: bool,
 }
 
+/// Answer that a caller got to a quick request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answered {
+    /// Value of the request's header `Tag`.
+    pub tag: Arc<str>,
+    /// Result.
+    pub code: ResultCode,
+    /// Whether the body is that of an answer to this request.
+    pub whole: bool,
+}
+
 /// What the judges saw.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Judged {
@@ -91,6 +104,13 @@
         "/log" => with(body, |set| set_log(shared, &set)),
         "/lose" => with(body, |lose: Lose| shared.lose.set(lose.count)),
         "/hosts" => with(body, |set| set_hosts(shared, &set)),
+        "/answers" => with(body, |answers: Vec<Answered>| {
+            for answer in answers {
+                shared
+                    .judges
+                    .answered(&answer.tag, answer.code, answer.whole);
+            }
+        }),
         "/workers" => with(body, |set| set_worker(shared, &set)),
         _ => status(StatusCode::NOT_FOUND),
     }
--- a/hemlocksaddle-fakes/src/http/routes.rs
+++ b/hemlocksaddle-fakes/src/http/routes.rs
@@ -19,9 +19,15 @@
 
 use super::{
     Shared,
-    server::{Answer, json, status},
+    server::{Answer, bytes, json, status},
 };
 
+/// Header that names a request and is returned with its answer.
+const REQUEST_ID: &str = "request-id";
+
+/// Header of a caller that allows the judges to see the request more than once.
+const MAY_REPEAT: &str = "may-repeat";
+
 /// Deadline of a request that states none.
 const DEADLINE: Millis = Millis(10_000);
 
@@ -176,10 +182,12 @@
         port.send(address, &service, connections, request, within)
             .await
     };
-    match shared.run(serving).await? {
-        Ok(response) => Some((StatusCode::OK, response.body)),
-        Err(_) => None,
+    let response = shared.run(serving).await?.ok()?;
+    let mut answer = bytes(response.body)?;
+    if let Some(id) = parts.headers.get(REQUEST_ID) {
+        answer.headers_mut().insert(REQUEST_ID, id.clone());
     }
+    Some(answer)
 }
 
 fn quick_request(shared: &Shared, number: u64, parts: &Parts, body: Bytes) -> Option<QuickRequest> {
@@ -200,9 +208,7 @@
         },
         service: shared.service.clone(),
         key: key.and_then(|key| IdempotencyKey::try_from(key).ok()),
-        idempotent: headers
-            .get("idempotent")
-            .is_some_and(|text| **text == *"true"),
+        idempotent: headers.contains_key(MAY_REPEAT),
         deadline_ms: deadline.map_or(DEADLINE, Millis),
         urgency: Urgency::Normal,
         headers,
--- a/hemlocksaddle-fakes/src/http/server.rs
+++ b/hemlocksaddle-fakes/src/http/server.rs
@@ -15,7 +15,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answer, or nothing if the connection is closed without one.
-pub(super) type Answer = Option<(StatusCode, Bytes)>;
+pub(super) type Answer = Option<Response<Full<Bytes>>>;
 
 /// Handler of a listener.
 pub(super) type Handler = Rc<dyn Fn(Parts, Bytes) -> LocalBoxFuture<'static, Answer>>;
@@ -23,14 +23,21 @@
 /// Answer with a JSON body.
 pub(super) fn json(value: &impl Serialize) -> Answer {
     match serde_json::to_vec(value) {
-        Ok(body) => Some((StatusCode::OK, Bytes::from(body))),
+        Ok(body) => bytes(Bytes::from(body)),
         Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
 
+/// Answer with a body.
+pub(super) fn bytes(body: Bytes) -> Answer {
+    Some(Response::new(Full::new(body)))
+}
+
 /// Answer without a body.
 pub(super) fn status(status: StatusCode) -> Answer {
-    Some((status, Bytes::new()))
+    let mut response = Response::default();
+    *response.status_mut() = status;
+    Some(response)
 }
 
 /// Serves connections in the background; `opened` gets the number of open ones after each accept.
@@ -82,8 +89,5 @@
     let Ok(body) = body.collect().await else {
         return Err(Lost);
     };
-    let (status, body) = handler(parts, body.to_bytes()).await.ok_or(Lost)?;
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    Ok(response)
+    handler(parts, body.to_bytes()).await.ok_or(Lost)
 }
