--- a/hemlocksaddle-fakes/src/lib.rs
+++ b/hemlocksaddle-fakes/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod cluster;
 pub mod hosts;
+pub mod http;
 pub mod judge;
 pub mod log;
 pub mod network;
--- a/hemlocksaddle-fakes/src/network.rs
+++ b/hemlocksaddle-fakes/src/network.rs
@@ -73,7 +73,7 @@
     }
 
     /// Marks a host as dead, which refuses connections, or as alive.
-    pub(crate) fn set_dead(&self, name: &str, dead: bool) {
+    pub fn set_dead(&self, name: &str, dead: bool) {
         let network = &mut self.network.borrow_mut();
         network.connections.retain(|(_, to), _| **to != *name);
         if dead {
--- a/hemlocksaddle-fakes/src/platform.rs
+++ b/hemlocksaddle-fakes/src/platform.rs
@@ -96,6 +96,12 @@
         }
     }
 
+    /// Same deployment with another number of nodes.
+    #[must_use]
+    pub fn with_nodes(self, nodes: usize) -> Deployment {
+        Deployment { nodes, ..self }
+    }
+
     /// Data centre of a rack, executor or node by its number.
     #[must_use]
     pub fn data_centre(&self, index: usize) -> DataCentre {
@@ -239,8 +245,14 @@
     /// Platform at time zero, without running nodes.
     #[must_use]
     pub fn new(deployment: Deployment, seed: u64) -> Rc<Platform> {
-        let sim = SimRuntime::new(seed);
         let hosts = deployment.hosts();
+        Platform::with_hosts(deployment, hosts, seed)
+    }
+
+    /// Platform with other hosts than those that follow from the deployment's size.
+    #[must_use]
+    pub fn with_hosts(deployment: Deployment, hosts: Vec<Host>, seed: u64) -> Rc<Platform> {
+        let sim = SimRuntime::new(seed);
         let platform = Rc::new(Platform {
             judges: Judges::new(&sim),
             faults: RefCell::default(),
@@ -293,12 +305,15 @@
     /// Ports of a node's present process.
     #[must_use]
     pub fn ports(self: &Rc<Self>, node: &PeerAddress) -> Ports {
-        let ports = Rc::new(NodePorts {
-            platform: self.clone(),
-            from: self.endpoint(node),
-        });
+        self.ports_of(self.endpoint(node))
+    }
+
+    pub(crate) fn ports_of(self: &Rc<Self>, from: Endpoint) -> Ports {
+        let runtime = self.sim.runtime(from.process);
+        let platform = self.clone();
+        let ports = Rc::new(NodePorts { platform, from });
         Ports {
-            runtime: self.sim.node_runtime(&node.node),
+            runtime,
             log: ports.clone(),
             hosts: ports.clone(),
             workers: ports.clone(),
@@ -307,6 +322,11 @@
         }
     }
 
+    /// Runs for a span of true time.
+    pub fn run_for(&self, span: Millis) {
+        self.sim.run_for(span);
+    }
+
     /// Settings of a node.
     #[must_use]
     pub fn settings(&self, node: &PeerAddress) -> Settings {
--- a/hemlocksaddle-fakes/src/workload.rs
+++ b/hemlocksaddle-fakes/src/workload.rs
@@ -146,6 +146,7 @@
         let repeated = (!idempotent && self.below(5) == 0).then(|| request.clone());
         self.send(request, &tag, true).await;
         if let Some(request) = repeated {
+            self.cluster.platform.judges.submitted_again(&tag);
             self.send(request, &tag, false).await;
         }
     }
