--- a/hemlocksaddle-node/src/queue/state.rs
+++ b/hemlocksaddle-node/src/queue/state.rs
@@ -168,8 +168,14 @@
     }
 
     /// Takes a waiting task for an attempt.
+    ///
+    /// The records of tasks that start at the same time may be in the log in any
+    /// order, so the tasks that were passed over still wait.
     pub(crate) fn take(&mut self, index: u32) {
         self.requeued.remove(&index);
+        for passed in self.next_fresh..index {
+            self.requeued.insert(passed, Requeued::default());
+        }
         self.next_fresh = self.next_fresh.max(index + 1);
     }
 
