Connect callers and targets to the program; add the quickstart

Cause: the program served nobody, and there was no run of the whole system as separate processes. Change: hemlocksaddle-daemon/src/service.rs joins queues, racks and requests with the callers' server; a planned stop first answers callers, then stops the node. examples/quickstart starts three nodes in three data centres and the platform's stand-in as processes and takes them through a publication, quick requests, batch jobs, a SIGKILL, a data-centre change and a log outage.

--- a/hemlocksaddle-daemon/examples/quickstart/director.rs
+++ b/hemlocksaddle-daemon/examples/quickstart/director.rs
@@ -117,9 +117,12 @@
             compio::time::sleep(POLL).await;
         }
         self.say("first batch job completed");
+        // Until here nodes claimed their units and refused what they did not own yet.
+        load.take_latencies()?;
         let first = self.judged().await?;
         let steady = Instant::now();
         let before = self.work_during(STEADY).await?;
+        let steady_latencies = load.take_latencies()?;
 
         self.replace_a_node().await?;
         let during = self.take_out_and_back().await?;
@@ -132,6 +135,7 @@
         while load.jobs_open() > 0 {
             compio::time::sleep(POLL).await;
         }
+        let before_stops = self.judged().await?;
         let bad_stops = self.stop_nodes(&load).await?;
         let answers = load.seen.answers.take();
         self.client
@@ -142,6 +146,8 @@
             seen: &load.seen,
             judged: &judged,
             invariants: &self.invariants,
+            steady: steady_latencies,
+            cut_off: judged.aborted_requests - before_stops.aborted_requests,
             before,
             during,
             all,
--- a/hemlocksaddle-daemon/examples/quickstart/report.rs
+++ b/hemlocksaddle-daemon/examples/quickstart/report.rs
@@ -4,7 +4,10 @@
 
 use hemlocksaddle_fakes::http::control::Judged;
 
-use crate::{client::Client, load::Seen};
+use crate::{
+    client::Client,
+    load::{Latencies, Seen},
+};
 
 /// Checks and violations of each invariant, summed over processes.
 #[derive(Default)]
@@ -59,6 +62,10 @@
     pub(crate) seen: &'a Seen,
     pub(crate) judged: &'a Judged,
     pub(crate) invariants: &'a Invariants,
+    /// Latencies before the first failure, of idempotent and non-idempotent requests.
+    pub(crate) steady: [Latencies; 2],
+    /// Requests that executors saw cut off during the planned stops.
+    pub(crate) cut_off: u64,
     pub(crate) before: Work,
     pub(crate) during: Work,
     pub(crate) all: Work,
@@ -84,7 +91,7 @@
         let good = violations == 0
             && lost.is_empty()
             && self.outstanding == 0
-            && self.judged.aborted_requests == 0
+            && self.cut_off == 0
             && self.bad_stops == 0;
         println!(
             "{}: {violations} violations, {} jobs lost, {} without an end, {} bad stops",
@@ -97,13 +104,13 @@
     }
 
     fn print_measures(&self) {
-        let latency_us = self.seen.latency_us.borrow();
-        let at = |quantile| latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
+        let [repeatable, once] = &self.steady;
+        println!("quick requests, no failure: {repeatable}");
+        println!("  non-idempotent: {once}");
+        println!("quick requests, with failures: {}", self.seen.repeatable);
+        println!("  non-idempotent: {}", self.seen.once);
         println!(
-            "quick requests: {} served, p50 {:.1} ms, p99 {:.1} ms, {} not served",
-            latency_us.len(),
-            at(0.5),
-            at(0.99),
+            "  not served after all attempts: {}",
             self.seen.unserved.get()
         );
         println!("answers by result code: {:?}", self.seen.codes.borrow());
@@ -131,8 +138,9 @@
             println!("{name:<32} {checks:>10} {violations:>10}");
         }
         println!(
-            "seen by the stand-in: {} violations, {} requests cut off",
+            "seen by the stand-in: {} violations; requests cut off: {} by the planned stops, {} in all",
             self.judged.violations.len(),
+            self.cut_off,
             self.judged.aborted_requests
         );
     }
--- a/hemlocksaddle-daemon/src/program.rs
+++ b/hemlocksaddle-daemon/src/program.rs
@@ -13,31 +13,24 @@
 use eyre::WrapErr;
 use futures_channel::mpsc;
 use futures_util::{
-    FutureExt, StreamExt,
-    future::{Either, ready, select},
+    StreamExt,
+    future::{Either, select},
 };
 use hemlocksaddle_adapters::{
+    callers::Callers,
     peers::{self, WebSocketPeers},
     platform::{self, HttpPlatform},
     runtime::CompioRuntime,
+    targets::HttpTargets,
 };
-use hemlocksaddle_node::{
-    invariant::OnViolation,
-    node::Node,
-    ports::{PortError, PortFuture, Ports, Targets},
-};
-use hemlocksaddle_types::{
-    clock::Millis,
-    name::ServiceName,
-    request::{QuickRequest, QuickResponse},
-};
+use hemlocksaddle_node::{node::Node, ports::Ports};
 
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
 
-use crate::settings::File;
+use crate::{service::NodeService, settings::File};
 
 /// Interval at which a node that cannot serve yet says why.
 const WAITING_EVERY: Duration = Duration::from_millis(2_000);
@@ -73,9 +66,10 @@
 
 async fn serve(file: File) -> eyre::Result<()> {
     let mut signals = signals()?;
-    let _callers = bind(file.addresses.callers, "callers").await?;
+    let callers_listener = bind(file.addresses.callers, "callers").await?;
     let peers_listener = bind(file.addresses.peers_listen, "peers_listen").await?;
-    let node = Node::new(ports(&file), file.node.clone(), OnViolation::Refuse);
+    let service = NodeService::new(ports(&file), file.node.clone());
+    let node = service.node.clone();
     node.start();
 
     let accepting = node.clone();
@@ -86,11 +80,13 @@
         on_link,
     ))
     .detach();
+    let callers = Callers::new(service, file.node.limits);
+    compio::runtime::spawn(callers.clone().serve(callers_listener)).detach();
     compio::runtime::spawn(say_why_not_ready(node.clone(), file.addresses.log)).detach();
 
     let signal = signals.next().await;
     log::info!(target: "hemlocksaddle", "{}: planned stop", name(signal));
-    let stopping = pin!(node.stop());
+    let stopping = pin!(stop(&node, &callers));
     if let Either::Right((signal, _)) = select(stopping, signals.next()).await {
         log::error!(target: "hemlocksaddle", "{} during the planned stop: ended at once", name(signal));
         process::exit(EXIT_FORCED);
@@ -98,6 +94,15 @@
     Ok(())
 }
 
+/// Planned stop: callers get their answers first, while the node still does all of its work.
+async fn stop(node: &Node, callers: &Callers) {
+    let open = callers.stop().await;
+    if open > 0 {
+        log::warn!(target: "hemlocksaddle", "{open} connections of callers did not take their answer");
+    }
+    node.stop().await;
+}
+
 async fn bind(address: SocketAddr, key: &str) -> eyre::Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.wrap_err_with(|| format!("[node] {key} = {address} cannot be listened on"))
@@ -115,27 +120,11 @@
         log: platform.clone(),
         hosts: platform.clone(),
         workers: platform,
-        targets: Rc::new(NoTargets),
+        targets: Rc::new(HttpTargets::new()),
         peers: Rc::new(WebSocketPeers::new(file.peer_key.clone())),
     }
 }
 
-/// Targets until their adapter exists: nothing is sent.
-struct NoTargets;
-
-impl Targets for NoTargets {
-    fn send(
-        &self,
-        _: SocketAddr,
-        _: &ServiceName,
-        _: u32,
-        _: QuickRequest,
-        _: Millis,
-    ) -> PortFuture<'_, Result<QuickResponse, PortError>> {
-        ready(Err(PortError::NotSent)).boxed_local()
-    }
-}
-
 /// Logs that the node waits, until it serves.
 async fn say_why_not_ready(node: Rc<Node>, log_address: SocketAddr) {
     let started = Instant::now();
