--- a/hemlocksaddle-fakes/src/http/control.rs
+++ b/hemlocksaddle-fakes/src/http/control.rs
@@ -94,6 +94,8 @@
     pub running: u64,
     /// Appends that took effect.
     pub appends: u64,
+    /// Requests that executors serve now.
+    pub requests_running: u64,
     /// Requests whose connection was closed before their answer.
     pub aborted_requests: u64,
 }
@@ -140,6 +142,7 @@
         work_done_core_ms: shared.workers.work_done.get(),
         running: shared.workers.running().len() as u64,
         appends: shared.log.appends.get(),
+        requests_running: shared.requests_running.get(),
         aborted_requests: shared.targets.aborted.get(),
     }
 }
--- a/hemlocksaddle-fakes/src/http/mod.rs
+++ b/hemlocksaddle-fakes/src/http/mod.rs
@@ -87,6 +87,7 @@
     service: ServiceName,
     connections: u32,
     requests: Cell<u64>,
+    requests_running: Cell<u64>,
     lose: Cell<u64>,
 }
 
@@ -195,6 +196,7 @@
         service: layout.service,
         connections: u32::try_from(layout.connections).unwrap_or(u32::MAX),
         requests: Cell::new(0),
+        requests_running: Cell::new(0),
         lose: Cell::new(0),
         sim,
     })
--- a/hemlocksaddle-fakes/src/http/routes.rs
+++ b/hemlocksaddle-fakes/src/http/routes.rs
@@ -182,6 +182,7 @@
         port.send(address, &service, connections, request, within)
             .await
     };
+    let _running = Running::new(&shared);
     let response = shared.run(serving).await?.ok()?;
     let mut answer = bytes(response.body)?;
     if let Some(id) = parts.headers.get(REQUEST_ID) {
@@ -190,6 +191,24 @@
     Some(answer)
 }
 
+/// Counts a request while it is served.
+struct Running(Rc<Shared>);
+
+impl Running {
+    fn new(shared: &Rc<Shared>) -> Running {
+        let count = &shared.requests_running;
+        count.set(count.get() + 1);
+        Running(shared.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let count = &self.0.requests_running;
+        count.set(count.get() - 1);
+    }
+}
+
 fn quick_request(shared: &Shared, number: u64, parts: &Parts, body: Bytes) -> Option<QuickRequest> {
     let headers = parts.headers.iter().filter_map(|(name, value)| {
         let value = value.to_str().ok()?;
