--- a/hemlocksaddle-fakes/src/http/control.rs
+++ b/hemlocksaddle-fakes/src/http/control.rs
@@ -94,6 +94,8 @@
     pub running: u64,
     /// Appends that took effect.
     pub appends: u64,
+    /// Requests that executors serve now.
+    pub requests_running: u64,
     /// Requests whose connection was closed before their answer.
     pub aborted_requests: u64,
 }
@@ -142,6 +144,7 @@
         work_done_core_ms: counts.work_core_ms,
         running: shared.platform.running_tasks() as u64,
         appends: counts.appends,
+        requests_running: shared.requests_running.get(),
         aborted_requests: counts.aborted_requests,
     }
 }
--- a/hemlocksaddle-fakes/src/http/mod.rs
+++ b/hemlocksaddle-fakes/src/http/mod.rs
@@ -80,6 +80,7 @@
     service: ServiceName,
     connections: u32,
     requests: Cell<u64>,
+    requests_running: Cell<u64>,
     lose: Cell<u64>,
 }
 
@@ -177,6 +178,7 @@
         service: layout.service,
         connections: u32::try_from(layout.connections).unwrap_or(u32::MAX),
         requests: Cell::new(0),
+        requests_running: Cell::new(0),
         lose: Cell::new(0),
     })
 }
