--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod burn;
 pub mod configuration;
 pub mod core;
+pub mod detach;
 pub mod env;
 pub mod event;
 pub mod explain;
--- a/hemlocksaddle-node/tests/node/cluster.rs
+++ b/hemlocksaddle-node/tests/node/cluster.rs
@@ -14,7 +14,7 @@
 /// Nodes of a deployment.
 pub(crate) struct Cluster {
     /// Fakes.
-    pub(crate) platform: Platform,
+    pub(crate) platform: Rc<Platform>,
     nodes: RefCell<BTreeMap<NodeName, Rc<Node>>>,
 }
 
@@ -62,16 +62,13 @@
         let settings = self.platform.settings(address);
         let ports = self.platform.ports(address);
         let node = Node::with_parts(ports, settings, on_violation, parts);
-        let endpoint = self.platform.endpoint(address);
         let accepting = Rc::downgrade(&node);
-        self.platform
-            .peers
-            .listen(&address.node, &endpoint, move |link| {
-                if let Some(node) = accepting.upgrade() {
-                    node.accept_peer(link);
-                }
-            });
-        self.platform.network.set_dead(address.node.as_str(), false);
+        self.platform.listen(address, move |link| {
+            if let Some(node) = accepting.upgrade() {
+                node.accept_peer(link);
+            }
+        });
+        self.platform.set_dead(address.node.as_str(), false);
         node.start();
         self.nodes.borrow_mut().insert(address.node.clone(), node);
     }
@@ -80,8 +77,8 @@
         let name = self.name(index);
         self.nodes.borrow_mut().remove(name);
         self.platform.sim.kill(name);
-        self.platform.network.set_dead(name.as_str(), true);
-        self.platform.peers.hang_up(name);
+        self.platform.set_dead(name.as_str(), true);
+        self.platform.hang_up(name);
     }
 
     pub(crate) fn pause(&self, index: usize, span_ms: u64) {
@@ -99,14 +96,18 @@
 
     /// Makes the log take and serve nothing, or ends that.
     pub(crate) fn set_log_down(&self, down: bool) {
-        let mut faults = self.platform.log.faults.get();
-        faults.down = down;
-        self.platform.log.faults.set(faults);
+        self.platform.faults.borrow_mut().log_down = down;
+    }
+
+    /// Sets the shares of appends whose answer is lost or that land late, in percent.
+    pub(crate) fn set_append_faults(&self, lost_percent: u64, late_percent: u64) {
+        let mut faults = self.platform.faults.borrow_mut();
+        (faults.log_lost_percent, faults.log_late_percent) = (lost_percent, late_percent);
     }
 
     /// Cuts or joins two places.
     pub(crate) fn cut(&self, one: &str, other: &str, cut: bool) {
-        self.platform.network.set_cut(one, other, cut);
+        self.platform.set_cut(one, other, cut);
     }
 
     /// Publishes the deployment's document with data centres taken out, on a node.
--- a/hemlocksaddle-node/tests/node/peers.rs
+++ b/hemlocksaddle-node/tests/node/peers.rs
@@ -91,7 +91,7 @@
                 *ended.borrow_mut() += 1;
             });
             if sim.below(20) == 0 {
-                cluster.platform.peers.silence(50);
+                cluster.platform.silence(50);
             }
             cluster.run(sim.below(60));
         }
@@ -111,7 +111,7 @@
         cluster.platform.sim.block_on(call)
     };
     expect_that!(call(1, 1_000), ok(anything()));
-    cluster.platform.peers.silence(100);
+    cluster.platform.silence(100);
     expect_that!(call(2, 1_000), err(eq(&CallError::NoReply)));
     cluster.run(3_500);
     expect_that!(call(3, 1_000), ok(anything()));
--- a/hemlocksaddle-node/tests/node/played.rs
+++ b/hemlocksaddle-node/tests/node/played.rs
@@ -61,10 +61,9 @@
             replies: RefCell::default(),
             senders: RefCell::default(),
         });
-        let endpoint = cluster.platform.endpoint(address);
         let played = peer.clone();
-        let peers = &cluster.platform.peers;
-        peers.listen(&address.node, &endpoint, move |link| played.accept(link));
+        let platform = &cluster.platform;
+        platform.listen(address, move |link| played.accept(link));
         peer
     }
 
--- a/hemlocksaddle-node/tests/node/promises.rs
+++ b/hemlocksaddle-node/tests/node/promises.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use googletest::prelude::*;
-use hemlocksaddle_node::{ports::ReadBatch, stream::StreamReader};
+use hemlocksaddle_node::stream::StreamReader;
 use hemlocksaddle_types::{
     name::NodeName,
     peer::{Request, Response},
@@ -45,17 +45,12 @@
     };
     let mut bytes = Vec::new();
     ciborium::into_writer(&batch, &mut bytes).expect("encodes");
-    cluster.platform.log.put(Stream::Claims, bytes.into());
+    cluster.platform.put(Stream::Claims, bytes.into());
 }
 
 /// Nodes whose valid claims on the unit at its second term are in the log.
 fn claimants(cluster: &Cluster) -> Vec<NodeName> {
-    let records = cluster.platform.log.records(Stream::Claims).into_iter();
-    let offsets = (0..).map(Offset);
-    let read = ReadBatch {
-        records: offsets.zip(records).collect(),
-        ..ReadBatch::default()
-    };
+    let read = cluster.platform.read_now(Stream::Claims, Offset(0));
     let (batches, _) = StreamReader::new().apply(read);
     let batches = batches.into_iter();
     let records = batches.flat_map(|batch| batch.records);
@@ -66,6 +61,11 @@
     claims.collect()
 }
 
+fn count_batches(cluster: &Cluster) -> usize {
+    let read = cluster.platform.read_now(Stream::Claims, Offset(0));
+    read.records.len()
+}
+
 /// Owner that is played, with real successors 0 and 1 to which it is silent.
 fn played_owner(seed: u64) -> (Cluster, Rc<PlayedPeer>) {
     let cluster = Cluster::new(3, seed);
@@ -85,9 +85,9 @@
         if step % 80 == 0 && step * 10 < asks_until_ms {
             owner.call_all(&request);
         }
-        let appends = cluster.platform.log.appends.get();
+        let appends = cluster.platform.judges.counts().appends;
         cluster.run(10);
-        if cluster.platform.log.appends.get() == appends {
+        if cluster.platform.judges.counts().appends == appends {
             continue;
         }
         for claimant in claimants(cluster).into_iter().skip(seen) {
@@ -128,9 +128,7 @@
     for seed in 0..20 {
         let (cluster, owner) = played_owner(seed);
         owner.call_all(&Request::Promise(vec![(UNIT, Term(1))]));
-        let mut faults = cluster.platform.log.faults.get();
-        faults.late_percent = 100;
-        cluster.platform.log.faults.set(faults);
+        cluster.set_append_faults(0, 100);
         cluster.run(3_800);
         watch_promises(&cluster, &owner, 30_000, 30_000);
         claimed += usize::from(!claimants(&cluster).is_empty());
@@ -180,7 +178,7 @@
 fn a_restarted_node_claims_nothing_owned_at_first() {
     for seed in 0..10 {
         let cluster = Cluster::settled(3, seed);
-        let count = || cluster.platform.log.records(Stream::Claims).len();
+        let count = || count_batches(&cluster);
         let before = count();
         cluster.kill(0);
         cluster.run(100);
@@ -199,7 +197,7 @@
     for seed in 0..10 {
         let cluster = Cluster::settled(3, seed);
         let node = cluster.node(0);
-        let count = || cluster.platform.log.records(Stream::Claims).len();
+        let count = || count_batches(&cluster);
         let before = count();
         let process = cluster.platform.sim.node_process(cluster.name(0));
         cluster
