Wire the parts in one place

Cause: parts::all built queues and racks without attaching them to each other and without requests, so Node::new gave an incomplete node. Change: parts::Parts builds requests, queues and racks and attaches them.

--- a/hemlocksaddle-node/src/parts.rs
+++ b/hemlocksaddle-node/src/parts.rs
@@ -1,4 +1,4 @@
-//! List of the parts that plug into a node.
+//! Parts that plug into a node, wired to each other.
 
 use std::rc::Rc;
 
@@ -6,12 +6,46 @@
     core::{Core, Part},
     queue::Queues,
     rack::Racks,
+    requests::Requests,
 };
 
-/// All parts, built on the core.
-///
-/// The racks stop last: tasks that the queues hand back are reported by them.
+/// Requests, queues and racks of one node.
+pub struct Parts {
+    /// Request routing.
+    pub requests: Rc<Requests>,
+    /// Queues of jobs.
+    pub queues: Rc<Queues>,
+    /// Racks of workers.
+    pub racks: Rc<Racks>,
+}
+
+impl Parts {
+    /// All parts, built on the core.
+    #[must_use]
+    pub fn new(core: &Rc<Core>) -> Parts {
+        let parts = Parts {
+            requests: Requests::new(core.clone()),
+            queues: Queues::new(core.clone()),
+            racks: Racks::new(core.clone()),
+        };
+        parts.queues.attach_racks(parts.racks.clone());
+        parts.queues.attach_guard(parts.requests.guards());
+        parts
+    }
+
+    /// Parts in the order in which they start and are asked to handle calls.
+    #[must_use]
+    pub fn list(&self) -> Vec<Rc<dyn Part>> {
+        vec![
+            self.requests.clone(),
+            self.queues.clone(),
+            self.racks.clone(),
+        ]
+    }
+}
+
+/// List of all parts, built on the core.
 #[must_use]
 pub fn all(core: &Rc<Core>) -> Vec<Rc<dyn Part>> {
-    vec![Queues::new(core.clone()), Racks::new(core.clone())]
+    Parts::new(core).list()
 }
