--- a/hemlocksaddle-node/src/rack/place.rs
+++ b/hemlocksaddle-node/src/rack/place.rs
@@ -187,7 +187,8 @@
         let timing = &self.core.settings.timing;
         let mut state = self.state.borrow_mut();
         let known = state.workers.get(worker)?;
-        let clock = known.clock?;
+        known.clock?;
+        let incarnation = known.incarnation;
         let fits = (state.held(worker) + order.demand).fits_in(&known.capacity);
         let invariants = &self.core.invariants;
         if !invariants.check(Invariant::HostCapacity, fits, || {
@@ -211,7 +212,8 @@
             idempotent: order.idempotent,
             phase: Phase::Starting,
             lease_until_ms: now + timing.lease_ms.with_clock_margin(),
-            start_by_worker_ms: clock.lower_bound(now) + timing.start_by_ms,
+            certain_after_ms: now + timing.start_by_ms.with_clock_margin(),
+            incarnation,
             progress_ms: order.checkpoint.as_ref().map_or(0, |c| c.progress_ms),
             checkpoint_ms: order.checkpoint.as_ref().map_or(0, |c| c.progress_ms),
             slowdown_milli: 0,
@@ -266,6 +268,7 @@
                     && commitment.phase == Phase::Starting
                 {
                     commitment.phase = Phase::Running;
+                    commitment.certain_after_ms = self.now();
                 }
                 Placed::Accepted(name)
             }
@@ -296,10 +299,10 @@
     )> {
         let timing = &self.core.settings.timing;
         let state = self.state.borrow();
-        let commitment = state.commitments.get(key)?;
+        state.commitments.get(key)?;
         let known = state.workers.get(worker)?;
         let worker_now = known.clock?.lower_bound(self.now());
-        let start_by = (worker_now + left).min(commitment.start_by_worker_ms);
+        let start_by = worker_now + left.min(timing.start_by_ms);
         let start = StartTask {
             task: order.task,
             attempt: order.attempt,
--- a/hemlocksaddle-node/src/rack/state.rs
+++ b/hemlocksaddle-node/src/rack/state.rs
@@ -67,8 +67,10 @@
     pub(crate) phase: Phase,
     /// Own time until which the attempt may hold a lease.
     pub(crate) lease_until_ms: MonoMs,
-    /// Worker's time after which the start order is refused.
-    pub(crate) start_by_worker_ms: MonoMs,
+    /// Own time from which on a report that is asked for shows whether the attempt runs.
+    pub(crate) certain_after_ms: MonoMs,
+    /// Worker's incarnation when the order was sent.
+    pub(crate) incarnation: u64,
     pub(crate) progress_ms: u64,
     pub(crate) checkpoint_ms: u64,
     pub(crate) slowdown_milli: u64,
@@ -301,13 +303,15 @@
     /// Takes a worker's report over and returns the commitments that are over because of it.
     ///
     /// An attempt that is missing counts as not started or lost only if the
-    /// worker made the report after the last time at which it could have taken
-    /// the start order.
+    /// report was asked for after the start order was answered, or after the
+    /// last time at which the worker could have taken it. This holds for a
+    /// worker that has restarted too: the order may have reached the new process
+    /// after its report.
     pub(crate) fn apply_report(
         &mut self,
         key: WorkerKey,
         report: &WorkerReport,
-        received_ms: MonoMs,
+        (asked_ms, received_ms): (MonoMs, MonoMs),
         lease: Millis,
     ) -> Vec<CommitmentKey> {
         let Some(worker) = self.workers.get_mut(key) else {
@@ -319,7 +323,6 @@
         if older && worker.incarnation == report.incarnation {
             return Vec::new();
         }
-        let restarted = worker.heard_ms.is_some() && worker.incarnation != report.incarnation;
         worker.incarnation = report.incarnation;
         worker.capacity = report.capacity;
         worker.heard_ms = Some(received_ms);
@@ -337,7 +340,7 @@
             let event = TaskEvent::Ended(name.clone(), ended.end.clone());
             over.extend(self.adopt_ended(key, (ended.task, ended.attempt), event));
         }
-        over.extend(self.finish_missing(key, report, restarted, &name));
+        over.extend(self.finish_missing(key, report, asked_ms, &name));
         over
     }
 
@@ -383,7 +386,7 @@
         &mut self,
         key: WorkerKey,
         report: &WorkerReport,
-        restarted: bool,
+        asked_ms: MonoMs,
         name: &WorkerName,
     ) -> Vec<CommitmentKey> {
         let reported = |id: &AttemptId| {
@@ -393,8 +396,11 @@
         let missing: Vec<(CommitmentKey, bool)> = self
             .holding_on(key)
             .filter(|(_, commitment)| !reported(&commitment.id))
-            .filter(|(_, c)| restarted || report.worker_ms > c.start_by_worker_ms)
-            .map(|(key, c)| (key, c.phase == Phase::Starting && !restarted))
+            .filter(|(_, c)| asked_ms > c.certain_after_ms)
+            .map(|(key, c)| {
+                let same_process = c.incarnation == report.incarnation;
+                (key, c.phase == Phase::Starting && same_process)
+            })
             .collect();
         for (key, never_started) in &missing {
             let event = match never_started {
@@ -431,7 +437,8 @@
         idempotent: false,
         phase: Phase::Running,
         lease_until_ms,
-        start_by_worker_ms: MonoMs(0),
+        certain_after_ms: MonoMs(0),
+        incarnation: 0,
         progress_ms: running.progress_ms,
         checkpoint_ms: running.checkpoint_ms,
         slowdown_milli: running.slowdown_milli,
@@ -452,7 +459,8 @@
         idempotent: false,
         phase: Phase::Finished(event),
         lease_until_ms: MonoMs(0),
-        start_by_worker_ms: MonoMs(0),
+        certain_after_ms: MonoMs(0),
+        incarnation: 0,
         progress_ms: 0,
         checkpoint_ms: 0,
         slowdown_milli: 0,
--- a/hemlocksaddle-node/src/rack/worker.rs
+++ b/hemlocksaddle-node/src/rack/worker.rs
@@ -58,7 +58,7 @@
         let call = self.core.ports.workers.renew(address, &name, renew);
         let limit = self.core.settings.timing.platform_call_ms;
         match within(&**runtime, limit, call).await {
-            Some(Ok(report)) => self.take_report(key, &report, &acknowledged),
+            Some(Ok(report)) => self.take_report(key, &report, &acknowledged, sent_ms),
             _ => self.note_failure(key),
         }
     }
@@ -88,6 +88,7 @@
         key: WorkerKey,
         report: &WorkerReport,
         acknowledged: &[AttemptId],
+        asked_ms: MonoMs,
     ) -> Millis {
         let now = self.now();
         let lease = self.core.settings.timing.lease_ms;
@@ -98,7 +99,11 @@
             };
             worker.acknowledged.retain(|id| !acknowledged.contains(id));
             let (first, failing) = (worker.heard_ms.is_none(), worker.failing);
-            (first, failing, state.apply_report(key, report, now, lease))
+            (
+                first,
+                failing,
+                state.apply_report(key, report, (asked_ms, now), lease),
+            )
         };
         if failing {
             Event::WorkerReachable.log(format_args!("{}", self.name_of(key)));
