--- a/hemlocksaddle-node/src/lib.rs
+++ b/hemlocksaddle-node/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod burn;
+pub mod configuration;
 pub mod core;
 pub mod detach;
 pub mod env;
@@ -15,11 +16,14 @@
 pub mod journal;
 pub mod metrics;
 pub mod node;
+pub mod ownership;
+pub mod parts;
 pub mod peers;
 pub mod ports;
 pub mod queue;
 pub mod rack;
 pub mod requests;
+pub mod restate;
 pub mod settings;
 pub mod stream;
 pub mod wait;
