Name the worker's process in start orders and renewals

Cause: a restarted worker has another clock. An order or renewal with times of the old clock could start late on the new process or give a lease that never lapses, so that a successor counts the task as lost while it runs. Change: StartTask and Renew carry the incarnation; another process answers TooLate and renews nothing. The fake workers follow it. Conclusion: closes a way in which a task could run in two places.

--- a/hemlocksaddle-adapters/tests/stand_in.rs
+++ b/hemlocksaddle-adapters/tests/stand_in.rs
@@ -133,6 +133,7 @@
     };
     let later = MonoMs(report.worker_ms.0 + 60_000);
     let order = StartTask {
+        incarnation: report.incarnation,
         task: TaskId { job, index: 0 },
         attempt: Attempt(1),
         service: name::<ServiceName>("orders"),
--- a/hemlocksaddle-fakes/src/workers.rs
+++ b/hemlocksaddle-fakes/src/workers.rs
@@ -240,7 +240,8 @@
             return StartReply::AlreadyKnown;
         }
         let sim = &self.network.sim;
-        if sim.runtime(worker.endpoint.process).now() > order.start_by_worker_ms {
+        let late = sim.runtime(worker.endpoint.process).now() > order.start_by_worker_ms;
+        if late || order.incarnation != worker.incarnation {
             return StartReply::TooLate;
         }
         self.judges.task_starts(&order, name, &worker.data_centre);
@@ -311,7 +312,8 @@
                 self.judges.end_acknowledged(*task, *attempt, &end);
             }
         }
-        if let Some(until) = renew.lease_until_worker_ms {
+        let lease = renew.lease_until_worker_ms;
+        if let Some(until) = lease.filter(|_| renew.incarnation == worker.incarnation) {
             let lease_us = sim.true_us(worker.endpoint.process, until);
             for key in &renew.tasks {
                 if let Some(task) = worker.running.get_mut(key) {
--- a/hemlocksaddle-fakes/tests/fakes.rs
+++ b/hemlocksaddle-fakes/tests/fakes.rs
@@ -62,8 +62,10 @@
     }
 
     fn order(&self, job: u64, attempt: u32, lease: Millis) -> StartTask {
-        let now = self.renew(Renew::default()).worker_ms;
+        let report = self.renew(Renew::default());
+        let now = report.worker_ms;
         StartTask {
+            incarnation: report.incarnation,
             task: task(job),
             attempt: Attempt(attempt),
             service: self.platform.service(),
--- a/hemlocksaddle-node/src/rack/place.rs
+++ b/hemlocksaddle-node/src/rack/place.rs
@@ -312,6 +312,7 @@
             urgency: order.urgency,
             resumable: order.resumable,
             checkpoint: order.checkpoint.clone(),
+            incarnation: known.incarnation,
             start_by_worker_ms: start_by,
             lease_until_worker_ms: worker_now + timing.lease_ms,
         };
--- a/hemlocksaddle-node/src/rack/worker.rs
+++ b/hemlocksaddle-node/src/rack/worker.rs
@@ -68,6 +68,7 @@
         let mut state = self.state.borrow_mut();
         let worker = state.workers.get(key)?;
         let target = (worker.address, worker.name.clone());
+        let incarnation = worker.incarnation;
         let acknowledged = worker.acknowledged.clone();
         let clock = worker.clock.filter(|_| !worker.failing);
         let lease_until = clock.map(|clock| clock.lower_bound(now) + lease);
@@ -76,6 +77,7 @@
             None => Vec::new(),
         };
         let renew = Renew {
+            incarnation,
             lease_until_worker_ms: lease_until,
             tasks,
             acknowledged,
--- a/hemlocksaddle-node/tests/batch/whole.rs
+++ b/hemlocksaddle-node/tests/batch/whole.rs
@@ -232,7 +232,10 @@
         ids.extend(whole.submit(node, random).ok());
         let worker = name(&format!("worker-{}", below(12)));
         match below(10) {
-            0 => whole.cluster.platform.workers.restart(&worker),
+            0 => {
+                whole.cluster.platform.workers.kill(&worker);
+                whole.cluster.platform.workers.restart(&worker);
+            }
             1 => whole.cluster.set_log_down(true),
             2 | 3 => whole.cluster.set_log_down(false),
             4 => whole.cluster.pause(node, below(6_000)),
--- a/hemlocksaddle-node/tests/batch/workers.rs
+++ b/hemlocksaddle-node/tests/batch/workers.rs
@@ -112,6 +112,7 @@
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(name).expect("worker exists");
         worker.incarnation += 1;
+        worker.clock_ahead_ms /= 2;
         worker.ended.clear();
         for task in std::mem::take(&mut worker.tasks).into_values() {
             self.runs.borrow_mut()[task.run].until_ms = Some(now);
@@ -173,7 +174,8 @@
             return StartReply::AlreadyKnown;
         }
         let worker_now = now + worker.clock_ahead_ms;
-        if order.start_by_worker_ms.0 < worker_now {
+        let other_process = order.incarnation != worker.incarnation;
+        if other_process || order.start_by_worker_ms.0 < worker_now {
             return StartReply::TooLate;
         }
         let mut runs = self.runs.borrow_mut();
@@ -211,7 +213,8 @@
         let now = self.sim.now().0;
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(name).expect("worker exists");
-        if let Some(until) = renew.lease_until_worker_ms {
+        let lease = renew.lease_until_worker_ms;
+        if let Some(until) = lease.filter(|_| renew.incarnation == worker.incarnation) {
             for id in &renew.tasks {
                 if let Some(task) = worker.tasks.get_mut(id) {
                     let until_ms = until.0 - worker.clock_ahead_ms;
--- a/hemlocksaddle-types/src/worker.rs
+++ b/hemlocksaddle-types/src/worker.rs
@@ -4,6 +4,9 @@
 //! works them out from the last stamp it received plus the time since, which is
 //! never later than the worker's true time, so a deadline given this way is
 //! never too late.
+//!
+//! A worker that restarts has another clock, so an order names the process that
+//! its times are meant for, and no other process follows it.
 
 use std::sync::Arc;
 
@@ -35,6 +38,8 @@
     pub resumable: bool,
     /// Checkpoint to resume from.
     pub checkpoint: Option<Checkpoint>,
+    /// Worker's process whose clock the times are in; another process answers `TooLate`.
+    pub incarnation: u64,
     /// Worker's time after which the order is refused.
     pub start_by_worker_ms: MonoMs,
     /// Worker's time at which the lease lapses.
@@ -49,7 +54,7 @@
     Started,
     /// Same task and attempt already runs or ended here.
     AlreadyKnown,
-    /// Order arrived after its `start_by`.
+    /// Order arrived after its `start_by`, or was for an earlier process of the worker.
     TooLate,
     /// Worker does not take it, with the reason.
     Refused(Arc<str>),
@@ -58,6 +63,8 @@
 /// Renewal of a worker's leases.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renew {
+    /// Worker's process whose clock the lease is in; another process renews nothing.
+    pub incarnation: u64,
     /// Worker's time at which renewed leases lapse; `None` only asks for a report.
     pub lease_until_worker_ms: Option<MonoMs>,
     /// Tasks to renew; others keep their lease.
