Break each batch assertion on purpose; state truly whether a cancelled job ran

Cause: a job that was cancelled while its first order was on its way ended with 1017 although the order was carried out. Assertions had no test that fires them. Change: the result of a cancellation or deadline is worked out when the job ends. A start that an assertion refuses sets its job back instead of being chosen again at once. Tests break host_capacity, single_place, resume_once, no_start_in_out_data_centre, truthful_refusal and at_most_once; the policy for batch work has tests of its own. Conclusion: the six assertions fire and refuse the action.

--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -81,6 +81,16 @@
             return live.attempt == known.attempt;
         }
         let waiting = job.requeued.get(&index).map(|task| task.attempt);
+        let refused = job
+            .requeued
+            .get(&index)
+            .is_some_and(|task| task.attempt == known.attempt && !task.may_have_run);
+        let ran = known.event != TaskEvent::NotStarted;
+        let text = || format!("{:?} {:?} ran after a refusal", known.task, known.attempt);
+        let truthful =
+            self.core
+                .invariants
+                .check(Invariant::TruthfulRefusal, !(refused && ran), text);
         let ended = index < job.next_fresh && waiting.is_none() && !job.live.contains_key(&index);
         let late_end = matches!(known.event, TaskEvent::Ended(..))
             && job.ending.is_none()
@@ -88,7 +98,8 @@
                 .requeued
                 .get(&index)
                 .is_some_and(|task| task.may_have_run && task.attempt == known.attempt);
-        if ended || (waiting.is_some_and(|last| last >= known.attempt) && !late_end) {
+        let known_later = waiting.is_some_and(|last| last >= known.attempt);
+        if ended || (known_later && !late_end && truthful) {
             return false;
         }
         let checkpoint = job.requeued.get(&index).and_then(|t| t.checkpoint.clone());
--- a/hemlocksaddle-node/src/queue/launch.rs
+++ b/hemlocksaddle-node/src/queue/launch.rs
@@ -30,6 +30,8 @@
 /// Pause of a job after the log took no record of a start.
 const LOG_PAUSE_MS: Millis = Millis(500);
 
+/// Pause of a job after an assertion refused its start.
+const REFUSED_PAUSE_MS: Millis = Millis(10_000);
 /// Attempts that one owner of a queue can number; a task that is refused every
 /// 200 ms uses them up in more than three hours.
 const ATTEMPTS_PER_TERM: u64 = 1 << 16;
@@ -58,7 +60,9 @@
 impl Queues {
     /// Starts the next task of a job on a rack, in the background.
     pub(super) fn launch(self: &Rc<Self>, queue: &Rc<Queue>, choice: Choice) {
+        let id = choice.job;
         let Some(launch) = self.begin(queue, choice) else {
+            self.set_back(queue, id);
             return;
         };
         queue.placing.set(queue.placing.get() + 1);
@@ -70,6 +74,13 @@
         });
     }
 
+    /// Passes a job over whose next task must not start.
+    fn set_back(&self, queue: &Queue, id: JobId) {
+        if let Some(job) = queue.jobs.borrow_mut().jobs.get_mut(&id) {
+            job.not_before_ms = self.now() + REFUSED_PAUSE_MS;
+        }
+    }
+
     /// Turns the next task of a job into an attempt.
     fn begin(&self, queue: &Queue, choice: Choice) -> Option<Launch> {
         let mut jobs = queue.jobs.borrow_mut();
--- a/hemlocksaddle-node/src/queue/state.rs
+++ b/hemlocksaddle-node/src/queue/state.rs
@@ -180,7 +180,20 @@
         }
         let finished = self.next_fresh >= self.spec.tasks && self.requeued.is_empty();
         let completed = || (ResultCode::Completed, Arc::from(""));
-        self.ending.clone().or_else(|| finished.then(completed))
+        let outcome = self.ending.clone().or_else(|| finished.then(completed))?;
+        Some(self.as_it_ran(outcome))
+    }
+
+    /// Outcome that states truly whether the job ran: an order may have been on
+    /// its way when the job was cancelled or its deadline passed.
+    fn as_it_ran(&self, outcome: Outcome) -> Outcome {
+        let code = match (outcome.0, self.ever_ran) {
+            (ResultCode::CancelledBeforeStart, true) => ResultCode::CancelledWhileRunning,
+            (ResultCode::DeadlineBeforeStart, true) => ResultCode::DeadlineWhileRunning,
+            (ResultCode::DeadlineWhileRunning, false) => ResultCode::DeadlineBeforeStart,
+            _ => return outcome,
+        };
+        (code, Arc::from(code.text()))
     }
 
     /// Result of a cancellation at this time.
--- a/hemlocksaddle-node/src/rack/worker.rs
+++ b/hemlocksaddle-node/src/rack/worker.rs
@@ -12,6 +12,7 @@
     host::HostState,
     name::WorkerName,
     peer::TaskEvent,
+    resources::Resources,
     worker::{Renew, WorkerReport},
 };
 
@@ -19,7 +20,7 @@
     Racks,
     state::{AttemptId, CommitmentKey, State, WorkerKey},
 };
-use crate::{event::Event, wait::within};
+use crate::{event::Event, invariant::Invariant, wait::within};
 
 /// Pause after a call that failed or was not allowed.
 const RETRY_MS: Millis = Millis(500);
@@ -107,6 +108,7 @@
                 state.apply_report(key, report, (asked_ms, now), lease),
             )
         };
+        self.check_capacity(key);
         if failing {
             Event::WorkerReachable.log(format_args!("{}", self.name_of(key)));
         }
@@ -122,6 +124,28 @@
         }
     }
 
+    /// Asserts that what runs on a worker, attempts of earlier owners included, fits.
+    fn check_capacity(&self, key: WorkerKey) {
+        let state = self.state.borrow();
+        let Some(worker) = state.workers.get(key) else {
+            return;
+        };
+        let tasks = state.holding_on(key);
+        let held = tasks.fold(Resources::default(), |sum, (_, c)| sum + c.demand);
+        let fits = held.fits_in(&worker.capacity);
+        let text = || {
+            format!(
+                "worker {} holds {held:?} of {:?}",
+                worker.name, worker.capacity
+            )
+        };
+        // There is no action to refuse; the worker gets no start until its tasks fit.
+        let _ = self
+            .core
+            .invariants
+            .check(Invariant::HostCapacity, fits, text);
+    }
+
     fn note_failure(&self, key: WorkerKey) -> Millis {
         let was_failing = match self.state.borrow_mut().workers.get_mut(key) {
             Some(worker) => std::mem::replace(&mut worker.failing, true),
--- a/hemlocksaddle-node/tests/batch/main.rs
+++ b/hemlocksaddle-node/tests/batch/main.rs
@@ -3,6 +3,7 @@
 #[path = "../node/cluster.rs"]
 #[expect(dead_code, reason = "shared with the tests of the control core")]
 mod cluster;
+mod invariants;
 mod jobs;
 mod leaving;
 mod recovery;
--- a/hemlocksaddle-node/tests/batch/recovery.rs
+++ b/hemlocksaddle-node/tests/batch/recovery.rs
@@ -9,7 +9,7 @@
     record::Record,
 };
 
-use crate::world::{World, job, name, node_name};
+use crate::world::{RETENTION_MS, World, job, name, node_name};
 
 fn all_completed(world: &World, node: usize, ids: &[JobId]) {
     for status in world.finish(node, ids) {
@@ -235,6 +235,11 @@
                 alive.retain(|other| *other != node);
                 world.kill(node, alive[0], 4_200);
             }
+            7 if !ids.is_empty() => {
+                let id = ids[sim.below(ids.len() as u64) as usize];
+                let node = world.node(alive[0]);
+                let _ = sim.block_on(async move { node.queues.cancel(id).await });
+            }
             _ => {}
         }
         world.run_for(sim.below(4_000));
@@ -286,3 +291,24 @@
 fn a_report_from_before_the_order_proves_nothing() {
     random_run(1380);
 }
+
+/// Guards against live jobs that are forgotten when the log drops their records.
+#[gtest]
+fn live_jobs_are_restated_before_their_records_expire() {
+    let world = World::new(34, 3, 1);
+    let third_ms = RETENTION_MS.0 / 3;
+    world.shared.platform.run_ms.set(third_ms * 2);
+    world.run_for(1_000);
+    let running = world.submit(0, job("makers", 2, 1)).expect("accepted");
+    world.run_for(third_ms + 10_000);
+    for (_, records) in world.shared.streams.borrow_mut().values_mut() {
+        let restated = |record: &Record| matches!(record, Record::RestateJob(_));
+        let first = records.iter().position(restated).unwrap_or(records.len());
+        records.drain(..first);
+    }
+    world.kill(0, 1, 4_200);
+    world.run_for(20_000);
+    expect_that!(world.status(1, running, 0).running, eq(2));
+    world.run_for(third_ms);
+    all_completed(&world, 1, &[running]);
+}
--- a/hemlocksaddle-node/tests/batch/sharing.rs
+++ b/hemlocksaddle-node/tests/batch/sharing.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use hemlocksaddle_node::queue::queue_of;
 use hemlocksaddle_types::{
+    clock::Millis,
     job::{JobSpec, Urgency},
     name::WorkerName,
     outcome::ResultCode,
@@ -197,3 +198,43 @@
     expect_that!(runs.iter().all(|run| run.until_ms.is_some()), eq(true));
     expect_that!(runs.iter().any(|run| run.task.job == waiting), eq(false));
 }
+
+/// Guards against jobs that run after their deadline, or that are reported as not run although
+/// they were running.
+#[gtest]
+fn jobs_end_at_their_deadline() {
+    let world = World::new(71, 1, 1);
+    world.shared.platform.run_ms.set(30_000);
+    world.run_for(1_000);
+    let now = world.node(0).core.ports.runtime.wall_now();
+    let limited = |spec| JobSpec {
+        deadline_ms: Some(now + Millis(4_000)),
+        urgency: Urgency::Batch,
+        ..spec
+    };
+    let running = world
+        .submit(0, limited(job("makers", 4, 1)))
+        .expect("accepted");
+    world.run_for(500);
+    let waiting = world
+        .submit(0, limited(job("makers", 2, 1)))
+        .expect("accepted");
+    let result = |id| world.status(0, id, 15_000).result;
+    expect_that!(result(waiting), some(eq(ResultCode::DeadlineBeforeStart)));
+    expect_that!(result(running), some(eq(ResultCode::DeadlineWhileRunning)));
+}
+
+/// Guards against an urgent, small task that waits because a large one is ahead of it.
+#[gtest]
+fn a_job_without_room_does_not_hold_up_others() {
+    let world = World::new(72, 1, 1);
+    world.shared.platform.run_ms.set(20_000);
+    world.run_for(1_000);
+    let batch = |size| with_urgency(job("makers", 1, size), Urgency::Batch);
+    world.submit(0, batch(2)).expect("accepted");
+    world.run_for(500);
+    world.submit(0, batch(4)).expect("accepted");
+    let small = world.submit(0, batch(1)).expect("accepted");
+    world.run_for(1_000);
+    expect_that!(world.status(0, small, 0).running, eq(1));
+}
--- a/hemlocksaddle-node/tests/batch/world.rs
+++ b/hemlocksaddle-node/tests/batch/world.rs
@@ -99,6 +99,8 @@
     pub(crate) dead: RefCell<BTreeSet<NodeName>>,
     /// Nodes without the right to act.
     pub(crate) without_right: RefCell<BTreeSet<NodeName>>,
+    /// Starts are allowed whatever is out, as by a configuration with a fault.
+    pub(crate) stale: Cell<bool>,
     /// Next replies to `Submit` and `Place` that are lost.
     pub(crate) lose_replies: Cell<u32>,
 }
@@ -165,7 +167,7 @@
     }
 
     fn may_start_in(&self, data_centre: &DataCentre) -> bool {
-        !self.is_out(data_centre)
+        self.shared.stale.get() || !self.is_out(data_centre)
     }
 
     fn is_out(&self, data_centre: &DataCentre) -> bool {
@@ -378,6 +380,8 @@
     pub(crate) shared: Rc<Shared>,
 }
 
+/// Retention of the log; short, so that runs reach its end.
+pub(crate) const RETENTION_MS: Millis = Millis(600_000);
 /// Queues per world.
 pub(crate) const QUEUES: u16 = 2;
 
@@ -408,6 +412,7 @@
             nodes: RefCell::default(),
             dead: RefCell::default(),
             without_right: RefCell::default(),
+            stale: Cell::new(false),
             lose_replies: Cell::new(0),
         });
         let world = World { shared };
@@ -472,7 +477,10 @@
                 node: node.clone(),
                 data_centre: data_centre(index),
                 peers: Vec::new(),
-                timing: Timing::default(),
+                timing: Timing {
+                    retention_ms: RETENTION_MS,
+                    ..Timing::default()
+                },
                 limits: Limits {
                     queues: QUEUES,
                     ..Limits::default()
--- /dev/null
+++ b/hemlocksaddle-policy/tests/batch.rs
@@ -0,0 +1,254 @@
+//! Tests of the policy for batch work.
+
+use googletest::prelude::*;
+use hemlocksaddle_policy::{
+    backoff::{Allow, Backoff, Steps, jittered},
+    checkpoint::interval,
+    fairness::{load_milli, next_team, over_quota},
+    interference::{Learner, Reaction, Step, Thresholds},
+    placement::{RackView, Victim, WorkerView, choose_rack, choose_victims, choose_worker},
+    suspicion::Suspicion,
+};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    resources::Resources,
+};
+use proptest::{prop_assert, proptest};
+
+const STEPS: Steps = Steps {
+    first_ms: Millis(200),
+    max_ms: Millis(5_000),
+    probe_ms: Millis(1_000),
+};
+
+fn cores(count: u64) -> Resources {
+    Resources {
+        cpu_milli: count * 1_000,
+        memory_mb: count * 1_000,
+        accelerators: 0,
+    }
+}
+
+fn worker(free: u64) -> WorkerView {
+    WorkerView {
+        free: cores(free),
+        capacity: cores(16),
+        ..WorkerView::default()
+    }
+}
+
+fn rack(free: u64, largest: u64) -> RackView {
+    RackView {
+        free: cores(free),
+        largest_free: cores(largest),
+        capacity: cores(160),
+        ..RackView::default()
+    }
+}
+
+/// Guards against small tasks that are spread over all workers, so that no large one fits.
+#[gtest]
+fn small_tasks_are_packed() {
+    let workers = [worker(16), worker(3), worker(8)];
+    expect_that!(choose_worker(&cores(2), workers), some(eq(1)));
+    expect_that!(choose_worker(&cores(9), workers), some(eq(0)));
+    expect_that!(choose_worker(&cores(17), workers), none());
+}
+
+/// Guards against all tasks of a job on one worker or rack, and neighbours that slow each other.
+#[gtest]
+fn tasks_of_a_job_and_noisy_neighbours_are_avoided() {
+    let crowded = WorkerView {
+        same_job: 3,
+        ..worker(4)
+    };
+    expect_that!(choose_worker(&cores(1), [crowded, worker(5)]), some(eq(1)));
+    let noisy = WorkerView {
+        interference_milli: 400,
+        ..worker(4)
+    };
+    expect_that!(choose_worker(&cores(1), [noisy, worker(8)]), some(eq(1)));
+    let same_rack = RackView {
+        same_job: 4,
+        ..rack(100, 16)
+    };
+    let chosen = choose_rack(&cores(1), false, [same_rack, rack(90, 16)], || 0);
+    expect_that!(chosen, some(eq(1)));
+}
+
+/// Guards against racks that are chosen by their sum although no worker has room.
+#[gtest]
+fn a_rack_needs_a_worker_with_room_or_something_to_evict() {
+    let full = RackView {
+        evictable: cores(8),
+        ..rack(40, 4)
+    };
+    expect_that!(choose_rack(&cores(8), false, [full], || 0), none());
+    expect_that!(choose_rack(&cores(8), true, [full], || 0), some(eq(0)));
+    let with_room = choose_rack(&cores(8), true, [full, rack(20, 10)], || 0);
+    expect_that!(with_room, some(eq(1)), "room goes before eviction");
+}
+
+/// Guards against evictions that lose more than needed, or that do not make enough room.
+#[gtest]
+fn victims_lose_least() {
+    let victim = |key: u32, size: u64, unsaved_ms: u64, over_quota: bool| Victim {
+        key,
+        demand: cores(size),
+        unsaved_ms,
+        over_quota,
+    };
+    let tasks = vec![
+        victim(1, 4, 60_000, false),
+        victim(2, 4, 1_000, false),
+        victim(3, 2, 9_000, true),
+    ];
+    let keys = |missing: u64| {
+        let chosen = choose_victims(&cores(missing), tasks.clone());
+        chosen.map(|chosen| chosen.into_iter().map(|v| v.key).collect::<Vec<_>>())
+    };
+    expect_that!(keys(2), some(eq(&vec![3])));
+    expect_that!(keys(5), some(eq(&vec![3, 2])));
+    expect_that!(keys(11), none());
+}
+
+/// Guards against a refusing party that is asked in a loop, and against probes by many at once.
+#[gtest]
+fn backoff_grows_and_ends_with_one_probe() {
+    let mut backoff: Backoff<&str, u8> = Backoff::new(STEPS);
+    let mut now = MonoMs(0);
+    let mut waits = Vec::new();
+    for _ in 0..6 {
+        let until = backoff.refused(&"r1", 1, now, u64::MAX / 2);
+        waits.push(until.since(now).0);
+        now = until;
+    }
+    expect_that!(waits.is_sorted(), eq(true));
+    expect_that!(waits[5], le(5_000));
+    expect_that!(backoff.take(&"r1", now), eq(Allow::Probe));
+    expect_that!(
+        backoff.take(&"r1", now),
+        eq(Allow::NotBefore(now + Millis(1_000)))
+    );
+    expect_that!(backoff.take(&"r2", now), eq(Allow::Yes));
+    let until = backoff.refused(&"r1", 2, now, 0);
+    expect_that!(
+        until.since(now).0,
+        le(200),
+        "another kind restarts the ladder"
+    );
+    backoff.succeeded(&"r1");
+    expect_that!(backoff.take(&"r1", now), eq(Allow::Yes));
+}
+
+/// Guards against a team without quota that goes before teams with one.
+#[gtest]
+fn the_team_with_the_lowest_load_is_next() {
+    let half = load_milli(&cores(4), &cores(8));
+    let none = load_milli(&cores(1), &Resources::default());
+    expect_that!(half, eq(500));
+    expect_that!(next_team([(none, 0), (half, 9), (half, 3)]), some(eq(2)));
+    expect_that!(over_quota(&cores(9), &cores(8)), eq(true));
+}
+
+/// Guards against a bad job that makes good workers suspect, and a bad worker that is trusted.
+#[gtest]
+fn failures_are_judged_by_cross_evidence() {
+    let mut suspicion: Suspicion<&str, u32> = Suspicion::default();
+    for worker in ["w1", "w2", "w3"] {
+        suspicion.failed(&worker, &7);
+    }
+    expect_that!(suspicion.is_bad_job(&7), eq(true));
+    expect_that!(suspicion.is_suspect(&"w1"), eq(false));
+    suspicion.succeeded(&"w2", &8);
+    suspicion.failed(&"w1", &8);
+    suspicion.failed(&"w1", &8);
+    expect_that!(suspicion.is_suspect(&"w1"), eq(true));
+    expect_that!(
+        suspicion.is_bad_job(&7),
+        eq(false),
+        "one of three workers is not good"
+    );
+    suspicion.succeeded(&"w1", &8);
+    expect_that!(suspicion.is_suspect(&"w1"), eq(false));
+}
+
+/// Guards against blame on a neighbour that does no harm, and on evidence that is too old.
+#[gtest]
+fn the_learner_finds_the_noisy_pair() {
+    let mut learner: Learner<&str> = Learner::default();
+    for step in 0..40 {
+        let now = MonoMs(step * 2_000);
+        learner.observe(&"orders", &[("scan", 4_000), ("match", 4_000)], 400, now);
+        learner.observe(&"orders", &[("match", 4_000)], 0, now);
+    }
+    let now = MonoMs(80_000);
+    let noisy = learner.expected_milli(&"orders", [&"scan"], now);
+    let quiet = learner.expected_milli(&"orders", [&"match"], now);
+    expect_that!(noisy, gt(200));
+    expect_that!(quiet, lt(noisy / 3));
+    expect_that!(learner.expected_milli(&"orders", [&"unknown"], now), eq(0));
+    let much_later = MonoMs(40_000_000);
+    expect_that!(
+        learner.expected_milli(&"orders", [&"scan"], much_later),
+        lt(50)
+    );
+}
+
+/// Guards against steps that follow each other before measurements can show the last one's
+/// effect, and against throttles that are switched on and off all the time.
+#[gtest]
+fn the_reaction_waits_and_holds() {
+    let limits = Thresholds {
+        act_milli: 200,
+        release_milli: 80,
+        settle_ms: Millis(12_000),
+        hold_ms: Millis(30_000),
+    };
+    let mut reaction = Reaction::default();
+    let mut next = |slowdown, at_ms| reaction.next(slowdown, &limits, MonoMs(at_ms));
+    expect_that!(next(150, 0), eq(Step::None));
+    expect_that!(next(500, 1_000), eq(Step::Throttle));
+    expect_that!(next(500, 12_000), eq(Step::None));
+    expect_that!(next(500, 14_000), eq(Step::Move));
+    expect_that!(next(500, 30_000), eq(Step::Throttle));
+    expect_that!(next(100, 90_000), eq(Step::None));
+    expect_that!(next(50, 92_000), eq(Step::Release));
+    expect_that!(next(500, 110_000), eq(Step::Throttle));
+    expect_that!(
+        next(50, 145_000),
+        eq(Step::None),
+        "a relapse doubles the hold"
+    );
+    expect_that!(next(50, 171_000), eq(Step::Release));
+}
+
+/// Guards against checkpoints that cost more than they save, or that come too rarely.
+#[gtest]
+fn checkpoints_follow_the_failure_rate() {
+    let day = Millis(86_400_000);
+    let calm = interval(Millis(5_000), 0, day);
+    let rough = interval(Millis(5_000), 100, day);
+    expect_that!(rough, lt(calm));
+    expect_that!(calm.0, le(3_600_000));
+    expect_that!(interval(Millis(1), 1_000_000, day).0, eq(30_000));
+}
+
+proptest! {
+    /// Guards against waits outside their bounds.
+    #[test]
+    fn jitter_stays_in_the_upper_half(span in 0u64..10_000_000, random: u64) {
+        let wait = jittered(Millis(span), random).0;
+        prop_assert!(wait <= span && wait >= span / 2);
+    }
+
+    /// Guards against a choice of a worker without room.
+    #[test]
+    fn the_chosen_worker_has_room(free in proptest::collection::vec(0u64..17, 0..12), demand in 1u64..17) {
+        let workers: Vec<WorkerView> = free.iter().map(|free| worker(*free)).collect();
+        match choose_worker(&cores(demand), workers) {
+            Some(index) => prop_assert!(free[index] >= demand),
+            None => prop_assert!(free.iter().all(|free| *free < demand)),
+        }
+    }
+}
