--- a/hemlocksaddle-node/src/parts.rs
+++ b/hemlocksaddle-node/src/parts.rs
@@ -1,4 +1,4 @@
-//! Parts that plug into a node.
+//! Parts that plug into a node, wired to each other.
 
 use std::rc::Rc;
 
@@ -9,42 +9,42 @@
     requests::Requests,
 };
 
-/// Parts of a node, joined with each other.
+/// Requests, queues and racks of one node.
 pub struct Parts {
-    /// Jobs.
+    /// Request routing.
+    pub requests: Rc<Requests>,
+    /// Queues of jobs.
     pub queues: Rc<Queues>,
-    /// Workers.
+    /// Racks of workers.
     pub racks: Rc<Racks>,
-    /// Quick requests.
-    pub requests: Rc<Requests>,
 }
 
 impl Parts {
-    /// Parts built on the core.
+    /// All parts, built on the core.
     #[must_use]
     pub fn new(core: &Rc<Core>) -> Parts {
         let parts = Parts {
+            requests: Requests::new(core.clone()),
             queues: Queues::new(core.clone()),
             racks: Racks::new(core.clone()),
-            requests: Requests::new(core.clone()),
         };
         parts.queues.attach_racks(parts.racks.clone());
         parts.queues.attach_guard(parts.requests.guards());
         parts
     }
 
-    /// All parts in the order in which they start and are asked to handle calls.
+    /// Parts in the order in which they start and are asked to handle calls.
     #[must_use]
     pub fn list(&self) -> Vec<Rc<dyn Part>> {
         vec![
+            self.requests.clone(),
             self.queues.clone(),
             self.racks.clone(),
-            self.requests.clone(),
         ]
     }
 }
 
-/// All parts, built on the core.
+/// List of all parts, built on the core.
 #[must_use]
 pub fn all(core: &Rc<Core>) -> Vec<Rc<dyn Part>> {
     Parts::new(core).list()
