Hold the slot of a lost answer until its deadline

Cause: after a lost answer the executor may still be working, so a new request on the freed slot could exceed the executor's slots; and a service whose executors were all set aside for a moment refused everything. Change: the failure is noted at once, the slot is freed at the deadline that the executor was told. Requests may wait if an executor is tried again before their deadline. Idle services are looked at every 100 ms instead of every 20 ms. Conclusion: unknown means occupied holds for slots too.

--- a/hemlocksaddle-node/src/requests/balance.rs
+++ b/hemlocksaddle-node/src/requests/balance.rs
@@ -33,14 +33,20 @@
 impl Requests {
     /// Frees a slot and gives it to the next request.
     pub(super) fn release(self: &Rc<Self>, service: &ServiceName, key: SlotKey, end: End) {
+        self.settle_slot(service, key, end);
+        self.with_pool(service, |pool| pool.release(key));
+        self.dispatch(service);
+        self.pull(service);
+    }
+
+    /// Takes over how the request on a slot ended, without freeing the slot.
+    pub(super) fn settle_slot(&self, service: &ServiceName, key: SlotKey, end: End) {
         let random = self.core.ports.runtime.random();
         let now = self.now();
-        let set_aside = self.with_pool(service, |pool| pool.release(key, end, now, random));
+        let set_aside = self.with_pool(service, |pool| pool.settle(key, end, now, random));
         if let Some(executor) = set_aside.flatten() {
             Event::TargetUnreachable.log(format_args!("{service}/{executor}: {end:?}"));
         }
-        self.dispatch(service);
-        self.pull(service);
     }
 
     /// Gives free slots to waiting requests.
--- a/hemlocksaddle-node/src/requests/mod.rs
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -43,9 +43,14 @@
     ports::PortFuture,
 };
 
-/// Interval at which ownership, documents and queues are looked at.
+/// Interval at which services with requests are looked at.
 const TICK: Millis = Millis(20);
 
+/// Ticks after which ownership, documents and idle services are looked at as well.
+///
+/// With a document for each of 93 teams, most services are idle at any time.
+const TICKS_PER_REFRESH: u64 = 5;
+
 /// Shortest time between two heartbeats that are sent because a queue grew or emptied.
 const ANNOUNCE_EVERY: Millis = Millis(100);
 
@@ -130,9 +135,11 @@
         self.refresh();
         let requests = self.clone();
         self.core.ports.runtime.spawn(Box::pin(async move {
+            let mut ticks = 0_u64;
             while !requests.is_idle_after_stop() {
                 requests.core.ports.runtime.sleep(TICK).await;
-                requests.tick();
+                ticks += 1;
+                requests.tick(ticks.is_multiple_of(TICKS_PER_REFRESH));
             }
         }));
     }
@@ -237,10 +244,15 @@
         summary
     }
 
-    fn tick(self: &Rc<Self>) {
-        self.refresh();
+    fn tick(self: &Rc<Self>, all: bool) {
+        if all {
+            self.refresh();
+        }
         let now = self.now();
-        let services: Vec<ServiceName> = self.pools.borrow().keys().cloned().collect();
+        let pools = self.pools.borrow();
+        let due = pools.values().filter(|pool| all || !pool.is_idle());
+        let services: Vec<ServiceName> = due.map(|pool| pool.service.clone()).collect();
+        drop(pools);
         let mut backlog = false;
         for service in services {
             self.with_pool(&service, |pool| pool.update_speeds(now));
@@ -315,7 +327,7 @@
         }
         pools.retain(|service, pool| {
             let listed = documents.iter().any(|(d, _)| d.service == *service);
-            listed || pool.in_use() > 0 || pool.waiting.len() > 0
+            listed || !pool.is_idle()
         });
     }
 
--- a/hemlocksaddle-node/src/requests/pool.rs
+++ b/hemlocksaddle-node/src/requests/pool.rs
@@ -88,6 +88,7 @@
     pub(super) request: RequestId,
     since_ms: MonoMs,
     probe: bool,
+    settled: bool,
 }
 
 /// State of one service.
@@ -222,16 +223,32 @@
     }
 
     /// Queue that a request would join.
-    pub(super) fn queue(&self, waiting_per_slot: u32, now: MonoMs) -> Queue {
+    ///
+    /// If all executors are set aside, the queue is that of those that are tried
+    /// again before the deadline.
+    pub(super) fn queue(&self, waiting_per_slot: u32, now: MonoMs, deadline: MonoMs) -> Queue {
         let load = self.load(now);
+        let slots = match load.slots {
+            0 => self.slots_by(deadline, now),
+            slots => slots,
+        };
         Queue {
             waiting: load.waiting,
-            limit: waiting_per_slot.saturating_mul(load.slots),
-            slots: load.slots,
+            limit: waiting_per_slot.saturating_mul(slots),
+            slots,
             mean_ms: load.mean_ms,
         }
     }
 
+    fn slots_by(&self, deadline: MonoMs, now: MonoMs) -> u32 {
+        let open = self.executors.values().filter(|executor| executor.open);
+        let in_time = open.filter(|executor| match self.backoff.peek(&executor.name, now) {
+            Allow::Yes | Allow::Probe => true,
+            Allow::NotBefore(at) => at < deadline,
+        });
+        in_time.map(|_| self.slots_each).sum()
+    }
+
     /// Counts for peers.
     pub(super) fn summary(&self, now: MonoMs) -> SlotSummary {
         let load = self.load(now);
@@ -267,6 +284,7 @@
             request: request.clone(),
             since_ms: now,
             probe,
+            settled: false,
         }))
     }
 
@@ -308,17 +326,29 @@
         Some((slot, self.executors.get(slot.executor)?))
     }
 
-    /// Ends a request on its slot; returns the executor if it is set aside by this.
-    pub(super) fn release(
+    /// Frees a slot.
+    pub(super) fn release(&mut self, key: SlotKey) {
+        if let Some(slot) = self.slots.remove(key)
+            && let Some(executor) = self.executors.get_mut(slot.executor)
+        {
+            executor.in_use = executor.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Takes over how a request ended, once; returns the executor if it is set aside by this.
+    pub(super) fn settle(
         &mut self,
         key: SlotKey,
         end: End,
         now: MonoMs,
         random: u64,
     ) -> Option<ExecutorName> {
-        let slot = self.slots.remove(key)?;
+        let slot = self.slots.get_mut(key)?;
+        if std::mem::replace(&mut slot.settled, true) {
+            return None;
+        }
+        let slot = &self.slots[key];
         let executor = self.executors.get_mut(slot.executor)?;
-        executor.in_use = executor.in_use.saturating_sub(1);
         let answered = end == End::Answered;
         executor.speed.end(slot.since_ms.0, now.0, answered);
         match end {
@@ -356,6 +386,11 @@
         }
     }
 
+    /// Whether no request waits or is on a slot.
+    pub(super) fn is_idle(&self) -> bool {
+        self.slots.is_empty() && self.waiting.len() == 0
+    }
+
     /// Requests on slots.
     pub(super) fn in_use(&self) -> usize {
         self.slots.len()
--- a/hemlocksaddle-node/src/requests/route.rs
+++ b/hemlocksaddle-node/src/requests/route.rs
@@ -241,7 +241,7 @@
         origin: Origin,
         now: MonoMs,
     ) -> Step {
-        let queue = pool.queue(self.core.settings.limits.waiting_per_slot, now);
+        let queue = pool.queue(self.core.settings.limits.waiting_per_slot, now, deadline);
         if queue.slots == 0 {
             return Step::Refuse(no_slot());
         }
--- a/hemlocksaddle-node/src/requests/send.rs
+++ b/hemlocksaddle-node/src/requests/send.rs
@@ -2,7 +2,9 @@
 //!
 //! A send runs in the background until the executor has answered or the longest
 //! deadline of the service has passed, even if its caller gives up earlier. The
-//! slot is held as long, because the executor may still be working.
+//! slot is held as long, because the executor may still be working. For the same
+//! reason the slot of a lost answer is held until the deadline that the executor
+//! was told.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
@@ -72,6 +74,13 @@
         self.target().map(|target| target.name)
     }
 
+    /// Same slot after the failure of its request was taken over.
+    fn settled(self) -> SlotGuard {
+        self.requests
+            .settle_slot(&self.service, self.key, self.end.get());
+        self
+    }
+
     fn target(&self) -> Option<Target> {
         let pools = self.requests.pools.borrow();
         let pool = pools.get(&self.service)?;
@@ -108,9 +117,18 @@
         let request = request.clone();
         self.core.ports.runtime.spawn(Box::pin(async move {
             let attempt = requests.send(&guard, request, deadline).await;
-            drop(guard);
+            let held = if matches!(attempt, Attempt::Lost) {
+                Some(guard.settled())
+            } else {
+                drop(guard);
+                None
+            };
             // The receiver is gone if the caller's deadline has passed.
             let _ = sender.send(attempt);
+            if let Some(guard) = held {
+                requests.sleep_until(deadline).await;
+                drop(guard);
+            }
         }));
         match select(receiver, self.sleep_until(deadline)).await {
             Either::Left((Ok(attempt), _)) => attempt,
--- a/hemlocksaddle-node/tests/requests.rs
+++ b/hemlocksaddle-node/tests/requests.rs
@@ -392,3 +392,21 @@
         expect_that!(codes, contains(eq(&ResultCode::Completed)));
     }
 }
+
+/// Guards the executors' limit after lost answers: their requests may still run until their deadline.
+#[googletest::test]
+fn slot_of_a_lost_answer_is_held_until_the_deadline() {
+    let world = world_without_second_sends(1, 1, 1);
+    world.executors[0].behaviour.set(Behaviour::Lose);
+    let lost = world.quick(0, world.request(0, None, 2_000));
+    expect_that!(lost.code, eq(ResultCode::AnswerLost));
+    world.executors[0].behaviour.set(Behaviour::After(1_000));
+    let next = world.quick_later(0, world.request(0, None, 5_000));
+    world.sim.run_for(Millis(1_900));
+    expect_that!(world.runs(), eq(1));
+    world.sim.run_for(Millis(200));
+    expect_that!(
+        next.borrow().as_ref().map(|r| r.code),
+        some(eq(ResultCode::Completed))
+    );
+}
