--- a/hemlocksaddle-adapters/src/targets/pool.rs
+++ b/hemlocksaddle-adapters/src/targets/pool.rs
@@ -16,6 +16,15 @@
 
 use super::REUSE_WITHIN;
 
+/// Idle connections that are kept.
+///
+/// Non-idempotent requests never reuse one. Without this bound their connections
+/// piled up to the executor's limit, where each further request opens a new one
+/// while the executor may not have seen the close of the old one yet (61 of 60
+/// connections in a run of the quickstart). An executor has 8 slots, so more
+/// idle connections would not be used at once.
+const MAX_IDLE: usize = 8;
+
 /// Connections to one address, idle and in use.
 pub(super) struct Pool {
     address: SocketAddr,
@@ -60,7 +69,7 @@
 
     /// Keeps the connection for another request.
     pub(super) fn give_back(self) {
-        if self.link.sender.is_closed() {
+        if self.link.sender.is_closed() || self.pool.idle.borrow().len() >= MAX_IDLE {
             return;
         }
         self.pool.idle.borrow_mut().push(Idle {
