--- a/hemlocksaddle-fakes/src/http/mod.rs
+++ b/hemlocksaddle-fakes/src/http/mod.rs
@@ -183,6 +183,15 @@
     })
 }
 
+/// Serves as an executor that answers at once with the request's body, in the background.
+pub fn serve_echo(listener: TcpListener) {
+    serve(
+        listener,
+        Rc::new(|_, body| async move { server::bytes(body) }.boxed_local()),
+        |_| {},
+    );
+}
+
 fn listen<F>(
     shared: &Rc<Shared>,
     listener: TcpListener,
