--- a/hemlocksaddle-fakes/src/cluster.rs
+++ b/hemlocksaddle-fakes/src/cluster.rs
@@ -16,10 +16,7 @@
     rack::Racks,
     requests::Requests,
 };
-use hemlocksaddle_types::{
-    clock::Millis,
-    host::{HostRole, HostState},
-};
+use hemlocksaddle_types::clock::Millis;
 
 use crate::{
     judge::Rule,
@@ -30,6 +27,9 @@
 /// Interval at which the documents in force and the host list are looked at.
 const WATCH: Millis = Millis(500);
 
+/// Time for which the program lets callers get their answers after its node has stopped.
+const ANSWER_MS: u64 = 15_000;
+
 /// Running node with the parts that callers reach.
 #[derive(Clone)]
 pub struct Member {
@@ -137,6 +137,11 @@
         let timeout = self.platform.sim.sleep(within);
         let ended = futures_util::future::select(Box::pin(stopped), timeout).await;
         let ended = matches!(ended, futures_util::future::Either::Left((Some(()), _)));
+        for _ in 0..ANSWER_MS / WATCH.0 {
+            if member.calls.get() > 0 {
+                self.platform.sim.sleep(WATCH).await;
+            }
+        }
         if ended && member.calls.get() > 0 {
             let detail = format!("node {index} ended with {} calls", member.calls.get());
             self.platform
@@ -208,28 +213,6 @@
                 .judges
                 .in_force(name, member.started_ms, &documents, calm_ms);
         }
-        self.watch_hosts();
-    }
-
-    /// Tells the judges what the host list shows.
-    fn watch_hosts(&self) {
-        let platform = &self.platform;
-        let hosts = platform.served_hosts().hosts;
-        for index in 0..platform.deployment.data_centres.len() {
-            let data_centre = platform.deployment.data_centre(index);
-            let mut workers = hosts.iter().filter(|host| {
-                host.data_centre == data_centre && matches!(host.role, HostRole::Worker { .. })
-            });
-            if workers.all(|host| host.state != HostState::Live) {
-                platform.judges.take_out("hosts", &data_centre);
-            } else {
-                platform.judges.take_in("hosts", &data_centre);
-            }
-        }
-        for host in hosts {
-            if matches!(host.role, HostRole::Executor { .. }) {
-                platform.set_leaving(&host.address, host.state != HostState::Live);
-            }
-        }
+        let _ = platform.served_hosts();
     }
 }
--- a/hemlocksaddle-fakes/src/hosts.rs
+++ b/hemlocksaddle-fakes/src/hosts.rs
@@ -1,7 +1,7 @@
 //! The platform's list of hosts, which lags behind what is true.
 
 use hemlocksaddle_node::ports::{Hosts, PortFuture, Result};
-use hemlocksaddle_types::host::{Host, HostList, HostState};
+use hemlocksaddle_types::host::{Host, HostList, HostRole, HostState};
 
 use crate::{
     network::CALL_TIMEOUT,
@@ -39,8 +39,30 @@
             versions.remove(0);
         }
         let hosts = versions[0].1.clone();
+        drop(versions);
+        self.note_served(&hosts);
         HostList { as_of_ms, hosts }
     }
+
+    /// Tells the judges what the list shows.
+    fn note_served(&self, hosts: &[Host]) {
+        for index in 0..self.deployment.data_centres.len() {
+            let data_centre = self.deployment.data_centre(index);
+            let mut workers = hosts.iter().filter(|host| {
+                host.data_centre == data_centre && matches!(host.role, HostRole::Worker { .. })
+            });
+            if workers.all(|host| host.state == HostState::Leaving) {
+                self.judges.take_out("hosts", &data_centre);
+            } else {
+                self.judges.take_in("hosts", &data_centre);
+            }
+        }
+        for host in hosts {
+            if matches!(host.role, HostRole::Executor { .. }) {
+                self.set_leaving(&host.address, host.state == HostState::Leaving);
+            }
+        }
+    }
 }
 
 impl Hosts for NodePorts {
--- a/hemlocksaddle-fakes/src/judge.rs
+++ b/hemlocksaddle-fakes/src/judge.rs
@@ -66,6 +66,8 @@
 struct TaskHistory {
     attempt: Attempt,
     place: Option<WorkerName>,
+    /// Highest attempt whose end is in the log.
+    settled: Attempt,
     completed: bool,
     ran_to_end: bool,
     /// Checkpoints from which the next attempt may resume; `None` stands for the start.
@@ -201,12 +203,32 @@
             (*last, *term) = (batch.id.number, batch.term);
         }
         for record in &batch.records {
+            if std::env::var("HS_TRACE").is_ok() {
+                eprintln!(
+                    "{} {stream:?} {} {} t{}: {record:?}",
+                    self.sim.now(),
+                    batch.id.node,
+                    batch.id.number,
+                    batch.term.0
+                );
+            }
             match record {
                 Record::Publish(publish) => self.published(publish),
                 Record::JobAccepted { job, spec, .. } => {
                     self.state.borrow_mut().jobs.insert(*job, spec.clone());
                 }
                 Record::JobEnded { job, result, .. } => self.job_ended(*job, *result),
+                Record::TaskEnded { task, attempt, .. } => self.end_logged(*task, *attempt, None),
+                Record::TaskRequeued {
+                    task,
+                    attempt,
+                    checkpoint,
+                } => {
+                    let base = checkpoint
+                        .as_ref()
+                        .map(|checkpoint| checkpoint.name.clone());
+                    self.end_logged(*task, *attempt, Some(base));
+                }
                 _ => {}
             }
         }
@@ -380,7 +402,6 @@
             let resumes = history.bases.contains(&base) || (first && base.is_none());
             let before = (history.attempt, history.place.replace(worker.clone()));
             history.attempt = order.attempt;
-            history.completed = false;
             history.bases = vec![base.clone()];
             (single, resumes, before)
         };
@@ -437,17 +458,37 @@
         }
     }
 
-    /// Takes note that the end of an attempt is durable: it decides how the task may go on.
-    pub fn end_acknowledged(&self, task: TaskId, attempt: Attempt, end: &TaskEnd) {
-        let state = &mut self.state.borrow_mut();
-        let history = state.tasks.entry(task).or_default();
-        if history.attempt != attempt {
-            return;
-        }
-        history.completed = *end == TaskEnd::Completed;
-        if let Some(checkpoint) = checkpoint_of(end) {
-            history.bases = vec![Some(checkpoint)];
-        }
+    /// Takes note of the durable end of an attempt, which decides how its task may go on.
+    fn end_logged(&self, task: TaskId, attempt: Attempt, base: Option<Option<Arc<str>>>) {
+        let resumes = {
+            let state = &mut self.state.borrow_mut();
+            let history = state.tasks.entry(task).or_default();
+            history.settled = history.settled.max(attempt);
+            if history.attempt != attempt {
+                return;
+            }
+            history.completed = base.is_none();
+            let known = base
+                .as_ref()
+                .is_none_or(|base| history.bases.contains(base));
+            history.bases = base.clone().into_iter().collect();
+            known
+        };
+        self.check(resumes, Invariant::ResumeOnce, || {
+            format!("{task:?} {attempt:?} is to be resumed from {base:?}")
+        });
+    }
+
+    /// Judges that a worker's report of an ended attempt is acknowledged.
+    pub fn end_acknowledged(&self, task: TaskId, attempt: Attempt) {
+        let is_durable = {
+            let state = self.state.borrow();
+            let settled = state.tasks.get(&task).map(|history| history.settled);
+            settled >= Some(attempt) || state.results.contains_key(&task.job)
+        };
+        self.check(is_durable, Invariant::ResumeOnce, || {
+            format!("the end of {task:?} {attempt:?} is acknowledged but not in the log")
+        });
     }
 
     /// Judges what is committed on a worker.
--- a/hemlocksaddle-fakes/src/network.rs
+++ b/hemlocksaddle-fakes/src/network.rs
@@ -132,6 +132,11 @@
         Box::pin(async move {
             let connection = (from.process, to.name.clone());
             platform.open(&connection, &from, &to, within).await?;
+            let mut used = Used {
+                platform: platform.clone(),
+                connection: connection.clone(),
+                answered: false,
+            };
             let (mut answer, answered) = oneshot::channel();
             let (server, carried) = (platform.clone(), connection.clone());
             platform.sim.spawn(ENVIRONMENT, async move {
@@ -150,15 +155,11 @@
             });
             let timeout = platform.sim.sleep(within);
             match select(Box::pin(or_never(answered)), timeout).await {
-                Either::Left((output, _)) => Ok(output),
-                Either::Right(_) => {
-                    platform
-                        .network
-                        .borrow_mut()
-                        .connections
-                        .remove(&connection);
-                    Err(PortError::Unknown)
+                Either::Left((output, _)) => {
+                    used.answered = true;
+                    Ok(output)
                 }
+                Either::Right(_) => Err(PortError::Unknown),
             }
         })
     }
@@ -217,6 +218,22 @@
     }
 }
 
+/// Closes the connection of a call that times out or is given up.
+struct Used {
+    platform: Rc<Platform>,
+    connection: Connection,
+    answered: bool,
+}
+
+impl Drop for Used {
+    fn drop(&mut self) {
+        if !self.answered {
+            let connections = &mut self.platform.network.borrow_mut().connections;
+            connections.remove(&self.connection);
+        }
+    }
+}
+
 async fn or_never<T>(answered: oneshot::Receiver<T>) -> T {
     match answered.await {
         Ok(output) => output,
--- a/hemlocksaddle-fakes/src/workers.rs
+++ b/hemlocksaddle-fakes/src/workers.rs
@@ -231,8 +231,8 @@
 
     fn renew(&self, worker: &mut Worker, renew: &Renew) -> WorkerReport {
         for key in &renew.acknowledged {
-            if let Some(end) = worker.ended.remove(key) {
-                self.judges.end_acknowledged(key.0, key.1, &end);
+            if worker.ended.remove(key).is_some() {
+                self.judges.end_acknowledged(key.0, key.1);
             }
         }
         let process = worker.endpoint.process;
--- a/hemlocksaddle-node/src/ownership/handover.rs
+++ b/hemlocksaddle-node/src/ownership/handover.rs
@@ -54,9 +54,13 @@
         }
     }
 
-    /// Ends the right to the units and releases them; they are kept if the log certainly did not take it.
+    /// Ends the right to the units and releases them.
+    ///
+    /// If the log did not take the release, this node claims the units again. The
+    /// parts have dropped their state by then, and what they still have under way
+    /// in the old term must not mix with the new state.
     async fn release(&self, units: &[(Unit, Term)]) {
-        self.set_releasing(units, true);
+        self.set_releasing(units);
         let records = units.iter().map(|(unit, term)| Record::Release {
             unit: unit.clone(),
             term: *term,
@@ -77,15 +81,24 @@
             Err(AppendError::Unsettled) => self.wait_until_settled().await,
         }
         if !self.env.stopping.get() {
-            self.set_releasing(units, false);
+            self.let_go(units);
         }
     }
 
-    fn set_releasing(&self, units: &[(Unit, Term)], is_releasing: bool) {
+    fn set_releasing(&self, units: &[(Unit, Term)]) {
         let mut all_held = self.held.borrow_mut();
         for (unit, term) in units {
             if let Some(held) = all_held.get_mut(unit).filter(|held| held.term == *term) {
-                held.is_releasing = is_releasing;
+                held.is_releasing = true;
+            }
+        }
+    }
+
+    fn let_go(&self, units: &[(Unit, Term)]) {
+        let mut all_held = self.held.borrow_mut();
+        for (unit, term) in units {
+            if all_held.get(unit).is_some_and(|held| held.term == *term) {
+                all_held.remove(unit);
             }
         }
     }
@@ -121,7 +134,7 @@
     async fn move_unit(&self, moved: (Unit, Term)) {
         let units = [moved];
         let (unit, term) = &units[0];
-        self.set_releasing(&units, true);
+        self.set_releasing(&units);
         let timing = &self.env.settings.timing;
         let sent_ms = self.longest_deadline(unit).unwrap_or_default();
         let drain_ms = sent_ms.max(timing.start_by_ms).with_clock_margin();
--- a/hemlocksaddle-node/src/ownership/mod.rs
+++ b/hemlocksaddle-node/src/ownership/mod.rs
@@ -81,6 +81,8 @@
     applied: Signal,
     claims: RefCell<ClaimTable>,
     held: RefCell<BTreeMap<Unit, Held>>,
+    /// How often other nodes claimed units that this node held.
+    lost_to_claims: RefCell<BTreeMap<Unit, u32>>,
     /// Units with a claim of this node whose outcome it has not read yet.
     claiming: RefCell<BTreeSet<Unit>>,
     /// Time until which this node has promised not to claim.
@@ -117,6 +119,7 @@
             applied: Signal::default(),
             claims: RefCell::default(),
             held: RefCell::default(),
+            lost_to_claims: RefCell::default(),
             claiming: RefCell::default(),
             given_until_ms: RefCell::default(),
             unclaimed_since_ms: RefCell::default(),
@@ -204,6 +207,9 @@
         if !has_effect {
             return;
         }
+        if claim.node != *self.env.node() {
+            self.note_lost_to_claim(&claim.unit);
+        }
         self.lose(&claim.unit, "claimed anew");
         let is_ours = claim.node == *self.env.node() && claim.started_ms == self.env.started_ms;
         if is_ours {
--- a/hemlocksaddle-node/src/ownership/takeover.rs
+++ b/hemlocksaddle-node/src/ownership/takeover.rs
@@ -29,6 +29,14 @@
 /// Time within which the log must have taken a claim; a later one would be stale.
 const CLAIM_APPEND_MS: Millis = Millis(2_000);
 
+/// Least time for which another node keeps a unit that it took from this one; it
+/// doubles with each time. Two nodes that cannot reach each other both see the
+/// other as silent, and would claim a unit in turns before either may act on it.
+const TENURE_MS: Millis = Millis(10_000);
+
+/// Doublings of the tenure at most, which makes 640 s.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// Interval at which an unsettled claim is looked at.
 const SETTLE_EVERY_MS: Millis = Millis(100);
 
@@ -197,7 +205,28 @@
             return false;
         };
         let silent_ms = self.env.settings.timing.owner_silent_ms;
-        self.silence_of(&claim.node, now) >= silent_ms + rank_wait(rank)
+        let is_silent = self.silence_of(&claim.node, now) >= silent_ms + rank_wait(rank);
+        is_silent && now.since(state.seen_ms) >= self.tenure_of(&claim.unit)
+    }
+
+    /// Time for which the present owner keeps a unit, however silent it is.
+    fn tenure_of(&self, unit: &Unit) -> Millis {
+        let lost = self.lost_to_claims.borrow().get(unit).copied().unwrap_or(0);
+        match lost {
+            0 => Millis(0),
+            _ => Millis(TENURE_MS.0 << lost.min(MAX_DOUBLINGS)),
+        }
+    }
+
+    /// Notes that another node claimed a unit that this node holds.
+    pub(super) fn note_lost_to_claim(&self, unit: &Unit) {
+        if self.held.borrow().contains_key(unit) {
+            *self
+                .lost_to_claims
+                .borrow_mut()
+                .entry(unit.clone())
+                .or_default() += 1;
+        }
     }
 
     /// Whether all promises that an earlier process of this node gave have lapsed.
--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -373,7 +373,9 @@
     match &known.event {
         TaskEvent::Lost(_) => Some(stopped(job, resumed_from)),
         TaskEvent::Ended(_, TaskEnd::Completed) => Some(Effect::End(TaskEnd::Completed)),
-        TaskEvent::Ended(worker, TaskEnd::Failed(text)) => Some(failed(job, worker, text)),
+        TaskEvent::Ended(worker, TaskEnd::Failed(text)) => {
+            Some(failed(job, worker, text, resumed_from))
+        }
         TaskEvent::Ended(_, TaskEnd::Stopped(checkpoint) | TaskEnd::LeaseLapsed(checkpoint)) => {
             Some(stopped(job, checkpoint.clone().or(resumed_from)))
         }
@@ -394,15 +396,19 @@
 }
 
 /// Attempt that ended with an error of its own.
-fn failed(job: &Job, worker: &WorkerName, text: &Arc<str>) -> Effect {
+fn failed(
+    job: &Job,
+    worker: &WorkerName,
+    text: &Arc<str>,
+    resumed_from: Option<Checkpoint>,
+) -> Effect {
     let others = job.failed_on.iter().filter(|other| *other != worker);
     let workers = others.count() + 1;
     if job.ending.is_some() {
         return Effect::End(TaskEnd::Failed(text.clone()));
     }
     if job.may_rerun() && workers < MAX_FAILED_WORKERS {
-        let live = job.live.values().find_map(|live| live.checkpoint.clone());
-        return Effect::Requeue(live);
+        return Effect::Requeue(resumed_from);
     }
     let outcome = (ResultCode::JobFailed, text.clone());
     Effect::EndJob(TaskEnd::Failed(text.clone()), outcome)
