--- a/hemlocksaddle-node/src/rack/worker.rs
+++ b/hemlocksaddle-node/src/rack/worker.rs
@@ -12,6 +12,7 @@
     host::HostState,
     name::WorkerName,
     peer::TaskEvent,
+    resources::Resources,
     worker::{Renew, WorkerReport},
 };
 
@@ -19,7 +20,7 @@
     Racks,
     state::{AttemptId, CommitmentKey, State, WorkerKey},
 };
-use crate::{event::Event, wait::within};
+use crate::{event::Event, invariant::Invariant, wait::within};
 
 /// Pause after a call that failed or was not allowed.
 const RETRY_MS: Millis = Millis(500);
@@ -58,7 +59,7 @@
         let call = self.core.ports.workers.renew(address, &name, renew);
         let limit = self.core.settings.timing.platform_call_ms;
         match within(&**runtime, limit, call).await {
-            Some(Ok(report)) => self.take_report(key, &report, &acknowledged),
+            Some(Ok(report)) => self.take_report(key, &report, &acknowledged, sent_ms),
             _ => self.note_failure(key),
         }
     }
@@ -68,6 +69,7 @@
         let mut state = self.state.borrow_mut();
         let worker = state.workers.get(key)?;
         let target = (worker.address, worker.name.clone());
+        let incarnation = worker.incarnation;
         let acknowledged = worker.acknowledged.clone();
         let clock = worker.clock.filter(|_| !worker.failing);
         let lease_until = clock.map(|clock| clock.lower_bound(now) + lease);
@@ -76,6 +78,7 @@
             None => Vec::new(),
         };
         let renew = Renew {
+            incarnation,
             lease_until_worker_ms: lease_until,
             tasks,
             acknowledged,
@@ -88,6 +91,7 @@
         key: WorkerKey,
         report: &WorkerReport,
         acknowledged: &[AttemptId],
+        asked_ms: MonoMs,
     ) -> Millis {
         let now = self.now();
         let lease = self.core.settings.timing.lease_ms;
@@ -98,12 +102,21 @@
             };
             worker.acknowledged.retain(|id| !acknowledged.contains(id));
             let (first, failing) = (worker.heard_ms.is_none(), worker.failing);
-            (first, failing, state.apply_report(key, report, now, lease))
+            (
+                first,
+                failing,
+                state.apply_report(key, report, (asked_ms, now), lease),
+            )
         };
+        self.check_capacity(key);
         if failing {
             Event::WorkerReachable.log(format_args!("{}", self.name_of(key)));
         }
+        self.learn_from(&over);
         self.deliver_all(over);
+        if let Some(racks) = self.this.upgrade() {
+            racks.react(key);
+        }
         let every = self.core.settings.timing.renew_every_ms;
         match (first || failing) && !report.running.is_empty() {
             true => Millis(0),
@@ -111,6 +124,28 @@
         }
     }
 
+    /// Asserts that what runs on a worker, attempts of earlier owners included, fits.
+    fn check_capacity(&self, key: WorkerKey) {
+        let state = self.state.borrow();
+        let Some(worker) = state.workers.get(key) else {
+            return;
+        };
+        let tasks = state.holding_on(key);
+        let held = tasks.fold(Resources::default(), |sum, (_, c)| sum + c.demand);
+        let fits = held.fits_in(&worker.capacity);
+        let text = || {
+            format!(
+                "worker {} holds {held:?} of {:?}",
+                worker.name, worker.capacity
+            )
+        };
+        // There is no action to refuse; the worker gets no start until its tasks fit.
+        let _ = self
+            .core
+            .invariants
+            .check(Invariant::HostCapacity, fits, text);
+    }
+
     fn note_failure(&self, key: WorkerKey) -> Millis {
         let was_failing = match self.state.borrow_mut().workers.get_mut(key) {
             Some(worker) => std::mem::replace(&mut worker.failing, true),
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -7,7 +7,10 @@
 
 pub mod admission;
 pub mod backoff;
+pub mod checkpoint;
 pub mod fairness;
+pub mod interference;
 pub mod placement;
 pub mod retry;
 pub mod routing;
+pub mod suspicion;
