--- a/hemlocksaddle-fakes/src/workers.rs
+++ b/hemlocksaddle-fakes/src/workers.rs
@@ -172,7 +172,8 @@
             return StartReply::AlreadyKnown;
         }
         let process = worker.endpoint.process;
-        if self.sim.runtime(process).now() > order.start_by_worker_ms {
+        let late = self.sim.runtime(process).now() > order.start_by_worker_ms;
+        if late || order.incarnation != worker.incarnation {
             return StartReply::TooLate;
         }
         self.judges
@@ -231,12 +232,13 @@
 
     fn renew(&self, worker: &mut Worker, renew: &Renew) -> WorkerReport {
         for key in &renew.acknowledged {
-            if let Some(end) = worker.ended.remove(key) {
-                self.judges.end_acknowledged(key.0, key.1, &end);
+            if worker.ended.remove(key).is_some() {
+                self.judges.end_acknowledged(key.0, key.1);
             }
         }
         let process = worker.endpoint.process;
-        if let Some(until) = renew.lease_until_worker_ms {
+        let lease = renew.lease_until_worker_ms;
+        if let Some(until) = lease.filter(|_| renew.incarnation == worker.incarnation) {
             let lease_us = self.sim.true_us(process, until);
             for key in &renew.tasks {
                 if let Some(task) = worker.running.get_mut(key) {
--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -64,7 +64,8 @@
     /// Whether an event is about the current attempt of its task.
     ///
     /// An attempt that is newer than what is known was started by an earlier
-    /// owner while the log was down, and is adopted.
+    /// owner while the log was down, and is adopted. The end of an attempt that
+    /// was taken for lost counts as long as the next one has not begun.
     fn is_current(&self, queue: &Rc<Queue>, known: &KnownTask) -> bool {
         let mut jobs = queue.jobs.borrow_mut();
         let Some(job) = jobs.jobs.get(&known.task.job) else {
@@ -80,8 +81,25 @@
             return live.attempt == known.attempt;
         }
         let waiting = job.requeued.get(&index).map(|task| task.attempt);
+        let refused = job
+            .requeued
+            .get(&index)
+            .is_some_and(|task| task.attempt == known.attempt && !task.may_have_run);
+        let ran = known.event != TaskEvent::NotStarted;
+        let text = || format!("{:?} {:?} ran after a refusal", known.task, known.attempt);
+        let truthful =
+            self.core
+                .invariants
+                .check(Invariant::TruthfulRefusal, !(refused && ran), text);
         let ended = index < job.next_fresh && waiting.is_none() && !job.live.contains_key(&index);
-        if ended || waiting.is_some_and(|last| last >= known.attempt) {
+        let late_end = matches!(known.event, TaskEvent::Ended(..))
+            && job.ending.is_none()
+            && job
+                .requeued
+                .get(&index)
+                .is_some_and(|task| task.may_have_run && task.attempt == known.attempt);
+        let known_later = waiting.is_some_and(|last| last >= known.attempt);
+        if ended || (known_later && !late_end && truthful) {
             return false;
         }
         let checkpoint = job.requeued.get(&index).and_then(|t| t.checkpoint.clone());
@@ -373,7 +391,9 @@
     match &known.event {
         TaskEvent::Lost(_) => Some(stopped(job, resumed_from)),
         TaskEvent::Ended(_, TaskEnd::Completed) => Some(Effect::End(TaskEnd::Completed)),
-        TaskEvent::Ended(worker, TaskEnd::Failed(text)) => Some(failed(job, worker, text)),
+        TaskEvent::Ended(worker, TaskEnd::Failed(text)) => {
+            Some(failed(job, worker, text, resumed_from))
+        }
         TaskEvent::Ended(_, TaskEnd::Stopped(checkpoint) | TaskEnd::LeaseLapsed(checkpoint)) => {
             Some(stopped(job, checkpoint.clone().or(resumed_from)))
         }
@@ -394,15 +414,19 @@
 }
 
 /// Attempt that ended with an error of its own.
-fn failed(job: &Job, worker: &WorkerName, text: &Arc<str>) -> Effect {
+fn failed(
+    job: &Job,
+    worker: &WorkerName,
+    text: &Arc<str>,
+    resumed_from: Option<Checkpoint>,
+) -> Effect {
     let others = job.failed_on.iter().filter(|other| *other != worker);
     let workers = others.count() + 1;
     if job.ending.is_some() {
         return Effect::End(TaskEnd::Failed(text.clone()));
     }
     if job.may_rerun() && workers < MAX_FAILED_WORKERS {
-        let live = job.live.values().find_map(|live| live.checkpoint.clone());
-        return Effect::Requeue(live);
+        return Effect::Requeue(resumed_from);
     }
     let outcome = (ResultCode::JobFailed, text.clone());
     Effect::EndJob(TaskEnd::Failed(text.clone()), outcome)
--- a/hemlocksaddle-node/src/rack/state.rs
+++ b/hemlocksaddle-node/src/rack/state.rs
@@ -58,16 +58,19 @@
 pub(crate) struct Commitment {
     pub(crate) id: AttemptId,
     pub(crate) worker: WorkerKey,
-    #[expect(dead_code, reason = "class of the task, for interference")]
     pub(crate) service: ServiceName,
     pub(crate) demand: Resources,
     pub(crate) urgency: Urgency,
     pub(crate) resumable: bool,
+    /// Whether a stopped attempt may run again; not known of adopted attempts.
+    pub(crate) idempotent: bool,
     pub(crate) phase: Phase,
     /// Own time until which the attempt may hold a lease.
     pub(crate) lease_until_ms: MonoMs,
-    /// Worker's time after which the start order is refused.
-    pub(crate) start_by_worker_ms: MonoMs,
+    /// Own time from which on a report that is asked for shows whether the attempt runs.
+    pub(crate) certain_after_ms: MonoMs,
+    /// Worker's incarnation when the order was sent.
+    pub(crate) incarnation: u64,
     pub(crate) progress_ms: u64,
     pub(crate) checkpoint_ms: u64,
     pub(crate) slowdown_milli: u64,
@@ -113,6 +116,12 @@
     pub(crate) data_centre: DataCentre,
     /// Time at which this node took the rack over.
     pub(crate) taken_ms: MonoMs,
+    /// Whether the data centre was out when last looked at.
+    pub(crate) was_out: bool,
+    /// Time of the data centre's return while starts ramp up.
+    pub(crate) returned_ms: Option<MonoMs>,
+    /// Second of the last start during the ramp, and starts in it.
+    pub(crate) ramp: (MonoMs, u64),
 }
 
 /// Workers, commitments and racks.
@@ -294,13 +303,15 @@
     /// Takes a worker's report over and returns the commitments that are over because of it.
     ///
     /// An attempt that is missing counts as not started or lost only if the
-    /// worker made the report after the last time at which it could have taken
-    /// the start order.
+    /// report was asked for after the start order was answered, or after the
+    /// last time at which the worker could have taken it. This holds for a
+    /// worker that has restarted too: the order may have reached the new process
+    /// after its report.
     pub(crate) fn apply_report(
         &mut self,
         key: WorkerKey,
         report: &WorkerReport,
-        received_ms: MonoMs,
+        (asked_ms, received_ms): (MonoMs, MonoMs),
         lease: Millis,
     ) -> Vec<CommitmentKey> {
         let Some(worker) = self.workers.get_mut(key) else {
@@ -312,7 +323,6 @@
         if older && worker.incarnation == report.incarnation {
             return Vec::new();
         }
-        let restarted = worker.heard_ms.is_some() && worker.incarnation != report.incarnation;
         worker.incarnation = report.incarnation;
         worker.capacity = report.capacity;
         worker.heard_ms = Some(received_ms);
@@ -330,7 +340,7 @@
             let event = TaskEvent::Ended(name.clone(), ended.end.clone());
             over.extend(self.adopt_ended(key, (ended.task, ended.attempt), event));
         }
-        over.extend(self.finish_missing(key, report, restarted, &name));
+        over.extend(self.finish_missing(key, report, asked_ms, &name));
         over
     }
 
@@ -353,6 +363,9 @@
     }
 
     /// Takes over a report of an end; returns the commitment if its event is new.
+    ///
+    /// The end of an attempt that was taken for lost is reported to the queue's
+    /// owner like any other, because it may name a checkpoint.
     fn adopt_ended(
         &mut self,
         worker: WorkerKey,
@@ -362,11 +375,8 @@
         if let Some(key) = self.by_attempt.get(&id).copied() {
             return self.finish(key, event).then_some(key);
         }
-        if self.is_closed(id) {
-            let known = self.workers.get_mut(worker)?;
-            if !known.acknowledged.contains(&id) {
-                known.acknowledged.push(id);
-            }
+        let known = self.workers.get(worker)?;
+        if known.acknowledged.contains(&id) {
             return None;
         }
         Some(self.commit(ended(worker, id, event)))
@@ -376,7 +386,7 @@
         &mut self,
         key: WorkerKey,
         report: &WorkerReport,
-        restarted: bool,
+        asked_ms: MonoMs,
         name: &WorkerName,
     ) -> Vec<CommitmentKey> {
         let reported = |id: &AttemptId| {
@@ -386,8 +396,11 @@
         let missing: Vec<(CommitmentKey, bool)> = self
             .holding_on(key)
             .filter(|(_, commitment)| !reported(&commitment.id))
-            .filter(|(_, c)| restarted || report.worker_ms > c.start_by_worker_ms)
-            .map(|(key, c)| (key, c.phase == Phase::Starting && !restarted))
+            .filter(|(_, c)| asked_ms > c.certain_after_ms)
+            .map(|(key, c)| {
+                let same_process = c.incarnation == report.incarnation;
+                (key, c.phase == Phase::Starting && same_process)
+            })
             .collect();
         for (key, never_started) in &missing {
             let event = match never_started {
@@ -421,9 +434,11 @@
         demand: running.demand,
         urgency: running.urgency,
         resumable: running.resumable,
+        idempotent: false,
         phase: Phase::Running,
         lease_until_ms,
-        start_by_worker_ms: MonoMs(0),
+        certain_after_ms: MonoMs(0),
+        incarnation: 0,
         progress_ms: running.progress_ms,
         checkpoint_ms: running.checkpoint_ms,
         slowdown_milli: running.slowdown_milli,
@@ -441,9 +456,11 @@
         demand: Resources::default(),
         urgency: Urgency::Normal,
         resumable: false,
+        idempotent: false,
         phase: Phase::Finished(event),
         lease_until_ms: MonoMs(0),
-        start_by_worker_ms: MonoMs(0),
+        certain_after_ms: MonoMs(0),
+        incarnation: 0,
         progress_ms: 0,
         checkpoint_ms: 0,
         slowdown_milli: 0,
