Answer waiting callers at a planned stop and refuse without the log first

Change: Queues::stop waits for the calls of its own callers; a status call is answered with what is known once the stop begins.

--- a/hemlocksaddle-node/src/queue/accept.rs
+++ b/hemlocksaddle-node/src/queue/accept.rs
@@ -123,15 +123,15 @@
             }
             Shape::Present | Shape::Absent => {}
         }
-        if self.is_over_quota(queue, spec) {
-            return refuse(
+        if !self.core.journal.log_is_up() {
+            return refuse(ResultCode::LogUnavailable, "the log does not answer");
+        }
+        match self.is_over_quota(queue, spec) {
+            true => refuse(
                 ResultCode::QuotaExceeded,
                 "the team is over its quota and no rack has room",
-            );
-        }
-        match self.core.journal.log_is_up() {
-            true => Ok(()),
-            false => refuse(ResultCode::LogUnavailable, "the log does not answer"),
+            ),
+            false => Ok(()),
         }
     }
 
@@ -297,6 +297,9 @@
             if status.result.is_some() || left.0 == 0 {
                 return Response::JobStatus(status);
             }
+            if self.stopping.get() {
+                return Response::NotOwner;
+            }
             let runtime = &*self.core.ports.runtime;
             let changed = changed.wait_past(changed.count());
             if within(runtime, left, changed).await.is_some() && !self.may_act(&queue) {
--- a/hemlocksaddle-node/src/queue/client.rs
+++ b/hemlocksaddle-node/src/queue/client.rs
@@ -5,8 +5,9 @@
 //! have run. A refusal after a lost reply does not settle it, because the first
 //! message may still arrive.
 
-use std::sync::Arc;
+use std::{cell::Cell, pin::pin, rc::Rc, sync::Arc};
 
+use futures_util::future::{Either, select};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     job::{JobId, JobSpec, JobStatus},
@@ -28,6 +29,26 @@
 /// Pause before the owner is looked for again.
 const PAUSE_MS: Millis = Millis(200);
 
+/// Counts a caller's call while it is in progress.
+struct CallGuard(Rc<Cell<usize>>);
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Output of the first future, or `None` if the second one ends before it.
+async fn first_of<T>(
+    first: impl Future<Output = T>,
+    second: impl Future<Output = ()>,
+) -> Option<T> {
+    match select(pin!(first), pin!(second)).await {
+        Either::Left((output, _)) => Some(output),
+        Either::Right(_) => None,
+    }
+}
+
 /// Outcome of one try to reach the owner.
 enum Tried {
     /// Owner answered.
@@ -46,6 +67,7 @@
     /// Returns the code of the refusal; one of the first group only if it is
     /// certain that the job was not accepted.
     pub async fn submit(&self, spec: JobSpec) -> Result<JobId, Refusal> {
+        let _call = self.begin_call();
         let index = queue_of(&spec.team, self.core.settings.limits.queues);
         let repeatable = spec.key.is_some();
         let deadline = self.now() + ROUTE_MS;
@@ -54,6 +76,9 @@
             let request = Request::Submit(index, spec.clone());
             match self.try_owner(index, request, REPLY_MS).await {
                 Tried::Answered(Response::Submitted(job)) => return Ok(job),
+                // Another node owns the queue soon.
+                Tried::Answered(Response::Refused(ResultCode::Stopping, _))
+                    if !self.stopping.get() => {}
                 Tried::Answered(Response::Refused(code, text)) => {
                     return Err(self.refusal(code, text, reply_lost));
                 }
@@ -97,20 +122,33 @@
     ///
     /// Returns the code of the refusal.
     pub async fn job_status(&self, job: JobId, wait: Millis) -> Result<JobStatus, Refusal> {
+        let _call = self.begin_call();
         let ends = self.now() + wait;
         let route_until = ends + ROUTE_MS;
         loop {
-            let left = ends.since(self.now());
+            // A node that stops answers with what is known, and does not wait for more.
+            let left = match self.stopping.get() {
+                true => Millis(0),
+                false => ends.since(self.now()),
+            };
             let request = Request::JobStatus(job, left);
-            match self.try_owner(job.queue, request, left + REPLY_MS).await {
-                Tried::Answered(Response::JobStatus(status)) => {
+            let asked = self.try_owner(job.queue, request, left + REPLY_MS);
+            let stopped = self.stopped.wait_past(0);
+            let tried = match left.0 {
+                0 => Some(asked.await),
+                _ => first_of(asked, stopped).await,
+            };
+            match tried {
+                Some(Tried::Answered(Response::JobStatus(status))) => {
                     // The owner bounds the wait of one call.
-                    if status.result.is_some() || self.now() >= ends {
+                    let over = self.stopping.get() || self.now() >= ends;
+                    if status.result.is_some() || over {
                         return Ok(status);
                     }
                 }
-                Tried::Answered(Response::Refused(code, text)) => return Err((code, text)),
-                _ => self.pause(route_until).await?,
+                Some(Tried::Answered(Response::Refused(code, text))) => return Err((code, text)),
+                Some(_) => self.pause(route_until).await?,
+                None => {}
             }
         }
     }
@@ -121,6 +159,7 @@
     ///
     /// Returns the code of the refusal; a lost reply is settled by repeating.
     pub async fn cancel(&self, job: JobId) -> Result<(), Refusal> {
+        let _call = self.begin_call();
         let deadline = self.now() + ROUTE_MS;
         let mut reply_lost = false;
         loop {
@@ -147,6 +186,7 @@
     ///
     /// Returns the code of the refusal.
     pub async fn explain_job(&self, job: JobId) -> Result<Vec<Explanation>, Refusal> {
+        let _call = self.begin_call();
         let deadline = self.now() + ROUTE_MS;
         loop {
             match self
@@ -161,10 +201,19 @@
     }
 
     /// Waits before the next try; a stopping node refuses instead, so that its callers turn to others.
+    fn begin_call(&self) -> CallGuard {
+        self.calls.set(self.calls.get() + 1);
+        CallGuard(self.calls.clone())
+    }
+
     async fn pause(&self, deadline: MonoMs) -> Result<(), Refusal> {
         if self.core.stopping.get() {
             return Err((ResultCode::Stopping, Arc::from("the node is stopping")));
         }
+        if self.stopping.get() && self.stop_is_due() {
+            let text = "the node is stopping; another node answers";
+            return Err((ResultCode::Stopping, Arc::from(text)));
+        }
         if self.now() >= deadline {
             let text = "the owner of the queue cannot be reached";
             return Err((ResultCode::OwnerUnreachable, Arc::from(text)));
--- a/hemlocksaddle-node/src/queue/mod.rs
+++ b/hemlocksaddle-node/src/queue/mod.rs
@@ -49,6 +49,8 @@
 
 /// Interval at which owned queues are compared with ownership.
 const SUPERVISE_EVERY_MS: Millis = Millis(100);
+/// Time after the begin of a stop in which calls may still find another owner.
+const STOP_CALLS_MS: Millis = Millis(2_000);
 /// Longest time that a planned stop waits for placements in progress.
 const STOP_WAIT_MS: Millis = Millis(5_000);
 /// Waits after refusals of a rack.
@@ -87,6 +89,17 @@
 }
 
 impl Queue {
+    /// Wakes everyone who waits for a job of the queue.
+    fn wake_waiting(&self) {
+        let jobs = self.jobs.borrow();
+        let changed = jobs.jobs.values().map(|job| job.changed.clone());
+        let changed: Vec<Rc<Signal>> = changed.collect();
+        drop(jobs);
+        for signal in changed {
+            signal.notify();
+        }
+    }
+
     /// Wakes those who wait for a job's status.
     fn changed(&self, job: JobId) {
         let changed = self
@@ -117,7 +130,12 @@
     promised: RefCell<Vec<Promised>>,
     racks: RefCell<Option<Rc<Racks>>>,
     guard: RefCell<Option<Rc<GuardTable>>>,
+    /// Calls of callers in progress.
+    calls: Rc<Cell<usize>>,
     stopping: Cell<bool>,
+    /// Notified once when a planned stop begins.
+    stopped: Signal,
+    stop_began_ms: Cell<Option<MonoMs>>,
     running: Cell<bool>,
 }
 
@@ -133,7 +151,10 @@
             promised: RefCell::default(),
             racks: RefCell::default(),
             guard: RefCell::default(),
+            calls: Rc::default(),
             stopping: Cell::new(false),
+            stopped: Signal::default(),
+            stop_began_ms: Cell::new(None),
             running: Cell::new(false),
         })
     }
@@ -161,11 +182,15 @@
     pub fn stop(self: &Rc<Self>) -> PortFuture<'static, ()> {
         let queues = self.clone();
         Box::pin(async move {
-            queues.stopping.set(true);
+            queues.begin_stop();
             let deadline = queues.now() + STOP_WAIT_MS;
             while queues.is_placing() && queues.now() < deadline {
                 queues.core.ports.runtime.sleep(Millis(50)).await;
             }
+            // Every call ends within its own limits.
+            while queues.calls.get() > 0 {
+                queues.core.ports.runtime.sleep(Millis(50)).await;
+            }
             queues.running.set(false);
             let all = std::mem::take(&mut *queues.queues.borrow_mut());
             for queue in all.into_values() {
@@ -174,6 +199,21 @@
         })
     }
 
+    fn begin_stop(&self) {
+        self.stopping.set(true);
+        self.stop_began_ms.set(Some(self.now()));
+        self.stopped.notify();
+        for queue in self.queues.borrow().values() {
+            queue.wake_waiting();
+        }
+    }
+
+    /// Whether calls that still look for an owner have to end because of a stop.
+    fn stop_is_due(&self) -> bool {
+        let began_ms = self.stop_began_ms.get();
+        began_ms.is_some_and(|began_ms| self.now().since(began_ms) >= STOP_CALLS_MS)
+    }
+
     fn is_placing(&self) -> bool {
         let queues = self.queues.borrow();
         queues.values().any(|queue| queue.placing.get() > 0)
@@ -266,12 +306,7 @@
         if let Some(guard) = &*self.guard.borrow() {
             guard.forget(queue.index);
         }
-        let jobs = queue.jobs.borrow();
-        let changed: Vec<Rc<Signal>> = jobs.jobs.values().map(|job| job.changed.clone()).collect();
-        drop(jobs);
-        for notify in changed {
-            notify.notify();
-        }
+        queue.wake_waiting();
     }
 }
 
--- a/hemlocksaddle-node/tests/batch/whole.rs
+++ b/hemlocksaddle-node/tests/batch/whole.rs
@@ -277,3 +277,34 @@
         random_run(seed);
     }
 }
+
+/// Guards against a planned stop that cuts off callers who wait for a job, or that waits for them.
+#[gtest]
+fn a_planned_stop_answers_waiting_callers() {
+    let whole = Whole::new(3, 31);
+    let long = JobSpec {
+        expected_run_ms: 60_000,
+        ..spec(3, 2)
+    };
+    let id = whole.submit(0, long).expect("accepted");
+    let sim = whole.cluster.platform.sim.clone();
+    for index in 0..3 {
+        let queues = whole.queues.borrow()[&index].clone();
+        let answered = Rc::new(RefCell::new(None));
+        let answer = answered.clone();
+        let waiting = async move { queues.job_status(id, Millis(50_000)).await };
+        sim.spawn(0, async move { *answer.borrow_mut() = Some(waiting.await) });
+        whole.cluster.run(500);
+        let node = whole.cluster.node(index);
+        let before = sim.now();
+        sim.block_on(async move { node.stop().await });
+        expect_that!(sim.now().0 - before.0, lt(12_000));
+        expect_that!(answered.borrow().is_some(), eq(true), "node {index}");
+        whole.kill(index);
+        whole.start(index);
+        whole.cluster.run(8_000);
+    }
+    let status = whole.status(1, id, 120_000);
+    expect_that!(status.result, some(eq(ResultCode::Completed)));
+    whole.judge();
+}
