Measure what a node uses per worker, peer, unit and task

Processor time is taken from schedstat, because the ticks of /proc/PID/stat are too coarse for spans of 4 s.

--- /dev/null
+++ b/hemlocksaddle-daemon/examples/capacity/process.rs
@@ -0,0 +1,61 @@
+//! Processes and their own accounting.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Write},
+    process::{Child, Command, Stdio},
+};
+
+use eyre::{OptionExt, WrapErr};
+
+/// Process that is ended with its owner.
+pub(crate) struct Process(Child);
+
+impl Process {
+    /// Starts this program in another role.
+    pub(crate) fn start(arguments: &[&str]) -> eyre::Result<Process> {
+        let mut command = Command::new(std::env::current_exe()?);
+        command.args(arguments);
+        command.stdin(Stdio::piped()).stdout(Stdio::piped());
+        let child = command.spawn().wrap_err("a process cannot be started")?;
+        Ok(Process(child))
+    }
+
+    /// Writes a line to the process and returns the first line that it prints.
+    pub(crate) fn ask(&mut self, line: &str) -> eyre::Result<String> {
+        let stdin = self.0.stdin.as_mut().ok_or_eyre("no standard input")?;
+        writeln!(stdin, "{line}")?;
+        let stdout = self.0.stdout.as_mut().ok_or_eyre("no standard output")?;
+        let mut answer = String::new();
+        BufReader::new(stdout).read_line(&mut answer)?;
+        Ok(answer)
+    }
+
+    /// Processor time of all threads so far in seconds.
+    ///
+    /// The scheduler's statistics are in nanoseconds; `/proc/PID/stat` counts in ticks of 10 ms, too coarse here.
+    pub(crate) fn cpu_seconds(&self) -> eyre::Result<f64> {
+        let mut nanoseconds = 0;
+        for thread in fs::read_dir(format!("/proc/{}/task", self.0.id()))? {
+            let text = fs::read_to_string(thread?.path().join("schedstat"))?;
+            let running = text.split(' ').next().ok_or_eyre("unknown format")?;
+            nanoseconds += running.parse::<u64>()?;
+        }
+        Ok(nanoseconds as f64 / 1e9)
+    }
+
+    /// Resident memory in kB.
+    pub(crate) fn memory_kb(&self) -> eyre::Result<f64> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.0.id()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let value = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        Ok(value.ok_or_eyre("no VmRSS")?.parse()?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
