--- a/hemlocksaddle-daemon/examples/capacity/main.rs
+++ b/hemlocksaddle-daemon/examples/capacity/main.rs
@@ -41,8 +41,9 @@
 async fn measure() -> eyre::Result<()> {
     slopes::head();
     slopes::workers(2_000, 1_000).await?;
-    slopes::workers(4_000, 4_000).await?;
+    slopes::workers(4_000, 2_500).await?;
     slopes::peers(500).await?;
+    slopes::peers(1_000).await?;
     slopes::units().await?;
     slopes::racks().await?;
     slopes::tasks().await?;
