Measure the cost of hosts that are only listed

A node reads the whole host list whatever it owns. The capacity example now fits that part alone with up to 2,400 listed hosts, and uses an interval of 2,000 ms for the variant of longer intervals, which divides the span of a measurement.

--- a/hemlocksaddle-daemon/examples/capacity/cluster.rs
+++ b/hemlocksaddle-daemon/examples/capacity/cluster.rs
@@ -45,6 +45,8 @@
     pub(crate) workers: usize,
     /// Workers per rack.
     pub(crate) rack: usize,
+    /// Hosts that are only listed.
+    pub(crate) listed: usize,
     /// Queues.
     pub(crate) queues: usize,
     /// Interval of lease renewals.
@@ -61,6 +63,7 @@
             nodes: 1,
             workers: 0,
             rack: 10,
+            listed: 0,
             queues: 16,
             renew_every_ms: 2_000,
             hosts_every_ms: 1_000,
@@ -392,6 +395,11 @@
         };
         add(role, data_centre(rack))?;
     }
+    for index in 0..size.listed {
+        // Nodes outside the settings are not called.
+        let name = format!("listed-{index}").as_str().try_into()?;
+        add(HostRole::Node { name }, data_centre(index))?;
+    }
     for index in 0..EXECUTORS {
         let name = index.to_string().as_str().try_into()?;
         add(HostRole::Executor { name }, data_centre(index))?;
--- a/hemlocksaddle-daemon/examples/capacity/main.rs
+++ b/hemlocksaddle-daemon/examples/capacity/main.rs
@@ -41,7 +41,8 @@
 async fn measure() -> eyre::Result<()> {
     slopes::head();
     slopes::workers(2_000, 1_000).await?;
-    slopes::workers(4_000, 2_500).await?;
+    slopes::workers(4_000, 2_000).await?;
+    slopes::listed_hosts().await?;
     slopes::peers(500).await?;
     slopes::peers(1_000).await?;
     slopes::units().await?;
--- a/hemlocksaddle-daemon/examples/capacity/slopes.rs
+++ b/hemlocksaddle-daemon/examples/capacity/slopes.rs
@@ -56,6 +56,12 @@
     ("log bytes/s", LOG),
 ];
 
+const LISTED: [(&str, Value); 3] = [
+    ("CPU us/s", CPU),
+    ("memory kB", MEMORY),
+    ("host list bytes/s", HOSTS),
+];
+
 const LINKS: [(&str, Value); 3] = [
     ("CPU us/s", CPU),
     ("memory kB", MEMORY),
@@ -87,6 +93,20 @@
     Ok(())
 }
 
+/// Hosts in the host list that the node has nothing to do with.
+pub(crate) async fn listed_hosts() -> eyre::Result<()> {
+    let steps = [0, 800, 1_600, 2_400].map(|listed| {
+        let size = Size {
+            listed,
+            ..Size::default()
+        };
+        idle(listed, size)
+    });
+    let points = try_join_all(steps).await?;
+    report("listed host", &points, &LISTED);
+    Ok(())
+}
+
 /// Peers, with a single queue so that nearly all of the traffic is heartbeats.
 pub(crate) async fn peers(heartbeat_ms: u64) -> eyre::Result<()> {
     let mut points = Vec::new();
