Judge failing jobs by cross-evidence and let few workers be tried again

Cause: a job counted as bad after failures on three workers, broken ones included; a job that had failed on all workers of a small rack was never placed again and had no result. Change: the queue uses the suspicion policy; a job ends after ten failures in any case; a rack avoids a worker only if another one could hold the task.

--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -24,8 +24,8 @@
 const STOP_REPLY_MS: Millis = Millis(2_000);
 /// Pause before a stop is ordered again.
 const STOP_AGAIN_MS: Millis = Millis(3_000);
-/// Different workers on which a job fails before it counts as a bad job.
-const MAX_FAILED_WORKERS: usize = 3;
+/// Failures after which a job counts as bad, whatever the workers are like.
+const MAX_FAILURES: u32 = 10;
 
 /// What an event means for its task.
 #[derive(Debug)]
@@ -166,7 +166,8 @@
         if live.settling || live.attempt != known.attempt {
             return None;
         }
-        let effect = effect(job, known)?;
+        let is_bad = self.judge_failure(job, known);
+        let effect = effect(job, known, is_bad)?;
         let (task, attempt) = (known.task, known.attempt);
         let record = match &effect {
             Effect::Requeue(checkpoint) => Record::TaskRequeued {
@@ -184,6 +185,17 @@
         Some((effect, record))
     }
 
+    /// Notes what an end says about its worker and job; returns whether the job fails too often.
+    fn judge_failure(&self, job: &Job, known: &KnownTask) -> bool {
+        let mut suspicion = self.suspicion.borrow_mut();
+        match &known.event {
+            TaskEvent::Ended(worker, TaskEnd::Completed) => suspicion.succeeded(worker, &job.id),
+            TaskEvent::Ended(worker, TaskEnd::Failed(_)) => suspicion.failed(worker, &job.id),
+            _ => {}
+        }
+        suspicion.is_bad_job(&job.id) || job.failures >= MAX_FAILURES
+    }
+
     fn abandon_settling(&self, queue: &Queue, task: TaskId) {
         let mut jobs = queue.jobs.borrow_mut();
         let job = jobs.jobs.get_mut(&task.job);
@@ -204,6 +216,7 @@
                 (&known.event, jobs.jobs.get_mut(&id))
             {
                 job.failed_on.insert(worker.clone());
+                job.failures += 1;
             }
             match effect {
                 Effect::Requeue(checkpoint) => {
@@ -386,14 +399,12 @@
 }
 
 /// What an event means for its task, given the job's rules.
-fn effect(job: &Job, known: &KnownTask) -> Option<Effect> {
+fn effect(job: &Job, known: &KnownTask, is_bad: bool) -> Option<Effect> {
     let resumed_from = job.live.get(&known.task.index)?.checkpoint.clone();
     match &known.event {
         TaskEvent::Lost(_) => Some(stopped(job, resumed_from)),
         TaskEvent::Ended(_, TaskEnd::Completed) => Some(Effect::End(TaskEnd::Completed)),
-        TaskEvent::Ended(worker, TaskEnd::Failed(text)) => {
-            Some(failed(job, worker, text, resumed_from))
-        }
+        TaskEvent::Ended(_, TaskEnd::Failed(text)) => Some(failed(job, text, is_bad, resumed_from)),
         TaskEvent::Ended(_, TaskEnd::Stopped(checkpoint) | TaskEnd::LeaseLapsed(checkpoint)) => {
             Some(stopped(job, checkpoint.clone().or(resumed_from)))
         }
@@ -414,18 +425,11 @@
 }
 
 /// Attempt that ended with an error of its own.
-fn failed(
-    job: &Job,
-    worker: &WorkerName,
-    text: &Arc<str>,
-    resumed_from: Option<Checkpoint>,
-) -> Effect {
-    let others = job.failed_on.iter().filter(|other| *other != worker);
-    let workers = others.count() + 1;
+fn failed(job: &Job, text: &Arc<str>, is_bad: bool, resumed_from: Option<Checkpoint>) -> Effect {
     if job.ending.is_some() {
         return Effect::End(TaskEnd::Failed(text.clone()));
     }
-    if job.may_rerun() && workers < MAX_FAILED_WORKERS {
+    if job.may_rerun() && !is_bad {
         return Effect::Requeue(resumed_from);
     }
     let outcome = (ResultCode::JobFailed, text.clone());
--- a/hemlocksaddle-node/src/queue/mod.rs
+++ b/hemlocksaddle-node/src/queue/mod.rs
@@ -14,12 +14,15 @@
     rc::{Rc, Weak},
 };
 
-use hemlocksaddle_policy::backoff::{Backoff, Steps};
+use hemlocksaddle_policy::{
+    backoff::{Backoff, Steps},
+    suspicion::Suspicion,
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
     job::JobId,
-    name::{NodeName, RackName, TeamName},
+    name::{NodeName, RackName, TeamName, WorkerName},
     peer::{Heartbeat, PlaceRefusal, Request, Response},
     resources::Resources,
     unit::{QueueIndex, Term, Unit},
@@ -128,6 +131,7 @@
     queues: RefCell<BTreeMap<QueueIndex, Rc<Queue>>>,
     backoff: RefCell<Backoff<RackName, PlaceRefusal>>,
     promised: RefCell<Vec<Promised>>,
+    suspicion: RefCell<Suspicion<WorkerName, JobId>>,
     racks: RefCell<Option<Rc<Racks>>>,
     guard: RefCell<Option<Rc<GuardTable>>>,
     /// Calls of callers in progress.
@@ -149,6 +153,7 @@
             queues: RefCell::default(),
             backoff: RefCell::new(Backoff::new(RACK_STEPS)),
             promised: RefCell::default(),
+            suspicion: RefCell::default(),
             racks: RefCell::default(),
             guard: RefCell::default(),
             calls: Rc::default(),
--- a/hemlocksaddle-node/src/queue/state.rs
+++ b/hemlocksaddle-node/src/queue/state.rs
@@ -92,6 +92,8 @@
     pub(crate) finished_ms: Option<MonoMs>,
     /// Workers on which attempts failed.
     pub(crate) failed_on: BTreeSet<WorkerName>,
+    /// Attempts that failed.
+    pub(crate) failures: u32,
     /// Why tasks wait.
     pub(crate) detail: Arc<str>,
     /// Time before which the job is not considered for placement.
@@ -133,6 +135,7 @@
             result: None,
             finished_ms: None,
             failed_on: BTreeSet::new(),
+            failures: 0,
             detail: Arc::from(""),
             not_before_ms: MonoMs(0),
             restated_ms: accepted_ms,
--- a/hemlocksaddle-node/src/rack/place.rs
+++ b/hemlocksaddle-node/src/rack/place.rs
@@ -112,10 +112,11 @@
     }
 
     fn candidates(&self, state: &State, order: &Place) -> Vec<(WorkerKey, WorkerView)> {
+        let shall_avoid = has_alternative(state, order);
         let workers = state.workers_of(&order.rack);
         workers
             .filter(|(_, worker)| self.takes_starts(worker))
-            .filter(|(_, worker)| !order.avoid.contains(&worker.name))
+            .filter(|(_, worker)| !shall_avoid || !order.avoid.contains(&worker.name))
             .map(|(key, worker)| {
                 let of_job = state.holding_on(key);
                 let of_job = of_job.filter(|(_, c)| c.id.0.job == order.task.job);
@@ -320,6 +321,14 @@
     }
 }
 
+/// Whether a worker that is not to be avoided could hold the task at some time.
+fn has_alternative(state: &State, order: &Place) -> bool {
+    let mut workers = state.workers_of(&order.rack);
+    workers.any(|(_, worker)| {
+        order.demand.fits_in(&worker.capacity) && !order.avoid.contains(&worker.name)
+    })
+}
+
 /// What urgent work could take from a worker's batch tasks.
 pub(super) fn evictable(state: &State, key: WorkerKey) -> Resources {
     let holding = state.holding_on(key);
--- a/hemlocksaddle-node/tests/batch/sharing.rs
+++ b/hemlocksaddle-node/tests/batch/sharing.rs
@@ -238,3 +238,18 @@
     world.run_for(1_000);
     expect_that!(world.status(0, small, 0).running, eq(1));
 }
+
+/// Guards against a job that waits for ever because it failed on the only workers there are.
+#[gtest]
+fn a_failing_job_on_few_workers_ends() {
+    let world = World::new(73, 1, 1);
+    world.run_for(1_000);
+    world
+        .shared
+        .platform
+        .with(&name("w00"), |worker| worker.failing = true);
+    let id = world.submit(0, job("makers", 1, 1)).expect("accepted");
+    let status = world.status(0, id, 600_000);
+    expect_that!(status.result, some(eq(ResultCode::JobFailed)));
+    expect_that!(world.shared.platform.runs.borrow().len(), le(12));
+}
