--- a/hemlocksaddle-node/src/ownership/mod.rs
+++ b/hemlocksaddle-node/src/ownership/mod.rs
@@ -81,13 +81,13 @@
     applied: Signal,
     claims: RefCell<ClaimTable>,
     held: RefCell<BTreeMap<Unit, Held>>,
-    /// How often other nodes claimed units that this node held.
-    lost_to_claims: RefCell<BTreeMap<Unit, u32>>,
     /// Units with a claim of this node whose outcome it has not read yet.
     claiming: RefCell<BTreeSet<Unit>>,
     /// Time until which this node has promised not to claim.
     given_until_ms: RefCell<BTreeMap<Unit, MonoMs>>,
     unclaimed_since_ms: RefCell<BTreeMap<Unit, MonoMs>>,
+    /// Time until which a silent owner keeps a unit that it claimed lately.
+    protected_until_ms: RefCell<BTreeMap<Unit, MonoMs>>,
     racks: RefCell<(Rc<HostList>, BTreeSet<RackName>)>,
     awake_since_ms: Cell<MonoMs>,
     last_tick_ms: Cell<MonoMs>,
@@ -119,10 +119,10 @@
             applied: Signal::default(),
             claims: RefCell::default(),
             held: RefCell::default(),
-            lost_to_claims: RefCell::default(),
             claiming: RefCell::default(),
             given_until_ms: RefCell::default(),
             unclaimed_since_ms: RefCell::default(),
+            protected_until_ms: RefCell::default(),
             racks: RefCell::default(),
             awake_since_ms: Cell::new(now),
             last_tick_ms: Cell::new(now),
@@ -207,10 +207,11 @@
         if !has_effect {
             return;
         }
-        if claim.node != *self.env.node() {
-            self.note_lost_to_claim(&claim.unit);
-        }
         self.lose(&claim.unit, "claimed anew");
+        // The age of a claim that was there at the start is not known; it counts as old.
+        if self.has_caught_up.get() {
+            self.protect(&claim.unit, now);
+        }
         let is_ours = claim.node == *self.env.node() && claim.started_ms == self.env.started_ms;
         if is_ours {
             self.hold(claim, now);
