Say 'may have run' for a keyed submission that no owner answers

Change: without an owner a submission with a key ends with 2003; one without a key that certainly reached no owner keeps 1012. Conclusion: the refusal is true.

--- a/hemlocksaddle-node/src/queue/client.rs
+++ b/hemlocksaddle-node/src/queue/client.rs
@@ -3,7 +3,9 @@
 //! A submission whose reply was lost may have been accepted. With a key it is
 //! repeated until a reply settles it; without one the caller is told that it may
 //! have run. A refusal after a lost reply does not settle it, because the first
-//! message may still arrive.
+//! message may still arrive. If no owner answers, a submission with a key may have
+//! run as well: it may be the repeat of one whose acceptance is still on its way to
+//! the log, and only the owner knows the keys.
 
 use std::{cell::Cell, pin::pin, rc::Rc, sync::Arc};
 
@@ -95,7 +97,11 @@
             self.core.ports.runtime.sleep(PAUSE_MS).await;
         }
         let text = Arc::from("the owner of the queue cannot be reached");
-        Err(self.refusal(ResultCode::OwnerUnreachable, text, reply_lost))
+        let code = match repeatable {
+            true => ResultCode::EarlierAttemptUnknown,
+            false => ResultCode::OwnerUnreachable,
+        };
+        Err(self.refusal(code, text, reply_lost))
     }
 
     /// Refusal that is true even if an earlier reply was lost.
--- a/hemlocksaddle-node/tests/batch/recovery.rs
+++ b/hemlocksaddle-node/tests/batch/recovery.rs
@@ -9,7 +9,7 @@
     record::Record,
 };
 
-use crate::world::{RETENTION_MS, World, job, name, node_name};
+use crate::world::{RETENTION_MS, World, job, keyed, name, node_name};
 
 fn all_completed(world: &World, node: usize, ids: &[JobId]) {
     for status in world.finish(node, ids) {
@@ -312,3 +312,28 @@
     world.run_for(third_ms);
     all_completed(&world, 1, &[running]);
 }
+
+/// Guards against a repeat that is answered "not run" while the acceptance of the first submission
+/// is still on its way to the log (random_run --seed 28).
+#[gtest]
+fn without_an_owner_a_key_may_have_run() {
+    let world = World::new(35, 2, 1);
+    world.run_for(1_000);
+    world.shared.lose_appends.set(true);
+    let spec = keyed(job("makers", 1, 1), "k1");
+    expect_that!(
+        world.submit(0, spec.clone()),
+        err(eq(ResultCode::AnswerLost))
+    );
+    for index in 0..2 {
+        world
+            .shared
+            .without_right
+            .borrow_mut()
+            .insert(node_name(index));
+    }
+    let repeat = world.submit(0, spec);
+    expect_that!(repeat, err(eq(ResultCode::EarlierAttemptUnknown)));
+    let unkeyed = world.submit(0, job("makers", 1, 1));
+    expect_that!(unkeyed, err(eq(ResultCode::OwnerUnreachable)));
+}
