Break the assertions of quick requests on purpose

Cause: four assertions of the request path had no test that makes them fire, and a planned stop could wait without end for a port that never returns. The test of a second send is renamed to at_most_once_fires, unchanged otherwise. Conclusion: no_work_for_leaving_target is the one that no test can break from outside.

--- a/hemlocksaddle-node/src/requests/mod.rs
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -31,7 +31,7 @@
     name::{ExecutorName, NodeName, ServiceName},
     outcome::{ResultCode, RunState},
     peer::{Heartbeat, Request, Response, SlotSummary},
-    request::{QuickRequest, QuickResponse, RequestId},
+    request::{QuickRequest, QuickResponse, REQUEST_ID_HEADER, RequestId},
     unit::Unit,
 };
 
@@ -54,6 +54,11 @@
 /// Shortest time between two heartbeats that are sent because a queue grew or emptied.
 const ANNOUNCE_EVERY: Millis = Millis(100);
 
+/// Time after the longest deadline at which a planned stop gives up.
+///
+/// Every request ends by its deadline, so only a fault of a port can hold one longer.
+const STOP_MARGIN: Millis = Millis(5_000);
+
 /// Interval at which a planned stop looks whether requests are still in progress.
 const STOP_POLL: Millis = Millis(10);
 
@@ -150,16 +155,16 @@
         Box::pin(async move {
             requests.stopping.set(true);
             requests.hand_back();
-            while !requests.is_idle_after_stop() {
+            let give_up = requests.now() + requests.longest_deadline() + STOP_MARGIN;
+            while !requests.is_idle_after_stop() && requests.now() < give_up {
                 requests.core.ports.runtime.sleep(STOP_POLL).await;
             }
-            let left = requests.in_progress.get();
-            let _ = requests
-                .core
-                .invariants
-                .check(Invariant::GracefulStop, left == 0, || {
-                    format!("stopped with {left} requests in progress")
-                });
+            let (left, slots) = (requests.in_progress.get(), requests.slots_in_use());
+            let _ = requests.core.invariants.check(
+                Invariant::GracefulStop,
+                left == 0 && slots == 0,
+                || format!("stopped with {left} requests in progress and {slots} slots in use"),
+            );
         })
     }
 
@@ -222,11 +227,13 @@
             return Response::NotOwner;
         }
         let deadline = now + request.deadline_ms;
-        let response = if self.is_stopping() {
+        let mut response = if self.is_stopping() {
             stopping()
         } else {
             self.route(&request, deadline, Origin::Peer).await
         };
+        let id = request.id.to_string();
+        response.headers.insert(REQUEST_ID_HEADER.into(), id.into());
         let summary = self.with_pool(&service, |pool| self.summary(pool));
         match summary {
             Some(summary) => Response::Ran(response, summary),
@@ -287,10 +294,19 @@
         self.stopping.get() || self.core.stopping.get()
     }
 
+    fn slots_in_use(&self) -> usize {
+        self.pools.borrow().values().map(Pool::in_use).sum()
+    }
+
+    fn longest_deadline(&self) -> Millis {
+        let pools = self.pools.borrow();
+        let deadlines = pools.values().map(|pool| pool.max_deadline_ms);
+        deadlines.max().unwrap_or_default()
+    }
+
     fn is_idle_after_stop(&self) -> bool {
-        let slots_in_use: usize = self.pools.borrow().values().map(Pool::in_use).sum();
         let outcomes = self.outcomes_pending.get() > 0 && self.core.journal.log_is_up();
-        self.stopping.get() && self.in_progress.get() == 0 && slots_in_use == 0 && !outcomes
+        self.stopping.get() && self.in_progress.get() == 0 && self.slots_in_use() == 0 && !outcomes
     }
 
     fn ensure_pool(&self, document: &Document) {
--- a/hemlocksaddle-node/src/requests/route.rs
+++ b/hemlocksaddle-node/src/requests/route.rs
@@ -17,7 +17,7 @@
     name::{ExecutorName, NodeName, ServiceName},
     outcome::{ResultCode, RunState},
     peer::{Request, Response},
-    request::{QuickRequest, QuickResponse},
+    request::{QuickRequest, QuickResponse, REQUEST_ID_HEADER},
 };
 
 use super::{
@@ -382,9 +382,9 @@
         let attempt = match result {
             Ok(Response::Ran(response, summary)) => {
                 self.with_view(&request.service, &node, |view| view.update(&summary, now));
-                forwarded_attempt(response)
+                self.own_answer(request, &node, response)
             }
-            Ok(Response::Quick(response)) => forwarded_attempt(response),
+            Ok(Response::Quick(response)) => self.own_answer(request, &node, response),
             Ok(_) | Err(CallError::NotSent) => Attempt::NotSent,
             Err(CallError::NoReply) if now >= deadline => Attempt::Late,
             Err(CallError::NoReply) => Attempt::Lost,
@@ -396,6 +396,30 @@
     }
 }
 
+impl Requests {
+    /// Answer of a peer, if it names this request.
+    fn own_answer(
+        &self,
+        request: &QuickRequest,
+        node: &NodeName,
+        mut response: QuickResponse,
+    ) -> Attempt {
+        let answered = response.headers.remove(REQUEST_ID_HEADER);
+        let own = answered.is_none_or(|answered| *answered == *request.id.to_string());
+        let holds = self.core.invariants.check(Invariant::OwnAnswer, own, || {
+            format!(
+                "{node} gave the answer to another request for {}",
+                request.id
+            )
+        });
+        if holds {
+            forwarded_attempt(response)
+        } else {
+            Attempt::Lost
+        }
+    }
+}
+
 /// A refusal by a peer is not the last word: the peer is avoided and the request tried elsewhere.
 fn after_forward(node: NodeName, attempt: Attempt, history: &mut History) -> Attempt {
     match attempt {
--- a/hemlocksaddle-node/tests/requests.rs
+++ b/hemlocksaddle-node/tests/requests.rs
@@ -345,13 +345,25 @@
     expect_that!(world.runs(), eq(6));
 }
 
-/// Breaks at-most-once on purpose: the same request under two keys is sent once and the check fires.
-#[googletest::test]
-fn second_send_of_one_request_violates_at_most_once() {
+/// World that records violations, for tests that break an invariant on purpose.
+fn recording_world(nodes: usize) -> std::rc::Rc<World> {
     let world = World::new(&Options {
+        nodes,
         on_violation: OnViolation::Record,
         ..Options::default()
     });
+    world.sim.run_for(Millis(600));
+    world
+}
+
+fn violations(world: &World, node: usize, invariant: Invariant) -> u64 {
+    world.cores.borrow()[node].invariants.violations(invariant)
+}
+
+/// Breaks at-most-once on purpose: the same request under two keys is sent once and the check fires.
+#[googletest::test]
+fn at_most_once_fires() {
+    let world = recording_world(1);
     let first = world.request(0, Some("a"), 1_000);
     let mut again = world.request(0, Some("b"), 1_000);
     again.id = first.id.clone();
@@ -359,10 +371,39 @@
     let refused = world.quick(0, again);
     expect_that!(refused.code, not(eq(ResultCode::Completed)));
     expect_that!(world.runs(), eq(1));
-    let violations = world.cores.borrow()[0]
-        .invariants
-        .violations(Invariant::AtMostOnce);
-    expect_that!(violations, ge(1));
+    expect_that!(violations(&world, 0, Invariant::AtMostOnce), ge(1));
+}
+
+/// Breaks the matching of answers on purpose: a peer's answer to another request is not passed on.
+#[googletest::test]
+fn own_answer_fires() {
+    let world = recording_world(2);
+    world.confuse_answers.set(true);
+    let response = world.quick(1, world.request(1, None, 1_000));
+    expect_that!(response.code.number(), ge(1_000).and(lt(3_000)));
+    expect_that!(violations(&world, 1, Invariant::OwnAnswer), ge(1));
+}
+
+/// Breaks a refusal on purpose: "not run" after a send becomes "may have run".
+#[googletest::test]
+fn truthful_refusal_fires() {
+    let world = recording_world(1);
+    world.executors[0].behaviour.set(Behaviour::FalseRefusal);
+    let response = world.quick(0, world.request(0, Some("k"), 1_000));
+    expect_that!(response.code, eq(ResultCode::AnswerLost));
+    expect_that!(violations(&world, 0, Invariant::TruthfulRefusal), eq(1));
+}
+
+/// Breaks the planned stop on purpose: a send that never returns is noticed, and the stop ends.
+#[googletest::test]
+fn graceful_stop_fires() {
+    let world = recording_world(1);
+    world.executors[0].behaviour.set(Behaviour::Stuck);
+    let late = world.quick(0, world.request(0, None, 1_000));
+    expect_that!(late.code, eq(ResultCode::DeadlineWhileRunning));
+    let requests = world.nodes.borrow()[0].clone();
+    world.sim.block_on(requests.stop());
+    expect_that!(violations(&world, 0, Invariant::GracefulStop), eq(1));
 }
 
 /// Guards the tail: an idempotent request at an executor that stays silent is answered by another one.
--- a/hemlocksaddle-node/tests/requests_support/mod.rs
+++ b/hemlocksaddle-node/tests/requests_support/mod.rs
@@ -77,6 +77,10 @@
     Error,
     /// Answers with the identifier of another request.
     Foreign,
+    /// Breaks the port: answers with a code that says "not run".
+    FalseRefusal,
+    /// Breaks the port: never returns, not even after the time limit.
+    Stuck,
 }
 
 /// Executor and what it saw.
@@ -106,6 +110,8 @@
     pub cut: RefCell<Vec<(usize, usize)>>,
     pub calls: RefCell<HashMap<&'static str, u64>>,
     pub lose_replies: Cell<bool>,
+    /// Whether peers answer with the identifier of another request.
+    pub confuse_answers: Cell<bool>,
     beats: RefCell<HashMap<(usize, usize), Beat>>,
     most_runs_kept: usize,
 }
@@ -160,6 +166,7 @@
             cut: RefCell::default(),
             calls: RefCell::default(),
             lose_replies: Cell::new(false),
+            confuse_answers: Cell::new(false),
             beats: RefCell::default(),
             most_runs_kept: if options.keep_runs { usize::MAX } else { 0 },
         });
@@ -410,7 +417,8 @@
                 let us = exponential(&world.sim, mean_us);
                 world.sim.sleep_until(world.sim.now_us() + us).await;
             }
-            Behaviour::Silent => pending::<()>().await,
+            Behaviour::Silent | Behaviour::Stuck => pending::<()>().await,
+            Behaviour::FalseRefusal => response.code = ResultCode::Overloaded,
             Behaviour::Lose => return Err(PortError::Unknown),
             Behaviour::Error => {
                 response.code = ResultCode::TargetError;
@@ -467,6 +475,8 @@
         });
         let run = stand_in.run(index, request.id).boxed_local();
         let sim = self.world.sim.clone();
+        let stuck = self.world.executors[index].behaviour.get() == Behaviour::Stuck;
+        let within = if stuck { Millis(1 << 40) } else { within };
         Box::pin(async move {
             match select(run, Box::pin(sim.sleep(within))).await {
                 Either::Left((result, _)) => result,
@@ -554,7 +564,7 @@
             let target = world.nodes.borrow()[to].clone();
             let reply = target.handle(&from, &request).expect("a request call");
             // The peer goes on when the caller gives up.
-            let response = {
+            let mut response = {
                 let (sender, receiver) = futures_channel::oneshot::channel();
                 world.cores.borrow()[to]
                     .ports
@@ -570,6 +580,11 @@
                     return Err(CallError::NoReply);
                 }
             }
+            if let (true, Response::Ran(answer, _)) = (world.confuse_answers.get(), &mut response) {
+                answer
+                    .headers
+                    .insert(Arc::from("request-id"), Arc::from("another"));
+            }
             Ok(response)
         };
         let sim = self.world.sim.clone();
