Count the progress of running tasks as work in the quickstart

Change: the stand-in also reports completed work plus the progress of running tasks; the quickstart uses it.

--- a/hemlocksaddle-daemon/examples/quickstart/director.rs
+++ b/hemlocksaddle-daemon/examples/quickstart/director.rs
@@ -323,7 +323,7 @@
 
 fn work(first: &Judged, last: &Judged, length: Duration) -> Work {
     Work {
-        core_ms: last.work_done_core_ms - first.work_done_core_ms,
+        core_ms: last.work_core_ms.saturating_sub(first.work_core_ms),
         length_ms: u64::try_from(length.as_millis()).unwrap_or(u64::MAX),
     }
 }
--- a/hemlocksaddle-daemon/examples/quickstart/report.rs
+++ b/hemlocksaddle-daemon/examples/quickstart/report.rs
@@ -44,14 +44,14 @@
 /// Work during a period.
 #[derive(Clone, Copy)]
 pub(crate) struct Work {
-    /// Completed run time in core milliseconds.
+    /// Run time in core milliseconds, progress of running tasks included.
     pub(crate) core_ms: u64,
     /// Length in milliseconds.
     pub(crate) length_ms: u64,
 }
 
 impl Work {
-    /// Cores that did completed work, on average.
+    /// Cores that worked, on average.
     fn cores(self) -> f64 {
         self.core_ms as f64 / self.length_ms.max(1) as f64
     }
@@ -115,7 +115,7 @@
         );
         println!("answers by result code: {:?}", self.seen.codes.borrow());
         println!(
-            "batch: {} jobs accepted, {} completed, throughput {:.1} cores of completed work",
+            "batch: {} jobs accepted, {} completed, throughput {:.1} cores of work",
             self.seen.accepted.get(),
             self.seen.completed.get(),
             self.all.cores()
@@ -126,7 +126,7 @@
         );
         let ratio = self.during.cores() / (self.before.cores() * 2.0 / 3.0);
         println!(
-            "data-centre change: {:.1} cores of completed work, before {:.1}; {ratio:.2} of the remaining share",
+            "data-centre change: {:.1} cores of work, before {:.1}; {ratio:.2} of two thirds of that",
             self.during.cores(),
             self.before.cores()
         );
--- a/hemlocksaddle-fakes/src/http/control.rs
+++ b/hemlocksaddle-fakes/src/http/control.rs
@@ -12,11 +12,13 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use hemlocksaddle_types::{
     clock::Millis,
     host::{Host, HostRole, HostState},
     name::{DataCentre, WorkerName},
     outcome::ResultCode,
+    worker::Renew,
 };
 use http::{StatusCode, request::Parts};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -90,6 +92,8 @@
     pub evictions: u64,
     /// Run time of completed tasks in core milliseconds.
     pub work_done_core_ms: u64,
+    /// The same, with the progress of running tasks so far.
+    pub work_core_ms: u64,
     /// Tasks that run now.
     pub running: u64,
     /// Appends that took effect.
@@ -100,9 +104,13 @@
     pub aborted_requests: u64,
 }
 
-pub(super) fn handle(shared: &Shared, parts: &Parts, body: &Bytes) -> Answer {
+pub(super) async fn handle(shared: Rc<Shared>, parts: Parts, body: Bytes) -> Answer {
+    let (shared, body) = (&shared, &body);
     match parts.uri.path() {
-        "/judged" => json(&judged(shared)),
+        "/judged" => {
+            let progress = progress_core_ms(shared).await;
+            json(&judged(shared, progress))
+        }
         "/log" => with(body, |set| set_log(shared, &set)),
         "/lose" => with(body, |lose: Lose| shared.lose.set(lose.count)),
         "/hosts" => with(body, |set| set_hosts(shared, &set)),
@@ -127,7 +135,30 @@
     status(StatusCode::OK)
 }
 
-fn judged(shared: &Shared) -> Judged {
+/// Progress of all running tasks in core milliseconds.
+async fn progress_core_ms(shared: &Rc<Shared>) -> u64 {
+    let ports = shared.ports.clone();
+    let reports = async move {
+        let hosts = ports.hosts.fetch().await.unwrap_or_default().hosts;
+        let asked = hosts.iter().filter_map(|host| match &host.role {
+            HostRole::Worker { name, .. } => Some((host.address, name)),
+            _ => None,
+        });
+        let asked =
+            asked.map(|(address, name)| ports.workers.renew(address, name, Renew::default()));
+        join_all(asked).await
+    };
+    let reports = shared.run(reports).await.unwrap_or_default();
+    let running = reports
+        .into_iter()
+        .flatten()
+        .flat_map(|report| report.running);
+    running
+        .map(|task| task.progress_ms * task.demand.cpu_milli / 1_000)
+        .sum()
+}
+
+fn judged(shared: &Shared, progress_core_ms: u64) -> Judged {
     let judges = &shared.platform.judges;
     let counts = judges.counts();
     let violations = judges.violations().into_iter().map(|violation| {
@@ -142,6 +173,7 @@
         starts: counts.starts,
         evictions: counts.evictions,
         work_done_core_ms: counts.work_core_ms,
+        work_core_ms: counts.work_core_ms + progress_core_ms,
         running: shared.platform.running_tasks() as u64,
         appends: counts.appends,
         requests_running: shared.requests_running.get(),
--- a/hemlocksaddle-fakes/src/http/mod.rs
+++ b/hemlocksaddle-fakes/src/http/mod.rs
@@ -142,9 +142,7 @@
         };
         let shared = shared(layout);
         listen(&shared, platform, routes::platform);
-        listen(&shared, control, |shared, parts, body| async move {
-            control::handle(&shared, &parts, &body)
-        });
+        listen(&shared, control, control::handle);
         for (address, listener) in executors {
             listen_executor(&shared, address, listener);
         }
