Fix a link to a private module in the peers' documentation

Cause: cargo doc with -D warnings failed for hemlocksaddle-adapters. Change: the text names the module without a link.

--- a/hemlocksaddle-adapters/src/peers/mod.rs
+++ b/hemlocksaddle-adapters/src/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Connections between nodes: WebSocket with CBOR messages.
 //!
 //! Each connection is authenticated in both directions with the shared key
-//! before any message is decoded ([`auth`]). The connections are not encrypted:
+//! before any message is decoded (module `auth`). The connections are not encrypted:
 //! the nodes talk over the deployment's own network, and the key keeps out
 //! processes that merely reach a port.
 
