Test the judges of configuration and of planned stops

Cause: three judges had no test that breaks their rule on purpose. Change: tests for a late document, a reverted one and a call that a planned stop cuts off; the cluster builds nodes from the parts that the program uses. Conclusion: 'unsettled' is judged at the end of a run only and has no such test.

--- a/hemlocksaddle-fakes/src/cluster.rs
+++ b/hemlocksaddle-fakes/src/cluster.rs
@@ -9,11 +9,10 @@
 
 use futures_channel::oneshot;
 use hemlocksaddle_node::{
-    core::Part,
     invariant::{Invariant, OnViolation},
     node::Node,
+    parts::Parts,
     queue::Queues,
-    rack::Racks,
     requests::Requests,
 };
 use hemlocksaddle_types::clock::Millis;
@@ -85,16 +84,9 @@
         let mut parts = None;
         let (ports, settings) = (platform.ports(peer), platform.settings(peer));
         let node = Node::with_parts(ports, settings, OnViolation::Record, |core| {
-            let requests = Requests::new(core.clone());
-            let queues = Queues::new(core.clone());
-            let racks = Racks::new(core.clone());
-            queues.attach_racks(racks.clone());
-            queues.attach_guard(requests.guards());
-            parts = Some((requests.clone(), queues.clone()));
-            let all: [Rc<dyn Part>; 3] = [requests, queues, racks];
-            all.to_vec()
+            parts.insert(Parts::new(core)).list()
         });
-        let Some((requests, queues)) = parts else {
+        let Some(parts) = parts else {
             return;
         };
         let accepting = node.clone();
@@ -102,8 +94,8 @@
         node.start();
         let member = Member {
             node,
-            requests,
-            queues,
+            requests: parts.requests,
+            queues: parts.queues,
             started_ms: platform.sim.now().0,
             calls: Rc::default(),
             leaving: Rc::default(),
--- a/hemlocksaddle-fakes/tests/fakes.rs
+++ b/hemlocksaddle-fakes/tests/fakes.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use hemlocksaddle_fakes::{
+    cluster::Cluster,
     judge::Rule,
     platform::{Deployment, Platform},
 };
@@ -14,14 +15,15 @@
 };
 use hemlocksaddle_types::{
     clock::Millis,
+    document::Revision,
     host::{Host, HostRole},
     job::{Attempt, Checkpoint, JobId, TaskEnd, TaskId, Urgency},
     name::WorkerName,
     outcome::ResultCode,
-    record::{Offset, Stream},
+    record::{Batch, BatchId, Offset, Publish, Record, Stream},
     request::{QuickRequest, RequestId},
     resources::Resources,
-    unit::QueueIndex,
+    unit::{QueueIndex, Term},
     worker::{Renew, StartReply, StartTask, WorkerReport},
 };
 
@@ -327,3 +329,70 @@
         bench.platform.sim.run_for(Millis(2_000));
     });
 }
+
+/// Puts an accepted document into the log.
+fn publish(bench: &Bench) {
+    let publish = Publish {
+        service: bench.platform.service(),
+        expected: Revision(0),
+        text: bench.platform.deployment.document(&[]).into(),
+        publish_id: 1,
+    };
+    let batch = Batch {
+        id: BatchId {
+            node: bench.platform.nodes[0].node.clone(),
+            started_ms: 1,
+            number: 1,
+        },
+        term: Term(0),
+        records: vec![Record::Publish(publish)],
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&batch, &mut bytes).expect("a batch can be written");
+    bench.platform.put(Stream::Documents, bytes.into());
+}
+
+#[gtest]
+fn the_configuration_judge_fires_on_a_late_document() {
+    expect_broken(Rule::ConfigurationLate, |bench| {
+        publish(bench);
+        bench.platform.sim.run_for(Millis(15_100));
+        let node = &bench.platform.nodes[0].node;
+        bench.platform.judges.in_force(node, 0, &[], 15_100);
+    });
+}
+
+#[gtest]
+fn the_configuration_judge_fires_on_a_revert() {
+    expect_broken(
+        Rule::Invariant(Invariant::ConfigurationNeverReverts),
+        |bench| {
+            let (node, service) = (&bench.platform.nodes[0].node, bench.platform.service());
+            for revision in [2, 1] {
+                let documents = [(service.clone(), Revision(revision))];
+                bench.platform.judges.in_force(node, 0, &documents, 0);
+            }
+        },
+    );
+}
+
+#[gtest]
+fn the_graceful_stop_judge_fires() {
+    let cluster = Cluster::start(Deployment::small(), 5);
+    let sim = cluster.platform.sim.clone();
+    sim.run_for(Millis(10_000));
+    let cut_off = cluster.call(0, |_| std::future::pending::<()>());
+    let stopping = async {
+        sim.sleep(Millis(100)).await;
+        cluster.stop_node(0, Millis(60_000)).await
+    };
+    let (answer, stopped) = sim.block_on(futures_util::future::join(cut_off, stopping));
+    expect_that!(answer, none());
+    expect_true!(stopped);
+    let violations = cluster.platform.judges.violations();
+    let rules: Vec<Rule> = violations
+        .into_iter()
+        .map(|violation| violation.rule)
+        .collect();
+    expect_that!(rules, eq(&vec![Rule::Invariant(Invariant::GracefulStop)]));
+}
