--- a/hemlocksaddle-node/tests/catalogue.rs
+++ b/hemlocksaddle-node/tests/catalogue.rs
@@ -97,3 +97,24 @@
         expect_that!(text, contains_substring(line));
     }
 }
+
+#[gtest]
+fn every_metric_is_listed_and_no_other() {
+    let metrics = Metrics::new();
+    metrics.results.with_label_values(&["3001"]).inc();
+    metrics.appends.with_label_values(&["ok"]).inc();
+    metrics.tasks.with_label_values(&["ended"]).inc();
+    metrics.owned_units.with_label_values(&["rack"]).set(1);
+    let text = metrics.render(&Invariants::new(OnViolation::Record));
+    let rendered: BTreeSet<String> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|rest| rest.split(' ').next())
+        .map(String::from)
+        .collect();
+    let listed: BTreeSet<String> = rows("metrics.md")
+        .into_iter()
+        .map(|row| row[0].trim_matches('`').to_string())
+        .collect();
+    expect_that!(listed, eq(&rendered));
+}
