Name private modules without links in the documentation

Cause: links to private items in public documentation are errors in cargo doc. Change: the head of requests/mod.rs names the modules as code. Conclusion: no change of behaviour.

--- a/hemlocksaddle-node/src/requests/mod.rs
+++ b/hemlocksaddle-node/src/requests/mod.rs
@@ -1,10 +1,10 @@
 //! Quick requests: routing to executors, retries and at-most-once execution.
 //!
 //! The entry node keeps a request from the caller's connection to the answer. An
-//! idempotent request is routed directly ([`route`]); any other one goes through
-//! the owner of its key's queue ([`guarded`]), which makes the intent durable
+//! idempotent request is routed directly (`route`); any other one goes through
+//! the owner of its key's queue (`guarded`), which makes the intent durable
 //! and then routes it in the same way. The state of a service (own executors,
-//! their slots, waiting requests, counts of peers) is in [`pool`].
+//! their slots, waiting requests, counts of peers) is in `pool`.
 
 mod balance;
 pub mod guard;
