Let the first durable end of an attempt decide how its task goes on

Change: an end whose append is unsettled is carried through unchanged, and a later report of a recorded attempt is only acknowledged. Conclusion: costs the progress since the last recorded checkpoint of lost tasks.

--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -16,7 +16,7 @@
     Queue, Queues,
     state::{Job, LivePhase, Outcome, Requeued, recovered},
 };
-use crate::{event::Event, invariant::Invariant};
+use crate::{core::AppendError, event::Event, invariant::Invariant};
 
 /// Longest wait for an event to become durable; below the sender's wait for the reply.
 const RECORD_MS: Millis = Millis(4_000);
@@ -65,7 +65,7 @@
     ///
     /// An attempt that is newer than what is known was started by an earlier
     /// owner while the log was down, and is adopted. The end of an attempt that
-    /// was taken for lost counts as long as the next one has not begun.
+    /// was recorded as lost comes too late: the record decides how its task goes on.
     fn is_current(&self, queue: &Rc<Queue>, known: &KnownTask) -> bool {
         let mut jobs = queue.jobs.borrow_mut();
         let Some(job) = jobs.jobs.get(&known.task.job) else {
@@ -92,14 +92,8 @@
                 .invariants
                 .check(Invariant::TruthfulRefusal, !(refused && ran), text);
         let ended = index < job.next_fresh && waiting.is_none() && !job.live.contains_key(&index);
-        let late_end = matches!(known.event, TaskEvent::Ended(..))
-            && job.ending.is_none()
-            && job
-                .requeued
-                .get(&index)
-                .is_some_and(|task| task.may_have_run && task.attempt == known.attempt);
         let known_later = waiting.is_some_and(|last| last >= known.attempt);
-        if ended || (known_later && !late_end && truthful) {
+        if ended || (known_later && truthful) {
             return false;
         }
         let checkpoint = job.requeued.get(&index).and_then(|t| t.checkpoint.clone());
@@ -149,14 +143,37 @@
             let text = Arc::from("the event is being made durable");
             return Response::Refused(ResultCode::NotReady, text);
         };
-        let result = self.append(queue, vec![record], Some(RECORD_MS)).await;
-        if result.is_err() {
-            self.abandon_settling(queue, known.task);
-            let text = Arc::from("the event is not durable yet");
-            return Response::Refused(ResultCode::LogUnavailable, text);
+        let records = vec![record];
+        match self.append(queue, records.clone(), Some(RECORD_MS)).await {
+            Ok(_) => {
+                self.apply_effect(queue, known, effect);
+                return Response::Ok;
+            }
+            Err(AppendError::NotAppended) => self.abandon_settling(queue, known.task),
+            Err(AppendError::Unsettled) => self.settle_later(queue, known, effect, records),
         }
-        self.apply_effect(queue, known, effect);
-        Response::Ok
+        let text = Arc::from("the event is not durable yet");
+        Response::Refused(ResultCode::LogUnavailable, text)
+    }
+
+    /// Goes on with an end whose record may be in the log: another event of the
+    /// attempt must not decide otherwise. A second record of it changes nothing.
+    fn settle_later(
+        &self,
+        queue: &Rc<Queue>,
+        known: &KnownTask,
+        effect: Effect,
+        records: Vec<Record>,
+    ) {
+        let Some(queues) = self.this.upgrade() else {
+            return;
+        };
+        let (queue, known) = (queue.clone(), known.clone());
+        self.spawn(async move {
+            if queues.append(&queue, records, None).await.is_ok() {
+                queues.apply_effect(&queue, &known, effect);
+            }
+        });
     }
 
     fn begin_settling(&self, queue: &Queue, known: &KnownTask) -> Option<(Effect, Record)> {
