--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -16,7 +16,7 @@
     Queue, Queues,
     state::{Job, LivePhase, Outcome, Requeued, recovered},
 };
-use crate::{event::Event, invariant::Invariant};
+use crate::{core::AppendError, event::Event, invariant::Invariant};
 
 /// Longest wait for an event to become durable; below the sender's wait for the reply.
 const RECORD_MS: Millis = Millis(4_000);
@@ -24,8 +24,8 @@
 const STOP_REPLY_MS: Millis = Millis(2_000);
 /// Pause before a stop is ordered again.
 const STOP_AGAIN_MS: Millis = Millis(3_000);
-/// Different workers on which a job fails before it counts as a bad job.
-const MAX_FAILED_WORKERS: usize = 3;
+/// Failures after which a job counts as bad, whatever the workers are like.
+const MAX_FAILURES: u32 = 10;
 
 /// What an event means for its task.
 #[derive(Debug)]
@@ -65,7 +65,7 @@
     ///
     /// An attempt that is newer than what is known was started by an earlier
     /// owner while the log was down, and is adopted. The end of an attempt that
-    /// was taken for lost counts as long as the next one has not begun.
+    /// was recorded as lost comes too late: the record decides how its task goes on.
     fn is_current(&self, queue: &Rc<Queue>, known: &KnownTask) -> bool {
         let mut jobs = queue.jobs.borrow_mut();
         let Some(job) = jobs.jobs.get(&known.task.job) else {
@@ -92,14 +92,8 @@
                 .invariants
                 .check(Invariant::TruthfulRefusal, !(refused && ran), text);
         let ended = index < job.next_fresh && waiting.is_none() && !job.live.contains_key(&index);
-        let late_end = matches!(known.event, TaskEvent::Ended(..))
-            && job.ending.is_none()
-            && job
-                .requeued
-                .get(&index)
-                .is_some_and(|task| task.may_have_run && task.attempt == known.attempt);
         let known_later = waiting.is_some_and(|last| last >= known.attempt);
-        if ended || (known_later && !late_end && truthful) {
+        if ended || (known_later && truthful) {
             return false;
         }
         let checkpoint = job.requeued.get(&index).and_then(|t| t.checkpoint.clone());
@@ -149,14 +143,37 @@
             let text = Arc::from("the event is being made durable");
             return Response::Refused(ResultCode::NotReady, text);
         };
-        let result = self.append(queue, vec![record], Some(RECORD_MS)).await;
-        if result.is_err() {
-            self.abandon_settling(queue, known.task);
-            let text = Arc::from("the event is not durable yet");
-            return Response::Refused(ResultCode::LogUnavailable, text);
+        let records = vec![record];
+        match self.append(queue, records.clone(), Some(RECORD_MS)).await {
+            Ok(_) => {
+                self.apply_effect(queue, known, effect);
+                return Response::Ok;
+            }
+            Err(AppendError::NotAppended) => self.abandon_settling(queue, known.task),
+            Err(AppendError::Unsettled) => self.settle_later(queue, known, effect, records),
         }
-        self.apply_effect(queue, known, effect);
-        Response::Ok
+        let text = Arc::from("the event is not durable yet");
+        Response::Refused(ResultCode::LogUnavailable, text)
+    }
+
+    /// Goes on with an end whose record may be in the log: another event of the
+    /// attempt must not decide otherwise. A second record of it changes nothing.
+    fn settle_later(
+        &self,
+        queue: &Rc<Queue>,
+        known: &KnownTask,
+        effect: Effect,
+        records: Vec<Record>,
+    ) {
+        let Some(queues) = self.this.upgrade() else {
+            return;
+        };
+        let (queue, known) = (queue.clone(), known.clone());
+        self.spawn(async move {
+            if queues.append(&queue, records, None).await.is_ok() {
+                queues.apply_effect(&queue, &known, effect);
+            }
+        });
     }
 
     fn begin_settling(&self, queue: &Queue, known: &KnownTask) -> Option<(Effect, Record)> {
@@ -166,7 +183,8 @@
         if live.settling || live.attempt != known.attempt {
             return None;
         }
-        let effect = effect(job, known)?;
+        let is_bad = self.judge_failure(job, known);
+        let effect = effect(job, known, is_bad)?;
         let (task, attempt) = (known.task, known.attempt);
         let record = match &effect {
             Effect::Requeue(checkpoint) => Record::TaskRequeued {
@@ -184,6 +202,17 @@
         Some((effect, record))
     }
 
+    /// Notes what an end says about its worker and job; returns whether the job fails too often.
+    fn judge_failure(&self, job: &Job, known: &KnownTask) -> bool {
+        let mut suspicion = self.suspicion.borrow_mut();
+        match &known.event {
+            TaskEvent::Ended(worker, TaskEnd::Completed) => suspicion.succeeded(worker, &job.id),
+            TaskEvent::Ended(worker, TaskEnd::Failed(_)) => suspicion.failed(worker, &job.id),
+            _ => {}
+        }
+        suspicion.is_bad_job(&job.id) || job.failures >= MAX_FAILURES
+    }
+
     fn abandon_settling(&self, queue: &Queue, task: TaskId) {
         let mut jobs = queue.jobs.borrow_mut();
         let job = jobs.jobs.get_mut(&task.job);
@@ -204,6 +233,7 @@
                 (&known.event, jobs.jobs.get_mut(&id))
             {
                 job.failed_on.insert(worker.clone());
+                job.failures += 1;
             }
             match effect {
                 Effect::Requeue(checkpoint) => {
@@ -386,14 +416,12 @@
 }
 
 /// What an event means for its task, given the job's rules.
-fn effect(job: &Job, known: &KnownTask) -> Option<Effect> {
+fn effect(job: &Job, known: &KnownTask, is_bad: bool) -> Option<Effect> {
     let resumed_from = job.live.get(&known.task.index)?.checkpoint.clone();
     match &known.event {
         TaskEvent::Lost(_) => Some(stopped(job, resumed_from)),
         TaskEvent::Ended(_, TaskEnd::Completed) => Some(Effect::End(TaskEnd::Completed)),
-        TaskEvent::Ended(worker, TaskEnd::Failed(text)) => {
-            Some(failed(job, worker, text, resumed_from))
-        }
+        TaskEvent::Ended(_, TaskEnd::Failed(text)) => Some(failed(job, text, is_bad, resumed_from)),
         TaskEvent::Ended(_, TaskEnd::Stopped(checkpoint) | TaskEnd::LeaseLapsed(checkpoint)) => {
             Some(stopped(job, checkpoint.clone().or(resumed_from)))
         }
@@ -414,18 +442,11 @@
 }
 
 /// Attempt that ended with an error of its own.
-fn failed(
-    job: &Job,
-    worker: &WorkerName,
-    text: &Arc<str>,
-    resumed_from: Option<Checkpoint>,
-) -> Effect {
-    let others = job.failed_on.iter().filter(|other| *other != worker);
-    let workers = others.count() + 1;
+fn failed(job: &Job, text: &Arc<str>, is_bad: bool, resumed_from: Option<Checkpoint>) -> Effect {
     if job.ending.is_some() {
         return Effect::End(TaskEnd::Failed(text.clone()));
     }
-    if job.may_rerun() && workers < MAX_FAILED_WORKERS {
+    if job.may_rerun() && !is_bad {
         return Effect::Requeue(resumed_from);
     }
     let outcome = (ResultCode::JobFailed, text.clone());
