Hold earlier jobs of a queue back until its take-over is settled

Queue 0 moved at 428 s, after a log outage in which both tasks of a job had been started without a record. While the new owner took over what the racks listed, the adopted first task put its job back among the waiting ones, and its second task was started although rack-4 listed it as running. The later attempt was then taken for lost, and a third one started elsewhere at 560 s. Ruled out by a trace: the rack's listing was complete and settled, and the replay of the stream was right. Change: before the queue is settled, the dispatcher passes over jobs that were accepted in an earlier term, whatever state they are in.

--- a/hemlocksaddle-fakes/tests/random.rs
+++ b/hemlocksaddle-fakes/tests/random.rs
@@ -85,3 +85,10 @@
 fn a_stopping_node_answers_status_calls() {
     expect_clean(14, 3);
 }
+
+/// A queue's new owner found one task of a job that an earlier owner had started during a log
+/// outage, and started the job's other task while that one ran as well.
+#[gtest]
+fn a_new_queue_owner_starts_no_task_that_runs_without_a_record() {
+    expect_clean(1100, 15);
+}
--- a/hemlocksaddle-node/src/queue/dispatch.rs
+++ b/hemlocksaddle-node/src/queue/dispatch.rs
@@ -133,7 +133,7 @@
             let ids = jobs.waiting.get(&(rank, team.clone()));
             let ready = ids.into_iter().flatten().filter(|id| {
                 let job = jobs.jobs.get(id);
-                job.is_some_and(|job| job.not_before_ms <= now)
+                queue.may_start(**id) && job.is_some_and(|job| job.not_before_ms <= now)
             });
             chosen.extend(ready.take(MAX_LOOKED_AT).copied());
         }
--- a/hemlocksaddle-node/src/queue/mod.rs
+++ b/hemlocksaddle-node/src/queue/mod.rs
@@ -92,6 +92,18 @@
 }
 
 impl Queue {
+    /// Whether attempts of a job may start at this stage.
+    ///
+    /// Before the queue is settled, only jobs accepted in this term may start:
+    /// an earlier owner may have started any task of the others without a record.
+    fn may_start(&self, job: JobId) -> bool {
+        match self.stage.get() {
+            Stage::Settled => true,
+            Stage::Settling => job.number >> 32 == self.term.0,
+            Stage::Opening | Stage::Closed => false,
+        }
+    }
+
     /// Wakes everyone who waits for a job of the queue.
     fn wake_waiting(&self) {
         let jobs = self.jobs.borrow();
