Let successors take over from an owner that is heard but not ready

Cause: a heartbeat counted as life whatever it said. A node that restarted under its name and could not catch up kept its predecessor's units from everyone. Change: an owner counts as silent unless its heartbeats say that it serves or that it is stopping. Conclusion: units wait for a restarted node no longer than for a dead one.

--- a/hemlocksaddle-node/src/ownership/mod.rs
+++ b/hemlocksaddle-node/src/ownership/mod.rs
@@ -92,6 +92,8 @@
     awake_since_ms: Cell<MonoMs>,
     last_tick_ms: Cell<MonoMs>,
     peer_up_since_ms: RefCell<BTreeMap<NodeName, MonoMs>>,
+    /// Time of each peer's last heartbeat as a node that serves or is stopping.
+    peer_served_ms: RefCell<BTreeMap<NodeName, MonoMs>>,
     restates: RestateSchedule<Unit>,
 }
 
@@ -127,6 +129,7 @@
             awake_since_ms: Cell::new(now),
             last_tick_ms: Cell::new(now),
             peer_up_since_ms: RefCell::default(),
+            peer_served_ms: RefCell::default(),
             restates,
         })
     }
--- a/hemlocksaddle-node/src/ownership/takeover.rs
+++ b/hemlocksaddle-node/src/ownership/takeover.rs
@@ -62,10 +62,16 @@
         }
         let silent_ms = self.env.settings.timing.peer_silent_ms;
         let mut up_since = self.peer_up_since_ms.borrow_mut();
+        let mut served = self.peer_served_ms.borrow_mut();
         for peer in self.calls.peers() {
             let heard = peer
                 .heard_ms
                 .is_some_and(|heard_ms| now.since(heard_ms) <= silent_ms);
+            let beat = peer.heartbeat.as_ref();
+            let serves = beat.is_some_and(|beat| beat.ready || beat.leaving);
+            if let (true, Some(heard_ms)) = (serves, peer.heard_ms) {
+                served.insert(peer.node.clone(), heard_ms);
+            }
             match heard {
                 true => {
                     up_since.entry(peer.node).or_insert(now);
@@ -225,11 +231,17 @@
         now.since(self.env.started_at) > valid_ms.with_clock_margin()
     }
 
+    /// Time since a peer was last heard to serve or to finish its planned stop.
+    ///
+    /// A restarted node that is heard but does not become ready owns nothing, and
+    /// the units of its predecessor must not wait for it.
     fn silence_of(&self, node: &NodeName, now: MonoMs) -> Millis {
-        let peers = self.calls.peers();
-        let peer = peers.iter().find(|peer| peer.node == *node);
-        let heard_ms = peer.and_then(|peer| peer.heard_ms);
-        now.since(heard_ms.max(Some(self.awake_since_ms.get())).unwrap_or(now))
+        let served_ms = self.peer_served_ms.borrow().get(node).copied();
+        now.since(
+            served_ms
+                .max(Some(self.awake_since_ms.get()))
+                .unwrap_or(now),
+        )
     }
 
     /// Appends claims and waits until their outcome is read or certain.
--- a/hemlocksaddle-node/tests/node/promises.rs
+++ b/hemlocksaddle-node/tests/node/promises.rs
@@ -6,7 +6,7 @@
 use hemlocksaddle_node::stream::StreamReader;
 use hemlocksaddle_types::{
     name::NodeName,
-    peer::{Request, Response},
+    peer::{Heartbeat, Request, Response},
     record::{Batch, BatchId, Claim, Offset, Record, Stream},
     unit::{QueueIndex, Term, Unit},
 };
@@ -212,3 +212,24 @@
         expect_that!(cluster.acted_on(), eq(10), "seed {seed}");
     }
 }
+
+/// Guards against units that nobody serves because a restarted node of their owner's name is
+/// heard but never becomes ready.
+#[gtest]
+fn an_owner_that_is_heard_but_never_ready_is_succeeded() {
+    for (ready, leaving, succeeded) in [
+        (false, false, true),
+        (true, false, false),
+        (false, true, false),
+    ] {
+        let (cluster, owner) = played_owner(3);
+        owner.heartbeat.replace(Some(Heartbeat {
+            ready,
+            leaving,
+            ..outage_heartbeat(Offset(0))
+        }));
+        cluster.run(12_000);
+        let claimed = !claimants(&cluster).is_empty();
+        expect_that!(claimed, eq(succeeded), "ready {ready}, leaving {leaving}");
+    }
+}
