Count only real earlier attempts against a job that must not run twice

After a take-over, every attempt on record counted as one with an earlier attempt that may have run. When the rack said that it had certainly not started, the task waited again with that mark. Change: work that must not run twice gets a further attempt only if none before ran, so a recovered attempt of it has no earlier one.

--- a/hemlocksaddle-fakes/tests/random.rs
+++ b/hemlocksaddle-fakes/tests/random.rs
@@ -92,3 +92,10 @@
 fn a_new_queue_owner_starts_no_task_that_runs_without_a_record() {
     expect_clean(1100, 15);
 }
+
+/// After a take-over, a first attempt that had certainly not started counted as one that may have
+/// run, so a job that must not run twice was never started.
+#[gtest]
+fn a_task_that_did_not_start_waits_again_after_a_take_over() {
+    expect_clean(3310, 15);
+}
--- a/hemlocksaddle-node/src/queue/events.rs
+++ b/hemlocksaddle-node/src/queue/events.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Queue, Queues,
-    state::{Job, LivePhase, Outcome, Requeued, recovered},
+    state::{Job, LivePhase, Outcome, Requeued},
 };
 use crate::{core::AppendError, event::Event, invariant::Invariant};
 
@@ -97,11 +97,8 @@
             return false;
         }
         let checkpoint = job.requeued.get(&index).and_then(|t| t.checkpoint.clone());
-        jobs.add_live(
-            known.task.job,
-            index,
-            recovered(known.attempt, None, checkpoint),
-        );
+        let live = job.recovered(known.attempt, None, checkpoint);
+        jobs.add_live(known.task.job, index, live);
         true
     }
 
--- a/hemlocksaddle-node/src/queue/state.rs
+++ b/hemlocksaddle-node/src/queue/state.rs
@@ -260,28 +260,33 @@
         job.ending = snapshot.ending;
         job.result = snapshot.result;
         for (index, (attempt, rack, checkpoint)) in snapshot.live {
-            job.live.insert(index, recovered(attempt, rack, checkpoint));
+            let live = job.recovered(attempt, rack, checkpoint);
+            job.live.insert(index, live);
         }
         job
     }
-}
 
-/// Attempt of which only the record is known.
-pub(crate) fn recovered(
-    attempt: Attempt,
-    rack: Option<RackName>,
-    checkpoint: Option<Checkpoint>,
-) -> Live {
-    Live {
-        attempt,
-        rack,
-        worker: None,
-        phase: LivePhase::Unknown,
-        checkpoint,
-        ran_before: true,
-        since_ms: MonoMs(0),
-        settling: false,
-        stopping: false,
+    /// Attempt of which only the record is known.
+    ///
+    /// Work that must not run twice gets a further attempt only if none before
+    /// it ran, so an attempt on record is the only one that may have run.
+    pub(crate) fn recovered(
+        &self,
+        attempt: Attempt,
+        rack: Option<RackName>,
+        checkpoint: Option<Checkpoint>,
+    ) -> Live {
+        Live {
+            attempt,
+            rack,
+            worker: None,
+            phase: LivePhase::Unknown,
+            checkpoint,
+            ran_before: self.may_rerun(),
+            since_ms: MonoMs(0),
+            settling: false,
+            stopping: false,
+        }
     }
 }
 
@@ -375,7 +380,7 @@
         let resumed = job.live.get(&task.index).and_then(|l| l.checkpoint.clone());
         job.take(task.index);
         job.ever_ran = true;
-        let live = recovered(attempt, Some(rack.clone()), before.or(resumed));
+        let live = job.recovered(attempt, Some(rack.clone()), before.or(resumed));
         job.live.insert(task.index, live);
     }
 
