--- a/hemlocksaddle-cli/src/command.rs
+++ b/hemlocksaddle-cli/src/command.rs
@@ -150,12 +150,52 @@
             Ok(answer) => parse_json(&answer.body)?,
             Err(CallFailure::NotSent(why) | CallFailure::NoAnswer(why)) => json!({"error": why}),
         };
-        lines.push(format!("{node}: {value}"));
+        lines.push(format!("{node}: {}", status_line(&value)));
         nodes.push(json!({"address": node, "status": value}));
     }
     Ok(print(json, &Value::from(nodes), || lines.join("\n")))
 }
 
+/// State of a node in one line; `--json` prints all of it.
+#[must_use]
+pub fn status_line(status: &Value) -> String {
+    if let Some(error) = status["error"].as_str() {
+        return format!("no answer: {error}");
+    }
+    let text = |value: &Value| value.as_str().unwrap_or("unknown").to_string();
+    let count = |list: &Value, counts: fn(&Value) -> bool| {
+        let list = list.as_array().map_or(&[][..], Vec::as_slice);
+        (
+            list.iter().filter(|entry| counts(entry)).count(),
+            list.len(),
+        )
+    };
+    let state = match (&status["ready"], &status["stopping"]) {
+        (_, Value::Bool(true)) => "stopping",
+        (Value::Bool(true), _) => "ready",
+        _ => "not ready",
+    };
+    let log = match status["log"]["is_up"] {
+        Value::Bool(true) => "up",
+        _ => "down",
+    };
+    let (acting, units) = count(&status["units"], |unit| unit["has_right"] == true);
+    let (ready, peers) = count(&status["peers"], |peer| peer["ready"] == true);
+    let documents = status["documents"]
+        .as_array()
+        .map_or(&[][..], Vec::as_slice);
+    let revisions = documents
+        .iter()
+        .map(|document| format!("{}@{}", text(&document[0]), document[1]));
+    format!(
+        "{} in {} is {state}; log {log}; may act on {acting} of its {units} units; \
+         {ready} of {peers} peers ready; documents {}",
+        text(&status["node"]),
+        text(&status["data_centre"]),
+        revisions.collect::<Vec<_>>().join(" ")
+    )
+}
+
 async fn run_submit(client: &Client, json: bool, submit: Submit) -> Result<String> {
     let service = parse_service(&submit.service)?;
     let body = json!({
