Send the host list only when it changed

Cause: docs/CAPACITY.md shows that the whole host list, read every second by every node, is the largest traffic of today's sizes (20.6 of 35.4 KB/s) and alone exceeds the target at the design scale whatever the node count is. Change: the adapter sends the entity tag of its last list, and the stand-in answers 304 if the hosts are the same; the time of the list is no change. Figures: the adapter's test fetches twice and sees that the second list was not sent again, then sees a change of state. Conclusion: a conditional read needs no new protocol, only a header.

--- a/hemlocksaddle-adapters/src/platform/client.rs
+++ b/hemlocksaddle-adapters/src/platform/client.rs
@@ -19,7 +19,7 @@
 use cyper_core::HyperStream;
 use hemlocksaddle_node::ports::{PortError, Result};
 use hemlocksaddle_types::clock::Millis;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 
@@ -34,8 +34,12 @@
 /// Largest answer in bytes.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
-/// Answer with its status.
-pub(super) type Answer = (StatusCode, Bytes);
+/// Answer with what its headers say.
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) etag: Option<HeaderValue>,
+    pub(super) body: Bytes,
+}
 
 /// Call that was not sent yet.
 #[derive(Clone)]
@@ -43,6 +47,8 @@
     pub(super) method: Method,
     pub(super) address: SocketAddr,
     pub(super) path: String,
+    /// Entity tag of the answer that the caller has; the same one is not sent again.
+    pub(super) known: Option<HeaderValue>,
     pub(super) body: Bytes,
 }
 
@@ -110,9 +116,14 @@
                 Err(_) => return Exchange::Lost,
             };
             let status = response.status();
+            let etag = response.headers().get(header::ETAG).cloned();
             let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
             match body.collect().await {
-                Ok(body) => Exchange::Answered((status, body.to_bytes())),
+                Ok(body) => Exchange::Answered(Answer {
+                    status,
+                    etag,
+                    body: body.to_bytes(),
+                }),
                 Err(_) => Exchange::Lost,
             }
         };
@@ -169,9 +180,12 @@
 }
 
 fn request(call: Call) -> http::Result<Request<Full<Bytes>>> {
-    Request::builder()
+    let mut request = Request::builder()
         .method(call.method)
         .uri(call.path)
-        .header(header::HOST, call.address.to_string())
-        .body(Full::new(call.body))
+        .header(header::HOST, call.address.to_string());
+    if let Some(known) = call.known {
+        request = request.header(header::IF_NONE_MATCH, known);
+    }
+    request.body(Full::new(call.body))
 }
--- a/hemlocksaddle-adapters/src/platform/mod.rs
+++ b/hemlocksaddle-adapters/src/platform/mod.rs
@@ -4,7 +4,7 @@
 //! | --- | --- | --- |
 //! | `POST /streams/{stream}` | the record | `{"offset": N}` |
 //! | `GET /streams/{stream}?from=N&wait_ms=N` | | [`wire::ReadAnswer`] |
-//! | `GET /hosts` | | `HostList` |
+//! | `GET /hosts` | | `HostList`, or status 304 if `If-None-Match` names it |
 //! | `POST /workers/{worker}/start` | `StartTask` | `StartReply` |
 //! | `POST /workers/{worker}/renew` | `Renew` | `WorkerReport` |
 //! | `POST /workers/{worker}/stop` | [`wire::Stop`] | |
@@ -17,7 +17,7 @@
 mod client;
 pub mod wire;
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -30,7 +30,7 @@
     record::{Offset, Stream},
     worker::{Renew, StartReply, StartTask, WorkerReport},
 };
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
 
 use client::{Answer, Call, Client};
@@ -52,6 +52,8 @@
 pub struct HttpPlatform {
     addresses: Addresses,
     client: Client,
+    /// Host list last received, with its entity tag.
+    hosts: RefCell<Option<(HeaderValue, HostList)>>,
 }
 
 impl HttpPlatform {
@@ -61,6 +63,7 @@
         Rc::new(HttpPlatform {
             addresses,
             client: Client::default(),
+            hosts: RefCell::default(),
         })
     }
 
@@ -74,17 +77,42 @@
             method: Method::GET,
             address,
             path,
+            known: None,
             body: Bytes::new(),
         };
         let within = self.addresses.call_ms + wait;
         decoded(&effective(self.client.call(call, within).await?)?)
     }
 
+    /// Fetches the host list, which is sent only if it is not the one last received.
+    ///
+    /// Every node asks each second, and the list of a large platform changes
+    /// only every few minutes.
+    async fn fetch_hosts(&self) -> Result<HostList> {
+        let known = self.hosts.borrow().clone();
+        let call = Call {
+            method: Method::GET,
+            address: self.addresses.hosts,
+            path: String::from("/hosts"),
+            known: known.as_ref().map(|(etag, _)| etag.clone()),
+            body: Bytes::new(),
+        };
+        let answer = self.client.call(call, self.addresses.call_ms).await?;
+        if let (StatusCode::NOT_MODIFIED, Some((_, list))) = (answer.status, known) {
+            return Ok(list);
+        }
+        let etag = answer.etag.clone();
+        let list: HostList = decoded(&effective(answer)?)?;
+        *self.hosts.borrow_mut() = etag.map(|etag| (etag, list.clone()));
+        Ok(list)
+    }
+
     async fn post(&self, address: SocketAddr, path: String, body: Bytes) -> Result<Bytes> {
         let call = Call {
             method: Method::POST,
             address,
             path,
+            known: None,
             body,
         };
         effective(self.client.call(call, self.addresses.call_ms).await?)
@@ -105,9 +133,9 @@
 }
 
 /// Body of an answer whose call took effect.
-fn effective((status, body): Answer) -> Result<Bytes> {
-    match status {
-        StatusCode::OK => Ok(body),
+fn effective(answer: Answer) -> Result<Bytes> {
+    match answer.status {
+        StatusCode::OK => Ok(answer.body),
         StatusCode::SERVICE_UNAVAILABLE => Err(PortError::NotSent),
         status if status.is_client_error() => Err(PortError::NotSent),
         _ => Err(PortError::Unknown),
@@ -154,8 +182,7 @@
 
 impl Hosts for HttpPlatform {
     fn fetch(&self) -> PortFuture<'_, Result<HostList>> {
-        self.get(self.addresses.hosts, String::from("/hosts"), Millis(0))
-            .boxed_local()
+        self.fetch_hosts().boxed_local()
     }
 }
 
--- a/hemlocksaddle-adapters/tests/stand_in.rs
+++ b/hemlocksaddle-adapters/tests/stand_in.rs
@@ -85,6 +85,10 @@
     assert_that!(batch.next, eq(Offset(1)));
     let list = platform.fetch().await.expect("list");
     assert_that!(list.hosts[0].address, eq(stand_in.addresses.workers));
+    // Each list carries its time; the same time means that the list was not sent again.
+    compio::time::sleep(std::time::Duration::from_millis(20)).await;
+    let unchanged = platform.fetch().await.expect("list");
+    assert_that!(unchanged, eq(&list));
     control(&stand_in, "/hosts", r#"{"state":"leaving","name":"w1"}"#).await;
     while platform.fetch().await.expect("list").hosts[0].state != HostState::Leaving {
         compio::time::sleep(std::time::Duration::from_millis(20)).await;
--- a/hemlocksaddle-fakes/src/http/routes.rs
+++ b/hemlocksaddle-fakes/src/http/routes.rs
@@ -1,9 +1,10 @@
 //! Calls of the nodes: log, host list, workers and executors.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{collections::BTreeMap, hash::BuildHasher, net::SocketAddr, rc::Rc, sync::Arc};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
+use foldhash::fast::FixedState;
 use hemlocksaddle_node::ports::{PortError, Result};
 use hemlocksaddle_types::{
     clock::Millis,
@@ -13,7 +14,7 @@
     request::{QuickRequest, RequestId},
     unit::QueueIndex,
 };
-use http::{Method, StatusCode, request::Parts};
+use http::{HeaderValue, Method, StatusCode, header, request::Parts};
 use serde::{Deserialize, Serialize};
 use serde_json::json as object;
 
@@ -35,7 +36,7 @@
     let path = parts.uri.path().to_owned();
     let segments: Vec<&str> = path.split('/').skip(1).collect();
     match (parts.method.clone(), segments.as_slice()) {
-        (Method::GET, ["hosts"]) => hosts(&shared).await,
+        (Method::GET, ["hosts"]) => hosts(&shared, &parts).await,
         (Method::GET, ["streams", stream]) => match named_stream(stream) {
             Some(stream) => read(&shared, stream, parts.uri.query().unwrap_or_default()).await,
             None => status(StatusCode::NOT_FOUND),
@@ -60,10 +61,22 @@
     }
 }
 
-async fn hosts(shared: &Rc<Shared>) -> Answer {
+/// Host list with an entity tag over its hosts; the time of the list does not count as a change.
+async fn hosts(shared: &Rc<Shared>, parts: &Parts) -> Answer {
     let port = shared.ports.hosts.clone();
     let list = shared.run(async move { port.fetch().await }).await?;
-    stated(list)
+    let hosts = list.as_ref().map(|list| serde_json::to_vec(&list.hosts));
+    let Ok(Ok(hosts)) = hosts else {
+        return stated(list);
+    };
+    let tag = FixedState::with_seed(0).hash_one(hosts);
+    let tag = HeaderValue::try_from(format!("\"{tag:016x}\"")).ok()?;
+    let mut answer = match parts.headers.get(header::IF_NONE_MATCH) == Some(&tag) {
+        true => status(StatusCode::NOT_MODIFIED),
+        false => stated(list),
+    }?;
+    answer.headers_mut().insert(header::ETAG, tag);
+    Some(answer)
 }
 
 fn named_stream(name: &str) -> Option<Stream> {
