Announce a planned stop to balancers before refusing requests

Cause: on SIGTERM the node closed its listener at once. Connections in the kernel's backlog were reset, and a request on its way to an idle connection could be cut off, before the balancer could learn that the node leaves. Change: for 2 s /readyz answers 503 with code 1011 while requests are served as before and each answer closes its connection; then the stop goes on as it did. Conclusion: a caller that still connects after the 2 s is refused by the kernel and has sent nothing.

--- a/hemlocksaddle-adapters/src/callers/mod.rs
+++ b/hemlocksaddle-adapters/src/callers/mod.rs
@@ -42,6 +42,7 @@
     limits: Limits,
     connections: Cell<usize>,
     changed: Signal,
+    leaving: Cell<bool>,
     stop: Signal,
 }
 
@@ -64,6 +65,7 @@
             limits,
             connections: Cell::new(0),
             changed: Signal::default(),
+            leaving: Cell::new(false),
             stop: Signal::default(),
         })
     }
@@ -87,6 +89,15 @@
         }
     }
 
+    /// Answers `/readyz` with 503 from now on, but serves requests as before.
+    ///
+    /// Each answer closes its connection. A balancer that asks `/readyz` sends
+    /// nothing more when [`Callers::stop`] is called some time later, so that no
+    /// request is on its way to a connection that is being closed.
+    pub fn announce_stop(&self) {
+        self.leaving.set(true);
+    }
+
     /// Stops accepting and waits until every request in progress is answered.
     ///
     /// Returns the number of connections that were still open after the longest
--- a/hemlocksaddle-adapters/src/callers/routes.rs
+++ b/hemlocksaddle-adapters/src/callers/routes.rs
@@ -11,7 +11,7 @@
     name::ServiceName,
     outcome::ResultCode,
 };
-use http::{HeaderMap, Method, Request, Uri, request::Parts};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
@@ -40,7 +40,12 @@
         Err(refused) => return Ok(reply::refusal_and_close(&refused)),
     };
     let answered = server.route(&head, body).await;
-    Ok(answered.unwrap_or_else(|refused| reply::refusal(&refused)))
+    let mut reply = answered.unwrap_or_else(|refused| reply::refusal(&refused));
+    if server.leaving.get() {
+        let close = HeaderValue::from_static("close");
+        reply.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(reply)
 }
 
 async fn read(body: Incoming, limit: usize) -> Result<Bytes> {
@@ -95,6 +100,9 @@
     }
 
     fn readiness(&self) -> Reply {
+        if self.leaving.get() {
+            return reply::refusal(&(ResultCode::Stopping, "the node is about to stop".into()));
+        }
         match self.serving() {
             Ok(()) => reply::text(200, "ready\n"),
             Err(refused) => reply::refusal(&refused),
--- a/hemlocksaddle-adapters/tests/callers.rs
+++ b/hemlocksaddle-adapters/tests/callers.rs
@@ -450,3 +450,23 @@
         expect_that!(TcpStream::connect(bench.address).await, err(anything()));
     });
 }
+
+/// Guards against a node that refuses requests before the balancer could learn that it stops.
+#[googletest::test]
+fn a_stop_is_announced_while_requests_are_served() {
+    run(async {
+        let bench = Bench::start(Limits::default()).await;
+        bench.server.announce_stop();
+        let ready = String::from("GET /readyz HTTP/1.1\r\nhost: n1\r\n\r\n");
+        let quick = format!("POST {QUICK} HTTP/1.1\r\nhost: n1\r\ncontent-length: 0\r\n\r\n");
+        // Request, code and text expected; each answer closes its connection.
+        for (request, expected) in [(ready, "result-code: 1011\r\n"), (quick, "confirmed")] {
+            let mut caller = TcpStream::connect(bench.address).await.expect("connects");
+            let BufResult(written, _) = caller.write_all(request).await;
+            written.expect("written");
+            let answer = read_all(&mut caller).await;
+            expect_that!(answer, contains_substring(expected));
+            expect_that!(answer, contains_substring("connection: close\r\n"));
+        }
+    });
+}
--- a/hemlocksaddle-daemon/src/program.rs
+++ b/hemlocksaddle-daemon/src/program.rs
@@ -35,6 +35,10 @@
 /// Interval at which a node that cannot serve yet says why.
 const WAITING_EVERY: Duration = Duration::from_millis(2_000);
 
+/// Time between the answer 503 at `/readyz` and the end of accepting requests:
+/// balancers ask about once a second and drop a node after one or two failures.
+const STOP_NOTICE: Duration = Duration::from_millis(2_000);
+
 /// Exit code after a second signal.
 const EXIT_FORCED: i32 = 3;
 
@@ -96,6 +100,8 @@
 
 /// Planned stop: callers get their answers first, while the node still does all of its work.
 async fn stop(node: &Node, callers: &Callers) {
+    callers.announce_stop();
+    compio::time::sleep(STOP_NOTICE).await;
     let open = callers.stop().await;
     if open > 0 {
         log::warn!(target: "hemlocksaddle", "{open} connections of callers did not take their answer");
