Keep relayed and restated documents within the peer's message limit

Cause: a relay reply could hold 64 documents and more of one batch, with the longest texts over 16 MB, which a peer connection drops; a node that was behind would ask for the same reply for ever. A restating append could hold 128. Change: at most 32 documents in a reply and 16 in a restating append, together below 12 MB. Conclusion: found by review; typical documents of some KB were never affected.

--- a/hemlocksaddle-node/src/configuration/mod.rs
+++ b/hemlocksaddle-node/src/configuration/mod.rs
@@ -59,8 +59,8 @@
 /// Time to wait for restated documents to be durable; they are tried again later.
 const RESTATE_APPEND_MS: Millis = Millis(10_000);
 
-/// Most documents restated in one append.
-const MAX_RESTATED: usize = 128;
+/// Most documents restated in one append: 4 MB of the longest texts.
+const MAX_RESTATED: usize = 16;
 
 /// Documents, host list and publications of a node.
 pub struct ConfigurationStore {
--- a/hemlocksaddle-node/src/configuration/registry.rs
+++ b/hemlocksaddle-node/src/configuration/registry.rs
@@ -17,7 +17,10 @@
 use crate::invariant::{Invariant, Invariants};
 
 /// Most documents in one relay reply, unless more came in one batch.
-const MAX_RELAYED: usize = 64;
+///
+/// With the longest texts and a batch of restated documents, a reply stays below
+/// the 16 MB that a peer connection takes.
+const MAX_RELAYED: usize = 32;
 
 /// Document in force.
 #[derive(Clone, Debug)]
