Replace a check that could not fail; copy the host list once

The adapter copies the list only when it returns it, and treats a 304 that speaks of another list as an unknown outcome. The bound's reason is stated: records with a limit come every 400 ms and wait at most 1,000 ms.

--- a/hemlocksaddle-adapters/src/platform/mod.rs
+++ b/hemlocksaddle-adapters/src/platform/mod.rs
@@ -89,17 +89,22 @@
     /// Every node asks each second, and the list of a large platform changes
     /// only every few minutes.
     async fn fetch_hosts(&self) -> Result<HostList> {
-        let known = self.hosts.borrow().clone();
+        let known = self.hosts.borrow().as_ref().map(|(etag, _)| etag.clone());
         let call = Call {
             method: Method::GET,
             address: self.addresses.hosts,
             path: String::from("/hosts"),
-            known: known.as_ref().map(|(etag, _)| etag.clone()),
+            known: known.clone(),
             body: Bytes::new(),
         };
         let answer = self.client.call(call, self.addresses.call_ms).await?;
-        if let (StatusCode::NOT_MODIFIED, Some((_, list))) = (answer.status, known) {
-            return Ok(list);
+        if answer.status == StatusCode::NOT_MODIFIED {
+            // A list that was fetched meanwhile is not the one that the answer speaks of.
+            let hosts = self.hosts.borrow();
+            let same = hosts
+                .as_ref()
+                .filter(|(etag, _)| Some(etag) == known.as_ref());
+            return same.map(|(_, list)| list.clone()).ok_or(PortError::Unknown);
         }
         let etag = answer.etag.clone();
         let list: HostList = decoded(&effective(answer)?)?;
--- a/hemlocksaddle-node/tests/batch/recovery.rs
+++ b/hemlocksaddle-node/tests/batch/recovery.rs
@@ -47,9 +47,11 @@
     let ids = submit_some(&world, 0, 6);
     world.run_for(1_000);
     let started = world.shared.platform.runs.borrow().len();
+    expect_that!(started, gt(0), "tasks run when the owner dies");
     world.kill(2, 1, 4_200);
     all_completed(&world, 1, &ids);
-    expect_that!(world.shared.platform.runs.borrow().len(), ge(started));
+    let runs = world.shared.platform.runs.borrow().len();
+    expect_that!(runs, eq(ids.len() * 6), "each task ran once");
     let again = world
         .shared
         .platform
--- a/hemlocksaddle-node/tests/node/journal.rs
+++ b/hemlocksaddle-node/tests/node/journal.rs
@@ -223,6 +223,7 @@
         let from = unsettled.first().copied().unwrap_or(0);
         let one_batch: Vec<u64> = (from..40).step_by(2).take(unsettled.len()).collect();
         expect_that!(unsettled, eq(&one_batch), "seed {seed}");
+        // Records with a limit come every 400 ms and wait at most 1,000 ms, so a batch has at most 3.
         expect_that!(unsettled.len(), le(3), "seed {seed}");
         let refused = results
             .values()
