--- a/hemlocksaddle-adapters/src/platform/client.rs
+++ b/hemlocksaddle-adapters/src/http.rs
@@ -19,7 +19,7 @@
 use cyper_core::HyperStream;
 use hemlocksaddle_node::ports::{PortError, Result};
 use hemlocksaddle_types::clock::Millis;
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 
@@ -35,21 +35,28 @@
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// Answer with what its headers say.
-pub(super) struct Answer {
-    pub(super) status: StatusCode,
-    pub(super) etag: Option<HeaderValue>,
-    pub(super) body: Bytes,
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Entity tag.
+    pub etag: Option<HeaderValue>,
+    /// Body.
+    pub body: Bytes,
 }
 
 /// Call that was not sent yet.
 #[derive(Clone)]
-pub(super) struct Call {
-    pub(super) method: Method,
-    pub(super) address: SocketAddr,
-    pub(super) path: String,
-    /// Entity tag of the answer that the caller has; the same one is not sent again.
-    pub(super) known: Option<HeaderValue>,
-    pub(super) body: Bytes,
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Server.
+    pub address: SocketAddr,
+    /// Path with its query.
+    pub path: String,
+    /// Headers besides the host.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body.
+    pub body: Bytes,
 }
 
 /// Open connection. Dropping it closes the socket.
@@ -65,6 +72,18 @@
     }
 }
 
+/// Closes the idle connections to an address when an exchange is given up without an answer.
+struct Abandoned<'a> {
+    client: &'a Client,
+    address: SocketAddr,
+}
+
+impl Drop for Abandoned<'_> {
+    fn drop(&mut self) {
+        self.client.idle.borrow_mut().remove(&self.address);
+    }
+}
+
 /// How an exchange ended.
 enum Exchange {
     Answered(Answer),
@@ -75,13 +94,17 @@
 
 /// Client with idle connections per address.
 #[derive(Default)]
-pub(super) struct Client {
+pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Client {
     /// Makes a call and waits for the whole answer, at most for the span.
-    pub(super) async fn call(&self, call: Call, within: Millis) -> Result<Answer> {
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` while nothing was written, `Unknown` without a whole answer.
+    pub async fn call(&self, call: Call, within: Millis) -> Result<Answer> {
         let deadline = Instant::now() + duration(within);
         while let Some(connection) = self.take_idle(call.address) {
             match self.exchange(connection, call.clone(), deadline).await {
@@ -109,6 +132,10 @@
         let Ok(request) = request(call) else {
             return Exchange::Unsent;
         };
+        let abandoned = Abandoned {
+            client: self,
+            address,
+        };
         let exchange = async {
             let response = match connection.sender.try_send_request(request).await {
                 Ok(response) => response,
@@ -127,17 +154,14 @@
                 Err(_) => Exchange::Lost,
             }
         };
-        match compio::time::timeout_at(deadline, exchange).await {
-            Ok(Exchange::Answered(answer)) => {
-                self.keep(address, connection);
-                Exchange::Answered(answer)
-            }
-            Ok(other) => other,
-            Err(_) => {
-                self.idle.borrow_mut().remove(&address);
-                Exchange::Lost
-            }
+        let Ok(ended) = compio::time::timeout_at(deadline, exchange).await else {
+            return Exchange::Lost;
+        };
+        std::mem::forget(abandoned);
+        if let Exchange::Answered(_) = ended {
+            self.keep(address, connection);
         }
+        ended
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
@@ -184,8 +208,8 @@
         .method(call.method)
         .uri(call.path)
         .header(header::HOST, call.address.to_string());
-    if let Some(known) = call.known {
-        request = request.header(header::IF_NONE_MATCH, known);
+    for (name, value) in call.headers {
+        request = request.header(name, value);
     }
     request.body(Full::new(call.body))
 }
--- a/hemlocksaddle-adapters/src/lib.rs
+++ b/hemlocksaddle-adapters/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod callers;
 mod headers;
+pub mod http;
 pub mod peers;
 pub mod platform;
 pub mod runtime;
--- a/hemlocksaddle-adapters/src/platform/mod.rs
+++ b/hemlocksaddle-adapters/src/platform/mod.rs
@@ -14,7 +14,6 @@
 //! effect. Any other status but 200 leaves its outcome unknown. A platform with
 //! another protocol is served by a module next to this one.
 
-mod client;
 pub mod wire;
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
@@ -30,10 +29,10 @@
     record::{Offset, Stream},
     worker::{Renew, StartReply, StartTask, WorkerReport},
 };
-use http::{HeaderValue, Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode, header::IF_NONE_MATCH};
 use serde::{Serialize, de::DeserializeOwned};
 
-use client::{Answer, Call, Client};
+use crate::http::{Answer, Call, Client};
 
 /// Where the platform is, and how long a call to it may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,7 +76,7 @@
             method: Method::GET,
             address,
             path,
-            known: None,
+            headers: Vec::new(),
             body: Bytes::new(),
         };
         let within = self.addresses.call_ms + wait;
@@ -94,7 +93,10 @@
             method: Method::GET,
             address: self.addresses.hosts,
             path: String::from("/hosts"),
-            known: known.clone(),
+            headers: known
+                .iter()
+                .map(|known| (IF_NONE_MATCH, known.clone()))
+                .collect(),
             body: Bytes::new(),
         };
         let answer = self.client.call(call, self.addresses.call_ms).await?;
@@ -117,7 +119,7 @@
             method: Method::POST,
             address,
             path,
-            known: None,
+            headers: Vec::new(),
             body,
         };
         effective(self.client.call(call, self.addresses.call_ms).await?)
--- a/hemlocksaddle-daemon/src/lib.rs
+++ b/hemlocksaddle-daemon/src/lib.rs
@@ -5,5 +5,6 @@
 mod program;
 mod service;
 pub mod settings;
+pub mod shards;
 
 pub use program::{run, run_node};
--- a/hemlocksaddle-daemon/src/program.rs
+++ b/hemlocksaddle-daemon/src/program.rs
@@ -59,7 +59,7 @@
 /// The runtime would go on without the task, and a node without one of its tasks
 /// may neither serve nor give up what it owns. A process that is gone is
 /// replaced, and its successors take over.
-fn end_process_on_panic() {
+pub(crate) fn end_process_on_panic() {
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         report(panic);
@@ -69,7 +69,7 @@
 }
 
 async fn serve(file: File) -> eyre::Result<()> {
-    let mut signals = signals()?;
+    let mut signals = signals(&[SIGTERM, SIGINT])?;
     let callers_listener = bind(file.addresses.callers, "callers").await?;
     let peers_listener = bind(file.addresses.peers_listen, "peers_listen").await?;
     let service = NodeService::new(ports(&file), file.node.clone());
@@ -109,7 +109,7 @@
     node.stop().await;
 }
 
-async fn bind(address: SocketAddr, key: &str) -> eyre::Result<TcpListener> {
+pub(crate) async fn bind(address: SocketAddr, key: &str) -> eyre::Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
     listener.wrap_err_with(|| format!("[node] {key} = {address} cannot be listened on"))
 }
@@ -152,12 +152,12 @@
     }
 }
 
-/// Signals that ask for a planned stop, as they arrive.
+/// Signals of a set, as they arrive.
 ///
 /// A thread of its own receives them: a handler that runs between two
 /// instructions of the runtime must not wake the runtime's tasks itself.
-fn signals() -> eyre::Result<mpsc::UnboundedReceiver<i32>> {
-    let mut received = Signals::new([SIGTERM, SIGINT]).wrap_err("signals cannot be received")?;
+pub(crate) fn signals(wanted: &[i32]) -> eyre::Result<mpsc::UnboundedReceiver<i32>> {
+    let mut received = Signals::new(wanted).wrap_err("signals cannot be received")?;
     let (sender, receiver) = mpsc::unbounded();
     std::thread::spawn(move || {
         for signal in received.forever() {
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod retry;
 pub mod routing;
 pub mod suspicion;
+pub mod workflow;
--- /dev/null
+++ b/hemlocksaddle-policy/src/workflow/bookkeeping.rs
@@ -0,0 +1,338 @@
+//! Accepting, cancelling, ending and restoring workflows.
+
+use hemlocksaddle_types::{
+    clock::{MonoMs, WallMs},
+    workflow::{Progress, State, StepProgress, Workflow, WorkflowId},
+};
+
+use super::{
+    Board, JobKey, Order, Phase, TaskKey, WorkerKey,
+    job::{Job, StepState},
+};
+
+/// Progress that has to be made durable.
+#[derive(Clone, Debug, Default)]
+pub struct Unsaved {
+    /// Progress of each changed workflow.
+    pub progress: Vec<(WorkflowId, Progress)>,
+    keys: Vec<JobKey>,
+    ends: Vec<(WorkerKey, u64)>,
+}
+
+impl Unsaved {
+    /// Whether there is nothing to save.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.progress.is_empty() && self.ends.is_empty()
+    }
+}
+
+impl Board {
+    /// Adds an accepted workflow; a second submission of an id changes nothing.
+    pub fn accept(&mut self, id: WorkflowId, spec: Workflow, now: MonoMs, inherited: bool) -> bool {
+        if self.by_id.contains_key(&id) {
+            return false;
+        }
+        let key = self.jobs.insert(Job::new(id, spec, now, inherited));
+        self.by_id.insert(id, key);
+        self.open.push(key);
+        if self.early_cancels.remove(&id).is_some() {
+            self.cancel_job(key);
+        }
+        true
+    }
+
+    /// Cancels a workflow and orders its runs to stop.
+    pub fn cancel(&mut self, id: WorkflowId, now: MonoMs) {
+        match self.by_id.get(&id) {
+            Some(&key) => self.cancel_job(key),
+            None => {
+                self.early_cancels.insert(id, now);
+            }
+        }
+    }
+
+    fn cancel_job(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        if job.ended.is_some() || job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        self.stop_all(key);
+        self.forget_open(key);
+    }
+
+    /// Restores durable progress of a workflow.
+    pub fn restore(&mut self, id: WorkflowId, progress: &Progress) {
+        let Some(&key) = self.by_id.get(&id) else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        for saved in &progress.steps {
+            job.ensure_occurrence(saved.occurrence);
+            let occurrence = job.occurrences.get_mut(saved.occurrence as usize);
+            let Some(step) = occurrence.and_then(|o| o.steps.get_mut(usize::from(saved.step)))
+            else {
+                continue;
+            };
+            restore_step(step, saved);
+            job.started = true;
+        }
+        if let Some(state) = progress.ended {
+            let at_ms = progress.ended_ms.unwrap_or(job.spec.received_ms);
+            job.ended = Some((state, at_ms));
+            job.ended_saved = true;
+            self.forget_open(key);
+        }
+    }
+
+    /// Progress that is not durable yet.
+    #[must_use]
+    pub fn unsaved(&mut self) -> Unsaved {
+        let keys: Vec<JobKey> = self.unsaved.drain().collect();
+        let progress = keys.iter().map(|&key| {
+            let job = &self.jobs[key];
+            (job.id, progress(job))
+        });
+        let ends = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.has_unsaved_ends());
+        Unsaved {
+            progress: progress.collect(),
+            ends: ends
+                .map(|(key, worker)| (key, worker.applied_ends))
+                .collect(),
+            keys,
+        }
+    }
+
+    /// Notes that progress is durable.
+    pub fn saved(&mut self, saved: Unsaved) {
+        for key in saved.keys {
+            if let Some(job) = self.jobs.get_mut(key)
+                && job.ended.is_some()
+                && !self.unsaved.contains(&key)
+            {
+                job.ended_saved = true;
+            }
+        }
+        for (key, upto) in saved.ends {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.saved_ends = worker.saved_ends.max(upto);
+            }
+        }
+    }
+
+    /// Takes back progress whose saving failed.
+    pub fn not_saved(&mut self, unsaved: Unsaved) {
+        self.unsaved.extend(unsaved.keys);
+    }
+
+    /// Number of workflows of a queue without a started task; scheduled ones are not counted.
+    #[must_use]
+    pub fn waiting(&self, queue: &str) -> u32 {
+        let waiting = self.jobs.values().filter(|job| {
+            !job.started
+                && job.is_open()
+                && job.spec.schedule.is_none()
+                && *job.spec.queue == *queue
+        });
+        u32::try_from(waiting.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Forgets workflows that ended long enough ago; returns their ids.
+    pub fn forget_ended(&mut self, wall: WallMs) -> Vec<WorkflowId> {
+        let keep_ms = self.limits.keep_ended_ms;
+        let old = self.jobs.iter().filter(|(_, job)| {
+            let ended = job.ended.filter(|_| job.ended_saved);
+            job.placed == 0 && ended.is_some_and(|(_, at_ms)| wall.since(at_ms) > keep_ms)
+        });
+        let old: Vec<_> = old.map(|(key, job)| (key, job.id)).collect();
+        for (key, id) in &old {
+            self.jobs.remove(*key);
+            self.by_id.remove(id);
+            self.unsaved.remove(key);
+        }
+        old.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Ends a workflow if all of its tasks are done, a task failed too often, or it was cancelled.
+    pub(super) fn end_if_over(&mut self, key: JobKey, wall: WallMs) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.ended.is_some() {
+            return;
+        }
+        if job.cancelled {
+            if job.placed == 0 {
+                job.ended = Some((State::Cancelled, wall));
+                self.unsaved.insert(key);
+            }
+            return;
+        }
+        if job.is_done() {
+            job.ended = Some((State::Completed, wall));
+            self.unsaved.insert(key);
+            self.forget_open(key);
+        }
+    }
+
+    /// Gives up a workflow of which a task has failed too often.
+    pub(super) fn fail(&mut self, key: JobKey, wall: WallMs) {
+        let job = &mut self.jobs[key];
+        if job.ended.is_some() || job.cancelled {
+            return;
+        }
+        job.ended = Some((State::Failed, wall));
+        self.unsaved.insert(key);
+        self.stop_all(key);
+        self.forget_open(key);
+    }
+
+    fn forget_open(&mut self, key: JobKey) {
+        self.open.retain(|&open| open != key);
+    }
+
+    fn stop_all(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let mut placed = Vec::new();
+        for (occurrence, state) in job.occurrences.iter().enumerate() {
+            for (step, tasks) in state.steps.iter().enumerate() {
+                let with_worker = tasks.tasks.iter().enumerate();
+                placed.extend(with_worker.filter(|(_, t)| t.phase.worker().is_some()).map(
+                    |(index, _)| TaskKey {
+                        job: key,
+                        occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
+                        step: u16::try_from(step).unwrap_or(u16::MAX),
+                        index: u32::try_from(index).unwrap_or(u32::MAX),
+                    },
+                ));
+            }
+        }
+        for task in placed {
+            self.stop(task);
+        }
+    }
+
+    /// Orders a placed run to stop.
+    pub(super) fn stop(&mut self, key: TaskKey) {
+        let name = self.name(key);
+        let task = self.jobs[key.job].task_mut(key);
+        let Some(worker) = task.phase.worker() else {
+            return;
+        };
+        if matches!(task.phase, Phase::Stopping { .. }) {
+            return;
+        }
+        task.phase = Phase::Stopping {
+            worker,
+            answered_at: None,
+        };
+        let run = task.run;
+        self.orders.push(Order::Stop {
+            worker,
+            task: name,
+            run,
+        });
+    }
+
+    /// Notes that the run of a placed task has ended without being done.
+    pub(super) fn run_is_over(&mut self, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let state = job.step_state(key);
+        let task = &mut state.tasks[key.index as usize];
+        let Some(worker) = task.phase.worker() else {
+            return;
+        };
+        task.phase = Phase::Waiting;
+        state.waiting += 1;
+        job.placed -= 1;
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.remove(key);
+        }
+    }
+
+    /// Notes that a task is done.
+    pub(super) fn task_is_done(&mut self, key: TaskKey) {
+        self.run_is_over(key);
+        let job = &mut self.jobs[key.job];
+        let state = job.step_state(key);
+        let task = &mut state.tasks[key.index as usize];
+        if task.phase == Phase::Done {
+            return;
+        }
+        task.phase = Phase::Done;
+        task.checkpoint = None;
+        state.waiting -= 1;
+        state.done += 1;
+        job.started = true;
+        self.unsaved.insert(key.job);
+    }
+}
+
+fn restore_step(step: &mut StepState, saved: &StepProgress) {
+    let tasks = step.tasks.len();
+    for &(from, to) in &saved.done {
+        for task in &mut step.tasks[(from as usize).min(tasks)..(to as usize).min(tasks)] {
+            if task.phase == Phase::Waiting {
+                task.phase = Phase::Done;
+                step.done += 1;
+                step.waiting -= 1;
+            }
+        }
+    }
+    for &(index, run) in &saved.failed {
+        if let Some(task) = step.tasks.get_mut(index as usize)
+            && !task.failed.contains(&run)
+        {
+            task.failed.push(run);
+            task.run = task.run.max(run);
+        }
+    }
+}
+
+fn progress(job: &Job) -> Progress {
+    let mut steps = Vec::new();
+    for (occurrence, state) in job.occurrences.iter().enumerate() {
+        for (number, step) in state.steps.iter().enumerate() {
+            let saved = StepProgress {
+                occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
+                step: u16::try_from(number).unwrap_or(u16::MAX),
+                done: done_ranges(step),
+                failed: failed_runs(step),
+            };
+            if !saved.done.is_empty() || !saved.failed.is_empty() {
+                steps.push(saved);
+            }
+        }
+    }
+    Progress {
+        ended: job.ended.map(|(state, _)| state),
+        ended_ms: job.ended.map(|(_, at_ms)| at_ms),
+        steps,
+    }
+}
+
+fn done_ranges(step: &StepState) -> Vec<(u32, u32)> {
+    let mut ranges: Vec<(u32, u32)> = Vec::new();
+    for (index, task) in (0u32..).zip(&step.tasks) {
+        if task.phase != Phase::Done {
+            continue;
+        }
+        match ranges.last_mut() {
+            Some((_, end)) if *end == index => *end += 1,
+            _ => ranges.push((index, index + 1)),
+        }
+    }
+    ranges
+}
+
+fn failed_runs(step: &StepState) -> Vec<(u32, hemlocksaddle_types::workflow::Run)> {
+    let tasks = (0u32..).zip(&step.tasks);
+    let failed = tasks.flat_map(|(index, task)| task.failed.iter().map(move |&run| (index, run)));
+    failed.collect()
+}
--- /dev/null
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -0,0 +1,270 @@
+//! Workflows on the board.
+
+use std::{rc::Rc, sync::Arc};
+
+use hemlocksaddle_types::{
+    clock::{MonoMs, WallMs},
+    workflow::{Run, State, Step, Workflow, WorkflowId},
+};
+
+use super::{JobKey, WorkerKey};
+
+/// Key of a task on the board.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskKey {
+    /// Workflow.
+    pub job: JobKey,
+    /// Occurrence.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u16,
+    /// Index within the step.
+    pub index: u32,
+}
+
+/// Where a task is in its life cycle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Runs nowhere.
+    Waiting,
+    /// Start was ordered; `unsure` once an order was not answered.
+    Starting {
+        /// Worker.
+        worker: WorkerKey,
+        /// An order may have been carried out without an answer.
+        unsure: bool,
+    },
+    /// Worker confirmed the run.
+    Running {
+        /// Worker.
+        worker: WorkerKey,
+        /// Time of the confirmation.
+        since: MonoMs,
+    },
+    /// Stop was ordered.
+    Stopping {
+        /// Worker.
+        worker: WorkerKey,
+        /// Time at which the worker answered the stop.
+        answered_at: Option<MonoMs>,
+    },
+    /// Done.
+    Done,
+}
+
+impl Phase {
+    /// Worker that may run the task.
+    #[must_use]
+    pub fn worker(self) -> Option<WorkerKey> {
+        match self {
+            Phase::Starting { worker, .. }
+            | Phase::Running { worker, .. }
+            | Phase::Stopping { worker, .. } => Some(worker),
+            Phase::Waiting | Phase::Done => None,
+        }
+    }
+}
+
+/// Task of a workflow.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// Life cycle.
+    pub phase: Phase,
+    /// Latest run; 0 before the first.
+    pub run: Run,
+    /// Runs that failed.
+    pub failed: Vec<Run>,
+    /// Latest checkpoint.
+    pub checkpoint: Option<Arc<str>>,
+    /// Not to be started before this time.
+    pub not_before: MonoMs,
+    /// Worker where the latest run failed.
+    pub failed_on: Option<WorkerKey>,
+    /// Progress of the run in percent, as last reported.
+    pub percent: u8,
+    /// Time at which the progress last changed.
+    pub progressed_at: MonoMs,
+    /// Share at which the run is paced.
+    pub pace: u8,
+}
+
+impl Task {
+    fn new() -> Task {
+        Task {
+            phase: Phase::Waiting,
+            run: Run(0),
+            failed: Vec::new(),
+            checkpoint: None,
+            not_before: MonoMs(0),
+            failed_on: None,
+            percent: 0,
+            progressed_at: MonoMs(0),
+            pace: FULL_PACE,
+        }
+    }
+}
+
+/// Share of a run that is not paced.
+pub(super) const FULL_PACE: u8 = 100;
+
+/// Tasks of one step of an occurrence.
+#[derive(Clone, Debug)]
+pub(super) struct StepState {
+    pub(super) tasks: Vec<Task>,
+    pub(super) done: u32,
+    pub(super) waiting: u32,
+}
+
+/// One run through the steps.
+#[derive(Clone, Debug)]
+pub(super) struct Occurrence {
+    pub(super) steps: Vec<StepState>,
+}
+
+impl Occurrence {
+    fn new(spec: &Workflow) -> Occurrence {
+        let state = |step: &Step| StepState {
+            tasks: vec![Task::new(); step.tasks as usize],
+            done: 0,
+            waiting: step.tasks,
+        };
+        Occurrence {
+            steps: spec.steps.iter().map(state).collect(),
+        }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.steps.iter().all(StepState::is_done)
+    }
+}
+
+impl StepState {
+    pub(super) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+}
+
+/// Workflow with the state of its tasks.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Id.
+    pub id: WorkflowId,
+    /// Accepted text.
+    pub spec: Rc<Workflow>,
+    /// Time at which this owner read it.
+    pub accepted_at: MonoMs,
+    /// Whether a predecessor may have started tasks of it.
+    pub inherited: bool,
+    /// Whether a task has started.
+    pub started: bool,
+    /// Whether the caller cancelled it.
+    pub cancelled: bool,
+    /// Final state that was reached, durable or not.
+    pub ended: Option<(State, WallMs)>,
+    /// Whether the final state is durable.
+    pub ended_saved: bool,
+    pub(super) occurrences: Vec<Occurrence>,
+    /// Tasks that are placed on workers.
+    pub(super) placed: u32,
+}
+
+impl Job {
+    pub(super) fn new(id: WorkflowId, spec: Workflow, now: MonoMs, inherited: bool) -> Job {
+        let first = if spec.schedule.is_none() {
+            vec![Occurrence::new(&spec)]
+        } else {
+            Vec::new()
+        };
+        Job {
+            id,
+            spec: Rc::new(spec),
+            accepted_at: now,
+            inherited,
+            started: false,
+            cancelled: false,
+            ended: None,
+            ended_saved: false,
+            occurrences: first,
+            placed: 0,
+        }
+    }
+
+    /// State as the caller sees it: a final state only once it is durable.
+    #[must_use]
+    pub fn state(&self) -> State {
+        match self.ended {
+            Some((state, _)) if self.ended_saved => state,
+            _ if self.cancelled => State::Cancelled,
+            _ if self.started => State::Running,
+            _ => State::Queued,
+        }
+    }
+
+    /// Whether tasks may still be started.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.cancelled && self.ended.is_none()
+    }
+
+    /// Task of a key.
+    #[must_use]
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        let occurrence = self.occurrences.get(key.occurrence as usize)?;
+        let step = occurrence.steps.get(usize::from(key.step))?;
+        step.tasks.get(key.index as usize)
+    }
+
+    pub(super) fn step(&self, key: TaskKey) -> &Step {
+        &self.spec.steps[usize::from(key.step)]
+    }
+
+    pub(super) fn step_state(&mut self, key: TaskKey) -> &mut StepState {
+        &mut self.occurrences[key.occurrence as usize].steps[usize::from(key.step)]
+    }
+
+    pub(super) fn task_mut(&mut self, key: TaskKey) -> &mut Task {
+        &mut self.step_state(key).tasks[key.index as usize]
+    }
+
+    /// Adds the occurrences that are due; returns whether there were any.
+    pub(super) fn add_due(&mut self, wall: WallMs) -> bool {
+        let Some(schedule) = self.spec.schedule else {
+            return false;
+        };
+        let before = self.occurrences.len();
+        while self.occurrences.len() < schedule.occurrences as usize {
+            let number = self.occurrences.len() as u64;
+            let due_ms = schedule.first_ms.0 + number * schedule.interval_ms.0;
+            if wall.0 < due_ms {
+                break;
+            }
+            self.occurrences.push(Occurrence::new(&self.spec));
+        }
+        self.occurrences.len() > before
+    }
+
+    /// Makes sure that an occurrence exists, as one that a predecessor had started.
+    pub(super) fn ensure_occurrence(&mut self, number: u32) {
+        if number >= self.spec.occurrences() {
+            return;
+        }
+        while self.occurrences.len() <= number as usize {
+            self.occurrences.push(Occurrence::new(&self.spec));
+        }
+    }
+
+    /// Whether every task of every occurrence is done.
+    pub(super) fn is_done(&self) -> bool {
+        self.occurrences.len() == self.spec.occurrences() as usize
+            && self.occurrences.iter().all(Occurrence::is_done)
+    }
+
+    /// Whether the steps before this one are done.
+    pub(super) fn step_is_due(&self, occurrence: usize, step: usize) -> bool {
+        let states = &self.occurrences[occurrence].steps;
+        let before = &self.spec.steps[step].after;
+        before
+            .iter()
+            .all(|&before| states[usize::from(before)].is_done())
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -0,0 +1,281 @@
+//! Orders that follow from the state of the board.
+
+use std::{cmp::Ordering, rc::Rc, sync::Arc};
+
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs, WallMs},
+    workflow::{Queue, Run, Step},
+};
+
+use super::{
+    Board, JobKey, Order, Phase, Start, TaskKey, WorkerKey, job::FULL_PACE, worker::Assigned,
+};
+
+/// Time without progress after which a run is moved.
+///
+/// Reports show whole percents at least every 1.5 s, so that a run of up to two
+/// minutes changes its figure within this time.
+const STUCK_MS: Millis = Millis(2_500);
+
+/// Time that a lasting task has to be at work after its start.
+const LASTING_START_MS: Millis = Millis(6_000);
+
+/// Time before a draining worker leaves at which checkpointed runs are moved.
+const MOVE_BEFORE_MS: Millis = Millis(1_500);
+
+/// Step with tasks that may start.
+struct Ready {
+    job: JobKey,
+    occurrence: u32,
+    step: u16,
+    queue: Arc<Queue>,
+    accepted_at: MonoMs,
+}
+
+impl Ready {
+    fn key(&self, index: u32) -> TaskKey {
+        TaskKey {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+
+    fn before(&self, other: &Ready) -> Ordering {
+        self.queue
+            .priority
+            .cmp(&other.queue.priority)
+            .then(self.accepted_at.cmp(&other.accepted_at))
+            .then(self.step.cmp(&other.step))
+    }
+}
+
+impl Board {
+    /// Orders that have to be sent now.
+    pub fn plan(&mut self, now: MonoMs, wall: WallMs) -> Vec<Order> {
+        self.expire(now);
+        self.move_stuck(now);
+        self.leave_draining();
+        self.pace(now);
+        let ready = self.ready(now, wall);
+        let usable = self.usable(now);
+        for step in &ready {
+            self.place_step(step, &usable, now);
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Steps with waiting tasks, most urgent first.
+    fn ready(&mut self, now: MonoMs, wall: WallMs) -> Vec<Ready> {
+        let settled = self.is_settled(now);
+        let mut ready = Vec::new();
+        for &key in &self.open {
+            let job = &mut self.jobs[key];
+            job.add_due(wall);
+            let Some(queue) = self.queues.get(&job.spec.queue) else {
+                continue;
+            };
+            for (occurrence, state) in job.occurrences.iter().enumerate() {
+                for (number, step) in state.steps.iter().enumerate() {
+                    let spec = &job.spec.steps[number];
+                    let unsettled = job.inherited && !settled && !spec.speculative;
+                    if step.waiting == 0 || unsettled || !job.step_is_due(occurrence, number) {
+                        continue;
+                    }
+                    ready.push(Ready {
+                        job: key,
+                        occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
+                        step: u16::try_from(number).unwrap_or(u16::MAX),
+                        queue: queue.clone(),
+                        accepted_at: job.accepted_at,
+                    });
+                }
+            }
+        }
+        ready.sort_by(Ready::before);
+        ready
+    }
+
+    fn place_step(&mut self, ready: &Ready, usable: &[WorkerKey], now: MonoMs) {
+        let job = &self.jobs[ready.job];
+        let spec: Rc<_> = job.spec.clone();
+        let step = &spec.steps[usize::from(ready.step)];
+        if step.gang {
+            self.place_gang(ready, step, usable, now);
+            return;
+        }
+        for index in 0..step.tasks {
+            let key = ready.key(index);
+            let task = self.jobs[ready.job].task(key);
+            let startable =
+                task.is_some_and(|task| task.phase == Phase::Waiting && now >= task.not_before);
+            if !startable {
+                continue;
+            }
+            // Equal tasks: where the first does not fit, the others do not fit either.
+            let Some(worker) = self.choose(usable, key, &ready.queue.pool, None) else {
+                return;
+            };
+            let run = self.next_run(key);
+            self.start(key, worker, run);
+        }
+    }
+
+    /// Places all members of a gang or none.
+    fn place_gang(&mut self, ready: &Ready, step: &Step, usable: &[WorkerKey], now: MonoMs) {
+        let members: Vec<TaskKey> = (0..step.tasks).map(|index| ready.key(index)).collect();
+        let all_wait = members.iter().all(|&key| {
+            let task = self.jobs[ready.job].task(key);
+            task.is_some_and(|task| task.phase == Phase::Waiting && now >= task.not_before)
+        });
+        if !all_wait {
+            return;
+        }
+        let run = members.iter().map(|&key| self.next_run(key)).max();
+        let run = run.unwrap_or(self.first_run());
+        for rack in self.racks_to_try(step, usable) {
+            let before = self.orders.len();
+            let placed = members.iter().all(|&key| {
+                match self.choose(usable, key, &ready.queue.pool, rack.as_deref()) {
+                    Some(worker) => {
+                        self.start(key, worker, run);
+                        true
+                    }
+                    None => false,
+                }
+            });
+            if placed {
+                self.share_checkpoint(&members, before);
+                return;
+            }
+            self.orders.truncate(before);
+            for &key in &members {
+                self.run_is_over(key);
+            }
+        }
+    }
+
+    /// Racks to try for a step: each one first if its tasks belong together, then all.
+    fn racks_to_try(&self, step: &Step, usable: &[WorkerKey]) -> Vec<Option<Arc<str>>> {
+        let mut racks = Vec::new();
+        if step.same_rack {
+            for &key in usable {
+                let rack = self.workers[key].listing.rack().cloned();
+                if rack.is_some() && !racks.contains(&rack) {
+                    racks.push(rack);
+                }
+            }
+            racks.sort_by_key(|rack| *rack != step.data_rack);
+        }
+        racks.push(None);
+        racks
+    }
+
+    /// Gives all members of a gang the same checkpoint.
+    fn share_checkpoint(&mut self, members: &[TaskKey], from: usize) {
+        let tasks = members
+            .iter()
+            .filter_map(|&key| self.jobs[key.job].task(key));
+        let newest = tasks.filter_map(|task| task.checkpoint.clone()).next();
+        for order in &mut self.orders[from..] {
+            if let Order::Start(start) = order {
+                start.checkpoint.clone_from(&newest);
+            }
+        }
+    }
+
+    fn next_run(&self, key: TaskKey) -> Run {
+        let last = self.jobs[key.job].task(key).map_or(Run(0), |task| task.run);
+        self.first_run().max(Run(last.0 + 1))
+    }
+
+    fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run) {
+        let name = self.name(key);
+        let job = &mut self.jobs[key.job];
+        let text = job.spec.text.clone();
+        let step = job.step(key);
+        let assigned = Assigned {
+            run,
+            demand: step.demand,
+            best_effort: step.best_effort,
+            figure: 0,
+        };
+        let task = job.task_mut(key);
+        task.phase = Phase::Starting {
+            worker,
+            unsure: false,
+        };
+        task.run = run;
+        task.percent = 0;
+        task.pace = FULL_PACE;
+        let checkpoint = task.checkpoint.clone();
+        job.step_state(key).waiting -= 1;
+        job.placed += 1;
+        if let Some(on) = self.workers.get_mut(worker) {
+            on.add(key, assigned);
+        }
+        self.orders.push(Order::Start(Start {
+            worker,
+            task: key,
+            name,
+            run,
+            text,
+            checkpoint,
+        }));
+    }
+
+    /// Stops runs whose progress stands still, so that they start elsewhere.
+    fn move_stuck(&mut self, now: MonoMs) {
+        let mut stuck = Vec::new();
+        for (worker_key, worker) in &self.workers {
+            let Some(reported_at) = worker.reported_at else {
+                continue;
+            };
+            for &key in worker.tasks.keys() {
+                let job = &self.jobs[key.job];
+                let Some(task) = job.task(key) else { continue };
+                if !matches!(task.phase, Phase::Running { .. }) || task.pace < FULL_PACE {
+                    continue;
+                }
+                let lasting = job.step(key).lasting;
+                let patience = if lasting { LASTING_START_MS } else { STUCK_MS };
+                let at_work = lasting && task.percent == 100;
+                if !at_work && reported_at.since(task.progressed_at) > patience {
+                    stuck.push((key, worker_key));
+                }
+            }
+        }
+        for (key, worker) in stuck {
+            self.jobs[key.job].task_mut(key).failed_on = Some(worker);
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.task_failed(now);
+            }
+            self.stop(key);
+        }
+    }
+
+    /// Moves runs off workers that leave soon.
+    fn leave_draining(&mut self) {
+        let mut moved = Vec::new();
+        for worker in self.workers.values() {
+            if !worker.listing.draining {
+                continue;
+            }
+            let soon = worker
+                .listing
+                .remaining_ms
+                .is_none_or(|left| left <= MOVE_BEFORE_MS);
+            moved.extend(worker.tasks.keys().copied().filter(|&key| {
+                let step = self.jobs[key.job].step(key);
+                step.lasting || (soon && step.checkpointed)
+            }));
+        }
+        for key in moved {
+            let running = self.jobs[key.job].task(key).map(|task| task.phase);
+            if matches!(running, Some(Phase::Running { .. })) {
+                self.stop(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -0,0 +1,394 @@
+//! Applying what workers report and answer.
+
+use std::sync::Arc;
+
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs, WallMs},
+    workflow::{Run, TaskName},
+};
+
+use super::{
+    Board, Order, Phase, Start, StartAnswer, TaskKey, WorkerKey, job::FULL_PACE, worker::Assigned,
+};
+
+/// Most ends that one report lists; a longer list comes in parts.
+const MAX_LISTED_ENDS: usize = 500;
+
+/// Pause of a task before it is started again after it failed.
+///
+/// A task of a healthy worker that fails by its own fault gains nothing from a
+/// longer one, and a failing worker is left out by its own pause.
+const RETRY_PAUSE_MS: Millis = Millis(50);
+
+/// Running task of a report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Task.
+    pub task: TaskName,
+    /// Run.
+    pub run: Run,
+    /// Latest checkpoint.
+    pub checkpoint: Option<Arc<str>>,
+    /// Progress; 100 for a lasting task at work.
+    pub percent: u8,
+    /// Tail latency in ms of a lasting task, thousandths of a core in use of any other.
+    pub figure: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum EndKind {
+    /// Done.
+    Done,
+    /// Failed, through its own fault or the worker's.
+    Failed,
+    /// Stopped by an order.
+    Stopped,
+    /// Lease lapsed.
+    Lapsed,
+    /// Another member of the gang ended.
+    Broken,
+    /// Other members of the gang did not come.
+    Alone,
+}
+
+/// End of a run in a report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    /// Number of the end within the worker's life.
+    pub number: u64,
+    /// Task; `None` if its name cannot be read.
+    pub task: Option<TaskName>,
+    /// Run.
+    pub run: Run,
+    /// How it ended.
+    pub kind: EndKind,
+    /// Checkpoint at the end.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+/// Report of a worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Time at which the report was asked for.
+    pub sent_at: MonoMs,
+    /// Running tasks.
+    pub rows: Vec<Row>,
+    /// Ends that the worker still keeps, ascending by number.
+    pub ends: Vec<End>,
+}
+
+impl Board {
+    /// Applies a report.
+    pub fn report(&mut self, key: WorkerKey, report: &Report, now: MonoMs, wall: WallMs) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        worker.silent = false;
+        worker.reported_at = worker.reported_at.max(Some(report.sent_at));
+        let applied = worker.applied_ends;
+        for end in report.ends.iter().filter(|end| end.number > applied) {
+            self.end(key, end, now, wall);
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.applied_ends = end.number;
+            }
+        }
+        for row in &report.rows {
+            self.row(key, row, now);
+        }
+        if report.ends.len() < MAX_LISTED_ENDS {
+            self.drop_missing(key, report, wall);
+        }
+    }
+
+    fn end(&mut self, worker: WorkerKey, end: &End, now: MonoMs, wall: WallMs) {
+        let Some(key) = end.task.and_then(|name| self.task_key(name)) else {
+            return;
+        };
+        let job = &mut self.jobs[key.job];
+        job.started = true;
+        let gang = job.step(key).gang;
+        let task = job.task_mut(key);
+        task.run = task.run.max(end.run);
+        let current = task.phase.worker() == Some(worker) && task.run == end.run;
+        if end.checkpoint.is_some() && end.kind != EndKind::Done {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        match end.kind {
+            EndKind::Done => {
+                if !current {
+                    self.stop_superseded(key);
+                }
+                self.task_is_done(key);
+                if gang {
+                    self.gang_is_done(key);
+                }
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.task_done();
+                }
+            }
+            EndKind::Failed => {
+                if current {
+                    self.run_is_over(key);
+                }
+                self.run_failed(worker, key, end.run, now, wall);
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                if current {
+                    self.run_is_over(key);
+                }
+            }
+        }
+        if gang && end.kind != EndKind::Done {
+            self.stop_gang(key);
+        }
+        self.end_if_over(key.job, wall);
+    }
+
+    /// Orders a run of a task to stop that another run has made needless.
+    fn stop_superseded(&mut self, key: TaskKey) {
+        let name = self.name(key);
+        let task = self.jobs[key.job].task_mut(key);
+        if let Some(worker) = task.phase.worker() {
+            let run = task.run;
+            self.orders.push(Order::Stop {
+                worker,
+                task: name,
+                run,
+            });
+        }
+    }
+
+    fn run_failed(&mut self, worker: WorkerKey, key: TaskKey, run: Run, now: MonoMs, wall: WallMs) {
+        let job = &mut self.jobs[key.job];
+        let lasting = job.step(key).lasting;
+        let queue = job.spec.queue.clone();
+        let task = job.task_mut(key);
+        if task.failed.contains(&run) {
+            return;
+        }
+        if !lasting {
+            task.failed.push(run);
+        }
+        task.failed_on = Some(worker);
+        task.not_before = now + RETRY_PAUSE_MS;
+        let failed = task.failed.len();
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.task_failed(now);
+        }
+        self.unsaved.insert(key.job);
+        let most = self.queue(&queue).map_or(1, |queue| queue.max_attempts);
+        if !lasting && failed >= most as usize {
+            self.fail(key.job, wall);
+        }
+    }
+
+    fn gang_is_done(&mut self, key: TaskKey) {
+        for member in self.members(key) {
+            self.task_is_done(member);
+        }
+    }
+
+    /// Orders all members of a gang to stop, so that it can start again as a whole.
+    fn stop_gang(&mut self, key: TaskKey) {
+        for member in self.members(key) {
+            self.stop(member);
+        }
+    }
+
+    pub(super) fn members(&self, key: TaskKey) -> Vec<TaskKey> {
+        let tasks = self.jobs[key.job].step(key).tasks;
+        (0..tasks).map(|index| TaskKey { index, ..key }).collect()
+    }
+
+    fn row(&mut self, worker: WorkerKey, row: &Row, now: MonoMs) {
+        let Some(key) = self.task_key(row.task) else {
+            self.stop_unknown(worker, row);
+            return;
+        };
+        let job = &mut self.jobs[key.job];
+        job.started = true;
+        let wanted = job.is_open();
+        let step = job.step(key);
+        let assigned = Assigned {
+            run: row.run,
+            demand: step.demand,
+            best_effort: step.best_effort,
+            figure: row.figure,
+        };
+        let task = job.task_mut(key);
+        let adopted = task.phase == Phase::Waiting && row.run >= task.run;
+        let current = task.phase.worker() == Some(worker) && task.run == row.run;
+        if !adopted && !current {
+            self.stop_unknown(worker, row);
+            return;
+        }
+        if row.percent != task.percent || task.run != row.run || adopted {
+            task.progressed_at = now;
+        }
+        task.percent = row.percent;
+        task.run = row.run;
+        if row.checkpoint.is_some() {
+            task.checkpoint.clone_from(&row.checkpoint);
+        }
+        if adopted {
+            task.pace = FULL_PACE;
+            let state = job.step_state(key);
+            state.waiting -= 1;
+            job.placed += 1;
+        }
+        let task = job.task_mut(key);
+        if !matches!(task.phase, Phase::Running { .. } | Phase::Stopping { .. }) {
+            task.phase = Phase::Running { worker, since: now };
+        }
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.add(key, assigned);
+            if let Some(task) = worker.tasks.get_mut(&key) {
+                task.figure = row.figure;
+            }
+        }
+        if !wanted {
+            self.stop(key);
+        }
+    }
+
+    fn stop_unknown(&mut self, worker: WorkerKey, row: &Row) {
+        self.orders.push(Order::Stop {
+            worker,
+            task: row.task,
+            run: row.run,
+        });
+    }
+
+    /// Takes tasks off a worker that its report should list but does not.
+    fn drop_missing(&mut self, worker: WorkerKey, report: &Report, wall: WallMs) {
+        let Some(assigned) = self.workers.get(worker) else {
+            return;
+        };
+        let missing: Vec<TaskKey> = assigned
+            .tasks
+            .keys()
+            .copied()
+            .filter(|&key| {
+                let name = self.name(key);
+                let task = self.jobs[key.job].task(key);
+                let confirmed_at = task.and_then(|task| match task.phase {
+                    Phase::Running { since, .. } => Some(since),
+                    Phase::Stopping { answered_at, .. } => answered_at,
+                    _ => None,
+                });
+                confirmed_at.is_some_and(|at| at < report.sent_at)
+                    && !report.rows.iter().any(|row| row.task == name)
+            })
+            .collect();
+        for key in missing {
+            self.run_is_over(key);
+            self.end_if_over(key.job, wall);
+        }
+    }
+
+    /// Applies the answer to an order to start; returns whether to send the order again.
+    pub fn start_answered(&mut self, start: &Start, answer: StartAnswer, now: MonoMs) -> bool {
+        let Some(job) = self.jobs.get_mut(start.task.job) else {
+            return false;
+        };
+        let task = job.task_mut(start.task);
+        let Phase::Starting { worker, unsure } = task.phase else {
+            // A report was faster, or the task was stopped meanwhile.
+            return false;
+        };
+        if worker != start.worker || task.run != start.run {
+            return false;
+        }
+        match answer {
+            StartAnswer::Accepted => {
+                task.phase = Phase::Running { worker, since: now };
+                task.progressed_at = now;
+                task.percent = 0;
+                job.started = true;
+            }
+            StartAnswer::Unknown => {
+                task.phase = Phase::Starting {
+                    worker,
+                    unsure: true,
+                };
+                return true;
+            }
+            StartAnswer::NotSent if unsure => return true,
+            // A report that lists the run or a refused stop settles what became of the first order.
+            _ if unsure => self.stop(start.task),
+            StartAnswer::OtherLife => self.run_is_over(start.task),
+            StartAnswer::NoRoom | StartAnswer::Unhealthy | StartAnswer::NotSent => {
+                self.run_is_over(start.task);
+                if let Some(worker) = self.workers.get_mut(start.worker) {
+                    worker.refused(now);
+                }
+            }
+            StartAnswer::OldRun | StartAnswer::Late | StartAnswer::Fenced => {
+                self.run_is_over(start.task);
+            }
+            StartAnswer::Invalid => {
+                self.run_is_over(start.task);
+                let task = self.jobs[start.task.job].task_mut(start.task);
+                task.not_before = now + INVALID_PAUSE_MS;
+            }
+        }
+        false
+    }
+
+    /// Orders a run to stop whose start was not answered, so that it cannot begin later.
+    pub fn void(&mut self, start: &Start) {
+        if let Some(job) = self.jobs.get(start.task.job)
+            && job
+                .task(start.task)
+                .is_some_and(|task| task.run == start.run)
+        {
+            self.stop(start.task);
+        }
+    }
+
+    /// Notes that it is not known whether a change of pace was carried out.
+    pub fn pace_unknown(&mut self, name: TaskName, run: Run) {
+        if let Some(key) = self.task_key(name) {
+            let task = self.jobs[key.job].task_mut(key);
+            // The next change is ordered even if it goes back to the same pace.
+            if task.run == run && task.pace == FULL_PACE {
+                task.pace = FULL_PACE - 1;
+            }
+        }
+    }
+
+    /// Notes that a worker answered an order to stop.
+    pub fn stop_answered(&mut self, worker: WorkerKey, name: TaskName, run: Run, now: MonoMs) {
+        let Some(key) = self.task_key(name) else {
+            return;
+        };
+        let task = self.jobs[key.job].task_mut(key);
+        if let Phase::Stopping {
+            worker: on,
+            answered_at,
+        } = &mut task.phase
+            && *on == worker
+            && task.run == run
+        {
+            answered_at.get_or_insert(now);
+        }
+    }
+
+    /// Whether an order to stop still has to reach the worker.
+    #[must_use]
+    pub fn stop_is_wanted(&self, worker: WorkerKey, name: TaskName, run: Run) -> bool {
+        let Some(key) = self.task_key(name) else {
+            return false;
+        };
+        let task = self.jobs[key.job].task(key);
+        task.is_some_and(|task| {
+            task.run == run
+                && matches!(task.phase,
+                    Phase::Stopping { worker: on, answered_at: None } if on == worker)
+        })
+    }
+}
+
+/// Pause of a task whose order a worker could not read.
+const INVALID_PAUSE_MS: Millis = Millis(2_000);
--- /dev/null
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -0,0 +1,380 @@
+//! Who owns which shard.
+//!
+//! Every node follows the claims stream. An owner renews its claim there; a node
+//! that has read the stream without a gap for longer than [`TAKE_OVER_MS`] and
+//! saw no renewal claims the shard with the next term. The append is conditional
+//! on the end of the stream, so that one of several claimants wins. A claim is
+//! made as the first append of a new epoch, which keeps renewals of the previous
+//! owner out of the stream.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use hemlocksaddle_node::wait::Signal;
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    hash::stable_hash,
+};
+use serde_json::json;
+
+use crate::{
+    event::Event,
+    node::Env,
+    ports::{Conditions, Record, Result, StoreError, Stream, Writer},
+    record::{self, Claim, LAYOUT_KEY, Layout},
+};
+
+/// Silence of an owner after which its shard is claimed: three renewals.
+const TAKE_OVER_MS: Millis = Millis(1_500);
+
+/// Interval at which an owner renews its claim.
+pub(crate) const RENEW_MS: Millis = Millis(500);
+
+/// Wait of one read of the claims.
+const READ_WAIT_MS: Millis = Millis(600);
+
+/// Interval at which claims are checked.
+const CHECK_MS: Millis = Millis(50);
+
+/// Pause after a read failed.
+const RETRY_MS: Millis = Millis(150);
+
+/// Largest pause before a claim, drawn by node and term, so that few nodes collide.
+const SPREAD_MS: u64 = 250;
+
+/// Pause before a claim for each shard that the node owns, so that shards spread over nodes.
+const OWNED_PAUSE_MS: u64 = 400;
+
+/// Longest pause for a node with a small share of a processor.
+const SLOW_PAUSE_MS: f64 = 200.0;
+
+/// Share of a core from which a node waits no longer than others.
+const FULL_SHARE: f64 = 0.5;
+
+/// Workers for which one more shard is made when the deployment first starts.
+///
+/// An owner makes about ten calls a second for each worker; at 100 workers these
+/// take about a tenth of a core.
+const WORKERS_PER_SHARD: usize = 100;
+
+/// Most shards: partitions of a stream.
+const MAX_SHARDS: usize = 8;
+
+/// Time that the workers have to register before the layout is decided.
+const LAYOUT_WAIT_MS: Millis = Millis(2_500);
+
+#[derive(Clone, Debug)]
+struct Heard {
+    claim: Claim,
+    at: MonoMs,
+}
+
+/// Node's view of the claims.
+pub(crate) struct Claims {
+    env: Rc<Env>,
+    layout: RefCell<Option<Layout>>,
+    heard: RefCell<BTreeMap<u32, Heard>>,
+    end: Cell<u64>,
+    /// Time since which the stream has been read without a gap.
+    read_since: Cell<Option<MonoMs>>,
+    /// Changes of an owner or of the layout.
+    pub(crate) changed: Signal,
+    claiming: Cell<bool>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) owned: Cell<u64>,
+}
+
+impl Claims {
+    pub(crate) fn new(env: Rc<Env>) -> Rc<Claims> {
+        Rc::new(Claims {
+            env,
+            layout: RefCell::default(),
+            heard: RefCell::default(),
+            end: Cell::new(0),
+            read_since: Cell::new(None),
+            changed: Signal::default(),
+            claiming: Cell::new(false),
+            stopping: Cell::new(false),
+            owned: Cell::new(0),
+        })
+    }
+
+    /// Layout, once it is known.
+    pub(crate) fn layout(&self) -> Option<Layout> {
+        self.layout.borrow().clone()
+    }
+
+    /// Latest claim of a shard.
+    pub(crate) fn claim(&self, shard: u32) -> Option<Claim> {
+        let heard = self.heard.borrow();
+        heard.get(&shard).map(|heard| heard.claim.clone())
+    }
+
+    /// Whether this process made the claim.
+    pub(crate) fn is_own(&self, claim: &Claim) -> bool {
+        claim.node == self.env.settings.node && claim.started_ms == self.env.started_ms
+    }
+
+    /// Reads the claims for as long as the process lives.
+    pub(crate) async fn follow(self: Rc<Self>) {
+        loop {
+            match self.read_newest().await {
+                Ok(()) => {}
+                Err(_) => {
+                    self.env.sleep(RETRY_MS).await;
+                    continue;
+                }
+            }
+            while self.read_tail().await {}
+        }
+    }
+
+    async fn read_newest(&self) -> Result<()> {
+        let (records, end) = self.env.read_all(Stream::Claims, 0).await?;
+        self.end.set(end);
+        for record in &records {
+            self.apply(record);
+        }
+        self.read_since.set(Some(self.env.now()));
+        Ok(())
+    }
+
+    /// Reads on; returns whether the next read can go on from there.
+    async fn read_tail(&self) -> bool {
+        let read = self
+            .env
+            .read(Stream::Claims, 0, self.end.get(), READ_WAIT_MS);
+        match read.await {
+            Ok(tail) => {
+                self.end.set(tail.next);
+                for record in tail.records.iter().flatten() {
+                    self.apply(record);
+                }
+                if self.read_since.get().is_none() {
+                    self.read_since.set(Some(self.env.now()));
+                }
+                true
+            }
+            Err(StoreError::Truncated(_)) => false,
+            Err(_) => {
+                self.read_since.set(None);
+                self.env.sleep(RETRY_MS).await;
+                true
+            }
+        }
+    }
+
+    fn apply(&self, record: &Record) {
+        let Some(value) = &record.value else { return };
+        if *record.key == *LAYOUT_KEY {
+            match record::decode::<Layout>(&record.key, value) {
+                Ok(layout) => {
+                    self.layout.replace(Some(layout));
+                    self.changed.notify();
+                }
+                Err(cause) => self.unreadable(record, &cause),
+            }
+            return;
+        }
+        let Some(shard) = record::claimed_shard(&record.key) else {
+            return;
+        };
+        match record::decode::<Claim>(&record.key, value) {
+            Ok(claim) => self.hear(shard, claim),
+            Err(cause) => self.unreadable(record, &cause),
+        }
+    }
+
+    fn unreadable(&self, record: &Record, cause: &dyn std::fmt::Display) {
+        let inputs = json!({ "key": &*record.key, "cause": cause.to_string() });
+        self.env.event(Event::RecordUnreadable, &inputs);
+    }
+
+    fn hear(&self, shard: u32, claim: Claim) {
+        let at = self.env.now();
+        let mut heard = self.heard.borrow_mut();
+        let known = heard.get(&shard);
+        if known.is_some_and(|known| known.claim.term > claim.term) {
+            return;
+        }
+        let changed = known.is_none_or(|known| known.claim != claim);
+        heard.insert(shard, Heard { claim, at });
+        drop(heard);
+        if changed {
+            self.changed.notify();
+        }
+    }
+
+    /// Claims shards whose owner is gone, for as long as the process lives.
+    pub(crate) async fn watch(self: Rc<Self>) {
+        loop {
+            self.env.sleep(CHECK_MS).await;
+            if self.stopping.get() {
+                return;
+            }
+            let Some(layout) = self.layout() else {
+                self.decide_layout().await;
+                continue;
+            };
+            for shard in 0..layout.shards {
+                if self.may_claim(shard) {
+                    self.make_claim(shard).await;
+                }
+            }
+        }
+    }
+
+    fn may_claim(&self, shard: u32) -> bool {
+        let now = self.env.now();
+        let Some(read_since) = self.read_since.get() else {
+            return false;
+        };
+        let heard = self.heard.borrow();
+        let Some(heard) = heard.get(&shard) else {
+            return now.since(read_since) >= self.pause(shard, 0);
+        };
+        let since = heard.at.max(read_since);
+        // An earlier life of this process has certainly ended.
+        let ended = heard.claim.node == self.env.settings.node && !self.is_own(&heard.claim);
+        let free = heard.claim.released || ended;
+        let silence = if free { Millis(0) } else { TAKE_OVER_MS };
+        now.since(since) >= silence + self.pause(shard, heard.claim.term)
+    }
+
+    /// Pause before a claim: drawn, longer for a node that owns shards or is slow.
+    fn pause(&self, shard: u32, term: u64) -> Millis {
+        let settings = &self.env.settings;
+        let parts = [
+            settings.node.as_str().as_bytes(),
+            &shard.to_be_bytes(),
+            &term.to_be_bytes(),
+        ];
+        let drawn = stable_hash(&parts) % SPREAD_MS;
+        let share = settings.cpu_share.clamp(0.05, FULL_SHARE);
+        let slow = SLOW_PAUSE_MS * (1.0 - share / FULL_SHARE);
+        Millis(drawn + slow as u64 + OWNED_PAUSE_MS * self.owned.get())
+    }
+
+    async fn make_claim(&self, shard: u32) {
+        if self.claiming.replace(true) {
+            return;
+        }
+        let term = self.claim(shard).map_or(1, |claim| claim.term + 1);
+        let claim = self.own_claim(term, false);
+        let made = self
+            .append_claim(shard, &claim, 0, Some(self.end.get()))
+            .await;
+        self.claiming.set(false);
+        let inputs = json!({
+            "shard": shard, "term": term, "end": self.end.get(),
+            "outcome": format!("{made:?}"),
+        });
+        self.env.event(Event::Claimed, &inputs);
+        if made.is_err() {
+            // The stream has moved on; what was appended is read first.
+            self.env.sleep(CHECK_MS).await;
+        }
+    }
+
+    fn own_claim(&self, term: u64, released: bool) -> Claim {
+        Claim {
+            term,
+            node: self.env.settings.node.clone(),
+            started_ms: self.env.started_ms,
+            address: self.env.settings.peer_address,
+            released,
+        }
+    }
+
+    async fn append_claim(
+        &self,
+        shard: u32,
+        claim: &Claim,
+        sequence: u64,
+        end: Option<u64>,
+    ) -> Result<u64> {
+        let key = record::claim_key(shard);
+        let writer = Writer {
+            name: key.clone(),
+            epoch: claim.term,
+            sequence,
+        };
+        let Ok(record) = record::encode(key, claim) else {
+            return Err(StoreError::NotDone);
+        };
+        let conditions = Conditions {
+            end,
+            writer: Some(writer),
+        };
+        self.env
+            .append(Stream::Claims, 0, vec![record], conditions)
+            .await
+    }
+
+    /// Renews a claim; `sequence` is the writer's next number and is kept up to date.
+    pub(crate) async fn renew(
+        &self,
+        shard: u32,
+        term: u64,
+        released: bool,
+        sequence: &Cell<u64>,
+    ) -> Result<()> {
+        let claim = self.own_claim(term, released);
+        match self.append_claim(shard, &claim, sequence.get(), None).await {
+            Ok(_) => {
+                sequence.set(sequence.get() + 1);
+                Ok(())
+            }
+            Err(StoreError::OutOfSequence(expected)) => {
+                sequence.set(expected);
+                Err(StoreError::OutOfSequence(expected))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes the layout at the first start of a deployment.
+    async fn decide_layout(&self) {
+        let Some(read_since) = self.read_since.get() else {
+            return;
+        };
+        let waited = self.env.now().since(read_since);
+        if waited < self.pause(0, 0) {
+            return;
+        }
+        let Ok((workers, _)) = self.env.read_all(Stream::Workers, 0).await else {
+            return;
+        };
+        if workers.is_empty() && waited < LAYOUT_WAIT_MS {
+            return;
+        }
+        let shards = workers
+            .len()
+            .div_ceil(WORKERS_PER_SHARD)
+            .clamp(1, MAX_SHARDS);
+        let random = || self.env.ports.runtime.random();
+        let peer_key = format!("{:016x}{:016x}", random(), random());
+        let layout = Layout {
+            shards: u32::try_from(shards).unwrap_or(1),
+            peer_key: peer_key.into(),
+        };
+        let Ok(record) = record::encode(LAYOUT_KEY.into(), &layout) else {
+            return;
+        };
+        let conditions = Conditions {
+            end: Some(self.end.get()),
+            writer: None,
+        };
+        // A lost race or answer shows in the stream, which is read in any case.
+        let decided = self
+            .env
+            .append(Stream::Claims, 0, vec![record], conditions)
+            .await;
+        if decided.is_err() {
+            self.env.sleep(RETRY_MS).await;
+        }
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-shard/src/configuration.rs
@@ -0,0 +1,150 @@
+//! Configuration and data centres that are taken out, as operators write them.
+//!
+//! A version is never replaced by an older one within the life of a process.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use foldhash::HashSet;
+use hemlocksaddle_node::wait::Signal;
+use hemlocksaddle_types::{clock::Millis, name::DataCentre, workflow::Catalogue};
+use serde_json::json;
+
+use crate::{
+    event::Event,
+    node::Env,
+    ports::{Notice, Record, StoreError, Stream},
+};
+
+/// Wait of one read; a longer one saves calls while nothing changes.
+const READ_WAIT_MS: Millis = Millis(3_000);
+
+/// Pause after a read failed.
+const RETRY_MS: Millis = Millis(200);
+
+/// Configuration in force on this node.
+pub(crate) struct Configuration {
+    env: Rc<Env>,
+    catalogue: RefCell<Option<Rc<Catalogue>>>,
+    closed: RefCell<HashSet<DataCentre>>,
+    next: Cell<u64>,
+    pub(crate) changed: Signal,
+}
+
+impl Configuration {
+    pub(crate) fn new(env: Rc<Env>) -> Rc<Configuration> {
+        Rc::new(Configuration {
+            env,
+            catalogue: RefCell::default(),
+            closed: RefCell::default(),
+            next: Cell::new(0),
+            changed: Signal::default(),
+        })
+    }
+
+    pub(crate) fn catalogue(&self) -> Option<Rc<Catalogue>> {
+        self.catalogue.borrow().clone()
+    }
+
+    pub(crate) fn closed(&self) -> HashSet<DataCentre> {
+        self.closed.borrow().clone()
+    }
+
+    /// Follows the operators' records for as long as the process lives.
+    pub(crate) async fn follow(self: Rc<Self>) {
+        loop {
+            let Ok((records, end)) = self.env.read_all(Stream::Operator, 0).await else {
+                self.env.sleep(RETRY_MS).await;
+                continue;
+            };
+            self.next.set(end);
+            self.replace_closed(&records);
+            records.iter().for_each(|record| self.apply(record));
+            while self.read_tail().await {}
+        }
+    }
+
+    async fn read_tail(&self) -> bool {
+        let read = self
+            .env
+            .read(Stream::Operator, 0, self.next.get(), READ_WAIT_MS);
+        match read.await {
+            Ok(tail) => {
+                self.next.set(tail.next);
+                tail.records
+                    .iter()
+                    .flatten()
+                    .for_each(|record| self.apply(record));
+                true
+            }
+            Err(StoreError::Truncated(_)) => false,
+            Err(_) => {
+                self.env.sleep(RETRY_MS).await;
+                true
+            }
+        }
+    }
+
+    /// Forgets data centres that were taken back while the records could not be followed.
+    fn replace_closed(&self, records: &[Record]) {
+        let notices = records
+            .iter()
+            .filter_map(|record| self.env.ports.formats.notice(record).ok());
+        let closed = notices.filter_map(|notice| match notice {
+            Notice::Closed(data_centre) => Some(data_centre),
+            _ => None,
+        });
+        let closed: HashSet<_> = closed.collect();
+        if *self.closed.borrow() != closed {
+            self.closed.replace(closed);
+            self.changed.notify();
+        }
+    }
+
+    fn apply(&self, record: &Record) {
+        match self.env.ports.formats.notice(record) {
+            Ok(Notice::Catalogue(catalogue)) => self.configure(catalogue),
+            Ok(Notice::Closed(data_centre)) => self.set_closed(data_centre, true),
+            Ok(Notice::Opened(data_centre)) => self.set_closed(data_centre, false),
+            Ok(Notice::Other) => {}
+            Err(cause) => {
+                let inputs = json!({ "key": &*record.key, "cause": cause });
+                self.env.event(Event::RecordUnreadable, &inputs);
+            }
+        }
+    }
+
+    fn configure(&self, catalogue: Catalogue) {
+        let known = self
+            .catalogue
+            .borrow()
+            .as_ref()
+            .map_or(0, |known| known.version);
+        if catalogue.version <= known {
+            return;
+        }
+        let inputs = json!({
+            "version": catalogue.version, "before": known, "queues": catalogue.queues.len(),
+        });
+        self.env.event(Event::Configured, &inputs);
+        self.catalogue.replace(Some(Rc::new(catalogue)));
+        self.changed.notify();
+    }
+
+    fn set_closed(&self, data_centre: DataCentre, closed: bool) {
+        let inputs = json!({ "data_centre": data_centre.as_str(), "closed": closed });
+        let mut set = self.closed.borrow_mut();
+        let changed = if closed {
+            set.insert(data_centre)
+        } else {
+            set.remove(&data_centre)
+        };
+        drop(set);
+        if changed {
+            self.env.event(Event::DataCentreChanged, &inputs);
+            self.changed.notify();
+        }
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-shard/src/front.rs
@@ -0,0 +1,293 @@
+//! Interface for callers: submissions, states and cancellations.
+
+use std::{cell::Cell, rc::Rc};
+
+use foldhash::{HashMap, HashMapExt};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    hash::stable_hash,
+    workflow::{Answer, Catalogue, Question, State, Submission, Workflow, WorkflowId},
+};
+use serde_json::json;
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use crate::{
+    claims::Claims,
+    configuration::Configuration,
+    event::Event,
+    links::Links,
+    node::{Env, Owners},
+    owner::state_text,
+    ports::{Conditions, Record, StoreError, Stream},
+    record::{self, Key},
+};
+
+/// Time for which an append of unknown outcome is repeated.
+///
+/// Below the shortest time limit of callers, so that most get an answer.
+const SETTLE_MS: Millis = Millis(1_500);
+
+/// Time for which the store may turn a submission away before it is refused.
+const REFUSE_AFTER_MS: Millis = Millis(120);
+
+/// Pause between two tries.
+const RETRY_MS: Millis = Millis(50);
+
+/// Time for which the owner of a shard is looked for.
+///
+/// As long as a take-over usually takes.
+const OWNER_WAIT_MS: Millis = Millis(2_200);
+
+/// Age up to which a count of waiting workflows is told again.
+const WAITING_AGE_MS: Millis = Millis(500);
+
+/// Time after which a refused caller is asked to come back.
+pub const RETRY_AFTER_S: u32 = 1;
+
+/// Answer to a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// Stored.
+    Accepted,
+    /// Certain never to run: the store cannot be reached now.
+    Unavailable,
+    /// Outcome unknown; the caller has to ask again under the same id.
+    Unknown,
+}
+
+/// Answer to a question for a state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// State.
+    State(State),
+    /// No such workflow.
+    Gone,
+    /// Cannot be told now.
+    Unavailable,
+}
+
+/// Interface for callers.
+pub struct Front {
+    env: Rc<Env>,
+    configuration: Rc<Configuration>,
+    claims: Rc<Claims>,
+    links: Rc<Links>,
+    owners: Rc<Owners>,
+    waiting: RefCell<HashMap<Arc<str>, (MonoMs, u32)>>,
+    open: Cell<u32>,
+}
+
+impl Front {
+    pub(crate) fn new(
+        env: Rc<Env>,
+        configuration: Rc<Configuration>,
+        claims: Rc<Claims>,
+        links: Rc<Links>,
+        owners: Rc<Owners>,
+    ) -> Rc<Front> {
+        Rc::new(Front {
+            env,
+            configuration,
+            claims,
+            links,
+            owners,
+            waiting: RefCell::new(HashMap::new()),
+            open: Cell::new(0),
+        })
+    }
+
+    /// Configuration in force; `None` before the first was read.
+    #[must_use]
+    pub fn catalogue(&self) -> Option<Rc<Catalogue>> {
+        self.configuration.catalogue()
+    }
+
+    /// Wall-clock time.
+    #[must_use]
+    pub fn wall(&self) -> hemlocksaddle_types::clock::WallMs {
+        self.env.wall()
+    }
+
+    /// Requests in progress.
+    #[must_use]
+    pub fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    #[must_use]
+    pub fn enter(self: &Rc<Self>) -> InProgress {
+        self.open.set(self.open.get() + 1);
+        InProgress(self.clone())
+    }
+
+    fn shard(&self, id: WorkflowId) -> Option<u32> {
+        let shards = self.claims.layout()?.shards.max(1);
+        let hash = stable_hash(&[&id.0.to_be_bytes()]);
+        u32::try_from(hash % u64::from(shards)).ok()
+    }
+
+    /// Stores a workflow.
+    pub async fn submit(&self, id: WorkflowId, workflow: Workflow) -> Submitted {
+        let started_at = self.env.now();
+        let queue = workflow.queue.clone();
+        let submission = Submission::Accepted(Box::new(workflow));
+        let outcome = self.store(id, Key::Accepted(id), &submission).await;
+        let took_ms = self.env.now().since(started_at);
+        let (event, label) = match outcome {
+            Submitted::Accepted => (Event::Accepted, "accepted"),
+            Submitted::Unavailable => (Event::Refused, "refused"),
+            Submitted::Unknown => (Event::OutcomeUnknown, "unknown"),
+        };
+        self.env
+            .metrics
+            .submissions
+            .with_label_values(&[label])
+            .inc();
+        self.env
+            .metrics
+            .accept_s
+            .observe(took_ms.0 as f64 / 1_000.0);
+        let inputs = json!({
+            "workflow": id.to_string(), "queue": &*queue, "took_ms": took_ms.0,
+            "version": self.catalogue().map(|catalogue| catalogue.version),
+            "shard": self.shard(id),
+        });
+        self.env.event(event, &inputs);
+        outcome
+    }
+
+    async fn store(&self, id: WorkflowId, key: Key, submission: &Submission) -> Submitted {
+        let Some(shard) = self.shard(id) else {
+            return Submitted::Unavailable;
+        };
+        let record = match record::encode(key.text(), submission) {
+            Ok(record) => record,
+            Err(cause) => {
+                let inputs = json!({ "workflow": id.to_string(), "cause": cause.to_string() });
+                self.env.event(Event::InvariantViolated, &inputs);
+                return Submitted::Unavailable;
+            }
+        };
+        self.append(shard, record).await
+    }
+
+    async fn append(&self, shard: u32, record: Record) -> Submitted {
+        let started_at = self.env.now();
+        let mut unsure = false;
+        loop {
+            let records = vec![record.clone()];
+            let conditions = Conditions::default();
+            match self
+                .env
+                .append(Stream::Submissions, shard, records, conditions)
+                .await
+            {
+                Ok(_) => return Submitted::Accepted,
+                Err(StoreError::Unknown) => unsure = true,
+                Err(_) => {}
+            }
+            let waited = self.env.now().since(started_at);
+            if !unsure && waited >= REFUSE_AFTER_MS {
+                return Submitted::Unavailable;
+            }
+            if waited >= SETTLE_MS {
+                return Submitted::Unknown;
+            }
+            self.env.sleep(RETRY_MS).await;
+        }
+    }
+
+    /// State of a workflow.
+    pub async fn state(&self, id: WorkflowId) -> Found {
+        let Some(shard) = self.shard(id) else {
+            return Found::Unavailable;
+        };
+        match self.ask(shard, Question::State(shard, id)).await {
+            Some(Answer::State(Some(state))) => Found::State(state),
+            Some(Answer::State(None)) => {
+                let inputs = json!({ "workflow": id.to_string(), "state": state_text(None) });
+                self.env.event(Event::StateUnknown, &inputs);
+                Found::Gone
+            }
+            _ => {
+                let inputs = json!({ "workflow": id.to_string(), "reason": "no owner answered" });
+                self.env.event(Event::StateUnknown, &inputs);
+                Found::Unavailable
+            }
+        }
+    }
+
+    /// Cancels a workflow.
+    pub async fn cancel(&self, id: WorkflowId) -> Submitted {
+        let outcome = self
+            .store(id, Key::Cancelled(id), &Submission::Cancelled)
+            .await;
+        let inputs = json!({ "workflow": id.to_string(), "outcome": format!("{outcome:?}") });
+        self.env.event(Event::Cancelled, &inputs);
+        outcome
+    }
+
+    /// Number of waiting workflows of a queue; `None` if it cannot be told.
+    pub async fn waiting(&self, queue: &Arc<str>) -> Option<u32> {
+        let now = self.env.now();
+        let cached = self.waiting.borrow().get(queue).copied();
+        if let Some((at, count)) = cached
+            && now.since(at) < WAITING_AGE_MS
+        {
+            return Some(count);
+        }
+        let shards = self.claims.layout()?.shards;
+        let mut count = 0;
+        for shard in 0..shards {
+            match self
+                .ask(shard, Question::Waiting(shard, queue.clone()))
+                .await
+            {
+                Some(Answer::Waiting(waiting)) => count += waiting,
+                _ => return None,
+            }
+        }
+        self.waiting
+            .borrow_mut()
+            .insert(queue.clone(), (now, count));
+        Some(count)
+    }
+
+    /// Asks the owner of a shard, waiting for a take-over.
+    async fn ask(&self, shard: u32, question: Question) -> Option<Answer> {
+        let started_at = self.env.now();
+        loop {
+            let answer = self.ask_once(shard, question.clone()).await;
+            match answer {
+                Some(Answer::NotOwner) | None => {}
+                answer => return answer,
+            }
+            if self.env.now().since(started_at) >= OWNER_WAIT_MS {
+                return None;
+            }
+            self.env.sleep(RETRY_MS).await;
+        }
+    }
+
+    async fn ask_once(&self, shard: u32, question: Question) -> Option<Answer> {
+        let claim = self.claims.claim(shard)?;
+        if self.claims.is_own(&claim) {
+            return self.owners.answer(shard, &question);
+        }
+        if claim.released {
+            return None;
+        }
+        self.links.ask(&claim.node, claim.address, question).await
+    }
+}
+
+/// Request in progress.
+pub struct InProgress(Rc<Front>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-shard/src/links.rs
@@ -0,0 +1,170 @@
+//! Connections to the owners of shards.
+//!
+//! A node opens a connection to an owner when it first has a question and keeps
+//! it. A question without an answer in time closes the connection, because a
+//! connection may go silent for good while a new one works.
+
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use foldhash::{HashMap, HashMapExt};
+use futures_channel::oneshot;
+use hemlocksaddle_node::{
+    ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers},
+    wait::within,
+};
+use hemlocksaddle_types::{
+    clock::Millis,
+    name::NodeName,
+    peer::{Message, Request, Response},
+    workflow::{Answer, Question},
+};
+use serde_json::json;
+
+use crate::{event::Event, node::Env};
+
+/// Time for an answer; a hundred times the way between two data centres.
+const ANSWER_MS: Millis = Millis(250);
+
+type Pending = RefCell<HashMap<u64, oneshot::Sender<Answer>>>;
+
+struct Link {
+    sender: Rc<dyn PeerSender>,
+    pending: Pending,
+}
+
+/// Connections to owners.
+pub(crate) struct Links {
+    env: Rc<Env>,
+    peers: OnceCell<Rc<dyn Peers>>,
+    open: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    next: Cell<u64>,
+}
+
+/// Answers questions of other nodes.
+pub(crate) trait Answering {
+    /// Answers a question from this node's own state.
+    fn answer(&self, question: &Question) -> Answer;
+}
+
+impl Links {
+    pub(crate) fn new(env: Rc<Env>) -> Rc<Links> {
+        Rc::new(Links {
+            env,
+            peers: OnceCell::new(),
+            open: RefCell::new(HashMap::new()),
+            next: Cell::new(1),
+        })
+    }
+
+    /// Sets the way to open connections; later calls change nothing.
+    pub(crate) fn set_peers(&self, peers: Rc<dyn Peers>) {
+        // The key of the peers never changes, so a second adapter would be the same.
+        let _ = self.peers.set(peers);
+    }
+
+    /// Asks an owner; `None` if it did not answer.
+    pub(crate) async fn ask(
+        self: &Rc<Self>,
+        node: &NodeName,
+        address: SocketAddr,
+        question: Question,
+    ) -> Option<Answer> {
+        let asking = self.ask_on_link(node, address, question);
+        let answer = within(&*self.env.ports.runtime, ANSWER_MS, asking)
+            .await
+            .flatten();
+        if answer.is_none() {
+            let link = self.open.borrow_mut().remove(&address);
+            if let Some(link) = link {
+                link.sender.close();
+            }
+            let inputs = json!({ "owner": node.as_str(), "address": address.to_string() });
+            self.env.event(Event::OwnerLost, &inputs);
+        }
+        answer
+    }
+
+    async fn ask_on_link(
+        self: &Rc<Self>,
+        node: &NodeName,
+        address: SocketAddr,
+        question: Question,
+    ) -> Option<Answer> {
+        let link = self.link(node, address).await?;
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (answered, answer) = oneshot::channel();
+        link.pending.borrow_mut().insert(number, answered);
+        let call = Message::Call(number, Request::Workflow(question));
+        link.sender.send(call).ok()?;
+        answer.await.ok()
+    }
+
+    async fn link(self: &Rc<Self>, node: &NodeName, address: SocketAddr) -> Option<Rc<Link>> {
+        if let Some(link) = self.open.borrow().get(&address) {
+            return Some(link.clone());
+        }
+        let peers = self.peers.get()?;
+        let peer = PeerAddress {
+            node: node.clone(),
+            data_centre: self.env.settings.data_centre.clone(),
+            address,
+        };
+        let opened = peers.connect(&peer).await.ok()?;
+        let link = Rc::new(Link {
+            sender: opened.sender,
+            pending: Pending::default(),
+        });
+        self.open.borrow_mut().insert(address, link.clone());
+        let links = self.clone();
+        let received = link.clone();
+        self.env.spawn(async move {
+            receive_answers(&received, opened.receiver).await;
+            let mut open = links.open.borrow_mut();
+            if open
+                .get(&address)
+                .is_some_and(|open| Rc::ptr_eq(open, &received))
+            {
+                open.remove(&address);
+            }
+        });
+        Some(link)
+    }
+
+    /// Answers the questions of a peer until it closes the connection.
+    pub(crate) async fn serve(link: PeerLink, answering: Rc<dyn Answering>) {
+        let PeerLink {
+            sender,
+            mut receiver,
+        } = link;
+        while let Ok(message) = receiver.receive().await {
+            let Message::Call(number, request) = message else {
+                continue;
+            };
+            let response = match request {
+                Request::Workflow(question) => Response::Workflow(answering.answer(&question)),
+                _ => Response::Unsupported,
+            };
+            if sender.send(Message::Reply(number, response)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn receive_answers(link: &Link, mut receiver: Box<dyn PeerReceiver>) {
+    while let Ok(message) = receiver.receive().await {
+        if let Message::Reply(number, Response::Workflow(answer)) = message {
+            let waiting = link.pending.borrow_mut().remove(&number);
+            if let Some(waiting) = waiting {
+                // The asking task may have given up meanwhile.
+                let _ = waiting.send(answer);
+            }
+        }
+    }
+    link.pending.borrow_mut().clear();
+}
--- /dev/null
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -0,0 +1,84 @@
+//! Counters and histograms of a node.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency histograms in seconds: from one store append to a caller's time limit.
+const LATENCY_BOUNDS_S: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+
+/// Metrics of a node.
+pub struct Metrics {
+    registry: Registry,
+    /// Submissions by outcome.
+    pub submissions: IntCounterVec,
+    /// Orders to workers by kind and answer.
+    pub orders: IntCounterVec,
+    /// Calls to the store by outcome.
+    pub store_calls: IntCounterVec,
+    /// Ends of runs by kind.
+    pub ends: IntCounterVec,
+    /// Time from submission to durable acceptance.
+    pub accept_s: Histogram,
+    /// Time to make progress durable.
+    pub save_s: Histogram,
+    /// Shards that the node owns.
+    pub owned_shards: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have the same name.
+    pub fn new() -> prometheus::Result<Metrics> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let vector = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_S.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let owned_shards = IntGauge::new("shard_owned", "Shards that the node owns.")?;
+        registry.register(Box::new(owned_shards.clone()))?;
+        Ok(Metrics {
+            submissions: counter(
+                "shard_submissions_total",
+                "Submissions by outcome.",
+                &["outcome"],
+            )?,
+            orders: counter(
+                "shard_orders_total",
+                "Orders to workers.",
+                &["kind", "answer"],
+            )?,
+            store_calls: counter(
+                "shard_store_calls_total",
+                "Calls to the store.",
+                &["call", "outcome"],
+            )?,
+            ends: counter("shard_run_ends_total", "Ends of runs by kind.", &["kind"])?,
+            accept_s: histogram("shard_accept_seconds", "Time to accept a submission.")?,
+            save_s: histogram("shard_save_seconds", "Time to make progress durable.")?,
+            owned_shards,
+            registry,
+        })
+    }
+
+    /// Text of all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub fn text(&self) -> prometheus::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-shard/src/node.rs
@@ -0,0 +1,373 @@
+//! Node: follows the store, owns shards, answers peers.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use foldhash::{HashMap, HashMapExt};
+use hemlocksaddle_node::ports::{PeerLink, Peers, Runtime};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs, WallMs},
+    name::{DataCentre, NodeName},
+    workflow::{Answer, Question},
+};
+use serde_json::{Value, json};
+
+use crate::{
+    claims::Claims,
+    configuration::Configuration,
+    event::{Event, Log},
+    front::Front,
+    links::{Answering, Links},
+    metrics::Metrics,
+    owner::Owner,
+    ports::{Conditions, Fleet, Formats, Record, Result, Store, StoreError, Stream, Tail},
+};
+
+/// Time for the answer of a call to the store, beyond the wait of a read.
+///
+/// Above the answers of a slow store (60 times 4 ms) and short enough to notice a
+/// silent connection before an owner's right lapses.
+const STORE_ANSWER_MS: Millis = Millis(800);
+
+/// Failure of the store after which a node reports itself as not ready.
+const NOT_READY_MS: Millis = Millis(1_500);
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name.
+    pub node: NodeName,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+    /// Share of a core that the node has.
+    pub cpu_share: f64,
+    /// Longest lease of a worker.
+    pub lease_ms: Millis,
+    /// Longest time that a stop takes.
+    pub stop_ms: Millis,
+    /// Time for which an ended workflow stays visible.
+    pub keep_ended_ms: Millis,
+    /// Time for which a lasting task may exceed its target.
+    pub impact_ms: Millis,
+    /// Time within which a moved lasting task has to be at work again.
+    pub notice_ms: Millis,
+}
+
+/// Ports of a node.
+pub struct Ports {
+    /// Clock, tasks and randomness.
+    pub runtime: Rc<dyn Runtime>,
+    /// Platform's store.
+    pub store: Rc<dyn Store>,
+    /// Formats of others' records.
+    pub formats: Rc<dyn Formats>,
+    /// Platform's workers.
+    pub fleet: Rc<dyn Fleet>,
+}
+
+/// What all parts of a node share.
+pub(crate) struct Env {
+    pub(crate) ports: Ports,
+    pub(crate) settings: Settings,
+    pub(crate) metrics: Metrics,
+    pub(crate) started_ms: u64,
+    log: Log,
+    store_failing_since: Cell<Option<MonoMs>>,
+}
+
+impl Env {
+    pub(crate) fn now(&self) -> MonoMs {
+        self.ports.runtime.now()
+    }
+
+    pub(crate) fn wall(&self) -> WallMs {
+        self.ports.runtime.wall_now()
+    }
+
+    pub(crate) async fn sleep(&self, span: Millis) {
+        self.ports.runtime.sleep(span).await;
+    }
+
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.ports.runtime.spawn(Box::pin(task));
+    }
+
+    pub(crate) fn event(&self, event: Event, inputs: &Value) {
+        self.log.line(event, self.now(), self.wall(), inputs);
+    }
+
+    /// Reads the newest record of every key, with the offset to follow from.
+    pub(crate) async fn read_all(&self, stream: Stream, part: u32) -> Result<(Vec<Record>, u64)> {
+        let mut records: Vec<Record> = Vec::new();
+        let mut end = None;
+        loop {
+            let after = records.last().map(|record| record.key.clone());
+            let page = self.ports.store.newest(stream, part, after);
+            let page = self.bounded("newest", STORE_ANSWER_MS, page).await?;
+            // Changes during the pages come again when the stream is followed.
+            end.get_or_insert(page.end);
+            let is_empty = page.records.is_empty();
+            records.extend(page.records);
+            if !page.more || is_empty {
+                return Ok((records, end.unwrap_or(page.end)));
+            }
+        }
+    }
+
+    pub(crate) async fn read(
+        &self,
+        stream: Stream,
+        part: u32,
+        from: u64,
+        wait: Millis,
+    ) -> Result<Tail> {
+        let read = self.ports.store.read(stream, part, from, wait);
+        self.bounded("read", wait + STORE_ANSWER_MS, read).await
+    }
+
+    pub(crate) async fn append(
+        &self,
+        stream: Stream,
+        part: u32,
+        records: Vec<Record>,
+        conditions: Conditions,
+    ) -> Result<u64> {
+        let append = self.ports.store.append(stream, part, records, conditions);
+        self.bounded("append", STORE_ANSWER_MS, append).await
+    }
+
+    async fn bounded<T>(
+        &self,
+        call: &str,
+        limit: Millis,
+        future: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        let answer = hemlocksaddle_node::wait::within(&*self.ports.runtime, limit, future).await;
+        let answer = answer.unwrap_or(Err(StoreError::Unknown));
+        let outcome = match &answer {
+            Ok(_) => "ok",
+            Err(StoreError::NotDone) => "not done",
+            Err(StoreError::Unknown) => "unknown",
+            Err(_) => "refused",
+        };
+        self.metrics
+            .store_calls
+            .with_label_values(&[call, outcome])
+            .inc();
+        self.note_store(call, answer.as_ref().err().copied());
+        answer
+    }
+
+    fn note_store(&self, call: &str, error: Option<StoreError>) {
+        let failing = matches!(error, Some(StoreError::NotDone | StoreError::Unknown));
+        let since = self.store_failing_since.get();
+        if failing && since.is_none() {
+            self.store_failing_since.set(Some(self.now()));
+            let inputs = json!({ "call": call, "error": format!("{error:?}") });
+            self.event(Event::StoreLost, &inputs);
+        }
+        if !failing && let Some(since) = since {
+            self.store_failing_since.set(None);
+            let away_ms = self.now().since(since);
+            let inputs = json!({ "call": call, "away_ms": away_ms.0 });
+            self.event(Event::StoreRegained, &inputs);
+        }
+    }
+
+    fn store_failed_for(&self) -> Millis {
+        let since = self.store_failing_since.get();
+        since.map_or(Millis(0), |since| self.now().since(since))
+    }
+}
+
+/// Shards that the node owns.
+pub(crate) struct Owners {
+    owners: RefCell<HashMap<u32, Rc<Owner>>>,
+}
+
+impl Owners {
+    /// Answers a question if this node owns the shard.
+    pub(crate) fn answer(&self, shard: u32, question: &Question) -> Option<Answer> {
+        let owner = self.owners.borrow().get(&shard).cloned()?;
+        Some(owner.answer(question))
+    }
+}
+
+impl Answering for Owners {
+    fn answer(&self, question: &Question) -> Answer {
+        let (Question::State(shard, _) | Question::Waiting(shard, _)) = question;
+        Owners::answer(self, *shard, question).unwrap_or(Answer::NotOwner)
+    }
+}
+
+/// Node of a deployment.
+pub struct Node {
+    env: Rc<Env>,
+    claims: Rc<Claims>,
+    configuration: Rc<Configuration>,
+    links: Rc<Links>,
+    owners: Rc<Owners>,
+    /// Interface for callers.
+    pub front: Rc<Front>,
+}
+
+impl Node {
+    /// Node over its ports.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be registered.
+    pub fn new(settings: Settings, ports: Ports) -> prometheus::Result<Rc<Node>> {
+        let started_ms = ports.runtime.wall_now().0;
+        let env = Rc::new(Env {
+            log: Log::new(settings.node.clone()),
+            metrics: Metrics::new()?,
+            started_ms,
+            store_failing_since: Cell::new(None),
+            settings,
+            ports,
+        });
+        let claims = Claims::new(env.clone());
+        let configuration = Configuration::new(env.clone());
+        let links = Links::new(env.clone());
+        let owners = Rc::new(Owners {
+            owners: RefCell::new(HashMap::new()),
+        });
+        let front = Front::new(
+            env.clone(),
+            configuration.clone(),
+            claims.clone(),
+            links.clone(),
+            owners.clone(),
+        );
+        Ok(Rc::new(Node {
+            env,
+            claims,
+            configuration,
+            links,
+            owners,
+            front,
+        }))
+    }
+
+    /// Starts all background tasks.
+    pub fn start(self: &Rc<Self>) {
+        let inputs = json!({
+            "data_centre": self.env.settings.data_centre.as_str(),
+            "peers_at": self.env.settings.peer_address.to_string(),
+            "started_ms": self.env.started_ms,
+        });
+        self.env.event(Event::Started, &inputs);
+        self.env.spawn(self.configuration.clone().follow());
+        self.env.spawn(self.claims.clone().follow());
+        self.env.spawn(self.claims.clone().watch());
+        let node = self.clone();
+        self.env.spawn(async move { node.own_claimed().await });
+    }
+
+    /// Key of the peers, once it is known.
+    pub async fn peer_key(&self) -> Arc<str> {
+        loop {
+            let seen = self.claims.changed.count();
+            if let Some(layout) = self.claims.layout() {
+                return layout.peer_key;
+            }
+            self.claims.changed.wait_past(seen).await;
+        }
+    }
+
+    /// Sets the way to open connections to peers.
+    pub fn set_peers(&self, peers: Rc<dyn Peers>) {
+        self.links.set_peers(peers);
+    }
+
+    /// Takes a connection that a peer opened.
+    pub fn accept_peer(&self, link: PeerLink) {
+        self.env.spawn(Links::serve(link, self.owners.clone()));
+    }
+
+    /// Whether callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.claims.stopping.get()
+            && self.configuration.catalogue().is_some()
+            && self.claims.layout().is_some()
+            && self.env.store_failed_for() < NOT_READY_MS
+    }
+
+    /// Text of all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub fn metrics_text(&self) -> prometheus::Result<Vec<u8>> {
+        self.env.metrics.text()
+    }
+
+    /// Logs that the settings file was read again.
+    pub fn note_reload(&self, outcome: &str) {
+        self.env
+            .event(Event::Reloaded, &json!({ "outcome": outcome }));
+    }
+
+    /// Gives up all shards; callers are still answered.
+    pub async fn release(&self) {
+        self.claims.stopping.set(true);
+        self.env.event(
+            Event::Stopping,
+            &json!({ "owned": self.owners.owners.borrow().len() }),
+        );
+        let owners: Vec<_> = self.owners.owners.borrow_mut().drain().collect();
+        for (_, owner) in owners {
+            owner.release().await;
+        }
+    }
+
+    /// Starts an owner for each claim of this process and forgets those that have ended.
+    async fn own_claimed(self: Rc<Self>) {
+        loop {
+            let seen = self.claims.changed.count();
+            let shards = self.claims.layout().map_or(0, |layout| layout.shards);
+            for shard in 0..shards {
+                self.own_if_claimed(shard);
+            }
+            self.claims.changed.wait_past(seen).await;
+        }
+    }
+
+    fn own_if_claimed(&self, shard: u32) {
+        let claim = self.claims.claim(shard);
+        let own = claim.filter(|claim| self.claims.is_own(claim) && !claim.released);
+        let mut owners = self.owners.owners.borrow_mut();
+        let running = owners.get(&shard).map(|owner| owner.term);
+        match own {
+            Some(claim) if running == Some(claim.term) => {}
+            Some(claim) if !self.claims.stopping.get() => {
+                let owner = Owner::new(
+                    self.env.clone(),
+                    self.claims.clone(),
+                    self.configuration.clone(),
+                    shard,
+                    claim.term,
+                );
+                owners.insert(shard, owner.clone());
+                self.env.spawn(owner.run());
+            }
+            _ => {
+                owners.remove(&shard);
+            }
+        }
+        let owned = owners.len();
+        self.claims.owned.set(owned as u64);
+        self.env
+            .metrics
+            .owned_shards
+            .set(i64::try_from(owned).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -0,0 +1,211 @@
+//! Sending orders to workers.
+
+use std::rc::Rc;
+
+use hemlocksaddle_node::wait::within;
+use hemlocksaddle_policy::workflow::{Order, Start, StartAnswer, WorkerKey};
+use hemlocksaddle_types::{
+    clock::Millis,
+    workflow::{Run, TaskName},
+};
+use serde_json::json;
+
+use crate::{
+    event::Event,
+    owner::Owner,
+    ports::{StartCall, Timed, WorkerError},
+};
+
+/// Time for the answer to an order; a hundred times the way to a worker and back.
+const ANSWER_MS: Millis = Millis(400);
+
+/// Pause before an order is sent again.
+const RESEND_MS: Millis = Millis(40);
+
+/// Longest pause before an order to stop is sent again.
+const MAX_RESEND_MS: Millis = Millis(500);
+
+/// Orders to start one run that may stay without an answer before it is voided by a stop.
+const MAX_UNANSWERED: u32 = 3;
+
+/// Time after which a worker refuses an order that was held up on its way.
+const START_BY_MS: Millis = Millis(3_000);
+
+impl Owner {
+    /// Sends an order in the background.
+    pub(crate) fn dispatch(self: &Rc<Self>, order: Order) {
+        let owner = self.clone();
+        match order {
+            Order::Start(start) => self.env.spawn(async move { owner.start(start).await }),
+            Order::Stop { worker, task, run } => {
+                self.env
+                    .spawn(async move { owner.stop(worker, task, run).await });
+            }
+            Order::Pace {
+                worker,
+                task,
+                run,
+                percent,
+            } => {
+                self.env
+                    .spawn(async move { owner.pace(worker, task, run, percent).await });
+            }
+        }
+    }
+
+    async fn start(self: Rc<Self>, start: Start) {
+        let mut unanswered = 0;
+        loop {
+            let answer = self.send_start(&start).await;
+            let label = format!("{answer:?}");
+            self.env
+                .metrics
+                .orders
+                .with_label_values(&["start", &label])
+                .inc();
+            let again = self
+                .board
+                .borrow_mut()
+                .start_answered(&start, answer, self.env.now());
+            if answer == StartAnswer::Fenced {
+                return self.depose("worker has seen a higher term");
+            }
+            if answer != StartAnswer::Accepted {
+                self.changed.notify();
+            }
+            if !again {
+                return;
+            }
+            unanswered += 1;
+            if unanswered >= MAX_UNANSWERED {
+                self.board.borrow_mut().void(&start);
+                self.changed.notify();
+                return;
+            }
+            self.env.sleep(RESEND_MS).await;
+        }
+    }
+
+    async fn send_start(self: &Rc<Self>, start: &Start) -> StartAnswer {
+        let listing = {
+            let board = self.board.borrow();
+            let Some(worker) = board.worker(start.worker) else {
+                return StartAnswer::OtherLife;
+            };
+            worker.listing.clone()
+        };
+        let clock = self.clocks.borrow().get(&start.worker).copied();
+        let Some(clock) = clock.filter(|_| self.may_act()) else {
+            return StartAnswer::NotSent;
+        };
+        let lease_until_ms = clock.after(self.env.now(), START_BY_MS);
+        let passed_by = clock.passed_by(lease_until_ms);
+        self.board
+            .borrow_mut()
+            .extend_lease(start.worker, passed_by);
+        let call = StartCall {
+            task: start.name,
+            run: start.run,
+            text: start.text.clone(),
+            checkpoint: start.checkpoint.clone(),
+            lease_until_ms,
+            term: self.term,
+        };
+        let sent = self.env.ports.fleet.start(&listing, call);
+        let answer = within(&*self.env.ports.runtime, ANSWER_MS, sent).await;
+        let timed = answer.unwrap_or(Timed {
+            clock_ms: None,
+            born_ms: None,
+            value: StartAnswer::Unknown,
+        });
+        let answer = match self.answered(start.worker, &listing, &timed) {
+            Ok(()) => timed.value,
+            Err(_) => StartAnswer::OtherLife,
+        };
+        let inputs = json!({
+            "task": start.name.to_string(), "run": start.run.0, "worker": &*listing.name,
+            "term": self.term, "lease_until_ms": lease_until_ms,
+            "resumed": start.checkpoint.is_some(), "answer": format!("{answer:?}"),
+        });
+        self.env.event(Event::StartAnswered, &inputs);
+        answer
+    }
+
+    async fn stop(self: Rc<Self>, worker: WorkerKey, task: TaskName, run: Run) {
+        let mut pause = RESEND_MS;
+        loop {
+            let listing = self
+                .board
+                .borrow()
+                .worker(worker)
+                .map(|worker| worker.listing.clone());
+            let Some(listing) = listing.filter(|_| !self.ended.get()) else {
+                return;
+            };
+            let sent = self.env.ports.fleet.stop(&listing, task, run, self.term);
+            let answer = within(&*self.env.ports.runtime, ANSWER_MS, sent).await;
+            let answer = answer.unwrap_or(Err(WorkerError::Unknown));
+            let label = format!("{answer:?}");
+            self.env
+                .metrics
+                .orders
+                .with_label_values(&["stop", &label])
+                .inc();
+            let inputs = json!({
+                "task": task.to_string(), "run": run.0, "worker": &*listing.name,
+                "term": self.term, "answer": label,
+            });
+            self.env.event(Event::StopOrdered, &inputs);
+            match answer {
+                Ok(()) | Err(WorkerError::Refused) => {
+                    let now = self.env.now();
+                    self.board
+                        .borrow_mut()
+                        .stop_answered(worker, task, run, now);
+                    self.look_now(worker);
+                    return;
+                }
+                Err(WorkerError::Fenced) => return self.depose("worker has seen a higher term"),
+                Err(WorkerError::OtherLife) => return,
+                Err(WorkerError::NotSent | WorkerError::Unknown) => {}
+            }
+            if !self.board.borrow().stop_is_wanted(worker, task, run) {
+                return;
+            }
+            self.env.sleep(pause).await;
+            pause = Millis((pause.0 * 2).min(MAX_RESEND_MS.0));
+        }
+    }
+
+    async fn pace(self: Rc<Self>, worker: WorkerKey, task: TaskName, run: Run, percent: u8) {
+        let listing = self
+            .board
+            .borrow()
+            .worker(worker)
+            .map(|worker| worker.listing.clone());
+        let Some(listing) = listing.filter(|_| self.may_act()) else {
+            return;
+        };
+        let sent = self
+            .env
+            .ports
+            .fleet
+            .pace(&listing, task, run, percent, self.term);
+        let answer = within(&*self.env.ports.runtime, ANSWER_MS, sent).await;
+        let answer = answer.unwrap_or(Err(WorkerError::Unknown));
+        let label = format!("{answer:?}");
+        self.env
+            .metrics
+            .orders
+            .with_label_values(&["pace", &label])
+            .inc();
+        let inputs = json!({
+            "task": task.to_string(), "run": run.0, "worker": &*listing.name,
+            "percent": percent, "answer": label,
+        });
+        self.env.event(Event::Paced, &inputs);
+        if answer.is_err() {
+            self.board.borrow_mut().pace_unknown(task, run);
+        }
+    }
+}
--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod resources;
 pub mod unit;
 pub mod worker;
+pub mod workflow;
--- a/hemlocksaddle-types/src/peer.rs
+++ b/hemlocksaddle-types/src/peer.rs
@@ -20,6 +20,7 @@
     request::{QuickRequest, QuickResponse},
     resources::Resources,
     unit::{QueueIndex, Term, Unit},
+    workflow,
 };
 
 /// Version of the messages; raised when a change is not just an added field.
@@ -228,6 +229,8 @@
     TasksOf(QueueIndex),
     /// Asks a rack owner to stop an attempt, with a checkpoint if the flag is set.
     StopTask(RackName, TaskId, Attempt, bool),
+    /// Asks the owner of a shard about workflows.
+    Workflow(workflow::Question),
 }
 
 /// Reply to a call.
@@ -257,6 +260,8 @@
     Ok,
     /// Refused, with code and a text for people.
     Refused(ResultCode, Arc<str>),
+    /// Answer about workflows.
+    Workflow(workflow::Answer),
     /// Receiver is not the owner of what the call needs.
     NotOwner,
     /// Receiver does not know the call.
