Learn harm by pair of images and pack lasting tasks

Cause: best-effort tasks waited for processors that lasting tasks reserve but do not use, and a few pairs of images drove lasting tasks over their target.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -13,6 +13,7 @@
 //! before every worker has reported or its lease has lapsed.
 
 mod bookkeeping;
+mod harm;
 mod job;
 mod pacing;
 mod placement;
@@ -147,7 +148,7 @@
     /// Time at which nothing of the predecessor can run unseen any more.
     settled_at: MonoMs,
     open: Vec<JobKey>,
-    harm: pacing::Harm,
+    harm: harm::Harm,
 }
 
 impl Board {
@@ -168,7 +169,7 @@
             early_cancels: HashMap::new(),
             settled_at,
             open: Vec::new(),
-            harm: pacing::Harm::default(),
+            harm: harm::Harm::default(),
         }
     }
 
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -1,124 +1,318 @@
-//! Pacing of best-effort tasks beside lasting tasks that exceed their target.
+//! Pacing of best-effort tasks beside lasting tasks.
 //!
-//! A lasting task reports the tail of its response times, roughly and with a lag.
-//! Best-effort tasks beside it are slowed at once when it exceeds its target and
-//! let go step by step once it is well below.
-
-use foldhash::HashMap;
-use hemlocksaddle_types::{
-    clock::{Millis, MonoMs},
-    workflow::Step,
-};
+//! Every report gives the tails of the lasting tasks. From these and the learned
+//! weights follows how much best-effort work each of them bears; the work that
+//! harms least per processor is granted first and the rest is paced to what is
+//! left. Where a tail exceeds its target all the same, the work that harms it is
+//! halted without asking the model, and all of it if that was not enough.
+
+use hemlocksaddle_types::clock::{Millis, MonoMs};
 
-use super::{Board, Order, Phase, TaskKey, Worker, WorkerKey, job::FULL_PACE};
+use super::{
+    Board, Order, Phase, TaskKey, Worker, WorkerKey,
+    harm::{Image, Neighbour},
+    job::FULL_PACE,
+    report::Report,
+};
 
 /// Time between two changes of the pace on one worker: the window of the reported tail and its lag.
-const SETTLE_MS: Millis = Millis(700);
+const SETTLE_MS: Millis = Millis(600);
+
+/// Age of a run from which its harm shows in a tail.
+const SHOWS_MS: Millis = Millis(500);
 
-/// Share of the target below which best-effort tasks are let go, in percent.
-const RELAX_BELOW_PERCENT: u64 = 70;
+/// Part of its target by which best-effort work may prolong the mean tail of a lasting task.
+///
+/// The tails swing around the mean; at this part few of them pass the target.
+const MOST_HARM: f64 = 0.12;
 
-/// Step by which the pace is raised, in percent.
-const RAISE_PERCENT: u8 = 20;
+/// Tail, as a share of the target, from which a lasting task bears no harm.
+const BEARS_NONE: f64 = 0.9;
+
+/// Tail, as a share of the target, up to which a lasting task bears the most.
+const BEARS_MOST: f64 = 0.5;
+
+/// Least change of a pace that is worth an order, in percent.
+const LEAST_CHANGE_PERCENT: u8 = 15;
 
 /// Pace below which a task is halted.
-const LEAST_PERCENT: u8 = 20;
+const LEAST_PACE_PERCENT: f64 = 15.0;
+
+/// Part of the whole harm from which a task is halted first.
+const CULPRIT: f64 = 0.25;
 
-/// Cost of a worker whose lasting tasks exceed their target, as a share of its processors.
-const OVER_TARGET_COST: f64 = 2.0;
+/// Time after which a halted run with a checkpoint is moved to another worker.
+const MOVE_HALTED_MS: Millis = Millis(1_200);
 
-/// What is known about the harm that tasks do to each other.
-#[derive(Debug, Default)]
-pub(super) struct Harm {
-    /// Highest share of its target that a lasting task of each worker reported last.
-    pressure: HashMap<WorkerKey, f64>,
+/// Lasting task with what it bears.
+struct Lasting {
+    image: Image,
+    /// Part of its target by which best-effort work may prolong its tail.
+    bears: f64,
+    /// Tail as a share of its target.
+    tail: f64,
 }
 
-impl Harm {
-    /// Cost of another best-effort task on a worker.
-    pub(super) fn cost(&self, board: &Board, worker: &Worker, _step: &Step) -> f64 {
-        let key = board.by_name.get(&worker.listing.name);
-        let pressure = key.and_then(|key| self.pressure.get(key)).copied();
-        match pressure {
-            Some(pressure) if pressure > 1.0 => OVER_TARGET_COST,
-            Some(pressure) => pressure / 2.0,
-            None => 0.0,
-        }
-    }
+/// Best-effort run.
+struct Filler {
+    key: TaskKey,
+    near: Neighbour,
+    pace: u8,
 }
 
 impl Board {
+    /// Learns from a report how best-effort tasks harm lasting ones.
+    pub(super) fn learn(&mut self, key: WorkerKey, report: &Report, now: MonoMs) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if report.rows.is_empty() || now < worker.learned_at + SHOWS_MS {
+            return;
+        }
+        worker.learned_at = now;
+        let worker = &self.workers[key];
+        let beside = self.beside(worker, now);
+        for &task in worker.tasks.keys() {
+            if let Some((image, tail)) = self.tail(worker, task) {
+                self.harm.observe(&image, tail, &beside);
+            }
+        }
+    }
+
+    /// Image and tail of a lasting task that is at work.
+    fn tail(&self, worker: &Worker, key: TaskKey) -> Option<(Image, f64)> {
+        let job = &self.jobs[key.job];
+        let step = job.step(key);
+        let at_work = job.task(key)?.percent == 100;
+        let figure = worker.tasks.get(&key)?.figure;
+        let seen = step.target_ms > 0 && at_work && figure > 0;
+        seen.then(|| {
+            (
+                image(step.image.as_ref()),
+                figure as f64 / step.target_ms as f64,
+            )
+        })
+    }
+
+    /// Best-effort work whose harm shows in the tails, by the processors that it uses.
+    fn beside(&self, worker: &Worker, now: MonoMs) -> Vec<Neighbour> {
+        let old = |key: TaskKey| {
+            let task = self.jobs[key.job].task(key);
+            task.is_some_and(|task| match task.phase {
+                Phase::Running { since, .. } => now.since(since) >= SHOWS_MS,
+                Phase::Stopping { .. } => true,
+                _ => false,
+            })
+        };
+        let runs = worker
+            .tasks
+            .iter()
+            .filter(|(key, task)| task.best_effort && old(**key));
+        let beside = runs.map(|(&key, assigned)| Neighbour {
+            image: image(self.jobs[key.job].step(key).image.as_ref()),
+            share: share(assigned.figure, worker),
+        });
+        beside.collect()
+    }
+
+    /// Lasting tasks on a worker with what they bear.
+    fn lasting(&self, worker: &Worker) -> Vec<Lasting> {
+        let lasting = worker.tasks.iter().filter_map(|(&key, assigned)| {
+            let step = self.jobs[key.job].step(key);
+            if step.target_ms == 0 {
+                return None;
+            }
+            let image = image(step.image.as_ref());
+            let tail = assigned.figure as f64 / step.target_ms as f64;
+            let slack = (BEARS_NONE - tail) / (BEARS_NONE - BEARS_MOST);
+            Some(Lasting {
+                bears: MOST_HARM * slack.clamp(0.0, 1.0),
+                tail,
+                image,
+            })
+        });
+        lasting.collect()
+    }
+
+    /// Best-effort runs on a worker at their full demand.
+    fn fillers(&self, worker: &Worker) -> Vec<Filler> {
+        let best_effort = worker
+            .tasks
+            .iter()
+            .filter(|(_, assigned)| assigned.best_effort);
+        let fillers = best_effort.filter_map(|(&key, assigned)| {
+            let job = &self.jobs[key.job];
+            Some(Filler {
+                key,
+                near: Neighbour {
+                    image: image(job.step(key).image.as_ref()),
+                    share: share(assigned.demand.cpu_milli, worker),
+                },
+                pace: job.task(key)?.pace,
+            })
+        });
+        fillers.collect()
+    }
+
+    /// Part of its demand that another best-effort task could use on a worker.
+    pub(super) fn bearable(&self, worker: &Worker, added: &Image, cpu_milli: u64) -> f64 {
+        let share = share(cpu_milli, worker);
+        let present = self.fillers(worker);
+        let present: Vec<Neighbour> = present.into_iter().map(|filler| filler.near).collect();
+        let parts = self.lasting(worker).into_iter().map(|lasting| {
+            let left = lasting.bears - self.harm.harm(&lasting.image, &present);
+            let needed = self.harm.weight(added, &lasting.image) * share;
+            if needed <= f64::EPSILON {
+                1.0
+            } else {
+                (left / needed).clamp(0.0, 1.0)
+            }
+        });
+        parts.fold(1.0, f64::min)
+    }
+
     /// Orders changes of pace.
     pub(super) fn pace(&mut self, now: MonoMs) {
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
-            self.pace_worker(key, now);
+            if self.workers[key].best_effort_cpu_milli > 0 {
+                self.pace_worker(key, now);
+            }
         }
     }
 
     fn pace_worker(&mut self, key: WorkerKey, now: MonoMs) {
         let worker = &self.workers[key];
-        let pressure = self.pressure(worker);
-        let reported = worker.reported_at.unwrap_or(MonoMs(0));
-        let fresh = reported >= worker.paced_at + SETTLE_MS;
-        let Some(pressure) = pressure else {
-            self.harm.pressure.remove(&key);
-            return;
-        };
-        self.harm.pressure.insert(key, pressure);
-        if !fresh {
+        if worker
+            .reported_at
+            .is_none_or(|at| at < worker.paced_at + SETTLE_MS)
+        {
             return;
         }
-        let relaxed = pressure * 100.0 < RELAX_BELOW_PERCENT as f64;
-        if pressure <= 1.0 && !relaxed {
-            return;
+        let lasting = self.lasting(worker);
+        let fillers = self.fillers(worker);
+        let mut paces = self.granted(&lasting, &fillers);
+        let over: Vec<&Lasting> = lasting
+            .iter()
+            .filter(|lasting| lasting.tail > 1.0)
+            .collect();
+        let again = worker.over_target;
+        self.workers[key].over_target = !over.is_empty();
+        for lasting in over {
+            self.halt_culprits(lasting, &fillers, &mut paces, again);
         }
         let mut changed = false;
-        for task in self.best_effort_tasks(key) {
-            changed |= self.change_pace(key, task, pressure > 1.0);
+        for (filler, pace) in fillers.iter().zip(paces) {
+            changed |= self.set_pace(key, filler, pace);
         }
         if changed {
             self.workers[key].paced_at = now;
         }
+        self.move_halted(key, now);
     }
 
-    /// Highest share of its target that a lasting task on the worker reports.
-    fn pressure(&self, worker: &Worker) -> Option<f64> {
-        let shares = worker.tasks.iter().filter_map(|(&key, assigned)| {
-            let target_ms = self.jobs[key.job].step(key).target_ms;
-            (target_ms > 0).then(|| assigned.figure as f64 / target_ms as f64)
-        });
-        shares.reduce(f64::max)
+    /// Pace of each best-effort run that the lasting tasks bear together.
+    fn granted(&self, lasting: &[Lasting], fillers: &[Filler]) -> Vec<u8> {
+        let harm = |filler: &Filler| {
+            let weights = lasting
+                .iter()
+                .map(|to| self.harm.weight(&filler.near.image, &to.image));
+            weights.fold(0.0, f64::max)
+        };
+        let mut order: Vec<usize> = (0..fillers.len()).collect();
+        order.sort_by(|&a, &b| harm(&fillers[a]).total_cmp(&harm(&fillers[b])));
+        let mut left: Vec<f64> = lasting.iter().map(|lasting| lasting.bears).collect();
+        let mut paces = vec![FULL_PACE; fillers.len()];
+        for index in order {
+            let near = &fillers[index].near;
+            let needed: Vec<f64> = lasting
+                .iter()
+                .map(|to| self.harm.weight(&near.image, &to.image) * near.share)
+                .collect();
+            let parts = needed.iter().zip(&left).map(|(needed, left)| {
+                if *needed <= f64::EPSILON {
+                    1.0
+                } else {
+                    (left / needed).clamp(0.0, 1.0)
+                }
+            });
+            let part = parts.fold(1.0, f64::min);
+            let percent = part * f64::from(FULL_PACE);
+            let percent = if percent < LEAST_PACE_PERCENT {
+                0.0
+            } else {
+                percent
+            };
+            paces[index] = percent as u8;
+            for (left, needed) in left.iter_mut().zip(needed) {
+                *left -= needed * percent / f64::from(FULL_PACE);
+            }
+        }
+        paces
     }
 
-    fn best_effort_tasks(&self, key: WorkerKey) -> Vec<TaskKey> {
-        let tasks = self.workers[key].tasks.iter();
-        let best_effort = tasks.filter(|(_, assigned)| assigned.best_effort);
-        best_effort.map(|(&task, _)| task).collect()
+    /// Halts the work that harms a lasting task most, or all of it.
+    fn halt_culprits(&self, lasting: &Lasting, fillers: &[Filler], paces: &mut [u8], all: bool) {
+        let effect = |filler: &Filler| {
+            let near = &filler.near;
+            self.harm.weight(&near.image, &lasting.image) * near.share * f64::from(filler.pace)
+        };
+        let whole: f64 = fillers.iter().map(effect).sum();
+        for (filler, pace) in fillers.iter().zip(paces) {
+            if all || effect(filler) >= CULPRIT * whole {
+                *pace = 0;
+            }
+        }
     }
 
-    fn change_pace(&mut self, worker: WorkerKey, key: TaskKey, slow_down: bool) -> bool {
+    fn set_pace(&mut self, worker: WorkerKey, filler: &Filler, percent: u8) -> bool {
+        let key = filler.key;
         let name = self.name(key);
         let task = self.jobs[key.job].task_mut(key);
-        if !matches!(task.phase, Phase::Running { .. }) {
+        let small = percent.abs_diff(task.pace) < LEAST_CHANGE_PERCENT
+            && percent != 0
+            && percent != FULL_PACE;
+        if !matches!(task.phase, Phase::Running { .. }) || task.pace == percent || small {
             return false;
         }
-        let pace = match slow_down {
-            true if task.pace / 2 < LEAST_PERCENT => 0,
-            true => task.pace / 2,
-            false => (task.pace + RAISE_PERCENT).min(FULL_PACE),
-        };
-        if pace == task.pace {
-            return false;
-        }
-        task.pace = pace;
+        task.pace = percent;
         let run = task.run;
         self.orders.push(Order::Pace {
             worker,
             task: name,
             run,
-            percent: pace,
+            percent,
         });
         true
     }
+
+    /// Stops halted runs that can resume elsewhere.
+    fn move_halted(&mut self, key: WorkerKey, now: MonoMs) {
+        let worker = &self.workers[key];
+        if now.since(worker.paced_at) <= MOVE_HALTED_MS {
+            return;
+        }
+        let halted = worker.tasks.iter().filter(|(task_key, assigned)| {
+            let job = &self.jobs[task_key.job];
+            let task = job.task(**task_key);
+            assigned.best_effort
+                && job.step(**task_key).checkpointed
+                && task.is_some_and(|task| {
+                    task.pace == 0 && matches!(task.phase, Phase::Running { .. })
+                })
+        });
+        let halted: Vec<TaskKey> = halted.map(|(&key, _)| key).collect();
+        for task in halted {
+            self.jobs[task.job].task_mut(task).failed_on = Some(key);
+            self.stop(task);
+        }
+    }
+}
+
+fn share(cpu_milli: u64, worker: &Worker) -> f64 {
+    cpu_milli as f64 / worker.listing.capacity.cpu_milli.max(1) as f64
+}
+
+pub(super) fn image(image: Option<&Image>) -> Image {
+    image.cloned().unwrap_or_else(|| Image::from(""))
 }
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -1,18 +1,29 @@
 //! Choice of a worker for a task.
 //!
-//! Tasks that reserve processors go where the smallest share is committed, which
-//! keeps room for wide steps on many workers and spreads the load that tasks put
-//! on each other. Best-effort tasks go where most processors are idle.
+//! Lasting tasks are packed, which leaves some workers without any for the
+//! best-effort tasks that would harm them. Other tasks that reserve processors go
+//! where the smallest share is committed. Best-effort tasks go where the expected
+//! tail of the lasting tasks stays below its target, and of these where most
+//! processors are idle.
 
 use hemlocksaddle_types::{clock::MonoMs, resources::Resources, workflow::Step};
 
-use super::{Board, TaskKey, Worker, WorkerKey};
+use super::{Board, TaskKey, Worker, WorkerKey, pacing::image};
 
-/// Share of a reservation that a lasting task uses on average, in percent.
+/// Part of its reservation that a lasting task is expected to use, in percent.
 ///
-/// Best-effort tasks may request what is left; a worker where they get less than
-/// they request slows them, and the next ones go elsewhere.
-const RESERVED_USE_PERCENT: u64 = 100;
+/// The load of lasting tasks swings around half of what they reserve; best-effort
+/// tasks may request the rest.
+const LASTING_USE_PERCENT: u64 = 55;
+
+/// Part of its demand that a best-effort task must be able to use on a worker.
+const LEAST_PART: f64 = 0.7;
+
+/// Cost of a worker without lasting tasks for a best-effort task that harms few of them.
+const UNHARMED_COST: f64 = 0.6;
+
+/// Weight of the part that a best-effort task could not use, against idle processors.
+const HARM_COST: f64 = 1.0;
 
 /// Penalty of a worker outside the rack of the data, as a share of its processors.
 const FAR_PENALTY: f64 = 0.5;
@@ -33,9 +44,9 @@
 
     /// Processors that neither reservations nor best-effort tasks use, in thousandths of a core.
     pub(super) fn idle_cpu_milli(&self) -> u64 {
-        let used = self.committed.cpu_milli * RESERVED_USE_PERCENT / 100;
-        let free = self.listing.capacity.cpu_milli.saturating_sub(used);
-        free.saturating_sub(self.best_effort_cpu_milli)
+        let unused = self.lasting_cpu_milli * (100 - LASTING_USE_PERCENT) / 100;
+        let used = self.committed.cpu_milli + self.best_effort_cpu_milli;
+        (self.listing.capacity.cpu_milli + unused).saturating_sub(used)
     }
 
     fn fits(&self, step: &Step) -> bool {
@@ -85,13 +96,12 @@
                 && worker.fits(step)
                 && rack.is_none_or(|rack| worker.listing.rack().is_some_and(|of| **of == *rack))
                 && self.below_limit(worker, key, step);
-            allowed.then(|| {
-                let mut cost = self.cost(worker, step);
-                if task.failed_on == Some(worker_key) {
-                    cost += FAILED_PENALTY;
-                }
-                (worker_key, cost)
-            })
+            if !allowed {
+                return None;
+            }
+            let failed = task.failed_on == Some(worker_key);
+            let penalty = if failed { FAILED_PENALTY } else { 0.0 };
+            Some((worker_key, penalty + self.cost(worker, step)?))
         });
         let best = candidates.min_by(|a, b| a.1.total_cmp(&b.1));
         best.map(|(worker, _)| worker)
@@ -107,7 +117,8 @@
         same.count() < step.max_per_worker as usize
     }
 
-    fn cost(&self, worker: &Worker, step: &Step) -> f64 {
+    /// Cost of a task on a worker; `None` if it should not run there.
+    fn cost(&self, worker: &Worker, step: &Step) -> Option<f64> {
         let capacity = worker.listing.capacity.cpu_milli.max(1) as f64;
         let far = step
             .data_rack
@@ -116,9 +127,19 @@
         let far = if far { FAR_PENALTY } else { 0.0 };
         if step.best_effort {
             let idle = worker.idle_cpu_milli() as f64 / capacity;
-            return far - idle + self.harm.cost(self, worker, step);
+            return Some(far - idle + self.harm_cost(worker, step)?);
         }
         let used = (worker.committed.cpu_milli + step.demand.cpu_milli) as f64 / capacity;
-        far + used
+        Some(if step.lasting { far - used } else { far + used })
+    }
+
+    /// Cost of the harm that a best-effort task would do on a worker.
+    fn harm_cost(&self, worker: &Worker, step: &Step) -> Option<f64> {
+        if worker.lasting_cpu_milli == 0 {
+            return Some(UNHARMED_COST);
+        }
+        let image = image(step.image.as_ref());
+        let part = self.bearable(worker, &image, step.demand.cpu_milli);
+        (part >= LEAST_PART).then_some((1.0 - part) * HARM_COST)
     }
 }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -199,6 +199,7 @@
             run,
             demand: step.demand,
             best_effort: step.best_effort,
+            lasting: step.lasting,
             figure: 0,
         };
         let task = job.task_mut(key);
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -99,6 +99,7 @@
         if report.ends.len() < MAX_LISTED_ENDS {
             self.drop_missing(key, report, wall);
         }
+        self.learn(key, report, now);
     }
 
     fn end(&mut self, worker: WorkerKey, end: &End, now: MonoMs, wall: WallMs) {
@@ -214,6 +215,7 @@
             run: row.run,
             demand: step.demand,
             best_effort: step.best_effort,
+            lasting: step.lasting,
             figure: row.figure,
         };
         let task = job.task_mut(key);
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -60,11 +60,12 @@
 }
 
 /// Task on a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Assigned {
     pub(super) run: Run,
     pub(super) demand: Resources,
     pub(super) best_effort: bool,
+    pub(super) lasting: bool,
     /// Tail in milliseconds of a lasting task, processors in use of any other.
     pub(super) figure: u64,
 }
@@ -97,6 +98,11 @@
     /// Last contact failed.
     pub(super) silent: bool,
     pub(super) paced_at: MonoMs,
+    pub(super) learned_at: MonoMs,
+    /// A lasting task exceeded its target when the pace was changed last.
+    pub(super) over_target: bool,
+    /// Reserved by lasting tasks, part of what is committed.
+    pub(super) lasting_cpu_milli: u64,
 }
 
 impl Worker {
@@ -117,6 +123,9 @@
             suspend_ms: SUSPEND_MS,
             silent: false,
             paced_at: MonoMs(0),
+            learned_at: MonoMs(0),
+            over_target: false,
+            lasting_cpu_milli: 0,
         }
     }
 
@@ -126,6 +135,12 @@
         self.tasks.len()
     }
 
+    /// Whether best-effort tasks run beside lasting ones, whose tails have to be watched.
+    #[must_use]
+    pub fn is_shared(&self) -> bool {
+        self.best_effort_cpu_milli > 0 && self.lasting_cpu_milli > 0
+    }
+
     /// Whether ends wait to be made durable.
     #[must_use]
     pub fn has_unsaved_ends(&self) -> bool {
@@ -155,6 +170,9 @@
             self.committed -= memory;
         } else {
             self.committed -= task.demand;
+            if task.lasting {
+                self.lasting_cpu_milli -= task.demand.cpu_milli.min(self.lasting_cpu_milli);
+            }
         }
     }
 
@@ -167,6 +185,9 @@
             };
         } else {
             self.committed += task.demand;
+            if task.lasting {
+                self.lasting_cpu_milli += task.demand.cpu_milli;
+            }
         }
     }
 
--- a/hemlocksaddle-shard/src/tend.rs
+++ b/hemlocksaddle-shard/src/tend.rs
@@ -16,6 +16,9 @@
 /// Wait of one look for an end.
 const LOOK_WAIT_MS: Millis = Millis(1_000);
 
+/// Wait of one look at a worker whose tails are watched: the window of a reported tail.
+const SHARED_WAIT_MS: Millis = Millis(500);
+
 /// Time for the answer of a look beyond its wait.
 const ANSWER_MS: Millis = Millis(600);
 
@@ -79,7 +82,16 @@
             if self.has_unsaved_ends(key) {
                 self.wait_for_save(key).await;
             }
-            let wait = if silent { Millis(0) } else { LOOK_WAIT_MS };
+            let shared = self
+                .board
+                .borrow()
+                .worker(key)
+                .is_some_and(|worker| worker.is_shared());
+            let wait = match (silent, shared) {
+                (true, _) => Millis(0),
+                (false, true) => SHARED_WAIT_MS,
+                (false, false) => LOOK_WAIT_MS,
+            };
             match self.look(key, &listing, wait, !silent).await {
                 Ok(()) => {
                     if silent {
