Pack lasting tasks by image and move halted best-effort runs

Cause: mixed workers suit few best-effort images, and halted runs stayed where they were, because each change of pace on the worker restarted their wait.

--- a/hemlocksaddle-policy/src/workflow/bookkeeping.rs
+++ b/hemlocksaddle-policy/src/workflow/bookkeeping.rs
@@ -33,7 +33,11 @@
         if self.by_id.contains_key(&id) {
             return false;
         }
-        let key = self.jobs.insert(Job::new(id, spec, now, inherited));
+        let steps = spec.steps.iter();
+        let images = steps
+            .map(|step| self.harm.image(step.image.as_ref()))
+            .collect();
+        let key = self.jobs.insert(Job::new(id, spec, images, now, inherited));
         self.by_id.insert(id, key);
         self.open.push(key);
         if self.early_cancels.remove(&id).is_some() {
--- a/hemlocksaddle-policy/src/workflow/harm.rs
+++ b/hemlocksaddle-policy/src/workflow/harm.rs
@@ -29,8 +29,9 @@
 /// Most best-effort images of a regression; further ones share the last place.
 const MAX_IMAGES: usize = 32;
 
-/// Image of a task; tasks without one share a name.
-pub(super) type Image = Arc<str>;
+/// Image of tasks; all tasks without one share a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Image(usize);
 
 /// Best-effort work beside a lasting task.
 #[derive(Clone, Debug)]
@@ -93,18 +94,23 @@
 /// Learned weights.
 #[derive(Debug, Default)]
 pub(super) struct Harm {
-    places: HashMap<Image, usize>,
-    regressions: HashMap<Image, Regression>,
+    images: HashMap<Arc<str>, Image>,
+    /// Regression of each lasting image, by its key.
+    regressions: Vec<Option<Regression>>,
 }
 
 impl Harm {
+    /// Key of an image.
+    pub(super) fn image(&mut self, name: Option<&Arc<str>>) -> Image {
+        let name = name.cloned().unwrap_or_else(|| Arc::from(""));
+        let next = Image(self.images.len());
+        *self.images.entry(name).or_insert(next)
+    }
+
     /// Weight of best-effort work of `image` beside `lasting`; 0 for a pair without harm.
-    pub(super) fn weight(&self, image: &Image, lasting: &Image) -> f64 {
-        let place = self.places.get(image);
-        let regression = self.regressions.get(lasting);
-        let weight = place
-            .zip(regression)
-            .and_then(|(place, regression)| regression.weights.get(*place));
+    pub(super) fn weight(&self, image: Image, lasting: Image) -> f64 {
+        let regression = self.regressions.get(lasting.0).and_then(Option::as_ref);
+        let weight = regression.and_then(|regression| regression.weights.get(place(image)));
         weight
             .copied()
             .filter(|weight| *weight > NOISE_WEIGHT)
@@ -112,33 +118,32 @@
     }
 
     /// Part of its target by which work prolongs the tail of a lasting task.
-    pub(super) fn harm(&self, lasting: &Image, beside: &[Neighbour]) -> f64 {
+    pub(super) fn harm(&self, lasting: Image, beside: &[Neighbour]) -> f64 {
         let parts = beside
             .iter()
-            .map(|near| self.weight(&near.image, lasting) * near.share);
+            .map(|near| self.weight(near.image, lasting) * near.share);
         parts.sum()
     }
 
     /// Learns from the tail of a lasting task, as a share of its target.
-    pub(super) fn observe(&mut self, lasting: &Image, tail: f64, beside: &[Neighbour]) {
-        let places: Vec<usize> = beside.iter().map(|near| self.place(&near.image)).collect();
-        let size = 1 + self.places.len().min(MAX_IMAGES);
-        let regression = self
-            .regressions
-            .entry(lasting.clone())
-            .or_insert_with(Regression::new);
-        regression.grow(size);
-        let mut shares = vec![0.0; size];
+    pub(super) fn observe(&mut self, lasting: Image, tail: f64, beside: &[Neighbour]) {
+        if self.regressions.len() <= lasting.0 {
+            self.regressions.resize(lasting.0 + 1, None);
+        }
+        let regression = self.regressions[lasting.0].get_or_insert_with(Regression::new);
+        let places = beside.iter().map(|near| place(near.image));
+        regression.grow(1 + places.max().unwrap_or(0));
+        let mut shares = vec![0.0; regression.weights.len()];
         shares[0] = 1.0;
-        for (place, near) in places.into_iter().zip(beside) {
-            shares[place] += near.share;
+        for near in beside {
+            shares[place(near.image)] += near.share;
         }
         regression.add(&shares, tail.clamp(0.0, MOST_TAIL));
         regression.sweep();
     }
+}
 
-    fn place(&mut self, image: &Image) -> usize {
-        let next = (self.places.len() + 1).min(MAX_IMAGES);
-        *self.places.entry(image.clone()).or_insert(next)
-    }
+/// Place of an image in a regression.
+fn place(image: Image) -> usize {
+    1 + image.0.min(MAX_IMAGES - 1)
 }
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -7,7 +7,7 @@
     workflow::{Run, State, Step, Workflow, WorkflowId},
 };
 
-use super::{JobKey, WorkerKey};
+use super::{JobKey, WorkerKey, harm::Image};
 
 /// Key of a task on the board.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -86,6 +86,8 @@
     pub progressed_at: MonoMs,
     /// Share at which the run is paced.
     pub pace: u8,
+    /// Time since which the run is halted.
+    pub halted_at: Option<MonoMs>,
 }
 
 impl Task {
@@ -100,6 +102,7 @@
             percent: 0,
             progressed_at: MonoMs(0),
             pace: FULL_PACE,
+            halted_at: None,
         }
     }
 }
@@ -164,12 +167,20 @@
     /// Whether the final state is durable.
     pub ended_saved: bool,
     pub(super) occurrences: Vec<Occurrence>,
+    /// Image of each step.
+    pub(super) images: Vec<Image>,
     /// Tasks that are placed on workers.
     pub(super) placed: u32,
 }
 
 impl Job {
-    pub(super) fn new(id: WorkflowId, spec: Workflow, now: MonoMs, inherited: bool) -> Job {
+    pub(super) fn new(
+        id: WorkflowId,
+        spec: Workflow,
+        images: Vec<Image>,
+        now: MonoMs,
+        inherited: bool,
+    ) -> Job {
         let first = if spec.schedule.is_none() {
             vec![Occurrence::new(&spec)]
         } else {
@@ -185,6 +196,7 @@
             ended: None,
             ended_saved: false,
             occurrences: first,
+            images,
             placed: 0,
         }
     }
@@ -218,6 +230,10 @@
         &self.spec.steps[usize::from(key.step)]
     }
 
+    pub(super) fn image(&self, key: TaskKey) -> Image {
+        self.images[usize::from(key.step)]
+    }
+
     pub(super) fn step_state(&mut self, key: TaskKey) -> &mut StepState {
         &mut self.occurrences[key.occurrence as usize].steps[usize::from(key.step)]
     }
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -12,6 +12,7 @@
     Board, Order, Phase, TaskKey, Worker, WorkerKey,
     harm::{Image, Neighbour},
     job::FULL_PACE,
+    placement::Candidates,
     report::Report,
 };
 
@@ -24,7 +25,7 @@
 /// Part of its target by which best-effort work may prolong the mean tail of a lasting task.
 ///
 /// The tails swing around the mean; at this part few of them pass the target.
-const MOST_HARM: f64 = 0.12;
+const MOST_HARM: f64 = 0.06;
 
 /// Tail, as a share of the target, from which a lasting task bears no harm.
 const BEARS_NONE: f64 = 0.9;
@@ -41,8 +42,11 @@
 /// Part of the whole harm from which a task is halted first.
 const CULPRIT: f64 = 0.25;
 
-/// Time after which a halted run with a checkpoint is moved to another worker.
-const MOVE_HALTED_MS: Millis = Millis(1_200);
+/// Time after which a halted run with checkpoints is moved to another worker.
+const MOVE_HALTED_MS: Millis = Millis(300);
+
+/// Time after which a halted run without checkpoints is started anew on another worker.
+const RESTART_HALTED_MS: Millis = Millis(1_500);
 
 /// Lasting task with what it bears.
 struct Lasting {
@@ -53,6 +57,13 @@
     tail: f64,
 }
 
+/// What the lasting tasks of one image on a worker still bear.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bears {
+    pub(super) image: Image,
+    left: f64,
+}
+
 /// Best-effort run.
 struct Filler {
     key: TaskKey,
@@ -74,7 +85,7 @@
         let beside = self.beside(worker, now);
         for &task in worker.tasks.keys() {
             if let Some((image, tail)) = self.tail(worker, task) {
-                self.harm.observe(&image, tail, &beside);
+                self.harm.observe(image, tail, &beside);
             }
         }
     }
@@ -86,12 +97,7 @@
         let at_work = job.task(key)?.percent == 100;
         let figure = worker.tasks.get(&key)?.figure;
         let seen = step.target_ms > 0 && at_work && figure > 0;
-        seen.then(|| {
-            (
-                image(step.image.as_ref()),
-                figure as f64 / step.target_ms as f64,
-            )
-        })
+        seen.then(|| (job.image(key), figure as f64 / step.target_ms as f64))
     }
 
     /// Best-effort work whose harm shows in the tails, by the processors that it uses.
@@ -109,7 +115,7 @@
             .iter()
             .filter(|(key, task)| task.best_effort && old(**key));
         let beside = runs.map(|(&key, assigned)| Neighbour {
-            image: image(self.jobs[key.job].step(key).image.as_ref()),
+            image: self.jobs[key.job].image(key),
             share: share(assigned.figure, worker),
         });
         beside.collect()
@@ -122,7 +128,7 @@
             if step.target_ms == 0 {
                 return None;
             }
-            let image = image(step.image.as_ref());
+            let image = self.jobs[key.job].image(key);
             let tail = assigned.figure as f64 / step.target_ms as f64;
             let slack = (BEARS_NONE - tail) / (BEARS_NONE - BEARS_MOST);
             Some(Lasting {
@@ -145,7 +151,7 @@
             Some(Filler {
                 key,
                 near: Neighbour {
-                    image: image(job.step(key).image.as_ref()),
+                    image: job.image(key),
                     share: share(assigned.demand.cpu_milli, worker),
                 },
                 pace: job.task(key)?.pace,
@@ -154,19 +160,32 @@
         fillers.collect()
     }
 
-    /// Part of its demand that another best-effort task could use on a worker.
-    pub(super) fn bearable(&self, worker: &Worker, added: &Image, cpu_milli: u64) -> f64 {
-        let share = share(cpu_milli, worker);
+    /// What the lasting tasks on a worker bear besides the best-effort tasks that are there.
+    pub(super) fn bears(&self, worker: &Worker) -> Vec<Bears> {
+        if worker.lasting_cpu_milli == 0 {
+            return Vec::new();
+        }
         let present = self.fillers(worker);
         let present: Vec<Neighbour> = present.into_iter().map(|filler| filler.near).collect();
-        let parts = self.lasting(worker).into_iter().map(|lasting| {
-            let left = lasting.bears - self.harm.harm(&lasting.image, &present);
-            let needed = self.harm.weight(added, &lasting.image) * share;
-            if needed <= f64::EPSILON {
-                1.0
-            } else {
-                (left / needed).clamp(0.0, 1.0)
+        let mut bears: Vec<Bears> = Vec::new();
+        for lasting in self.lasting(worker) {
+            let left = lasting.bears - self.harm.harm(lasting.image, &present);
+            match bears.iter_mut().find(|known| known.image == lasting.image) {
+                Some(known) => known.left = known.left.min(left),
+                None => bears.push(Bears {
+                    image: lasting.image,
+                    left,
+                }),
             }
+        }
+        bears
+    }
+
+    /// Part of its demand that another best-effort task could use.
+    pub(super) fn bearable(&self, bears: &[Bears], added: Image, share: f64) -> f64 {
+        let parts = bears.iter().map(|bears| {
+            let needed = self.harm.weight(added, bears.image) * share;
+            granted_part(needed, bears.left)
         });
         parts.fold(1.0, f64::min)
     }
@@ -203,12 +222,11 @@
         }
         let mut changed = false;
         for (filler, pace) in fillers.iter().zip(paces) {
-            changed |= self.set_pace(key, filler, pace);
+            changed |= self.set_pace(key, filler, pace, now);
         }
         if changed {
             self.workers[key].paced_at = now;
         }
-        self.move_halted(key, now);
     }
 
     /// Pace of each best-effort run that the lasting tasks bear together.
@@ -216,7 +234,7 @@
         let harm = |filler: &Filler| {
             let weights = lasting
                 .iter()
-                .map(|to| self.harm.weight(&filler.near.image, &to.image));
+                .map(|to| self.harm.weight(filler.near.image, to.image));
             weights.fold(0.0, f64::max)
         };
         let mut order: Vec<usize> = (0..fillers.len()).collect();
@@ -227,15 +245,12 @@
             let near = &fillers[index].near;
             let needed: Vec<f64> = lasting
                 .iter()
-                .map(|to| self.harm.weight(&near.image, &to.image) * near.share)
+                .map(|to| self.harm.weight(near.image, to.image) * near.share)
                 .collect();
-            let parts = needed.iter().zip(&left).map(|(needed, left)| {
-                if *needed <= f64::EPSILON {
-                    1.0
-                } else {
-                    (left / needed).clamp(0.0, 1.0)
-                }
-            });
+            let parts = needed
+                .iter()
+                .zip(&left)
+                .map(|(needed, left)| granted_part(*needed, *left));
             let part = parts.fold(1.0, f64::min);
             let percent = part * f64::from(FULL_PACE);
             let percent = if percent < LEAST_PACE_PERCENT {
@@ -255,17 +270,17 @@
     fn halt_culprits(&self, lasting: &Lasting, fillers: &[Filler], paces: &mut [u8], all: bool) {
         let effect = |filler: &Filler| {
             let near = &filler.near;
-            self.harm.weight(&near.image, &lasting.image) * near.share * f64::from(filler.pace)
+            self.harm.weight(near.image, lasting.image) * near.share * f64::from(filler.pace)
         };
         let whole: f64 = fillers.iter().map(effect).sum();
         for (filler, pace) in fillers.iter().zip(paces) {
-            if all || effect(filler) >= CULPRIT * whole {
+            if all || effect(filler) > 0.0 && effect(filler) >= CULPRIT * whole {
                 *pace = 0;
             }
         }
     }
 
-    fn set_pace(&mut self, worker: WorkerKey, filler: &Filler, percent: u8) -> bool {
+    fn set_pace(&mut self, worker: WorkerKey, filler: &Filler, percent: u8, now: MonoMs) -> bool {
         let key = filler.key;
         let name = self.name(key);
         let task = self.jobs[key.job].task_mut(key);
@@ -276,6 +291,7 @@
             return false;
         }
         task.pace = percent;
+        task.halted_at = (percent == 0).then_some(now);
         let run = task.run;
         self.orders.push(Order::Pace {
             worker,
@@ -286,33 +302,48 @@
         true
     }
 
-    /// Stops halted runs that can resume elsewhere.
-    fn move_halted(&mut self, key: WorkerKey, now: MonoMs) {
-        let worker = &self.workers[key];
-        if now.since(worker.paced_at) <= MOVE_HALTED_MS {
-            return;
+    /// Stops halted runs that could go on elsewhere.
+    pub(super) fn move_halted(&mut self, candidates: &mut Candidates, now: MonoMs) {
+        let mut halted = Vec::new();
+        for (worker_key, worker) in &self.workers {
+            let best_effort = worker
+                .tasks
+                .iter()
+                .filter(|(_, assigned)| assigned.best_effort);
+            halted.extend(best_effort.filter_map(|(&key, _)| {
+                let job = &self.jobs[key.job];
+                let task = job.task(key)?;
+                let patience = match job.step(key).checkpointed {
+                    true => MOVE_HALTED_MS,
+                    false => RESTART_HALTED_MS,
+                };
+                let long = task.halted_at.is_some_and(|at| now.since(at) >= patience);
+                let running = matches!(task.phase, Phase::Running { .. });
+                (long && running).then_some((key, worker_key))
+            }));
         }
-        let halted = worker.tasks.iter().filter(|(task_key, assigned)| {
-            let job = &self.jobs[task_key.job];
-            let task = job.task(**task_key);
-            assigned.best_effort
-                && job.step(**task_key).checkpointed
-                && task.is_some_and(|task| {
-                    task.pace == 0 && matches!(task.phase, Phase::Running { .. })
-                })
-        });
-        let halted: Vec<TaskKey> = halted.map(|(&key, _)| key).collect();
-        for task in halted {
-            self.jobs[task.job].task_mut(task).failed_on = Some(key);
-            self.stop(task);
+        for (key, worker) in halted {
+            let Some(queue) = self.queue(&self.jobs[key.job].spec.queue).cloned() else {
+                continue;
+            };
+            let elsewhere = self.choose(candidates, key, &queue.pool, None);
+            if elsewhere.is_some_and(|elsewhere| elsewhere != worker) {
+                self.jobs[key.job].task_mut(key).failed_on = Some(worker);
+                self.stop(key);
+            }
         }
     }
 }
 
-fn share(cpu_milli: u64, worker: &Worker) -> f64 {
-    cpu_milli as f64 / worker.listing.capacity.cpu_milli.max(1) as f64
+/// Part of what is needed that is left.
+fn granted_part(needed: f64, left: f64) -> f64 {
+    if needed <= f64::EPSILON {
+        return 1.0;
+    }
+    (left / needed).clamp(0.0, 1.0)
 }
 
-pub(super) fn image(image: Option<&Image>) -> Image {
-    image.cloned().unwrap_or_else(|| Image::from(""))
+/// Share of a worker's processors.
+pub(super) fn share(cpu_milli: u64, worker: &Worker) -> f64 {
+    cpu_milli as f64 / worker.listing.capacity.cpu_milli.max(1) as f64
 }
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -1,14 +1,18 @@
 //! Choice of a worker for a task.
 //!
-//! Lasting tasks are packed, which leaves some workers without any for the
-//! best-effort tasks that would harm them. Other tasks that reserve processors go
+//! Lasting tasks are packed by image. Harm depends on the pair of images, so that
+//! a worker with one lasting image suits more best-effort images than a mixed one,
+//! and some workers are left without any lasting task. Other tasks that reserve processors go
 //! where the smallest share is committed. Best-effort tasks go where the expected
 //! tail of the lasting tasks stays below its target, and of these where most
 //! processors are idle.
 
 use hemlocksaddle_types::{clock::MonoMs, resources::Resources, workflow::Step};
 
-use super::{Board, TaskKey, Worker, WorkerKey, pacing::image};
+use super::{
+    Board, TaskKey, Worker, WorkerKey,
+    pacing::{Bears, share},
+};
 
 /// Part of its reservation that a lasting task is expected to use, in percent.
 ///
@@ -17,11 +21,16 @@
 const LASTING_USE_PERCENT: u64 = 55;
 
 /// Part of its demand that a best-effort task must be able to use on a worker.
-const LEAST_PART: f64 = 0.7;
+const LEAST_PART: f64 = 0.9;
 
 /// Cost of a worker without lasting tasks for a best-effort task that harms few of them.
 const UNHARMED_COST: f64 = 0.6;
 
+/// Cost of a worker with lasting tasks of another image for a lasting task.
+///
+/// Workers whose lasting tasks are of one image suit more best-effort images.
+const MIX_COST: f64 = 1.0;
+
 /// Weight of the part that a best-effort task could not use, against idle processors.
 const HARM_COST: f64 = 1.0;
 
@@ -69,28 +78,58 @@
     }
 }
 
+/// Worker that may get tasks, with what its lasting tasks bear once that was asked for.
+pub(super) struct Candidate {
+    pub(super) worker: WorkerKey,
+    bears: Option<Vec<Bears>>,
+}
+
+/// Workers that may get tasks in one plan.
+pub(super) struct Candidates(Vec<Candidate>);
+
+impl Candidates {
+    /// Forgets what was derived from the tasks on a worker.
+    pub(super) fn changed(&mut self, worker: WorkerKey) {
+        let changed = self
+            .0
+            .iter_mut()
+            .find(|candidate| candidate.worker == worker);
+        if let Some(candidate) = changed {
+            candidate.bears = None;
+        }
+    }
+
+    /// Keys of the workers.
+    pub(super) fn keys(&self) -> impl Iterator<Item = WorkerKey> {
+        self.0.iter().map(|candidate| candidate.worker)
+    }
+}
+
 impl Board {
     /// Workers that may get tasks now.
-    pub(super) fn usable(&self, now: MonoMs) -> Vec<WorkerKey> {
+    pub(super) fn candidates(&self, now: MonoMs) -> Candidates {
         let usable = self.workers.iter().filter(|(_, worker)| {
             worker.is_usable(now) && !self.closed.contains(&worker.listing.data_centre)
         });
-        usable.map(|(key, _)| key).collect()
+        let candidates = usable.map(|(worker, _)| Candidate {
+            worker,
+            bears: None,
+        });
+        Candidates(candidates.collect())
     }
 
     /// Best worker for a task, or `None` if it fits nowhere now.
     pub(super) fn choose(
         &self,
-        usable: &[WorkerKey],
+        candidates: &mut Candidates,
         key: TaskKey,
         pool: &str,
         rack: Option<&str>,
     ) -> Option<WorkerKey> {
-        let job = &self.jobs[key.job];
-        let step = job.step(key);
-        let task = job.task(key)?;
-        let candidates = usable.iter().filter_map(|&worker_key| {
-            let worker = &self.workers[worker_key];
+        let step = self.jobs[key.job].step(key);
+        let failed_on = self.jobs[key.job].task(key)?.failed_on;
+        let costs = candidates.0.iter_mut().filter_map(|candidate| {
+            let worker = &self.workers[candidate.worker];
             let allowed = *worker.listing.pool == *pool
                 && worker.has_label(step)
                 && worker.fits(step)
@@ -99,11 +138,12 @@
             if !allowed {
                 return None;
             }
-            let failed = task.failed_on == Some(worker_key);
+            let failed = failed_on == Some(candidate.worker);
             let penalty = if failed { FAILED_PENALTY } else { 0.0 };
-            Some((worker_key, penalty + self.cost(worker, step)?))
+            let cost = self.cost(candidate, key, step)?;
+            Some((candidate.worker, penalty + cost))
         });
-        let best = candidates.min_by(|a, b| a.1.total_cmp(&b.1));
+        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
         best.map(|(worker, _)| worker)
     }
 
@@ -118,28 +158,36 @@
     }
 
     /// Cost of a task on a worker; `None` if it should not run there.
-    fn cost(&self, worker: &Worker, step: &Step) -> Option<f64> {
-        let capacity = worker.listing.capacity.cpu_milli.max(1) as f64;
+    fn cost(&self, candidate: &mut Candidate, key: TaskKey, step: &Step) -> Option<f64> {
+        let worker = &self.workers[candidate.worker];
         let far = step
             .data_rack
             .as_ref()
             .is_some_and(|rack| worker.listing.rack() != Some(rack));
         let far = if far { FAR_PENALTY } else { 0.0 };
         if step.best_effort {
-            let idle = worker.idle_cpu_milli() as f64 / capacity;
-            return Some(far - idle + self.harm_cost(worker, step)?);
+            let idle = share(worker.idle_cpu_milli(), worker);
+            return Some(far - idle + self.harm_cost(candidate, key, step)?);
+        }
+        let used = share(worker.committed.cpu_milli + step.demand.cpu_milli, worker);
+        if !step.lasting {
+            return Some(far + used);
         }
-        let used = (worker.committed.cpu_milli + step.demand.cpu_milli) as f64 / capacity;
-        Some(if step.lasting { far - used } else { far + used })
+        let mixed = worker.tasks.iter().any(|(other, assigned)| {
+            assigned.lasting && self.jobs[other.job].image(*other) != self.jobs[key.job].image(key)
+        });
+        Some(far - used + if mixed { MIX_COST } else { 0.0 })
     }
 
     /// Cost of the harm that a best-effort task would do on a worker.
-    fn harm_cost(&self, worker: &Worker, step: &Step) -> Option<f64> {
+    fn harm_cost(&self, candidate: &mut Candidate, key: TaskKey, step: &Step) -> Option<f64> {
+        let worker = &self.workers[candidate.worker];
         if worker.lasting_cpu_milli == 0 {
             return Some(UNHARMED_COST);
         }
-        let image = image(step.image.as_ref());
-        let part = self.bearable(worker, &image, step.demand.cpu_milli);
+        let bears = candidate.bears.get_or_insert_with(|| self.bears(worker));
+        let image = self.jobs[key.job].image(key);
+        let part = self.bearable(bears, image, share(step.demand.cpu_milli, worker));
         (part >= LEAST_PART).then_some((1.0 - part) * HARM_COST)
     }
 }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -8,7 +8,8 @@
 };
 
 use super::{
-    Board, JobKey, Order, Phase, Start, TaskKey, WorkerKey, job::FULL_PACE, worker::Assigned,
+    Board, JobKey, Order, Phase, Start, TaskKey, WorkerKey, job::FULL_PACE, placement::Candidates,
+    worker::Assigned,
 };
 
 /// Time without progress after which a run is moved.
@@ -59,9 +60,10 @@
         self.leave_draining();
         self.pace(now);
         let ready = self.ready(now, wall);
-        let usable = self.usable(now);
+        let mut candidates = self.candidates(now);
+        self.move_halted(&mut candidates, now);
         for step in &ready {
-            self.place_step(step, &usable, now);
+            self.place_step(step, &mut candidates, now);
         }
         std::mem::take(&mut self.orders)
     }
@@ -97,12 +99,12 @@
         ready
     }
 
-    fn place_step(&mut self, ready: &Ready, usable: &[WorkerKey], now: MonoMs) {
+    fn place_step(&mut self, ready: &Ready, candidates: &mut Candidates, now: MonoMs) {
         let job = &self.jobs[ready.job];
         let spec: Rc<_> = job.spec.clone();
         let step = &spec.steps[usize::from(ready.step)];
         if step.gang {
-            self.place_gang(ready, step, usable, now);
+            self.place_gang(ready, step, candidates, now);
             return;
         }
         for index in 0..step.tasks {
@@ -114,16 +116,17 @@
                 continue;
             }
             // Equal tasks: where the first does not fit, the others do not fit either.
-            let Some(worker) = self.choose(usable, key, &ready.queue.pool, None) else {
+            let Some(worker) = self.choose(candidates, key, &ready.queue.pool, None) else {
                 return;
             };
             let run = self.next_run(key);
             self.start(key, worker, run);
+            candidates.changed(worker);
         }
     }
 
     /// Places all members of a gang or none.
-    fn place_gang(&mut self, ready: &Ready, step: &Step, usable: &[WorkerKey], now: MonoMs) {
+    fn place_gang(&mut self, ready: &Ready, step: &Step, candidates: &mut Candidates, now: MonoMs) {
         let members: Vec<TaskKey> = (0..step.tasks).map(|index| ready.key(index)).collect();
         let all_wait = members.iter().all(|&key| {
             let task = self.jobs[ready.job].task(key);
@@ -134,10 +137,10 @@
         }
         let run = members.iter().map(|&key| self.next_run(key)).max();
         let run = run.unwrap_or(self.first_run());
-        for rack in self.racks_to_try(step, usable) {
+        for rack in self.racks_to_try(step, candidates) {
             let before = self.orders.len();
             let placed = members.iter().all(|&key| {
-                match self.choose(usable, key, &ready.queue.pool, rack.as_deref()) {
+                match self.choose(candidates, key, &ready.queue.pool, rack.as_deref()) {
                     Some(worker) => {
                         self.start(key, worker, run);
                         true
@@ -157,10 +160,10 @@
     }
 
     /// Racks to try for a step: each one first if its tasks belong together, then all.
-    fn racks_to_try(&self, step: &Step, usable: &[WorkerKey]) -> Vec<Option<Arc<str>>> {
+    fn racks_to_try(&self, step: &Step, candidates: &Candidates) -> Vec<Option<Arc<str>>> {
         let mut racks = Vec::new();
         if step.same_rack {
-            for &key in usable {
+            for key in candidates.keys() {
                 let rack = self.workers[key].listing.rack().cloned();
                 if rack.is_some() && !racks.contains(&rack) {
                     racks.push(rack);
@@ -210,6 +213,7 @@
         task.run = run;
         task.percent = 0;
         task.pace = FULL_PACE;
+        task.halted_at = None;
         let checkpoint = task.checkpoint.clone();
         job.step_state(key).waiting -= 1;
         job.placed += 1;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -235,6 +235,7 @@
         }
         if adopted {
             task.pace = FULL_PACE;
+            task.halted_at = None;
             let state = job.step_state(key);
             state.waiting -= 1;
             job.placed += 1;
--- a/hemlocksaddle-shard/src/tend.rs
+++ b/hemlocksaddle-shard/src/tend.rs
@@ -17,7 +17,7 @@
 const LOOK_WAIT_MS: Millis = Millis(1_000);
 
 /// Wait of one look at a worker whose tails are watched: the window of a reported tail.
-const SHARED_WAIT_MS: Millis = Millis(500);
+const SHARED_WAIT_MS: Millis = Millis(350);
 
 /// Time for the answer of a look beyond its wait.
 const ANSWER_MS: Millis = Millis(600);
