Take a lasting task as a queue whose load swings by step

The tails fit a queue: base / (1 - load x (1 + sum of weight x share)), with one load for all tasks of a step.

--- a/hemlocksaddle-policy/src/workflow/harm.rs
+++ b/hemlocksaddle-policy/src/workflow/harm.rs
@@ -1,24 +1,50 @@
 //! Harm that best-effort tasks do to lasting tasks, learned from reported tails.
 //!
-//! Most pairs of images do not disturb each other, a few do so badly, and both
-//! the load of a lasting task and the harm swing within seconds. What is learned
-//! is therefore the mean: for each lasting image a non-negative ridge regression
-//! of the tail, as a bounded share of the target, on the shares of the worker's
-//! processors that the best-effort images use. One sweep of coordinate descent
-//! follows each observation.
+//! A lasting task is taken as a queue with a utilisation `u`: its tail is a base
+//! divided by `1 - u`. Best-effort tasks raise the utilisation to the load of the
+//! task times `1 + sum(weight x share)`, where the share is the part of the
+//! worker's processors that they use and the weight depends on the pair of
+//! images. The load swings within seconds and is the same for all tasks of a
+//! step, so that those without harmful neighbours show it; the weights stay. For
+//! each lasting image they are a non-negative ridge regression over all
+//! best-effort images, with one sweep of coordinate descent for each observation.
 
 use std::sync::Arc;
 
 use foldhash::HashMap;
 
-/// Largest tail, as a share of the target, that counts; longer ones say no more about the mean.
-const MOST_TAIL: f64 = 2.0;
+/// Base of a tail as a share of the target, before shorter tails are seen.
+const FIRST_BASE: f64 = 0.2;
 
-/// Tail without harm, as a share of the target, before anything is learned.
-const FIRST_BASE: f64 = 0.4;
+/// Part of a short tail that is taken as the base: even then there is some load.
+const BASE_OF_SHORT: f64 = 0.77;
 
-/// Ridge of a weight, in squared shares: four observations of a usual task.
-const RIDGE: f64 = 0.05;
+/// Step by which the base falls below a shorter tail.
+const BASE_FALL: f64 = 0.01;
+
+/// Step by which the base rises to a longer tail: the base settles where one tail in eleven is shorter.
+const BASE_RISE: f64 = 0.001;
+
+/// Load of a step before its first tail is seen.
+const FIRST_LOAD: f64 = 0.45;
+
+/// Least load that is assumed, so that a quiet task does not exaggerate a raise.
+const LEAST_LOAD: f64 = 0.1;
+
+/// Part of an error by which the load of a step follows a tail.
+const LOAD_RATE: f64 = 0.4;
+
+/// Raise of the utilisation below which a tail shows the load alone.
+const UNPRESSED: f64 = 0.1;
+
+/// Utilisation of a saturated task, whose true one cannot be seen.
+const MAX_UTILISATION: f64 = 0.97;
+
+/// Bounds of the raise that one observation shows.
+const RAISE_BOUNDS: (f64, f64) = (-0.5, 2.0);
+
+/// Ridge of a weight, in squared shares: one observation of a usual task.
+const RIDGE: f64 = 0.015;
 
 /// Part of older observations that is kept with each new one.
 const KEPT: f64 = 0.999;
@@ -41,7 +67,7 @@
     pub(super) share: f64,
 }
 
-/// Regression for one lasting image. Place 0 of each row is the base.
+/// Regression of the raise on the shares for one lasting image.
 #[derive(Clone, Debug)]
 struct Regression {
     weights: Vec<f64>,
@@ -52,9 +78,9 @@
 impl Regression {
     fn new() -> Regression {
         Regression {
-            weights: vec![FIRST_BASE],
-            products: vec![FIRST_BASE],
-            squares: vec![vec![1.0]],
+            weights: Vec::new(),
+            products: Vec::new(),
+            squares: Vec::new(),
         }
     }
 
@@ -67,9 +93,9 @@
         }
     }
 
-    fn add(&mut self, shares: &[f64], tail: f64) {
+    fn add(&mut self, shares: &[f64], raise: f64) {
         for (row, share) in shares.iter().enumerate() {
-            self.products[row] = self.products[row] * KEPT + share * tail;
+            self.products[row] = self.products[row] * KEPT + share * raise;
             for (column, other) in shares.iter().enumerate() {
                 let square = &mut self.squares[row][column];
                 *square = *square * KEPT + share * other;
@@ -97,6 +123,8 @@
     images: HashMap<Arc<str>, Image>,
     /// Regression of each lasting image, by its key.
     regressions: Vec<Option<Regression>>,
+    /// Base of each lasting image, by its key.
+    bases: HashMap<Image, f64>,
 }
 
 impl Harm {
@@ -117,16 +145,53 @@
             .unwrap_or(0.0)
     }
 
-    /// Part of its target by which work prolongs the tail of a lasting task.
-    pub(super) fn harm(&self, lasting: Image, beside: &[Neighbour]) -> f64 {
+    /// Part by which work raises the utilisation of a lasting task.
+    pub(super) fn raise(&self, lasting: Image, beside: &[Neighbour]) -> f64 {
         let parts = beside
             .iter()
             .map(|near| self.weight(near.image, lasting) * near.share);
         parts.sum()
     }
 
-    /// Learns from the tail of a lasting task, as a share of its target.
-    pub(super) fn observe(&mut self, lasting: Image, tail: f64, beside: &[Neighbour]) {
+    /// Utilisation at which a lasting task meets its target.
+    pub(super) fn target_utilisation(&self, lasting: Image) -> f64 {
+        1.0 - self.base(lasting)
+    }
+
+    fn base(&self, lasting: Image) -> f64 {
+        self.bases.get(&lasting).copied().unwrap_or(FIRST_BASE)
+    }
+
+    /// Learns from the tail of a lasting task, as a share of its target; returns the new load of its step.
+    pub(super) fn observe(
+        &mut self,
+        lasting: Image,
+        load: Option<f64>,
+        tail: f64,
+        beside: &[Neighbour],
+    ) -> f64 {
+        let base = self.base(lasting);
+        let shorter = tail * BASE_OF_SHORT < base;
+        let step = if shorter { -BASE_FALL } else { BASE_RISE };
+        self.bases.insert(lasting, base * (1.0 + step));
+        let utilisation = (1.0 - base / tail.max(base)).min(MAX_UTILISATION);
+        let raise = self.raise(lasting, beside);
+        let load = load.unwrap_or(FIRST_LOAD);
+        if !beside.is_empty() {
+            let (least, most) = RAISE_BOUNDS;
+            let seen = (utilisation / load.max(LEAST_LOAD) - 1.0).clamp(least, most);
+            self.learn(lasting, seen, beside);
+        }
+        // Pressed tasks say less about the load, the more they are pressed.
+        let rate = if raise < UNPRESSED {
+            LOAD_RATE
+        } else {
+            LOAD_RATE * UNPRESSED / raise
+        };
+        load + rate * (utilisation / (1.0 + raise) - load)
+    }
+
+    fn learn(&mut self, lasting: Image, raise: f64, beside: &[Neighbour]) {
         if self.regressions.len() <= lasting.0 {
             self.regressions.resize(lasting.0 + 1, None);
         }
@@ -134,16 +199,20 @@
         let places = beside.iter().map(|near| place(near.image));
         regression.grow(1 + places.max().unwrap_or(0));
         let mut shares = vec![0.0; regression.weights.len()];
-        shares[0] = 1.0;
         for near in beside {
             shares[place(near.image)] += near.share;
         }
-        regression.add(&shares, tail.clamp(0.0, MOST_TAIL));
+        regression.add(&shares, raise);
         regression.sweep();
     }
 }
 
+/// Load that a step is expected to have.
+pub(super) fn expected_load(load: Option<f64>) -> f64 {
+    load.unwrap_or(FIRST_LOAD)
+}
+
 /// Place of an image in a regression.
 fn place(image: Image) -> usize {
-    1 + image.0.min(MAX_IMAGES - 1)
+    image.0.min(MAX_IMAGES - 1)
 }
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -116,6 +116,8 @@
     pub(super) tasks: Vec<Task>,
     pub(super) done: u32,
     pub(super) waiting: u32,
+    /// Learned load of the lasting tasks.
+    pub(super) load: Option<f64>,
 }
 
 /// One run through the steps.
@@ -130,6 +132,7 @@
             tasks: vec![Task::new(); step.tasks as usize],
             done: 0,
             waiting: step.tasks,
+            load: None,
         };
         Occurrence {
             steps: spec.steps.iter().map(state).collect(),
@@ -234,6 +237,11 @@
         self.images[usize::from(key.step)]
     }
 
+    pub(super) fn load(&self, key: TaskKey) -> Option<f64> {
+        let occurrence = self.occurrences.get(key.occurrence as usize)?;
+        occurrence.steps.get(usize::from(key.step))?.load
+    }
+
     pub(super) fn step_state(&mut self, key: TaskKey) -> &mut StepState {
         &mut self.occurrences[key.occurrence as usize].steps[usize::from(key.step)]
     }
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Board, Order, Phase, TaskKey, Worker, WorkerKey,
-    harm::{Image, Neighbour},
+    harm::{Image, Neighbour, expected_load},
     job::FULL_PACE,
     placement::Candidates,
     report::Report,
@@ -22,16 +22,14 @@
 /// Age of a run from which its harm shows in a tail.
 const SHOWS_MS: Millis = Millis(500);
 
-/// Part of its target by which best-effort work may prolong the mean tail of a lasting task.
-///
-/// The tails swing around the mean; at this part few of them pass the target.
-const MOST_HARM: f64 = 0.06;
+/// Rise of a load that is allowed for until the next change of pace.
+const LOAD_RISE: f64 = 0.05;
 
-/// Tail, as a share of the target, from which a lasting task bears no harm.
-const BEARS_NONE: f64 = 0.9;
+/// Rise of a load that is allowed for when a task is placed, which runs for seconds.
+const PLACED_RISE: f64 = 0.1;
 
-/// Tail, as a share of the target, up to which a lasting task bears the most.
-const BEARS_MOST: f64 = 0.5;
+/// Part of the utilisation at the target that best-effort work may lead to.
+const MOST_UTILISATION: f64 = 0.93;
 
 /// Least change of a pace that is worth an order, in percent.
 const LEAST_CHANGE_PERCENT: u8 = 15;
@@ -39,9 +37,6 @@
 /// Pace below which a task is halted.
 const LEAST_PACE_PERCENT: f64 = 15.0;
 
-/// Part of the whole harm from which a task is halted first.
-const CULPRIT: f64 = 0.25;
-
 /// Time after which a halted run with checkpoints is moved to another worker.
 const MOVE_HALTED_MS: Millis = Millis(300);
 
@@ -51,7 +46,7 @@
 /// Lasting task with what it bears.
 struct Lasting {
     image: Image,
-    /// Part of its target by which best-effort work may prolong its tail.
+    /// Part by which best-effort work may raise its utilisation.
     bears: f64,
     /// Tail as a share of its target.
     tail: f64,
@@ -83,9 +78,12 @@
         worker.learned_at = now;
         let worker = &self.workers[key];
         let beside = self.beside(worker, now);
-        for &task in worker.tasks.keys() {
-            if let Some((image, tail)) = self.tail(worker, task) {
-                self.harm.observe(image, tail, &beside);
+        let tasks: Vec<TaskKey> = worker.tasks.keys().copied().collect();
+        for task in tasks {
+            if let Some((image, tail)) = self.tail(&self.workers[key], task) {
+                let step = self.jobs[task.job].step_state(task);
+                let load = self.harm.observe(image, step.load, tail, &beside);
+                step.load = Some(load);
             }
         }
     }
@@ -121,19 +119,20 @@
         beside.collect()
     }
 
-    /// Lasting tasks on a worker with what they bear.
-    fn lasting(&self, worker: &Worker) -> Vec<Lasting> {
+    /// Lasting tasks on a worker with what they bear if their load rises by `rise`.
+    fn lasting(&self, worker: &Worker, rise: f64) -> Vec<Lasting> {
         let lasting = worker.tasks.iter().filter_map(|(&key, assigned)| {
-            let step = self.jobs[key.job].step(key);
-            if step.target_ms == 0 {
+            let job = &self.jobs[key.job];
+            let target_ms = job.step(key).target_ms;
+            if target_ms == 0 {
                 return None;
             }
-            let image = self.jobs[key.job].image(key);
-            let tail = assigned.figure as f64 / step.target_ms as f64;
-            let slack = (BEARS_NONE - tail) / (BEARS_NONE - BEARS_MOST);
+            let image = job.image(key);
+            let load = expected_load(job.load(key)) + rise;
+            let most = self.harm.target_utilisation(image) * MOST_UTILISATION;
             Some(Lasting {
-                bears: MOST_HARM * slack.clamp(0.0, 1.0),
-                tail,
+                bears: (most / load - 1.0).max(0.0),
+                tail: assigned.figure as f64 / target_ms as f64,
                 image,
             })
         });
@@ -160,7 +159,7 @@
         fillers.collect()
     }
 
-    /// What the lasting tasks on a worker bear besides the best-effort tasks that are there.
+    /// What the lasting tasks on a worker bear beyond the best-effort tasks that are there.
     pub(super) fn bears(&self, worker: &Worker) -> Vec<Bears> {
         if worker.lasting_cpu_milli == 0 {
             return Vec::new();
@@ -168,8 +167,8 @@
         let present = self.fillers(worker);
         let present: Vec<Neighbour> = present.into_iter().map(|filler| filler.near).collect();
         let mut bears: Vec<Bears> = Vec::new();
-        for lasting in self.lasting(worker) {
-            let left = lasting.bears - self.harm.harm(lasting.image, &present);
+        for lasting in self.lasting(worker, PLACED_RISE) {
+            let left = lasting.bears - self.harm.raise(lasting.image, &present);
             match bears.iter_mut().find(|known| known.image == lasting.image) {
                 Some(known) => known.left = known.left.min(left),
                 None => bears.push(Bears {
@@ -208,7 +207,7 @@
         {
             return;
         }
-        let lasting = self.lasting(worker);
+        let lasting = self.lasting(worker, LOAD_RISE);
         let fillers = self.fillers(worker);
         let mut paces = self.granted(&lasting, &fillers);
         let over: Vec<&Lasting> = lasting
@@ -266,16 +265,18 @@
         paces
     }
 
-    /// Halts the work that harms a lasting task most, or all of it.
-    fn halt_culprits(&self, lasting: &Lasting, fillers: &[Filler], paces: &mut [u8], all: bool) {
-        let effect = |filler: &Filler| {
-            let near = &filler.near;
-            self.harm.weight(near.image, lasting.image) * near.share * f64::from(filler.pace)
-        };
-        let whole: f64 = fillers.iter().map(effect).sum();
-        for (filler, pace) in fillers.iter().zip(paces) {
-            if all || effect(filler) > 0.0 && effect(filler) >= CULPRIT * whole {
+    /// Halts the work that is known to harm a lasting task; slows all of it if none is known.
+    fn halt_culprits(&self, lasting: &Lasting, fillers: &[Filler], paces: &mut [u8], again: bool) {
+        let known: Vec<bool> = fillers
+            .iter()
+            .map(|filler| self.harm.weight(filler.near.image, lasting.image) > 0.0)
+            .collect();
+        let any_known = known.contains(&true);
+        for ((filler, pace), known) in fillers.iter().zip(paces).zip(known) {
+            if known || (again && !any_known) {
                 *pace = 0;
+            } else if !any_known {
+                *pace = (*pace).min(filler.pace / 2);
             }
         }
     }
