Halt all best-effort work beside a task that stays over its target

Change: no new best-effort work while a tail exceeds its target, all of it halted after 1.2 s, halted runs let go one at a time so that the tails tell them apart. Ruled out: pace orders lost on their way (every one was answered).

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -4,7 +4,7 @@
 
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
-    workflow::{Run, State, Step, Workflow, WorkflowId},
+    workflow::{Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
 use super::{JobKey, WorkerKey, harm::Image};
@@ -229,6 +229,14 @@
         step.tasks.get(key.index as usize)
     }
 
+    /// Task of a name, whose workflow is not compared.
+    #[must_use]
+    pub fn task_named(&self, name: TaskName) -> Option<&Task> {
+        let occurrence = self.occurrences.get(name.occurrence as usize)?;
+        let step = occurrence.steps.get(usize::from(name.step))?;
+        step.tasks.get(name.index as usize)
+    }
+
     pub(super) fn step(&self, key: TaskKey) -> &Step {
         &self.spec.steps[usize::from(key.step)]
     }
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -31,6 +31,15 @@
 /// Part of the utilisation at the target that best-effort work may lead to.
 const MOST_UTILISATION: f64 = 0.93;
 
+/// Time over the target after which all best-effort work on a worker is halted.
+///
+/// Two reports after the first reaction, and well below the time for which a
+/// lasting task may exceed its target.
+const HALT_ALL_MS: Millis = Millis(1_200);
+
+/// Tail, as a share of the target, from which a worker gets no more best-effort work.
+const FULL_TAIL: f64 = 0.95;
+
 /// Least change of a pace that is worth an order, in percent.
 const LEAST_CHANGE_PERCENT: u8 = 15;
 
@@ -56,6 +65,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Bears {
     pub(super) image: Image,
+    /// Negative infinity if a tail exceeds its target now.
     left: f64,
 }
 
@@ -168,7 +178,11 @@
         let present: Vec<Neighbour> = present.into_iter().map(|filler| filler.near).collect();
         let mut bears: Vec<Bears> = Vec::new();
         for lasting in self.lasting(worker, PLACED_RISE) {
-            let left = lasting.bears - self.harm.raise(lasting.image, &present);
+            let raise = self.harm.raise(lasting.image, &present);
+            let left = match lasting.tail >= FULL_TAIL {
+                true => f64::NEG_INFINITY,
+                false => lasting.bears - raise,
+            };
             match bears.iter_mut().find(|known| known.image == lasting.image) {
                 Some(known) => known.left = known.left.min(left),
                 None => bears.push(Bears {
@@ -182,6 +196,9 @@
 
     /// Part of its demand that another best-effort task could use.
     pub(super) fn bearable(&self, bears: &[Bears], added: Image, share: f64) -> f64 {
+        if bears.iter().any(|bears| bears.left == f64::NEG_INFINITY) {
+            return 0.0;
+        }
         let parts = bears.iter().map(|bears| {
             let needed = self.harm.weight(added, bears.image) * share;
             granted_part(needed, bears.left)
@@ -210,15 +227,20 @@
         let lasting = self.lasting(worker, LOAD_RISE);
         let fillers = self.fillers(worker);
         let mut paces = self.granted(&lasting, &fillers);
+        self.release_one(&lasting, &fillers, &mut paces);
         let over: Vec<&Lasting> = lasting
             .iter()
             .filter(|lasting| lasting.tail > 1.0)
             .collect();
-        let again = worker.over_target;
-        self.workers[key].over_target = !over.is_empty();
+        let since = match over.is_empty() {
+            true => None,
+            false => Some(worker.over_target_since.unwrap_or(now)),
+        };
+        let too_long = since.is_some_and(|since| now.since(since) >= HALT_ALL_MS);
         for lasting in over {
-            self.halt_culprits(lasting, &fillers, &mut paces, again);
+            self.halt_culprits(lasting, &fillers, &mut paces, too_long);
         }
+        self.workers[key].over_target_since = since;
         let mut changed = false;
         for (filler, pace) in fillers.iter().zip(paces) {
             changed |= self.set_pace(key, filler, pace, now);
@@ -265,15 +287,45 @@
         paces
     }
 
+    /// Lets at most one halted run with known harm go on, the one that was halted first.
+    ///
+    /// Runs that go on together cannot be told apart by the tails that follow.
+    fn release_one(&self, lasting: &[Lasting], fillers: &[Filler], paces: &mut [u8]) {
+        let is_harmful = |filler: &Filler| {
+            let near = &filler.near;
+            lasting
+                .iter()
+                .any(|to| self.harm.weight(near.image, to.image) > 0.0)
+        };
+        let released =
+            |(filler, pace): (&Filler, &u8)| filler.pace == 0 && *pace > 0 && is_harmful(filler);
+        let halted_at = |filler: &Filler| {
+            let task = self.jobs[filler.key.job].task(filler.key);
+            task.and_then(|task| task.halted_at)
+        };
+        let pairs = fillers.iter().zip(paces.iter()).enumerate();
+        let released: Vec<usize> = pairs
+            .filter(|(_, pair)| released(*pair))
+            .map(|(i, _)| i)
+            .collect();
+        let first = released
+            .iter()
+            .copied()
+            .min_by_key(|&index| halted_at(&fillers[index]));
+        for index in released.into_iter().filter(|&index| Some(index) != first) {
+            paces[index] = 0;
+        }
+    }
+
     /// Halts the work that is known to harm a lasting task; slows all of it if none is known.
-    fn halt_culprits(&self, lasting: &Lasting, fillers: &[Filler], paces: &mut [u8], again: bool) {
+    fn halt_culprits(&self, lasting: &Lasting, fillers: &[Filler], paces: &mut [u8], all: bool) {
         let known: Vec<bool> = fillers
             .iter()
             .map(|filler| self.harm.weight(filler.near.image, lasting.image) > 0.0)
             .collect();
         let any_known = known.contains(&true);
         for ((filler, pace), known) in fillers.iter().zip(paces).zip(known) {
-            if known || (again && !any_known) {
+            if known || all {
                 *pace = 0;
             } else if !any_known {
                 *pace = (*pace).min(filler.pace / 2);
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -99,8 +99,8 @@
     pub(super) silent: bool,
     pub(super) paced_at: MonoMs,
     pub(super) learned_at: MonoMs,
-    /// A lasting task exceeded its target when the pace was changed last.
-    pub(super) over_target: bool,
+    /// Time since which a lasting task exceeds its target.
+    pub(super) over_target_since: Option<MonoMs>,
     /// Reserved by lasting tasks, part of what is committed.
     pub(super) lasting_cpu_milli: u64,
 }
@@ -124,7 +124,7 @@
             silent: false,
             paced_at: MonoMs(0),
             learned_at: MonoMs(0),
-            over_target: false,
+            over_target_since: None,
             lasting_cpu_milli: 0,
         }
     }
--- /dev/null
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -0,0 +1,335 @@
+//! A board with workers whose reports are made by hand.
+
+use std::net::SocketAddr;
+
+use hemlocksaddle_policy::workflow::{
+    Board, End, EndKind, Limits, Listing, Order, Phase, Report, Row, Start, StartAnswer, WorkerKey,
+};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs, WallMs},
+    name::DataCentre,
+    resources::Resources,
+    workflow::{Catalogue, Progress, Queue, Run, State, Step, TaskName, Workflow, WorkflowId},
+};
+
+/// Target of lasting tasks in the tests.
+const TARGET_MS: u64 = 100;
+
+/// Lease that each report renews.
+pub(crate) const LEASE_MS: u64 = 6_000;
+
+/// Time at which a world starts; not zero, so that "never" and "now" differ.
+const START_MS: u64 = 100_000;
+
+pub(crate) struct World {
+    pub(crate) board: Board,
+    pub(crate) workers: Vec<WorkerKey>,
+    now: MonoMs,
+    ends: Vec<(WorkerKey, End)>,
+    stops: Vec<(TaskName, Run)>,
+    starts: Vec<Start>,
+}
+
+/// Step of tasks that reserve processors.
+pub(crate) fn step(tasks: u32, cpu_milli: u64) -> Step {
+    Step {
+        tasks,
+        demand: Resources {
+            cpu_milli,
+            memory_mb: 10,
+            accelerators: 0,
+        },
+        expected_run_ms: 1_000,
+        ..Step::default()
+    }
+}
+
+/// Step of lasting tasks.
+pub(crate) fn lasting(tasks: u32, cpu_milli: u64, image: &str) -> Step {
+    Step {
+        lasting: true,
+        target_ms: TARGET_MS,
+        image: Some(image.into()),
+        ..step(tasks, cpu_milli)
+    }
+}
+
+/// Step of best-effort tasks.
+pub(crate) fn filler(tasks: u32, cpu_milli: u64, image: &str) -> Step {
+    Step {
+        best_effort: true,
+        image: Some(image.into()),
+        ..step(tasks, cpu_milli)
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        stop_ms: Millis(900),
+        keep_ended_ms: Millis(120_000),
+        impact_ms: Millis(4_000),
+        notice_ms: Millis(4_500),
+    }
+}
+
+fn listing(number: usize, cpu_milli: u64) -> Listing {
+    Listing {
+        name: format!("w{number}").into(),
+        born_ms: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        pool: "pool".into(),
+        data_centre: DataCentre::try_from("a").expect("name"),
+        labels: vec!["kind".into(), "rack".into()],
+        capacity: Resources {
+            cpu_milli,
+            memory_mb: 100_000,
+            accelerators: 0,
+        },
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "queue".into(),
+        host: "host".into(),
+        path_prefix: "/q/".into(),
+        pool: "pool".into(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.5,
+        target_completion_ms: Millis(250),
+        timeout_ms: Millis(3_000),
+    }
+}
+
+impl World {
+    /// Workers that have reported, in a first term.
+    pub(crate) fn with_workers(count: usize, cpu_milli: u64) -> World {
+        let mut world = World::unreported(count, cpu_milli, 0);
+        (0..count).for_each(|number| world.report_idle(number));
+        world
+    }
+
+    /// Workers that have not reported; what a predecessor started is over `settled_ms` from now.
+    pub(crate) fn unreported(count: usize, cpu_milli: u64, settled_ms: u64) -> World {
+        let now = MonoMs(START_MS);
+        let mut board = Board::new(limits(), 2, now + Millis(settled_ms));
+        board.configure(&Catalogue {
+            version: 1,
+            queues: vec![queue()],
+            ..Catalogue::default()
+        });
+        let workers = board.list_workers((0..count).map(|n| listing(n, cpu_milli)).collect());
+        workers.iter().for_each(|&key| board.rostered(key));
+        World {
+            board,
+            workers,
+            now,
+            ends: Vec::new(),
+            stops: Vec::new(),
+            starts: Vec::new(),
+        }
+    }
+
+    pub(crate) fn pass(&mut self, ms: u64) {
+        self.now = self.now + Millis(ms);
+    }
+
+    fn report(&mut self, worker: WorkerKey, report: &Report) {
+        self.board.extend_lease(worker, self.now + Millis(LEASE_MS));
+        self.board.report(worker, report, self.now, self.wall());
+    }
+
+    fn wall(&self) -> WallMs {
+        WallMs(self.now.0)
+    }
+
+    pub(crate) fn accept(&mut self, id: u64, steps: Vec<Step>) {
+        self.add(id, steps, false);
+    }
+
+    pub(crate) fn accept_inherited(&mut self, id: u64, steps: Vec<Step>) {
+        self.add(id, steps, true);
+    }
+
+    fn add(&mut self, id: u64, steps: Vec<Step>, inherited: bool) {
+        let workflow = Workflow {
+            queue: "queue".into(),
+            text: "text".into(),
+            steps,
+            schedule: None,
+            received_ms: self.wall(),
+        };
+        workflow.check().expect("valid workflow");
+        self.board
+            .accept(WorkflowId(id), workflow, self.now, inherited);
+    }
+
+    pub(crate) fn cancel(&mut self, id: u64) {
+        self.board.cancel(WorkflowId(id), self.now);
+    }
+
+    /// Orders to start that follow now; others are kept for [`World::stops`].
+    pub(crate) fn starts(&mut self) -> Vec<Start> {
+        let orders = self.board.plan(self.now, self.wall());
+        for order in orders {
+            match order {
+                Order::Start(start) => self.starts.push(start),
+                Order::Stop { task, run, .. } => self.stops.push((task, run)),
+                Order::Pace { .. } => {}
+            }
+        }
+        std::mem::take(&mut self.starts)
+    }
+
+    /// Orders to stop since the last call.
+    pub(crate) fn stops(&mut self) -> Vec<(TaskName, Run)> {
+        let starts = self.starts();
+        self.starts = starts;
+        std::mem::take(&mut self.stops)
+    }
+
+    pub(crate) fn answer(&mut self, start: &Start, answer: StartAnswer) -> bool {
+        self.board.start_answered(start, answer, self.now)
+    }
+
+    pub(crate) fn answer_all(&mut self, starts: &[Start], answer: StartAnswer) {
+        for start in starts {
+            self.answer(start, answer);
+        }
+    }
+
+    /// Reports the end of a run beside everything else that the board knows on its worker.
+    pub(crate) fn end(&mut self, start: &Start, kind: EndKind) {
+        let number = 1 + self
+            .ends
+            .iter()
+            .filter(|(worker, _)| *worker == start.worker)
+            .count();
+        let end = End {
+            number: number as u64,
+            task: Some(start.name),
+            run: start.run,
+            kind,
+            checkpoint: None,
+        };
+        self.ends.push((start.worker, end.clone()));
+        let report = Report {
+            sent_at: MonoMs(0),
+            rows: Vec::new(),
+            ends: vec![end],
+        };
+        self.report(start.worker, &report);
+    }
+
+    /// Lists all ends of a worker again, as before they are durable.
+    pub(crate) fn list_ends_again(&mut self, start: &Start, _kind: EndKind) {
+        let of_worker = self
+            .ends
+            .iter()
+            .filter(|(worker, _)| *worker == start.worker);
+        let report = Report {
+            sent_at: MonoMs(0),
+            rows: Vec::new(),
+            ends: of_worker.map(|(_, end)| end.clone()).collect(),
+        };
+        self.report(start.worker, &report);
+    }
+
+    pub(crate) fn report_idle(&mut self, number: usize) {
+        let report = Report {
+            sent_at: self.now,
+            ..Report::default()
+        };
+        self.report(self.workers[number], &report);
+    }
+
+    /// Reports a run of task 0 of step 0 of a workflow.
+    pub(crate) fn report_running(&mut self, number: usize, id: u64, run: Run) {
+        let row = Row {
+            task: name(id),
+            run,
+            checkpoint: None,
+            percent: 10,
+            figure: 1_000,
+        };
+        let report = Report {
+            sent_at: self.now,
+            rows: vec![row],
+            ends: Vec::new(),
+        };
+        self.report(self.workers[number], &report);
+    }
+
+    /// Reports every running task of the workflows 1 to 3 on a worker, lasting ones with a tail.
+    pub(crate) fn report_tails(&mut self, number: usize, tail_ms: u64) {
+        let mut rows = Vec::new();
+        for id in 1..=3 {
+            let job = self.board.job(WorkflowId(id)).expect("workflow");
+            let step = job.spec.steps[0].clone();
+            for index in 0..step.tasks {
+                let task = TaskName { index, ..name(id) };
+                let state = job.task_named(task).expect("task");
+                let percent = if step.lasting {
+                    100
+                } else {
+                    state.percent.wrapping_add(1) % 100
+                };
+                let used = step.demand.cpu_milli * u64::from(state.pace) / 100;
+                rows.push(Row {
+                    task,
+                    run: state.run,
+                    checkpoint: None,
+                    percent,
+                    figure: if step.lasting { tail_ms } else { used },
+                });
+            }
+        }
+        let report = Report {
+            sent_at: self.now,
+            rows,
+            ends: Vec::new(),
+        };
+        self.report(self.workers[number], &report);
+    }
+
+    pub(crate) fn pace_of(&self, id: u64) -> u8 {
+        let job = self.board.job(WorkflowId(id)).expect("workflow");
+        job.task_named(name(id)).expect("task").pace
+    }
+
+    pub(crate) fn phase(&self, id: u64, index: u32) -> Phase {
+        let job = self.board.job(WorkflowId(id)).expect("workflow");
+        let task = TaskName { index, ..name(id) };
+        job.task_named(task).expect("task").phase
+    }
+
+    pub(crate) fn state(&self, id: u64) -> Option<State> {
+        self.board.job(WorkflowId(id)).map(|job| job.state())
+    }
+
+    /// Saves all progress and returns it.
+    pub(crate) fn save(&mut self) -> Vec<(WorkflowId, Progress)> {
+        let unsaved = self.board.unsaved();
+        let progress = unsaved.progress.clone();
+        self.board.saved(unsaved);
+        progress
+    }
+
+    pub(crate) fn restore(&mut self, progress: Vec<(WorkflowId, Progress)>) {
+        for (id, progress) in progress {
+            self.board.restore(id, &progress);
+        }
+    }
+}
+
+fn name(id: u64) -> TaskName {
+    TaskName {
+        workflow: WorkflowId(id),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
