--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -262,11 +262,13 @@
         if self.claiming.replace(true) {
             return;
         }
-        let term = self.claim(shard).map_or(1, |claim| claim.term + 1);
+        // Taken before the first await, so that term and end belong together.
+        let (term, end) = (
+            self.claim(shard).map_or(1, |claim| claim.term + 1),
+            self.end.get(),
+        );
         let claim = self.own_claim(term, false);
-        let made = self
-            .append_claim(shard, &claim, 0, Some(self.end.get()))
-            .await;
+        let made = self.append_claim(shard, &claim, 0, Some(end)).await;
         self.claiming.set(false);
         let inputs = json!({
             "shard": shard, "term": term, "end": self.end.get(),
@@ -341,6 +343,8 @@
         let Some(read_since) = self.read_since.get() else {
             return;
         };
+        // A layout that is written from here on moves the end, also while this call waits.
+        let end = self.end.get();
         let waited = self.env.now().since(read_since);
         if waited < self.pause(0, 0) {
             return;
@@ -365,7 +369,7 @@
             return;
         };
         let conditions = Conditions {
-            end: Some(self.end.get()),
+            end: Some(end),
             writer: None,
         };
         // A lost race or answer shows in the stream, which is read in any case.
