Store submissions in batches by the owner; hand over what was learned

Renewals of all shards shared one partition. A new owner learned the harm of images from nothing. Change: nodes hand submissions to the shard's owner, which stores those that wait in one append; a node that cannot reach it appends by itself. Claims have a partition for each shard. The owner stores what it learned every two seconds.

--- a/hemlocksaddle-policy/src/workflow/harm.rs
+++ b/hemlocksaddle-policy/src/workflow/harm.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use foldhash::HashMap;
+use serde::{Deserialize, Serialize};
 
 /// Base of a tail as a share of the target, before shorter tails are seen.
 const FIRST_BASE: f64 = 0.2;
@@ -68,7 +69,7 @@
 }
 
 /// Regression of the raise on the shares for one lasting image.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Regression {
     weights: Vec<f64>,
     products: Vec<f64>,
@@ -127,7 +128,73 @@
     bases: HashMap<Image, f64>,
 }
 
+/// What was learned about one lasting image.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct LearnedImage {
+    image: usize,
+    regression: Regression,
+    base: f64,
+}
+
+/// What was learned, for the next owner.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Learned {
+    images: Vec<Arc<str>>,
+    lasting: Vec<LearnedImage>,
+}
+
 impl Harm {
+    /// What was learned so far.
+    pub(super) fn learned(&self) -> Learned {
+        let mut images: Vec<(&Arc<str>, Image)> = self
+            .images
+            .iter()
+            .map(|(name, image)| (name, *image))
+            .collect();
+        images.sort_by_key(|(_, image)| *image);
+        let lasting = self
+            .regressions
+            .iter()
+            .enumerate()
+            .filter_map(|(image, regression)| {
+                Some(LearnedImage {
+                    image,
+                    regression: regression.clone()?,
+                    base: self.base(Image(image)),
+                })
+            });
+        Learned {
+            lasting: lasting.collect(),
+            images: images.into_iter().map(|(name, _)| name.clone()).collect(),
+        }
+    }
+
+    /// Goes on from what a predecessor learned; ignored once images are known.
+    pub(super) fn restore(&mut self, learned: Learned) {
+        let consistent = learned.lasting.iter().all(|lasting| {
+            let size = lasting.regression.weights.len();
+            lasting.image < learned.images.len()
+                && size <= MAX_IMAGES
+                && lasting.regression.products.len() == size
+                && lasting.regression.squares.len() == size
+                && lasting
+                    .regression
+                    .squares
+                    .iter()
+                    .all(|row| row.len() == size)
+        });
+        if !self.images.is_empty() || !consistent {
+            return;
+        }
+        let images = learned.images.into_iter().enumerate();
+        self.images = images.map(|(key, name)| (name, Image(key))).collect();
+        self.regressions = vec![None; self.images.len()];
+        for lasting in learned.lasting {
+            self.bases.insert(Image(lasting.image), lasting.base);
+            self.regressions[lasting.image] = Some(lasting.regression);
+        }
+    }
+
     /// Key of an image.
     pub(super) fn image(&mut self, name: Option<&Arc<str>>) -> Image {
         let name = name.cloned().unwrap_or_else(|| Arc::from(""));
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -33,6 +33,7 @@
 
 pub use self::{
     bookkeeping::Unsaved,
+    harm::Learned,
     job::{Job, Phase, TaskKey},
     report::{End, EndKind, Report, Row},
     worker::{Listing, Worker},
@@ -210,6 +211,17 @@
         self.jobs.get(*self.by_id.get(&id)?)
     }
 
+    /// What was learned about the harm between images.
+    #[must_use]
+    pub fn learned(&self) -> Learned {
+        self.harm.learned()
+    }
+
+    /// Goes on from what a predecessor learned; has to come before any workflow.
+    pub fn restore_learned(&mut self, learned: Learned) {
+        self.harm.restore(learned);
+    }
+
     /// Term.
     #[must_use]
     pub fn term(&self) -> u64 {
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -1,6 +1,6 @@
 //! Who owns which shard.
 //!
-//! Every node follows the claims stream. An owner renews its claim there; a node
+//! Every node follows the claims stream, one partition for each shard. An owner renews its claim there; a node
 //! that has read the stream without a gap for longer than [`TAKE_OVER_MS`] and
 //! saw no renewal claims the shard with the next term. The append is conditional
 //! on the end of the stream, so that one of several claimants wins. A claim is
@@ -27,14 +27,14 @@
     record::{self, Claim, LAYOUT_KEY, Layout},
 };
 
-/// Silence of an owner after which its shard is claimed: three renewals.
-const TAKE_OVER_MS: Millis = Millis(1_500);
+/// Silence of an owner after which its shard is claimed: two renewals and the answers of a slow store.
+const TAKE_OVER_MS: Millis = Millis(1_900);
 
 /// Interval at which an owner renews its claim.
-pub(crate) const RENEW_MS: Millis = Millis(500);
+pub(crate) const RENEW_MS: Millis = Millis(700);
 
 /// Wait of one read of the claims.
-const READ_WAIT_MS: Millis = Millis(600);
+const READ_WAIT_MS: Millis = Millis(1_000);
 
 /// Interval at which claims are checked.
 const CHECK_MS: Millis = Millis(50);
@@ -61,7 +61,7 @@
 const WORKERS_PER_SHARD: usize = 100;
 
 /// Most shards: partitions of a stream.
-const MAX_SHARDS: usize = 8;
+const MAX_SHARDS: u32 = 8;
 
 /// Time that the workers have to register before the layout is decided.
 const LAYOUT_WAIT_MS: Millis = Millis(2_500);
@@ -72,14 +72,20 @@
     at: MonoMs,
 }
 
+/// How far a partition has been read.
+#[derive(Default)]
+struct Part {
+    end: Cell<u64>,
+    /// Time since which it has been read without a gap.
+    read_since: Cell<Option<MonoMs>>,
+}
+
 /// Node's view of the claims.
 pub(crate) struct Claims {
     env: Rc<Env>,
     layout: RefCell<Option<Layout>>,
     heard: RefCell<BTreeMap<u32, Heard>>,
-    end: Cell<u64>,
-    /// Time since which the stream has been read without a gap.
-    read_since: Cell<Option<MonoMs>>,
+    parts: Vec<Part>,
     /// Changes of an owner or of the layout.
     pub(crate) changed: Signal,
     claiming: Cell<bool>,
@@ -93,8 +99,7 @@
             env,
             layout: RefCell::default(),
             heard: RefCell::default(),
-            end: Cell::new(0),
-            read_since: Cell::new(None),
+            parts: (0..MAX_SHARDS).map(|_| Part::default()).collect(),
             changed: Signal::default(),
             claiming: Cell::new(false),
             stopping: Cell::new(false),
@@ -120,47 +125,63 @@
 
     /// Reads the claims for as long as the process lives.
     pub(crate) async fn follow(self: Rc<Self>) {
+        self.env.spawn(self.clone().follow_part(0));
+        let shards = loop {
+            let seen = self.changed.count();
+            if let Some(layout) = self.layout() {
+                break layout.shards;
+            }
+            self.changed.wait_past(seen).await;
+        };
+        for part in 1..shards.min(MAX_SHARDS) {
+            self.env.spawn(self.clone().follow_part(part));
+        }
+    }
+
+    async fn follow_part(self: Rc<Self>, part: u32) {
         loop {
-            match self.read_newest().await {
-                Ok(()) => {}
-                Err(_) => {
-                    self.env.sleep(RETRY_MS).await;
-                    continue;
-                }
+            if self.read_newest(part).await.is_err() {
+                self.env.sleep(RETRY_MS).await;
+                continue;
             }
-            while self.read_tail().await {}
+            while self.read_tail(part).await {}
         }
     }
 
-    async fn read_newest(&self) -> Result<()> {
-        let (records, end) = self.env.read_all(Stream::Claims, 0).await?;
-        self.end.set(end);
+    fn part(&self, part: u32) -> &Part {
+        &self.parts[part as usize]
+    }
+
+    async fn read_newest(&self, part: u32) -> Result<()> {
+        let (records, end) = self.env.read_all(Stream::Claims, part).await?;
+        self.part(part).end.set(end);
         for record in &records {
             self.apply(record);
         }
-        self.read_since.set(Some(self.env.now()));
+        self.part(part).read_since.set(Some(self.env.now()));
         Ok(())
     }
 
     /// Reads on; returns whether the next read can go on from there.
-    async fn read_tail(&self) -> bool {
+    async fn read_tail(&self, part: u32) -> bool {
+        let state = self.part(part);
         let read = self
             .env
-            .read(Stream::Claims, 0, self.end.get(), READ_WAIT_MS);
+            .read(Stream::Claims, part, state.end.get(), READ_WAIT_MS);
         match read.await {
             Ok(tail) => {
-                self.end.set(tail.next);
+                state.end.set(tail.next);
                 for record in tail.records.iter().flatten() {
                     self.apply(record);
                 }
-                if self.read_since.get().is_none() {
-                    self.read_since.set(Some(self.env.now()));
+                if state.read_since.get().is_none() {
+                    state.read_since.set(Some(self.env.now()));
                 }
                 true
             }
             Err(StoreError::Truncated(_)) => false,
             Err(_) => {
-                self.read_since.set(None);
+                state.read_since.set(None);
                 self.env.sleep(RETRY_MS).await;
                 true
             }
@@ -229,7 +250,7 @@
 
     fn may_claim(&self, shard: u32) -> bool {
         let now = self.env.now();
-        let Some(read_since) = self.read_since.get() else {
+        let Some(read_since) = self.part(shard).read_since.get() else {
             return false;
         };
         let heard = self.heard.borrow();
@@ -265,13 +286,13 @@
         // Taken before the first await, so that term and end belong together.
         let (term, end) = (
             self.claim(shard).map_or(1, |claim| claim.term + 1),
-            self.end.get(),
+            self.part(shard).end.get(),
         );
         let claim = self.own_claim(term, false);
         let made = self.append_claim(shard, &claim, 0, Some(end)).await;
         self.claiming.set(false);
         let inputs = json!({
-            "shard": shard, "term": term, "end": self.end.get(),
+            "shard": shard, "term": term, "end": end,
             "outcome": format!("{made:?}"),
         });
         self.env.event(Event::Claimed, &inputs);
@@ -312,7 +333,7 @@
             writer: Some(writer),
         };
         self.env
-            .append(Stream::Claims, 0, vec![record], conditions)
+            .append(Stream::Claims, shard, vec![record], conditions)
             .await
     }
 
@@ -340,11 +361,11 @@
 
     /// Writes the layout at the first start of a deployment.
     async fn decide_layout(&self) {
-        let Some(read_since) = self.read_since.get() else {
+        let Some(read_since) = self.part(0).read_since.get() else {
             return;
         };
         // A layout that is written from here on moves the end, also while this call waits.
-        let end = self.end.get();
+        let end = self.part(0).end.get();
         let waited = self.env.now().since(read_since);
         if waited < self.pause(0, 0) {
             return;
@@ -358,7 +379,7 @@
         let shards = workers
             .len()
             .div_ceil(WORKERS_PER_SHARD)
-            .clamp(1, MAX_SHARDS);
+            .clamp(1, MAX_SHARDS as usize);
         let random = || self.env.ports.runtime.random();
         let peer_key = format!("{:016x}{:016x}", random(), random());
         let layout = Layout {
--- a/hemlocksaddle-shard/src/front.rs
+++ b/hemlocksaddle-shard/src/front.rs
@@ -162,6 +162,11 @@
         let Some(shard) = self.shard(id) else {
             return Submitted::Unavailable;
         };
+        let asked = Question::Store(shard, id, submission.clone());
+        if let Some(Answer::Stored) = self.ask_once(shard, asked).await {
+            return Submitted::Accepted;
+        }
+        // The owner is gone or cannot reach the store; storing twice does no harm.
         let record = match record::encode(key.text(), submission) {
             Ok(record) => record,
             Err(cause) => {
@@ -274,7 +279,7 @@
     async fn ask_once(&self, shard: u32, question: Question) -> Option<Answer> {
         let claim = self.claims.claim(shard)?;
         if self.claims.is_own(&claim) {
-            return self.owners.answer(shard, &question);
+            return Some(self.owners.answer_own(question).await);
         }
         if claim.released {
             return None;
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod claims;
 mod configuration;
+mod intake;
 mod links;
 mod orders;
 mod owner;
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -13,7 +13,7 @@
 use foldhash::{HashMap, HashMapExt};
 use futures_channel::oneshot;
 use hemlocksaddle_node::{
-    ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers},
+    ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers, PortFuture},
     wait::within,
 };
 use hemlocksaddle_types::{
@@ -29,6 +29,9 @@
 /// Time for an answer; a hundred times the way between two data centres.
 const ANSWER_MS: Millis = Millis(250);
 
+/// Time for the answer that a submission is stored; leaves the caller time for another way.
+const STORED_MS: Millis = Millis(1_300);
+
 type Pending = RefCell<HashMap<u64, oneshot::Sender<Answer>>>;
 
 struct Link {
@@ -47,7 +50,7 @@
 /// Answers questions of other nodes.
 pub(crate) trait Answering {
     /// Answers a question from this node's own state.
-    fn answer(&self, question: &Question) -> Answer;
+    fn answer(&self, question: Question) -> PortFuture<'static, Answer>;
 }
 
 impl Links {
@@ -73,8 +76,12 @@
         address: SocketAddr,
         question: Question,
     ) -> Option<Answer> {
+        let limit = match question {
+            Question::Store(..) => STORED_MS,
+            Question::State(..) | Question::Waiting(..) => ANSWER_MS,
+        };
         let asking = self.ask_on_link(node, address, question);
-        let answer = within(&*self.env.ports.runtime, ANSWER_MS, asking)
+        let answer = within(&*self.env.ports.runtime, limit, asking)
             .await
             .flatten();
         if answer.is_none() {
@@ -136,7 +143,7 @@
     }
 
     /// Answers the questions of a peer until it closes the connection.
-    pub(crate) async fn serve(link: PeerLink, answering: Rc<dyn Answering>) {
+    pub(crate) async fn serve(env: Rc<Env>, link: PeerLink, answering: Rc<dyn Answering>) {
         let PeerLink {
             sender,
             mut receiver,
@@ -145,13 +152,17 @@
             let Message::Call(number, request) = message else {
                 continue;
             };
-            let response = match request {
-                Request::Workflow(question) => Response::Workflow(answering.answer(&question)),
-                _ => Response::Unsupported,
+            let Request::Workflow(question) = request else {
+                // A closed connection shows at the next receive.
+                let _ = sender.send(Message::Reply(number, Response::Unsupported));
+                continue;
             };
-            if sender.send(Message::Reply(number, response)).is_err() {
-                return;
-            }
+            let answer = answering.answer(question);
+            let sender = sender.clone();
+            env.spawn(async move {
+                let response = Response::Workflow(answer.await);
+                let _ = sender.send(Message::Reply(number, response));
+            });
         }
     }
 }
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -8,7 +8,7 @@
 };
 
 use foldhash::{HashMap, HashMapExt};
-use hemlocksaddle_node::ports::{PeerLink, Peers, Runtime};
+use hemlocksaddle_node::ports::{PeerLink, Peers, PortFuture, Runtime};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::{DataCentre, NodeName},
@@ -29,9 +29,9 @@
 
 /// Time for the answer of a call to the store, beyond the wait of a read.
 ///
-/// Above the answers of a slow store (60 times 4 ms) and short enough to notice a
-/// silent connection before an owner's right lapses.
-const STORE_ANSWER_MS: Millis = Millis(800);
+/// Above the answers of a slow store (60 times 4 ms, a few calls in turn) and short
+/// enough to notice a silent connection before an owner's right lapses.
+const STORE_ANSWER_MS: Millis = Millis(1_200);
 
 /// Failure of the store after which a node reports itself as not ready.
 const NOT_READY_MS: Millis = Millis(1_500);
@@ -193,16 +193,19 @@
 
 impl Owners {
     /// Answers a question if this node owns the shard.
-    pub(crate) fn answer(&self, shard: u32, question: &Question) -> Option<Answer> {
-        let owner = self.owners.borrow().get(&shard).cloned()?;
-        Some(owner.answer(question))
+    pub(crate) async fn answer_own(&self, question: Question) -> Answer {
+        let owner = self.owners.borrow().get(&question.shard()).cloned();
+        match owner {
+            Some(owner) => owner.answer(question).await,
+            None => Answer::NotOwner,
+        }
     }
 }
 
-impl Answering for Owners {
-    fn answer(&self, question: &Question) -> Answer {
-        let (Question::State(shard, _) | Question::Waiting(shard, _)) = question;
-        Owners::answer(self, *shard, question).unwrap_or(Answer::NotOwner)
+impl Answering for Rc<Owners> {
+    fn answer(&self, question: Question) -> PortFuture<'static, Answer> {
+        let owners = self.clone();
+        Box::pin(async move { owners.answer_own(question).await })
     }
 }
 
@@ -289,7 +292,9 @@
 
     /// Takes a connection that a peer opened.
     pub fn accept_peer(&self, link: PeerLink) {
-        self.env.spawn(Links::serve(link, self.owners.clone()));
+        let answering = Rc::new(self.owners.clone());
+        self.env
+            .spawn(Links::serve(self.env.clone(), link, answering));
     }
 
     /// Whether callers should be sent here.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -23,6 +23,7 @@
     claims::{Claims, RENEW_MS},
     configuration::Configuration,
     event::Event,
+    intake::ToStore,
     node::Env,
     ports::{Conditions, Record, StoreError, Stream, Writer},
     record::{self, Key},
@@ -56,6 +57,9 @@
 /// Shortest time between two appends of progress.
 const SAVE_EVERY_MS: Millis = Millis(20);
 
+/// Interval at which what was learned is stored.
+const LEARNED_MS: Millis = Millis(2_000);
+
 /// Interval at which ended workflows are forgotten.
 const FORGET_MS: Millis = Millis(10_000);
 
@@ -83,6 +87,9 @@
     claim_sequence: Cell<u64>,
     progress_sequence: Cell<u64>,
     submissions_read_at: Cell<MonoMs>,
+    learned_due: Cell<bool>,
+    pub(crate) to_store: RefCell<Vec<ToStore>>,
+    pub(crate) to_store_changed: Signal,
 }
 
 impl Owner {
@@ -122,6 +129,9 @@
             claim_sequence: Cell::new(1),
             progress_sequence: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
+            learned_due: Cell::new(false),
+            to_store: RefCell::default(),
+            to_store_changed: Signal::default(),
         })
     }
 
@@ -139,6 +149,7 @@
         self.env.event(Event::Deposed, &inputs);
         self.changed.notify();
         self.saved.notify();
+        self.to_store_changed.notify();
     }
 
     /// Acts as the owner until the shard is lost.
@@ -161,6 +172,8 @@
         self.spawn(move |owner| owner.follow_submissions(followed.submissions));
         self.spawn(move |owner| owner.follow_workers(followed.workers));
         self.spawn(|owner| owner.save());
+        self.spawn(|owner| owner.save_learned());
+        self.spawn(|owner| owner.store_submissions());
         self.spawn(|owner| owner.forget());
         self.plan().await;
     }
@@ -325,6 +338,15 @@
         }
     }
 
+    /// Stores what was learned from time to time, for the next owner.
+    async fn save_learned(self: Rc<Self>) {
+        while !self.ended.get() {
+            self.env.sleep(LEARNED_MS).await;
+            self.learned_due.set(true);
+            self.changed.notify();
+        }
+    }
+
     /// Writer of the progress with its next number.
     pub(crate) fn progress_writer(&self) -> Writer {
         Writer {
@@ -342,7 +364,7 @@
                 let mut board = self.board.borrow_mut();
                 (board.unsaved(), board.unrostered())
             };
-            if unsaved.is_empty() && roster.is_empty() {
+            if unsaved.is_empty() && roster.is_empty() && !self.learned_due.get() {
                 let waiting = self.changed.wait_past(seen);
                 let _ = within(&*self.env.ports.runtime, PLAN_TICK_MS, waiting).await;
                 continue;
@@ -398,14 +420,21 @@
         let roster = roster
             .iter()
             .map(|(_, listing)| record::encode(Key::Roster(listing.name.clone()).text(), listing));
-        let encoded = progress.chain(roster).filter_map(|record| match record {
-            Ok(record) => Some(record),
-            Err(cause) => {
-                let inputs = json!({ "cause": cause.to_string() });
-                self.env.event(Event::InvariantViolated, &inputs);
-                None
-            }
+        let learned = self.learned_due.take().then(|| {
+            let learned = self.board.borrow().learned();
+            record::encode(Key::Learned.text(), &learned)
         });
+        let encoded = progress
+            .chain(roster)
+            .chain(learned)
+            .filter_map(|record| match record {
+                Ok(record) => Some(record),
+                Err(cause) => {
+                    let inputs = json!({ "cause": cause.to_string() });
+                    self.env.event(Event::InvariantViolated, &inputs);
+                    None
+                }
+            });
         encoded.collect()
     }
 
@@ -455,18 +484,22 @@
     }
 
     /// Answers a question about the shard.
-    pub(crate) fn answer(&self, question: &Question) -> Answer {
+    pub(crate) async fn answer(&self, question: Question) -> Answer {
         if !self.ready.get() || self.ended.get() {
             return Answer::NotOwner;
         }
+        if let Question::Store(_, id, submission) = question {
+            return self.store(id, &submission).await;
+        }
         let board = self.board.borrow();
         match question {
-            Question::State(_, id) => match board.job(*id).map(|job| job.state()) {
+            Question::State(_, id) => match board.job(id).map(|job| job.state()) {
                 Some(state) => Answer::State(Some(state)),
                 None if self.is_fresh() => Answer::State(None),
                 None => Answer::NotOwner,
             },
-            Question::Waiting(_, queue) => Answer::Waiting(board.waiting(queue)),
+            Question::Waiting(_, queue) => Answer::Waiting(board.waiting(&queue)),
+            Question::Store(..) => Answer::NotOwner,
         }
     }
 
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use hemlocksaddle_policy::workflow::Listing;
+use hemlocksaddle_policy::workflow::{Learned, Listing};
 use hemlocksaddle_types::workflow::{Progress, Submission};
 use serde_json::json;
 
@@ -33,6 +33,7 @@
             self.env.read_all(Stream::Submissions, self.shard).await?;
         let (progress, _) = self.env.read_all(Stream::Progress, self.shard).await?;
         let (workers, workers_end) = self.env.read_all(Stream::Workers, 0).await?;
+        self.apply_learned(&progress);
         for record in &submissions {
             self.apply_submission(record, true);
         }
@@ -66,6 +67,22 @@
         }
     }
 
+    /// Goes on from what the predecessor learned, before any workflow is known.
+    fn apply_learned(&self, records: &[Record]) {
+        let learned = records
+            .iter()
+            .find(|record| Key::parse(&record.key) == Some(Key::Learned));
+        let Some((record, value)) =
+            learned.and_then(|record| Some((record, record.value.as_ref()?)))
+        else {
+            return;
+        };
+        match record::decode::<Learned>(&record.key, value) {
+            Ok(learned) => self.board.borrow_mut().restore_learned(learned),
+            Err(cause) => self.unreadable(record, &cause.to_string()),
+        }
+    }
+
     fn apply_progress(self: &Rc<Self>, records: &[Record]) {
         let mut roster = Vec::new();
         for record in records {
@@ -79,6 +96,7 @@
                     Ok(listing) => roster.push(listing),
                     Err(cause) => self.unreadable(record, &cause.to_string()),
                 },
+                Some(Key::Learned) => {}
                 _ => self.unreadable(record, "key is not one of progress"),
             }
         }
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -357,6 +357,20 @@
     State(u32, WorkflowId),
     /// Accepted workflows of a queue for which no task has started.
     Waiting(u32, Arc<str>),
+    /// Asks to store a submission.
+    Store(u32, WorkflowId, Submission),
+}
+
+impl Question {
+    /// Shard that the question is about.
+    #[must_use]
+    pub fn shard(&self) -> u32 {
+        match self {
+            Question::State(shard, _)
+            | Question::Waiting(shard, _)
+            | Question::Store(shard, _, _) => *shard,
+        }
+    }
 }
 
 /// Answer of the owner of a shard.
@@ -366,6 +380,12 @@
     State(Option<State>),
     /// Number of waiting workflows.
     Waiting(u32),
+    /// Submission is stored.
+    Stored,
+    /// Submission is certain not to be stored.
+    NotStored,
+    /// It is not known whether the submission is stored.
+    StoreUnknown,
     /// Node does not own the shard, or has not read its state yet.
     NotOwner,
 }
