Let nodes with a full share of a processor own shards

A submission whose hand-over to the owner got no answer was refused although it may have been stored (REFUSED).

--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -49,16 +49,19 @@
 const OWNED_PAUSE_MS: u64 = 400;
 
 /// Longest pause for a node with a small share of a processor.
-const SLOW_PAUSE_MS: f64 = 200.0;
+///
+/// Above what any node with a full share waits, so that a slow one owns a shard
+/// only where no other is left.
+const SLOW_PAUSE_MS: f64 = 2_000.0;
 
 /// Share of a core from which a node waits no longer than others.
 const FULL_SHARE: f64 = 0.5;
 
 /// Workers for which one more shard is made when the deployment first starts.
 ///
-/// An owner makes about ten calls a second for each worker; at 100 workers these
-/// take about a tenth of a core.
-const WORKERS_PER_SHARD: usize = 100;
+/// An owner makes about ten calls a second for each worker; at 70 workers these
+/// take less than a tenth of a core.
+const WORKERS_PER_SHARD: usize = 70;
 
 /// Most shards: partitions of a stream.
 const MAX_SHARDS: u32 = 8;
--- a/hemlocksaddle-shard/src/front.rs
+++ b/hemlocksaddle-shard/src/front.rs
@@ -16,7 +16,7 @@
     claims::Claims,
     configuration::Configuration,
     event::Event,
-    links::Links,
+    links::{Asked, Links},
     node::{Env, Owners},
     owner::state_text,
     ports::{Conditions, Record, StoreError, Stream},
@@ -163,10 +163,12 @@
             return Submitted::Unavailable;
         };
         let asked = Question::Store(shard, id, submission.clone());
-        if let Some(Answer::Stored) = self.ask_once(shard, asked).await {
-            return Submitted::Accepted;
-        }
-        // The owner is gone or cannot reach the store; storing twice does no harm.
+        // The owner may be gone or cut off from the store; storing twice does no harm.
+        let unsure = match self.ask_once(shard, asked).await {
+            Asked::Answered(Answer::Stored) => return Submitted::Accepted,
+            Asked::Answered(Answer::StoreUnknown) | Asked::NoAnswer => true,
+            Asked::Answered(_) | Asked::NotSent => false,
+        };
         let record = match record::encode(key.text(), submission) {
             Ok(record) => record,
             Err(cause) => {
@@ -175,12 +177,11 @@
                 return Submitted::Unavailable;
             }
         };
-        self.append(shard, record).await
+        self.append(shard, record, unsure).await
     }
 
-    async fn append(&self, shard: u32, record: Record) -> Submitted {
+    async fn append(&self, shard: u32, record: Record, mut unsure: bool) -> Submitted {
         let started_at = self.env.now();
-        let mut unsure = false;
         loop {
             let records = vec![record.clone()];
             let conditions = Conditions::default();
@@ -264,10 +265,9 @@
     async fn ask(&self, shard: u32, question: Question) -> Option<Answer> {
         let started_at = self.env.now();
         loop {
-            let answer = self.ask_once(shard, question.clone()).await;
-            match answer {
-                Some(Answer::NotOwner) | None => {}
-                answer => return answer,
+            match self.ask_once(shard, question.clone()).await {
+                Asked::Answered(Answer::NotOwner) | Asked::NotSent | Asked::NoAnswer => {}
+                Asked::Answered(answer) => return Some(answer),
             }
             if self.env.now().since(started_at) >= OWNER_WAIT_MS {
                 return None;
@@ -276,13 +276,15 @@
         }
     }
 
-    async fn ask_once(&self, shard: u32, question: Question) -> Option<Answer> {
-        let claim = self.claims.claim(shard)?;
+    async fn ask_once(&self, shard: u32, question: Question) -> Asked {
+        let Some(claim) = self.claims.claim(shard) else {
+            return Asked::NotSent;
+        };
         if self.claims.is_own(&claim) {
-            return Some(self.owners.answer_own(question).await);
+            return Asked::Answered(self.owners.answer_own(question).await);
         }
         if claim.released {
-            return None;
+            return Asked::NotSent;
         }
         self.links.ask(&claim.node, claim.address, question).await
     }
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -10,7 +10,7 @@
     rc::Rc,
 };
 
-use foldhash::{HashMap, HashMapExt};
+use foldhash::{HashMap, HashMapExt, HashSet};
 use futures_channel::oneshot;
 use hemlocksaddle_node::{
     ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers, PortFuture},
@@ -39,12 +39,24 @@
     pending: Pending,
 }
 
+/// Outcome of a question to an owner.
+pub(crate) enum Asked {
+    /// Owner answered.
+    Answered(Answer),
+    /// Question was not sent.
+    NotSent,
+    /// Question was sent, and no answer came in time.
+    NoAnswer,
+}
+
 /// Connections to owners.
 pub(crate) struct Links {
     env: Rc<Env>,
     peers: OnceCell<Rc<dyn Peers>>,
     open: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     next: Cell<u64>,
+    /// Owners that did not answer last time.
+    lost: RefCell<HashSet<SocketAddr>>,
 }
 
 /// Answers questions of other nodes.
@@ -60,6 +72,7 @@
             peers: OnceCell::new(),
             open: RefCell::new(HashMap::new()),
             next: Cell::new(1),
+            lost: RefCell::default(),
         })
     }
 
@@ -69,30 +82,41 @@
         let _ = self.peers.set(peers);
     }
 
-    /// Asks an owner; `None` if it did not answer.
+    /// Asks an owner.
     pub(crate) async fn ask(
         self: &Rc<Self>,
         node: &NodeName,
         address: SocketAddr,
         question: Question,
-    ) -> Option<Answer> {
+    ) -> Asked {
         let limit = match question {
             Question::Store(..) => STORED_MS,
             Question::State(..) | Question::Waiting(..) => ANSWER_MS,
         };
-        let asking = self.ask_on_link(node, address, question);
-        let answer = within(&*self.env.ports.runtime, limit, asking)
-            .await
-            .flatten();
-        if answer.is_none() {
-            let link = self.open.borrow_mut().remove(&address);
-            if let Some(link) = link {
-                link.sender.close();
-            }
+        let sent = Cell::new(false);
+        let asking = self.ask_on_link(node, address, question, &sent);
+        let answer = within(&*self.env.ports.runtime, limit, asking).await;
+        let Some(answer) = answer.flatten() else {
+            self.close(node, address);
+            return if sent.get() {
+                Asked::NoAnswer
+            } else {
+                Asked::NotSent
+            };
+        };
+        self.lost.borrow_mut().remove(&address);
+        Asked::Answered(answer)
+    }
+
+    fn close(&self, node: &NodeName, address: SocketAddr) {
+        let link = self.open.borrow_mut().remove(&address);
+        if let Some(link) = link {
+            link.sender.close();
+        }
+        if self.lost.borrow_mut().insert(address) {
             let inputs = json!({ "owner": node.as_str(), "address": address.to_string() });
             self.env.event(Event::OwnerLost, &inputs);
         }
-        answer
     }
 
     async fn ask_on_link(
@@ -100,6 +124,7 @@
         node: &NodeName,
         address: SocketAddr,
         question: Question,
+        sent: &Cell<bool>,
     ) -> Option<Answer> {
         let link = self.link(node, address).await?;
         let number = self.next.get();
@@ -108,6 +133,7 @@
         link.pending.borrow_mut().insert(number, answered);
         let call = Message::Call(number, Request::Workflow(question));
         link.sender.send(call).ok()?;
+        sent.set(true);
         answer.await.ok()
     }
 
