Test shards as a whole on virtual time

Change: an in-memory store with epochs, outages and lost answers, workers that judge double runs, and connections in memory; ten tests, among them kills, pauses and unreachable workers over seeds, and the race for the layout.

--- /dev/null
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -0,0 +1,235 @@
+//! Shards as a whole: acceptance, take-over, outages of the store.
+
+mod support;
+
+use googletest::prelude::*;
+use hemlocksaddle_shard::{
+    front::{Found, Submitted},
+    ports::Stream,
+};
+use hemlocksaddle_types::{
+    clock::Millis,
+    workflow::{State, Step},
+};
+use support::{Deployment, step};
+
+/// Guards against a workflow that one node accepts and another does not know.
+#[gtest]
+fn a_workflow_is_accepted_run_and_shown_at_any_node() {
+    let deployment = Deployment::new(1, 3, 2);
+    deployment.settle();
+    let second = Step {
+        after: vec![0],
+        ..step(1)
+    };
+    expect_that!(
+        deployment.submit(0, 7, vec![step(3), second]),
+        eq(Submitted::Accepted)
+    );
+    let ended = deployment.wait_for_end(1, 7, Millis(10_000));
+    expect_that!(ended, some(eq(State::Completed)));
+    expect_that!(deployment.state(2, 7), eq(Found::State(State::Completed)));
+    expect_that!(deployment.state(2, 8), eq(Found::Gone));
+    expect_that!(deployment.fleet.starts(), eq(4));
+    expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+}
+
+/// Guards against a second run when a submission is repeated at another node.
+#[gtest]
+fn a_repeated_submission_runs_once() {
+    let deployment = Deployment::new(2, 3, 2);
+    deployment.settle();
+    for node in 0..3 {
+        expect_that!(
+            deployment.submit(node, 7, vec![step(2)]),
+            eq(Submitted::Accepted)
+        );
+    }
+    deployment.wait_for_end(0, 7, Millis(10_000));
+    expect_that!(deployment.fleet.starts(), eq(2));
+}
+
+/// Guards against work that is lost or done twice when the owner's process is killed.
+#[gtest]
+fn a_successor_goes_on_with_what_runs_when_the_owner_is_killed() {
+    for seed in 1..=20 {
+        let deployment = Deployment::new(seed, 3, 3);
+        deployment.settle();
+        let owner = deployment.owner().expect("owner");
+        let other = (owner + 1) % 3;
+        for id in 1..=6 {
+            let accepted = deployment.submit(other, id, vec![step(4)]);
+            assert_that!(accepted, eq(Submitted::Accepted));
+        }
+        deployment.sim.run_for(Millis(50 * seed));
+        deployment.kill(owner);
+        for id in 1..=6 {
+            let ended = deployment.wait_for_end(other, id, Millis(30_000));
+            assert_that!(
+                ended,
+                some(eq(State::Completed)),
+                "seed {seed}, workflow {id}"
+            );
+        }
+        assert_that!(
+            *deployment.fleet.violations.borrow(),
+            is_empty(),
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards against a task that runs in two places because a paused owner goes on.
+#[gtest]
+fn a_paused_owner_does_no_harm_when_it_wakes_up() {
+    for seed in 1..=20 {
+        let deployment = Deployment::new(seed, 3, 3);
+        deployment.fleet.lose_every.set(5);
+        deployment.settle();
+        let owner = deployment.owner().expect("owner");
+        let other = (owner + 1) % 3;
+        for id in 1..=6 {
+            deployment.submit(
+                other,
+                id,
+                vec![
+                    step(3),
+                    Step {
+                        after: vec![0],
+                        ..step(3)
+                    },
+                ],
+            );
+        }
+        deployment.sim.run_for(Millis(37 * seed));
+        deployment.pause(owner, Millis(2_500 + 250 * seed));
+        for id in 1..=6 {
+            let ended = deployment.wait_for_end(other, id, Millis(40_000));
+            assert_that!(
+                ended,
+                some(eq(State::Completed)),
+                "seed {seed}, workflow {id}"
+            );
+        }
+        assert_that!(
+            *deployment.fleet.violations.borrow(),
+            is_empty(),
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards against a second run of what an unreachable worker may still run after a take-over.
+#[gtest]
+fn a_successor_waits_for_a_worker_that_it_cannot_reach() {
+    for seed in 1..=10 {
+        let deployment = Deployment::new(seed, 3, 2);
+        deployment.settle();
+        let owner = deployment.owner().expect("owner");
+        let other = (owner + 1) % 3;
+        deployment.submit(other, 1, vec![step(8)]);
+        deployment.sim.run_for(Millis(100));
+        deployment.fleet.set_unreachable(0, true);
+        deployment.kill(owner);
+        let ended = deployment.wait_for_end(other, 1, Millis(40_000));
+        assert_that!(ended, some(eq(State::Completed)), "seed {seed}");
+        assert_that!(
+            *deployment.fleet.violations.borrow(),
+            is_empty(),
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards against refusals that are late or untrue while the store is away.
+#[gtest]
+fn while_the_store_is_away_submissions_are_refused_at_once_and_work_goes_on() {
+    let deployment = Deployment::new(3, 3, 2);
+    deployment.settle();
+    deployment.submit(0, 1, vec![step(2)]);
+    deployment.sim.run_for(Millis(200));
+    deployment.store.down.set(true);
+    let asked_at = deployment.sim.now();
+    expect_that!(
+        deployment.submit(0, 2, vec![step(1)]),
+        eq(Submitted::Unavailable)
+    );
+    expect_that!(deployment.sim.now().0 - asked_at.0, lt(500));
+    expect_that!(deployment.fleet.running(), eq(2));
+    deployment.sim.run_for(Millis(4_000));
+    deployment.store.down.set(false);
+    let ended = deployment.wait_for_end(1, 1, Millis(10_000));
+    expect_that!(ended, some(eq(State::Completed)));
+    expect_that!(deployment.state(1, 2), eq(Found::Gone));
+    expect_that!(deployment.fleet.starts(), eq(2));
+    expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+}
+
+/// Guards against "not run" for a submission whose append was carried out without an answer.
+#[gtest]
+fn a_submission_whose_append_is_not_answered_is_not_refused() {
+    let deployment = Deployment::new(4, 3, 2);
+    deployment.settle();
+    deployment.store.lose_answers.set(true);
+    let answer = deployment.submit(0, 1, vec![step(1)]);
+    expect_that!(answer, not(eq(Submitted::Unavailable)));
+    deployment.store.lose_answers.set(false);
+    let ended = deployment.wait_for_end(1, 1, Millis(20_000));
+    expect_that!(ended, some(eq(State::Completed)));
+}
+
+/// Guards against work that runs on after its cancellation was accepted.
+#[gtest]
+fn a_cancelled_workflow_stops_everywhere() {
+    let deployment = Deployment::new(5, 3, 2);
+    deployment.settle();
+    deployment.submit(
+        0,
+        1,
+        vec![Step {
+            lasting: true,
+            ..step(4)
+        }],
+    );
+    deployment.sim.run_for(Millis(500));
+    expect_that!(deployment.fleet.running(), eq(4));
+    expect_that!(deployment.cancel(1, 1), eq(Submitted::Accepted));
+    deployment.sim.run_for(Millis(500));
+    expect_that!(deployment.fleet.running(), eq(0));
+    expect_that!(deployment.state(2, 1), eq(Found::State(State::Cancelled)));
+}
+
+/// Guards against two layouts: nodes with another key cannot reach the owner.
+#[gtest]
+fn nodes_that_start_together_agree_on_one_layout() {
+    for seed in 1..=20 {
+        let deployment = Deployment::new(seed, 5, 2);
+        deployment.store.slow_workers_ms.set(400);
+        deployment.settle();
+        expect_that!(
+            deployment.store.versions(Stream::Claims, "layout"),
+            eq(1),
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards against a gap without an owner at a planned stop.
+#[gtest]
+fn an_owner_that_is_stopped_goes_on_until_another_has_claimed() {
+    let deployment = Deployment::new(6, 3, 2);
+    deployment.settle();
+    let owner = deployment.owner().expect("owner");
+    let other = (owner + 1) % 3;
+    deployment.node(owner).expect("node").release();
+    expect_that!(
+        deployment.submit(other, 1, vec![step(2)]),
+        eq(Submitted::Accepted)
+    );
+    deployment.sim.run_for(Millis(2_000));
+    let next = deployment.owner().expect("owner");
+    expect_that!(next, not(eq(owner)));
+    let ended = deployment.wait_for_end(other, 1, Millis(10_000));
+    expect_that!(ended, some(eq(State::Completed)));
+    expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+}
--- /dev/null
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -0,0 +1,207 @@
+//! In-memory store with outages and lost answers.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use hemlocksaddle_fakes::runtime::SimRuntime;
+use hemlocksaddle_node::ports::PortFuture;
+use hemlocksaddle_shard::ports::{
+    Conditions, Newest, Record, Result, Store, StoreError, Stream, Tail,
+};
+use hemlocksaddle_types::clock::Millis;
+
+/// Time of an answer.
+const ANSWER_MS: Millis = Millis(4);
+
+/// Interval at which a read that waits looks again.
+const POLL_MS: Millis = Millis(5);
+
+#[derive(Default)]
+struct Partition {
+    records: Vec<Record>,
+    /// Epoch, last sequence number and the end after it, by writer.
+    writers: HashMap<Arc<str>, (u64, Option<u64>, u64)>,
+}
+
+pub(crate) struct FakeStore {
+    sim: SimRuntime,
+    partitions: RefCell<HashMap<(Stream, u32), Partition>>,
+    /// Turns every call away.
+    pub(crate) down: Cell<bool>,
+    /// Carries appends out without answering them.
+    pub(crate) lose_answers: Cell<bool>,
+    /// Delays reads of the workers, to widen races with them.
+    pub(crate) slow_workers_ms: Cell<u64>,
+}
+
+impl FakeStore {
+    pub(crate) fn new(sim: SimRuntime) -> Rc<FakeStore> {
+        Rc::new(FakeStore {
+            sim,
+            partitions: RefCell::default(),
+            down: Cell::new(false),
+            lose_answers: Cell::new(false),
+            slow_workers_ms: Cell::new(0),
+        })
+    }
+
+    pub(crate) fn put_config(&self) {
+        self.put(Stream::Operator, "config");
+    }
+
+    pub(crate) fn put_worker(&self, number: usize) {
+        self.put(Stream::Workers, &number.to_string());
+    }
+
+    fn put(&self, stream: Stream, key: &str) {
+        let record = Record {
+            key: key.into(),
+            value: Some(Bytes::from_static(b"-")),
+        };
+        let mut partitions = self.partitions.borrow_mut();
+        partitions
+            .entry((stream, 0))
+            .or_default()
+            .records
+            .push(record);
+    }
+
+    /// Records that were appended under a key.
+    pub(crate) fn versions(&self, stream: Stream, key: &str) -> usize {
+        let partitions = self.partitions.borrow();
+        let records = partitions
+            .get(&(stream, 0))
+            .map_or(&[][..], |part| &part.records);
+        records.iter().filter(|record| &*record.key == key).count()
+    }
+
+    async fn answer(&self) -> Result<()> {
+        self.sim.sleep(ANSWER_MS).await;
+        if self.down.get() {
+            Err(StoreError::NotDone)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn do_append(
+        &self,
+        stream: Stream,
+        partition: u32,
+        records: Vec<Record>,
+        conditions: &Conditions,
+    ) -> Result<u64> {
+        let mut partitions = self.partitions.borrow_mut();
+        let part = partitions.entry((stream, partition)).or_default();
+        let end = part.records.len() as u64;
+        if conditions.end.is_some_and(|wanted| wanted != end) {
+            return Err(StoreError::Conflict);
+        }
+        if let Some(writer) = &conditions.writer {
+            let known = part.writers.get(&writer.name).copied();
+            match known {
+                Some((epoch, ..)) if writer.epoch < epoch => return Err(StoreError::Fenced),
+                Some((epoch, Some(last), end)) if writer.epoch == epoch => {
+                    if writer.sequence == last {
+                        return Ok(end);
+                    }
+                    if writer.sequence != last + 1 {
+                        return Err(StoreError::OutOfSequence(last + 1));
+                    }
+                }
+                _ => {}
+            }
+            let last = (!records.is_empty()).then_some(writer.sequence);
+            let after = end + records.len() as u64;
+            part.writers
+                .insert(writer.name.clone(), (writer.epoch, last, after));
+        }
+        part.records.extend(records);
+        Ok(part.records.len() as u64)
+    }
+}
+
+impl Store for FakeStore {
+    fn newest(
+        &self,
+        stream: Stream,
+        partition: u32,
+        _after: Option<Arc<str>>,
+    ) -> PortFuture<'_, Result<Newest>> {
+        Box::pin(async move {
+            if stream == Stream::Workers {
+                self.sim.sleep(Millis(self.slow_workers_ms.get())).await;
+            }
+            self.answer().await?;
+            let partitions = self.partitions.borrow();
+            let Some(part) = partitions.get(&(stream, partition)) else {
+                return Ok(Newest::default());
+            };
+            let mut newest: BTreeMap<Arc<str>, Record> = BTreeMap::new();
+            for record in &part.records {
+                newest.insert(record.key.clone(), record.clone());
+            }
+            Ok(Newest {
+                records: newest
+                    .into_values()
+                    .filter(|record| record.value.is_some())
+                    .collect(),
+                more: false,
+                end: part.records.len() as u64,
+            })
+        })
+    }
+
+    fn read(
+        &self,
+        stream: Stream,
+        partition: u32,
+        from: u64,
+        wait: Millis,
+    ) -> PortFuture<'_, Result<Tail>> {
+        Box::pin(async move {
+            let until = self.sim.now() + wait;
+            loop {
+                self.answer().await?;
+                let records: Vec<_> = {
+                    let partitions = self.partitions.borrow();
+                    let part = partitions.get(&(stream, partition));
+                    let records = part.map_or(&[][..], |part| &part.records);
+                    records
+                        .iter()
+                        .skip(from as usize)
+                        .cloned()
+                        .map(Some)
+                        .collect()
+                };
+                if !records.is_empty() || self.sim.now() >= until {
+                    let next = from + records.len() as u64;
+                    return Ok(Tail { records, next });
+                }
+                self.sim.sleep(POLL_MS).await;
+            }
+        })
+    }
+
+    fn append(
+        &self,
+        stream: Stream,
+        partition: u32,
+        records: Vec<Record>,
+        conditions: Conditions,
+    ) -> PortFuture<'_, Result<u64>> {
+        Box::pin(async move {
+            self.answer().await?;
+            let appended = self.do_append(stream, partition, records, &conditions);
+            if self.lose_answers.get() {
+                return Err(StoreError::Unknown);
+            }
+            appended
+        })
+    }
+}
