Refuse at once at a node that is cut off; tell claims of nodes apart

Claims of several nodes were all answered as made (outcome Ok(2) at 36 nodes): the store takes the same sequence number of an epoch for a repeat; harmless, as claims are read back. Change: a node whose store has failed for 300 ms and whose owner was lost in the last 400 ms refuses without sending anything; not ready after 0.7 s; claims start at a number of their own. Ruled out: refusing what was sent already (it may be carried out).

--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -296,7 +296,8 @@
             self.part(shard).end.get(),
         );
         let claim = self.own_claim(term, false);
-        let made = self.append_claim(shard, &claim, 0, Some(end)).await;
+        let first = self.first_sequence();
+        let made = self.append_claim(shard, &claim, first, Some(end)).await;
         self.claiming.set(false);
         let inputs = json!({
             "shard": shard, "term": term, "end": end,
@@ -309,6 +310,16 @@
         }
     }
 
+    /// Number of the first append of a term.
+    ///
+    /// Differs between nodes, because the store takes the same number of the same
+    /// epoch for a repeat and answers it as the first.
+    pub(crate) fn first_sequence(&self) -> u64 {
+        let settings = &self.env.settings;
+        let started = self.env.started_ms.to_be_bytes();
+        stable_hash(&[settings.node.as_str().as_bytes(), &started]) >> 32
+    }
+
     fn own_claim(&self, term: u64, released: bool) -> Claim {
         Claim {
             term,
--- a/hemlocksaddle-shard/src/front.rs
+++ b/hemlocksaddle-shard/src/front.rs
@@ -39,6 +39,9 @@
 /// As long as a take-over usually takes.
 const OWNER_WAIT_MS: Millis = Millis(2_200);
 
+/// Failure of the store after which a node without an owner counts as cut off.
+const CUT_OFF_MS: Millis = Millis(300);
+
 /// Age up to which a count of waiting workflows is told again.
 const WAITING_AGE_MS: Millis = Millis(500);
 
@@ -163,6 +166,9 @@
         let Some(shard) = self.shard(id) else {
             return Submitted::Unavailable;
         };
+        if self.is_cut_off(shard) {
+            return Submitted::Unavailable;
+        }
         let asked = Question::Store(shard, id, submission.clone());
         // The owner may be gone or cut off from the store; storing twice does no harm.
         let unsure = match self.ask_once(shard, asked).await {
@@ -271,6 +277,9 @@
 
     /// Asks the owner of a shard, waiting for a take-over.
     async fn ask(&self, shard: u32, question: Question) -> Option<Answer> {
+        if self.is_cut_off(shard) {
+            return None;
+        }
         let started_at = self.env.now();
         loop {
             match self.ask_once(shard, question.clone()).await {
@@ -284,6 +293,17 @@
         }
     }
 
+    /// Whether neither the store nor the owner answers this node now.
+    ///
+    /// Callers are then told at once to go elsewhere: nothing is sent that could
+    /// be carried out later.
+    fn is_cut_off(&self, shard: u32) -> bool {
+        let lost = self.claims.claim(shard).is_some_and(|claim| {
+            !self.claims.is_own(&claim) && self.links.just_lost(claim.address)
+        });
+        lost && self.env.store_failed_for() >= CUT_OFF_MS
+    }
+
     async fn ask_once(&self, shard: u32, question: Question) -> Asked {
         let Some(claim) = self.claims.claim(shard) else {
             return Asked::NotSent;
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -10,14 +10,14 @@
     rc::Rc,
 };
 
-use foldhash::{HashMap, HashMapExt, HashSet};
+use foldhash::{HashMap, HashMapExt};
 use futures_channel::oneshot;
 use hemlocksaddle_node::{
     ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers, PortFuture},
     wait::within,
 };
 use hemlocksaddle_types::{
-    clock::Millis,
+    clock::{Millis, MonoMs},
     name::NodeName,
     peer::{Message, Request, Response},
     workflow::{Answer, Question},
@@ -32,6 +32,9 @@
 /// Time for the answer that a submission is stored; leaves the caller time for another way.
 const STORED_MS: Millis = Millis(2_000);
 
+/// Time after which an owner that did not answer is asked again.
+const ASK_AGAIN_MS: Millis = Millis(400);
+
 type Pending = RefCell<HashMap<u64, oneshot::Sender<Answer>>>;
 
 struct Link {
@@ -55,8 +58,8 @@
     peers: OnceCell<Rc<dyn Peers>>,
     open: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     next: Cell<u64>,
-    /// Owners that did not answer last time.
-    lost: RefCell<HashSet<SocketAddr>>,
+    /// Owners that did not answer last time, with that time.
+    lost: RefCell<HashMap<SocketAddr, MonoMs>>,
 }
 
 /// Answers questions of other nodes.
@@ -72,7 +75,7 @@
             peers: OnceCell::new(),
             open: RefCell::new(HashMap::new()),
             next: Cell::new(1),
-            lost: RefCell::default(),
+            lost: RefCell::new(HashMap::new()),
         })
     }
 
@@ -108,12 +111,25 @@
         Asked::Answered(answer)
     }
 
+    /// Whether an owner did not answer a moment ago.
+    ///
+    /// After that it is asked again, by one caller at a time.
+    pub(crate) fn just_lost(&self, address: SocketAddr) -> bool {
+        let lost_at = self.lost.borrow().get(&address).copied();
+        lost_at.is_some_and(|at| self.env.now().since(at) < ASK_AGAIN_MS)
+    }
+
     fn close(&self, node: &NodeName, address: SocketAddr) {
         let link = self.open.borrow_mut().remove(&address);
         if let Some(link) = link {
             link.sender.close();
         }
-        if self.lost.borrow_mut().insert(address) {
+        if self
+            .lost
+            .borrow_mut()
+            .insert(address, self.env.now())
+            .is_none()
+        {
             let inputs = json!({ "owner": node.as_str(), "address": address.to_string() });
             self.env.event(Event::OwnerLost, &inputs);
         }
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -34,7 +34,7 @@
 const STORE_ANSWER_MS: Millis = Millis(1_200);
 
 /// Failure of the store after which a node reports itself as not ready.
-const NOT_READY_MS: Millis = Millis(1_500);
+const NOT_READY_MS: Millis = Millis(700);
 
 /// Settings of a node.
 #[derive(Clone, Debug)]
@@ -180,7 +180,8 @@
         }
     }
 
-    fn store_failed_for(&self) -> Millis {
+    /// Time for which no call to the store has been answered.
+    pub(crate) fn store_failed_for(&self) -> Millis {
         let since = self.store_failing_since.get();
         since.map_or(Millis(0), |since| self.now().since(since))
     }
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -103,6 +103,7 @@
         term: u64,
     ) -> Rc<Owner> {
         let now = env.now();
+        let claim_sequence = Cell::new(claims.first_sequence() + 1);
         let shards = claims.layout().map_or(1, |layout| layout.shards);
         let lease_ms = env.settings.lease_ms;
         let lapsed = Millis(lease_ms.0 + lease_ms.0 * CLOCK_ERROR_PERCENT / 100 + 100);
@@ -128,7 +129,7 @@
             ended: Cell::new(false),
             ready: Cell::new(false),
             right_until: Cell::new(now + RIGHT_MS),
-            claim_sequence: Cell::new(1),
+            claim_sequence,
             progress_sequence: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
             learned_due: Cell::new(false),
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -233,3 +233,27 @@
     expect_that!(ended, some(eq(State::Completed)));
     expect_that!(*deployment.fleet.violations.borrow(), is_empty());
 }
+
+/// Load pattern: callers keep coming to a node that reaches neither the owner nor the store.
+///
+/// Guards against callers that are held until their time is up.
+#[gtest]
+fn a_node_that_is_cut_off_refuses_at_once() {
+    let deployment = Deployment::new(7, 3, 2);
+    deployment.settle();
+    let owner = deployment.owner().expect("owner");
+    let other = (owner + 1) % 3;
+    // The owner's process is gone and the store answers nobody, so that nobody can take over.
+    deployment.store.down.set(true);
+    deployment.kill(owner);
+    deployment.submit(other, 1, vec![step(1)]);
+    deployment.sim.run_for(Millis(500));
+    deployment.submit(other, 2, vec![step(1)]);
+    let asked_at = deployment.sim.now();
+    expect_that!(
+        deployment.submit(other, 3, vec![step(1)]),
+        eq(Submitted::Unavailable)
+    );
+    expect_that!(deployment.state(other, 1), eq(Found::Unavailable));
+    expect_that!(deployment.sim.now().0 - asked_at.0, lt(100));
+}
