--- a/hemlocksaddle-adapters/src/http.rs
+++ b/hemlocksaddle-adapters/src/http.rs
@@ -8,7 +8,7 @@
 //! of them would cost a further call its timeout.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -76,11 +76,14 @@
 struct Abandoned<'a> {
     client: &'a Client,
     address: SocketAddr,
+    ended: Cell<bool>,
 }
 
 impl Drop for Abandoned<'_> {
     fn drop(&mut self) {
-        self.client.idle.borrow_mut().remove(&self.address);
+        if !self.ended.get() {
+            self.client.idle.borrow_mut().remove(&self.address);
+        }
     }
 }
 
@@ -135,6 +138,7 @@
         let abandoned = Abandoned {
             client: self,
             address,
+            ended: Cell::new(false),
         };
         let exchange = async {
             let response = match connection.sender.try_send_request(request).await {
@@ -157,7 +161,7 @@
         let Ok(ended) = compio::time::timeout_at(deadline, exchange).await else {
             return Exchange::Lost;
         };
-        std::mem::forget(abandoned);
+        abandoned.ended.set(true);
         if let Exchange::Answered(_) = ended {
             self.keep(address, connection);
         }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -52,14 +52,8 @@
 /// Time limits that the platform sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Longest time that a stop takes.
-    pub stop_ms: Millis,
     /// Time for which an ended workflow stays visible.
     pub keep_ended_ms: Millis,
-    /// Time for which a lasting task may exceed its target.
-    pub impact_ms: Millis,
-    /// Time within which a lasting task of a moved worker has to be at work again.
-    pub notice_ms: Millis,
 }
 
 /// Order to a worker.
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -308,6 +308,8 @@
 
     /// Takes tasks off workers whose lease has certainly lapsed; forgets those that are not listed.
     pub fn expire(&mut self, now: MonoMs) {
+        let keep_ms = self.limits.keep_ended_ms;
+        self.early_cancels.retain(|_, at| now.since(*at) < keep_ms);
         let settled = now >= self.settled_at;
         let lapsed =
             |worker: &Worker| now > worker.lease_until && (settled || worker.reported_at.is_some());
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -65,10 +65,7 @@
 
 fn limits() -> Limits {
     Limits {
-        stop_ms: Millis(900),
         keep_ended_ms: Millis(120_000),
-        impact_ms: Millis(4_000),
-        notice_ms: Millis(4_500),
     }
 }
 
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -49,14 +49,8 @@
     pub cpu_share: f64,
     /// Longest lease of a worker.
     pub lease_ms: Millis,
-    /// Longest time that a stop takes.
-    pub stop_ms: Millis,
     /// Time for which an ended workflow stays visible.
     pub keep_ended_ms: Millis,
-    /// Time for which a lasting task may exceed its target.
-    pub impact_ms: Millis,
-    /// Time within which a moved lasting task has to be at work again.
-    pub notice_ms: Millis,
 }
 
 /// Ports of a node.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -109,10 +109,7 @@
         let lapsed = Millis(lease_ms.0 + lease_ms.0 * CLOCK_ERROR_PERCENT / 100 + 100);
         let settled_at = now + RIGHT_MS + lapsed;
         let limits = Limits {
-            stop_ms: env.settings.stop_ms,
             keep_ended_ms: env.settings.keep_ended_ms,
-            impact_ms: env.settings.impact_ms,
-            notice_ms: env.settings.notice_ms,
         };
         Rc::new(Owner {
             board: RefCell::new(Board::new(limits, term, settled_at)),
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -124,10 +124,7 @@
             peer_address: address(number),
             cpu_share: 0.25,
             lease_ms: Millis(LEASE_MS),
-            stop_ms: Millis(900),
             keep_ended_ms: Millis(120_000),
-            impact_ms: Millis(4_000),
-            notice_ms: Millis(4_500),
         };
         let ports = Ports {
             runtime: runtime.clone(),
