Renew leases only while the right to act holds

Cause: an owner that the store turned away and that met no worker of its successor's term kept renewing the leases of the workers it reached, while the successor counts on them to lapse (test: a task in two places at 17.2 s). Ruled out: the fence (it is seen only where both reach the same worker). Change: no lease is renewed without the right. Cost: in an outage of the store for all, work is held for 3 s and a lease, not for ever.

--- a/hemlocksaddle-shard/src/tend.rs
+++ b/hemlocksaddle-shard/src/tend.rs
@@ -197,7 +197,8 @@
 
     /// Lease for the next call, noted on the board before it is sent.
     pub(crate) fn renewed_lease(&self, key: WorkerKey) -> Option<u64> {
-        if self.ended.get() {
+        // Without the right, a successor counts on the leases to lapse.
+        if !self.may_act() {
             return None;
         }
         let clock = *self.clocks.borrow().get(&key)?;
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -257,3 +257,29 @@
     expect_that!(deployment.state(other, 1), eq(Found::Unavailable));
     expect_that!(deployment.sim.now().0 - asked_at.0, lt(100));
 }
+
+/// Guards against an owner that holds or starts tasks after its right has lapsed.
+///
+/// The store turns the owner away; it reaches one worker and its successor the other.
+#[gtest]
+fn an_owner_without_the_store_lets_go_of_what_its_successor_cannot_reach() {
+    for seed in 1..=10 {
+        let deployment = Deployment::new(seed, 3, 2);
+        deployment.fleet.run_ms.set(100_000);
+        deployment.settle();
+        let owner = deployment.owner().expect("owner");
+        let other = (owner + 1) % 3;
+        let accepted = deployment.submit(other, 1, vec![step(12)]);
+        assert_that!(accepted, eq(Submitted::Accepted));
+        deployment.sim.run_for(Millis(300));
+        deployment.fleet.set_only_term(0, 1);
+        deployment.fleet.set_only_term(1, 2);
+        deployment.turn_away(owner);
+        deployment.sim.run_for(Millis(30_000));
+        assert_that!(
+            *deployment.fleet.violations.borrow(),
+            is_empty(),
+            "seed {seed}"
+        );
+    }
+}
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -35,6 +35,8 @@
     fence: u64,
     lease_until_ms: u64,
     unreachable: bool,
+    /// Reached by owners of this term only.
+    only_term: Option<u64>,
 }
 
 pub(crate) struct FakeFleet {
@@ -46,6 +48,8 @@
     starts: Cell<u64>,
     /// Every n-th start is carried out without an answer; 0 is none.
     pub(crate) lose_every: Cell<u64>,
+    /// Time that a task runs.
+    pub(crate) run_ms: Cell<u64>,
 }
 
 impl FakeFleet {
@@ -57,6 +61,7 @@
             done: RefCell::default(),
             starts: Cell::new(0),
             lose_every: Cell::new(0),
+            run_ms: Cell::new(RUN_MS),
         })
     }
 
@@ -167,7 +172,7 @@
         let worker = &mut self.workers.borrow_mut()[number];
         worker
             .running
-            .insert(call.task, (call.run, now_ms + RUN_MS));
+            .insert(call.task, (call.run, now_ms + self.run_ms.get()));
         StartAnswer::Accepted
     }
 
@@ -189,8 +194,14 @@
         }
     }
 
-    fn is_unreachable(&self, number: usize) -> bool {
-        self.workers.borrow()[number].unreachable
+    /// Lets only owners of a term reach a worker.
+    pub(crate) fn set_only_term(&self, number: usize, term: u64) {
+        self.workers.borrow_mut()[number].only_term = Some(term);
+    }
+
+    fn is_unreachable(&self, number: usize, term: u64) -> bool {
+        let worker = &self.workers.borrow()[number];
+        worker.unreachable || worker.only_term.is_some_and(|only| only != term)
     }
 }
 
@@ -204,7 +215,7 @@
                 born_ms: None,
                 value: StartAnswer::Unknown,
             };
-            if self.is_unreachable(number) {
+            if self.is_unreachable(number, call.term) {
                 return unknown;
             }
             let answer = self.start_now(number, &call);
@@ -226,7 +237,7 @@
         let number = FakeFleet::number(worker);
         Box::pin(async move {
             self.sim.sleep(ANSWER_MS).await;
-            if self.is_unreachable(number) {
+            if self.is_unreachable(number, term) {
                 return Err(WorkerError::Unknown);
             }
             self.advance();
@@ -267,7 +278,7 @@
         Box::pin(async move {
             self.sim.sleep(ANSWER_MS).await;
             let until = self.sim.now() + look.wait;
-            if self.is_unreachable(number) {
+            if self.is_unreachable(number, look.term) {
                 self.sim.sleep(Millis(10_000)).await;
                 return Err(WorkerError::Unknown);
             }
@@ -299,7 +310,7 @@
                 task: *task,
                 run: *run,
                 checkpoint: None,
-                percent: (100 - ends_ms.saturating_sub(now_ms) * 100 / RUN_MS) as u8,
+                percent: (100 - ends_ms.saturating_sub(now_ms) * 100 / self.run_ms.get()) as u8,
                 figure: 1_000,
             };
             let report = Report {
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -4,7 +4,12 @@
 mod peers;
 mod store;
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use hemlocksaddle_fakes::runtime::SimRuntime;
 use hemlocksaddle_policy::workflow::Listing;
@@ -22,7 +27,10 @@
 };
 
 use self::peers::FakePeers;
-pub(crate) use self::{fleet::FakeFleet, store::FakeStore};
+pub(crate) use self::{
+    fleet::FakeFleet,
+    store::{FakeStore, NodeStore},
+};
 
 /// Longest lease of a worker.
 pub(crate) const LEASE_MS: u64 = 6_000;
@@ -35,6 +43,7 @@
     pub(crate) store: Rc<FakeStore>,
     pub(crate) fleet: Rc<FakeFleet>,
     nodes: Registry,
+    stores: RefCell<BTreeMap<usize, Rc<NodeStore>>>,
     catalogue: Catalogue,
 }
 
@@ -105,6 +114,7 @@
             store: FakeStore::new(sim.clone()),
             fleet: FakeFleet::new(sim.clone(), workers),
             nodes: Registry::default(),
+            stores: RefCell::default(),
             catalogue: catalogue(),
             sim,
         };
@@ -126,9 +136,14 @@
             lease_ms: Millis(LEASE_MS),
             keep_ended_ms: Millis(120_000),
         };
+        let store = Rc::new(NodeStore {
+            store: self.store.clone(),
+            turned_away: Cell::new(false),
+        });
+        self.stores.borrow_mut().insert(number, store.clone());
         let ports = Ports {
             runtime: runtime.clone(),
-            store: self.store.clone(),
+            store: store.clone(),
             formats: Rc::new(FakeFormats {
                 catalogue: self.catalogue.clone(),
                 workers: self.fleet.count(),
@@ -147,6 +162,11 @@
         self.sim.kill(&node_name(number));
     }
 
+    /// Lets the store turn a node away while it serves the others.
+    pub(crate) fn turn_away(&self, number: usize) {
+        self.stores.borrow()[&number].turned_away.set(true);
+    }
+
     /// Stops a node's process for a while.
     pub(crate) fn pause(&self, number: usize, span: Millis) {
         self.sim.pause(&node_name(number), span);
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -126,6 +126,53 @@
     }
 }
 
+/// Store as one node reaches it.
+pub(crate) struct NodeStore {
+    pub(crate) store: Rc<FakeStore>,
+    /// Turns this node away and serves the others.
+    pub(crate) turned_away: Cell<bool>,
+}
+
+impl Store for NodeStore {
+    fn newest(
+        &self,
+        stream: Stream,
+        partition: u32,
+        after: Option<Arc<str>>,
+    ) -> PortFuture<'_, Result<Newest>> {
+        if self.turned_away.get() {
+            return Box::pin(async { Err(StoreError::NotDone) });
+        }
+        self.store.newest(stream, partition, after)
+    }
+
+    fn read(
+        &self,
+        stream: Stream,
+        partition: u32,
+        from: u64,
+        wait: Millis,
+    ) -> PortFuture<'_, Result<Tail>> {
+        if self.turned_away.get() {
+            return Box::pin(async { Err(StoreError::NotDone) });
+        }
+        self.store.read(stream, partition, from, wait)
+    }
+
+    fn append(
+        &self,
+        stream: Stream,
+        partition: u32,
+        records: Vec<Record>,
+        conditions: Conditions,
+    ) -> PortFuture<'_, Result<u64>> {
+        if self.turned_away.get() {
+            return Box::pin(async { Err(StoreError::NotDone) });
+        }
+        self.store.append(stream, partition, records, conditions)
+    }
+}
+
 impl Store for FakeStore {
     fn newest(
         &self,
