Give each node under test a loopback host of its own

Cause: free_address() took a port of 127.0.0.1 and released it before the node bound it. Any other test's listener on port 0 and any outgoing connection may be given it in between; the node then ends with 'in use', and the test waits 120 s for a line that cannot come, without looking at the process. Now a node under test binds on 127.x.y.z of its own, where nothing else binds or connects from, and a wait for a line ends, with all lines, when the process ends.

--- a/hemlocksaddle-daemon/tests/process.rs
+++ b/hemlocksaddle-daemon/tests/process.rs
@@ -3,13 +3,17 @@
 //! Waiting has no bound of its own; `GUARD` only ends a test that hangs.
 
 use std::{
+    cell::RefCell,
     fs,
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::Path,
     process::{Child, Command, Stdio},
     rc::Rc,
-    sync::mpsc::{Receiver, channel},
+    sync::{
+        atomic::{AtomicU8, Ordering},
+        mpsc::{Receiver, TryRecvError, channel},
+    },
     thread,
     time::Duration,
 };
@@ -36,8 +40,16 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_hemlocksaddled");
 
+/// Free address on a loopback host of its own.
+///
+/// The port is free between this call and the start of the node. On 127.0.0.1, any other test or
+/// outgoing connection may be given it in that time, and the node then ends with "in use".
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    static TAKEN: AtomicU8 = AtomicU8::new(1);
+    let number = TAKEN.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 1 + high % 254, low, number);
+    let listener = TcpListener::bind((host, 0)).expect("bind");
     listener.local_addr().expect("address")
 }
 
@@ -84,19 +96,25 @@
         Node { child, lines }
     }
 
-    /// Waits for a line that holds a text.
+    /// Waits for a line that holds a text; fails with what was logged if the process ends first.
     async fn logs(&self, text: &str) -> String {
+        let others = RefCell::new(Vec::new());
         let search = async {
             loop {
                 match self.lines.try_recv() {
-                    Ok(line) if line.contains(text) => return line,
-                    Ok(_) => {}
-                    Err(_) => compio::time::sleep(POLL).await,
+                    Ok(line) if line.contains(text) => return Some(line),
+                    Ok(line) => others.borrow_mut().push(line),
+                    Err(TryRecvError::Empty) => compio::time::sleep(POLL).await,
+                    Err(TryRecvError::Disconnected) => return None,
                 }
             }
         };
         let found = compio::time::timeout(GUARD, search).await;
-        found.unwrap_or_else(|_| panic!("no line with {text:?}"))
+        match found {
+            Ok(Some(line)) => line,
+            Ok(None) => panic!("the node ended without {text:?}: {:#?}", others.borrow()),
+            Err(_) => panic!("no line with {text:?} in time: {:#?}", others.borrow()),
+        }
     }
 
     fn terminate(&self) {
@@ -286,6 +304,19 @@
     until(200, Method::GET, callers, "/readyz", "").await;
 }
 
+/// Guards against addresses of tests that another process or connection may be given meanwhile.
+#[googletest::test]
+fn addresses_of_nodes_are_not_shared_with_other_listeners() {
+    let (first, second) = (free_address(), free_address());
+    expect_that!(first.ip(), not(eq(second.ip())));
+    for address in [first, second] {
+        expect_that!(address.ip(), not(eq(Ipv4Addr::LOCALHOST)));
+        let other = TcpListener::bind((Ipv4Addr::LOCALHOST, address.port()));
+        let node = TcpListener::bind(address);
+        expect_that!(node.is_ok(), eq(true), "beside {other:?}");
+    }
+}
+
 /// Guards against a planned stop that cuts off requests, or that does not end.
 #[compio::test]
 async fn sigterm_under_load_cuts_off_nothing() {
