Take over within 1.5 s: watch owners, look at new workers at once

Nodes that may take over now ask each owner every 200 ms whether it is there. One that does not answer, and has missed a renewal besides, is replaced after 0.9 s of silence; its connection is closed, so that submissions go on without it. The first look at a worker does not wait. The decision moves to hemlocksaddle-policy::take_over, with a test that names the patterns of loss. Ruled out: claiming as soon as a connection is refused (a node that is cut off from an owner that renews would take the shard again and again); shorter renewals (every node reads each of them, and reads are priced).

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod retry;
 pub mod routing;
 pub mod suspicion;
+pub mod take_over;
 pub mod workflow;
--- /dev/null
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -0,0 +1,167 @@
+//! When a node claims a shard: one line for each pattern of loss.
+
+use googletest::prelude::*;
+use hemlocksaddle_policy::take_over::{Candidate, OwnerView, RENEW_MS, ShardView};
+use hemlocksaddle_types::clock::{Millis, MonoMs};
+
+const NOW: MonoMs = MonoMs(100_000);
+
+fn before(ms: u64) -> MonoMs {
+    MonoMs(NOW.0 - ms)
+}
+
+fn candidate(cpu_share: f64) -> Candidate {
+    Candidate {
+        cpu_share,
+        owned: 0,
+        drawn: 0,
+    }
+}
+
+/// Owner that renewed its claim a moment ago and answers.
+fn healthy() -> OwnerView {
+    OwnerView {
+        renewed_at: before(300),
+        claimed_at: before(50_000),
+        free: false,
+        cpu_share: 0.25,
+        unanswered_since: None,
+    }
+}
+
+fn claims(candidate: Candidate, owner: OwnerView) -> bool {
+    let shard = ShardView {
+        read_since: before(60_000),
+        owner: Some(owner),
+    };
+    candidate.claims(&shard, NOW)
+}
+
+/// Guards against a wait that is too long after a loss, or a claim without evidence of one.
+#[gtest]
+fn a_shard_is_claimed_on_evidence_only() {
+    let silent = |ms: u64, unanswered_ms: Option<u64>| OwnerView {
+        renewed_at: before(ms),
+        unanswered_since: unanswered_ms.map(before),
+        ..healthy()
+    };
+    let cases = [
+        ("healthy owner", healthy(), false),
+        (
+            "killed owner: no answer, one renewal missed",
+            silent(950, Some(600)),
+            true,
+        ),
+        (
+            "killed owner, next renewal not due yet",
+            silent(650, Some(600)),
+            false,
+        ),
+        (
+            "slow store: renewals late, answers come",
+            silent(1_500, None),
+            false,
+        ),
+        (
+            "one answer late, renewals late",
+            silent(1_500, Some(100)),
+            false,
+        ),
+        (
+            "candidate cut off from an owner that renews",
+            silent(400, Some(5_000)),
+            false,
+        ),
+        (
+            "owner lost without peers that notice",
+            silent(2_000, None),
+            true,
+        ),
+        (
+            "planned stop",
+            OwnerView {
+                free: true,
+                ..healthy()
+            },
+            true,
+        ),
+    ];
+    for (pattern, owner, expected) in cases {
+        expect_that!(claims(candidate(0.25), owner), eq(expected), "{pattern}");
+    }
+}
+
+/// Guards against a slow node that owns a shard while a fast one could.
+#[gtest]
+fn slow_nodes_leave_shards_to_fast_ones() {
+    let slow_owner = OwnerView {
+        cpu_share: 0.12,
+        ..healthy()
+    };
+    let new_slow_owner = OwnerView {
+        claimed_at: before(500),
+        ..slow_owner
+    };
+    let cases = [
+        ("fast node, slow owner", 0.5, slow_owner, true),
+        (
+            "fast node, slow owner that still recovers",
+            0.5,
+            new_slow_owner,
+            false,
+        ),
+        ("slow node, slow owner", 0.12, slow_owner, false),
+        ("slightly faster node", 0.2, slow_owner, false),
+        (
+            "faster node, owner with a full share",
+            1.0,
+            healthy(),
+            false,
+        ),
+    ];
+    for (pattern, share, owner, expected) in cases {
+        expect_that!(claims(candidate(share), owner), eq(expected), "{pattern}");
+    }
+    let fast = Candidate {
+        drawn: 249,
+        ..candidate(0.25)
+    };
+    expect_that!(candidate(0.12).pause(), gt(fast.pause()));
+}
+
+/// Guards against a claim by a node that has just begun to read and has missed the renewals.
+#[gtest]
+fn a_node_that_has_just_begun_to_read_waits() {
+    let gone = OwnerView {
+        renewed_at: before(30_000),
+        unanswered_since: Some(before(30_000)),
+        ..healthy()
+    };
+    let shard = |read_ms: u64, owner| ShardView {
+        read_since: before(read_ms),
+        owner,
+    };
+    let fast = candidate(0.25);
+    expect_that!(fast.claims(&shard(500, Some(gone)), NOW), eq(false));
+    expect_that!(fast.claims(&shard(1_000, Some(gone)), NOW), eq(true));
+    let slow = candidate(0.12);
+    expect_that!(fast.claims(&shard(0, None), NOW), eq(true));
+    expect_that!(slow.claims(&shard(500, None), NOW), eq(false));
+    expect_that!(slow.claims(&shard(2_000, None), NOW), eq(true));
+}
+
+/// Guards against a take-over in step with the renewals of a healthy owner.
+#[gtest]
+fn one_renewal_and_its_answer_fit_into_the_silence_of_a_suspect() {
+    let owner = OwnerView {
+        renewed_at: NOW,
+        unanswered_since: Some(before(5_000)),
+        ..healthy()
+    };
+    let shard = ShardView {
+        read_since: before(60_000),
+        owner: Some(owner),
+    };
+    let renewed = NOW + RENEW_MS + Millis(150);
+    expect_that!(candidate(0.25).claims(&shard, renewed), eq(false));
+}
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -1,8 +1,8 @@
 //! Who owns which shard.
 //!
-//! Every node follows the claims stream, one partition for each shard. An owner renews its claim there; a node
-//! that has read the stream without a gap for longer than [`TAKE_OVER_MS`] and
-//! saw no renewal claims the shard with the next term. The append is conditional
+//! Every node follows the claims stream, one partition for each shard. An owner
+//! renews its claim there; when another node claims the shard with the next term
+//! is a decision of `hemlocksaddle_policy::take_over`. The append is conditional
 //! on the end of the stream, so that one of several claimants wins. A claim is
 //! made as the first append of a new epoch, which keeps renewals of the previous
 //! owner out of the stream.
@@ -14,6 +14,7 @@
 };
 
 use hemlocksaddle_node::wait::Signal;
+use hemlocksaddle_policy::take_over::{Candidate, OwnerView, ShardView};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
@@ -27,12 +28,6 @@
     record::{self, Claim, LAYOUT_KEY, Layout},
 };
 
-/// Silence of an owner after which its shard is claimed: two renewals and the answers of a slow store.
-const TAKE_OVER_MS: Millis = Millis(1_900);
-
-/// Interval at which an owner renews its claim.
-pub(crate) const RENEW_MS: Millis = Millis(700);
-
 /// Wait of one read of the claims.
 const READ_WAIT_MS: Millis = Millis(1_000);
 
@@ -42,29 +37,6 @@
 /// Pause after a read failed.
 const RETRY_MS: Millis = Millis(150);
 
-/// Largest pause before a claim, drawn by node and term, so that few nodes collide.
-const SPREAD_MS: u64 = 250;
-
-/// Pause before a claim for each shard that the node owns, so that shards spread over nodes.
-const OWNED_PAUSE_MS: u64 = 400;
-
-/// Longest pause for a node with a small share of a processor.
-///
-/// Above what any node with a full share waits, so that a slow one owns a shard
-/// only where no other is left.
-const SLOW_PAUSE_MS: f64 = 2_000.0;
-
-/// Share of a core from which a node waits no longer than others.
-const FULL_SHARE: f64 = 0.25;
-
-/// Times the owner's share of a core that a node needs to take the shard over from a working owner.
-///
-/// A take-over stops starts for some hundred milliseconds, so a small gain is not worth it.
-const FASTER_TIMES: f64 = 2.0;
-
-/// Age of a claim from which a faster node may take over, so that the owner has recovered.
-const HAND_OVER_MS: Millis = Millis(1_000);
-
 /// Workers for which one more shard is made when the deployment first starts.
 ///
 /// One owner with full sight places better than several with a part each: at 490
@@ -88,6 +60,8 @@
     at: MonoMs,
     /// First claim of the term.
     since: MonoMs,
+    /// Time since which the owner has not answered this node.
+    unanswered_since: Option<MonoMs>,
 }
 
 /// How far a partition has been read.
@@ -246,8 +220,13 @@
         }
         let changed = known.is_none_or(|known| known.claim != claim);
         let same_term = known.filter(|known| known.claim.term == claim.term);
-        let since = same_term.map_or(at, |known| known.since);
-        heard.insert(shard, Heard { claim, at, since });
+        let heard_now = Heard {
+            at,
+            since: same_term.map_or(at, |known| known.since),
+            unanswered_since: same_term.and_then(|known| known.unanswered_since),
+            claim,
+        };
+        heard.insert(shard, heard_now);
         drop(heard);
         if changed {
             self.changed.notify();
@@ -274,48 +253,67 @@
     }
 
     fn may_claim(&self, shard: u32) -> bool {
-        let now = self.env.now();
         let Some(read_since) = self.part(shard).read_since.get() else {
             return false;
         };
         let heard = self.heard.borrow();
-        let Some(heard) = heard.get(&shard) else {
-            let since = read_since.max(self.layout_since.get());
-            return now.since(since) >= self.pause(shard, 0);
+        let heard = heard.get(&shard);
+        let term = heard.map_or(0, |heard| heard.claim.term);
+        let view = ShardView {
+            read_since: read_since.max(self.layout_since.get()),
+            owner: heard.map(|heard| self.owner_view(heard)),
         };
-        let since = heard.at.max(read_since);
-        // An earlier life of this process has certainly ended.
-        let ended = heard.claim.node == self.env.settings.node && !self.is_own(&heard.claim);
-        let free = heard.claim.released || ended;
-        let pause = self.pause(shard, heard.claim.term);
-        if self.is_much_faster(&heard.claim) && now.since(heard.since) >= HAND_OVER_MS + pause {
-            return now.since(read_since) >= pause;
-        }
-        let silence = if free { Millis(0) } else { TAKE_OVER_MS };
-        now.since(since) >= silence + pause
+        self.candidate(shard, term).claims(&view, self.env.now())
     }
 
-    /// Whether the owner is slow and this node is not.
-    fn is_much_faster(&self, claim: &Claim) -> bool {
-        let (own, owner) = (
-            self.env.settings.cpu_share,
-            f64::from(claim.cpu_milli) / 1_000.0,
-        );
-        own >= FULL_SHARE && own >= FASTER_TIMES * owner && owner < FULL_SHARE
+    fn owner_view(&self, heard: &Heard) -> OwnerView {
+        let claim = &heard.claim;
+        // An earlier life of this process has certainly ended.
+        let ended = claim.node == self.env.settings.node && !self.is_own(claim);
+        OwnerView {
+            renewed_at: heard.at,
+            claimed_at: heard.since,
+            free: claim.released || ended,
+            cpu_share: f64::from(claim.cpu_milli) / 1_000.0,
+            unanswered_since: heard.unanswered_since,
+        }
     }
 
-    /// Pause before a claim: drawn, longer for a node that owns shards or is slow.
-    fn pause(&self, shard: u32, term: u64) -> Millis {
+    /// This node as a candidate for a shard.
+    pub(crate) fn candidate(&self, shard: u32, term: u64) -> Candidate {
         let settings = &self.env.settings;
         let parts = [
             settings.node.as_str().as_bytes(),
             &shard.to_be_bytes(),
             &term.to_be_bytes(),
         ];
-        let drawn = stable_hash(&parts) % SPREAD_MS;
-        let share = settings.cpu_share.clamp(0.05, FULL_SHARE);
-        let slow = SLOW_PAUSE_MS * (1.0 - share / FULL_SHARE);
-        Millis(drawn + slow as u64 + OWNED_PAUSE_MS * self.owned.get())
+        Candidate {
+            cpu_share: settings.cpu_share,
+            owned: self.owned.get(),
+            drawn: stable_hash(&parts),
+        }
+    }
+
+    /// Whether the owner of a shard does not answer this node.
+    pub(crate) fn is_unanswered(&self, shard: u32) -> bool {
+        let heard = self.heard.borrow();
+        heard
+            .get(&shard)
+            .is_some_and(|heard| heard.unanswered_since.is_some())
+    }
+
+    /// Notes whether the owner of a term has answered a question that was sent at a time.
+    pub(crate) fn note_answer(&self, shard: u32, term: u64, sent_at: MonoMs, answered: bool) {
+        let mut heard = self.heard.borrow_mut();
+        let owner = heard.get_mut(&shard);
+        let Some(owner) = owner.filter(|owner| owner.claim.term == term) else {
+            return;
+        };
+        if answered {
+            owner.unanswered_since = None;
+        } else {
+            owner.unanswered_since.get_or_insert(sent_at);
+        }
     }
 
     async fn make_claim(&self, shard: u32) {
@@ -418,7 +416,7 @@
         // A layout that is written from here on moves the end, also while this call waits.
         let end = self.part(0).end.get();
         let waited = self.env.now().since(read_since);
-        if waited < LAYOUT_WAIT_MS + self.pause(0, 0) {
+        if waited < LAYOUT_WAIT_MS + self.candidate(0, 0).pause() {
             return;
         }
         let Ok((workers, _)) = self.env.read_all(Stream::Workers, 0).await else {
--- a/hemlocksaddle-shard/src/front.rs
+++ b/hemlocksaddle-shard/src/front.rs
@@ -169,9 +169,14 @@
         if self.is_cut_off(shard) {
             return Submitted::Unavailable;
         }
-        let asked = Question::Store(shard, id, submission.clone());
+        let question = Question::Store(shard, id, submission.clone());
+        let asked = if self.claims.is_unanswered(shard) {
+            Asked::NotSent
+        } else {
+            self.ask_once(shard, question).await
+        };
         // The owner may be gone or cut off from the store; storing twice does no harm.
-        let unsure = match self.ask_once(shard, asked).await {
+        let unsure = match asked {
             Asked::Answered(Answer::Stored) => return Submitted::Accepted,
             Asked::Answered(Answer::StoreUnknown) | Asked::NoAnswer => true,
             Asked::Answered(_) | Asked::NotSent => false,
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -33,5 +33,6 @@
 mod record;
 mod recovery;
 mod tend;
+mod watch;
 
 pub use node::{Node, Settings};
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -94,7 +94,7 @@
     ) -> Asked {
         let limit = match question {
             Question::Store(..) => STORED_MS,
-            Question::State(..) | Question::Waiting(..) => ANSWER_MS,
+            Question::State(..) | Question::Waiting(..) | Question::Ownership(_) => ANSWER_MS,
         };
         let sent = Cell::new(false);
         let asking = self.ask_on_link(node, address, question, &sent);
@@ -119,10 +119,19 @@
         lost_at.is_some_and(|at| self.env.now().since(at) < ASK_AGAIN_MS)
     }
 
+    /// Whether an owner has been asked something that it has not answered yet.
+    pub(crate) fn is_waiting(&self, address: SocketAddr) -> bool {
+        let open = self.open.borrow();
+        open.get(&address)
+            .is_some_and(|link| !link.pending.borrow().is_empty())
+    }
+
     fn close(&self, node: &NodeName, address: SocketAddr) {
         let link = self.open.borrow_mut().remove(&address);
         if let Some(link) = link {
             link.sender.close();
+            // Whoever waits for an answer goes on without it.
+            link.pending.borrow_mut().clear();
         }
         if self
             .lost
@@ -142,7 +151,9 @@
         question: Question,
         sent: &Cell<bool>,
     ) -> Option<Answer> {
-        let link = self.link(node, address).await?;
+        let opening = self.link(node, address);
+        let opened = within(&*self.env.ports.runtime, ANSWER_MS, opening).await;
+        let link = opened.flatten()?;
         let number = self.next.get();
         self.next.set(number + 1);
         let (answered, answer) = oneshot::channel();
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -25,6 +25,7 @@
     metrics::Metrics,
     owner::Owner,
     ports::{Conditions, Fleet, Formats, Record, Result, Store, StoreError, Stream, Tail},
+    watch::watch_owners,
 };
 
 /// Time for the answer of a call to the store, beyond the wait of a read.
@@ -265,6 +266,11 @@
         self.env.spawn(self.configuration.clone().follow());
         self.env.spawn(self.claims.clone().follow());
         self.env.spawn(self.claims.clone().watch());
+        self.env.spawn(watch_owners(
+            self.env.clone(),
+            self.claims.clone(),
+            self.links.clone(),
+        ));
         let node = self.clone();
         self.env.spawn(async move { node.own_claimed().await });
     }
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -10,7 +10,10 @@
 
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::wait::{Signal, within};
-use hemlocksaddle_policy::workflow::{Board, Limits, Listing, Unsaved, WorkerKey};
+use hemlocksaddle_policy::{
+    take_over::RENEW_MS,
+    workflow::{Board, Limits, Listing, Unsaved, WorkerKey},
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
@@ -20,7 +23,7 @@
 use std::sync::Arc;
 
 use crate::{
-    claims::{Claims, RENEW_MS},
+    claims::Claims,
     configuration::Configuration,
     event::Event,
     intake::ToStore,
@@ -493,6 +496,9 @@
 
     /// Answers a question about the shard.
     pub(crate) async fn answer(&self, question: Question) -> Answer {
+        if matches!(question, Question::Ownership(_)) && !self.ended.get() {
+            return Answer::Owner;
+        }
         if !self.ready.get() || self.ended.get() {
             return Answer::NotOwner;
         }
@@ -507,7 +513,7 @@
                 None => Answer::NotOwner,
             },
             Question::Waiting(_, queue) => Answer::Waiting(board.waiting(&queue)),
-            Question::Store(..) => Answer::NotOwner,
+            Question::Store(..) | Question::Ownership(_) => Answer::NotOwner,
         }
     }
 
--- a/hemlocksaddle-shard/src/tend.rs
+++ b/hemlocksaddle-shard/src/tend.rs
@@ -87,10 +87,14 @@
                 .borrow()
                 .worker(key)
                 .is_some_and(|worker| worker.is_shared());
-            let wait = match (silent, shared) {
-                (true, _) => Millis(0),
-                (false, true) => SHARED_WAIT_MS,
-                (false, false) => LOOK_WAIT_MS,
+            // Nothing is placed on a worker before its first report.
+            let is_new = !self.clocks.borrow().contains_key(&key);
+            let wait = if silent || is_new {
+                Millis(0)
+            } else if shared {
+                SHARED_WAIT_MS
+            } else {
+                LOOK_WAIT_MS
             };
             match self.look(key, &listing, wait, !silent).await {
                 Ok(()) => {
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -115,6 +115,62 @@
     }
 }
 
+/// Longest time without starts after the loss of an owner while the store answers, from issue 9.
+const TAKE_OVER_TARGET: Millis = Millis(1_500);
+
+fn since(deployment: &Deployment, earlier: Millis) -> Millis {
+    Millis(deployment.sim.now().0 - earlier.0)
+}
+
+/// Time from the loss of the owner to the next start, for a workflow that is submitted at once.
+fn time_without_starts(seed: u64, lose: impl Fn(&Deployment, usize)) -> Millis {
+    let deployment = Deployment::new(seed, 4, 3);
+    deployment.settle();
+    deployment.sim.run_for(Millis(37 * seed));
+    let owner = deployment.owner().expect("owner");
+    lose(&deployment, owner);
+    let lost_at = deployment.sim.now();
+    let accepted = deployment.submit((owner + 1) % 4, 1, vec![step(1)]);
+    assert_that!(accepted, eq(Submitted::Accepted), "seed {seed}");
+    while deployment.fleet.starts() == 0 {
+        assert_that!(since(&deployment, lost_at), lt(Millis(20_000)));
+        deployment.sim.run_for(Millis(10));
+    }
+    since(&deployment, lost_at)
+}
+
+/// Guards against a shard that stands still for seconds after its owner is killed, loses power
+/// or freezes, while the other nodes and the store are well.
+#[gtest]
+fn a_lost_owner_is_replaced_within_the_target() {
+    for seed in 1..=40 {
+        let killed = time_without_starts(seed, Deployment::kill);
+        expect_that!(killed, lt(TAKE_OVER_TARGET), "killed, seed {seed}");
+        let silent = time_without_starts(seed, |deployment, owner| {
+            deployment.pause(owner, Millis(30_000));
+        });
+        expect_that!(silent, lt(TAKE_OVER_TARGET), "silent, seed {seed}");
+    }
+}
+
+/// Guards against a submission that waits for an owner that has lost power, until its caller leaves.
+#[gtest]
+fn a_submission_on_its_way_to_a_silent_owner_is_stored_without_it() {
+    for seed in 1..=10 {
+        let deployment = Deployment::new(seed, 3, 2);
+        deployment.settle();
+        let owner = deployment.owner().expect("owner");
+        deployment.pause(owner, Millis(30_000));
+        for id in 1..=3 {
+            let sent_at = deployment.sim.now();
+            let accepted = deployment.submit((owner + 1) % 3, id, vec![step(1)]);
+            expect_that!(accepted, eq(Submitted::Accepted), "seed {seed}");
+            let took = since(&deployment, sent_at);
+            expect_that!(took, lt(Millis(1_000)), "seed {seed}, workflow {id}");
+        }
+    }
+}
+
 /// Guards against a task that runs in two places because a paused owner goes on.
 #[gtest]
 fn a_paused_owner_does_no_harm_when_it_wakes_up() {
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -359,6 +359,8 @@
     Waiting(u32, Arc<str>),
     /// Asks to store a submission.
     Store(u32, WorkflowId, Submission),
+    /// Whether the node owns the shard, from a node that watches it.
+    Ownership(u32),
 }
 
 impl Question {
@@ -368,7 +370,8 @@
         match self {
             Question::State(shard, _)
             | Question::Waiting(shard, _)
-            | Question::Store(shard, _, _) => *shard,
+            | Question::Store(shard, _, _)
+            | Question::Ownership(shard) => *shard,
         }
     }
 }
@@ -386,6 +389,8 @@
     NotStored,
     /// It is not known whether the submission is stored.
     StoreUnknown,
+    /// Node owns the shard; it may not have read its state yet.
+    Owner,
     /// Node does not own the shard, or has not read its state yet.
     NotOwner,
 }
