Do not stop a task whose report is faster than the answer to its start

A report that listed a run before its start was answered made the task running without a time of progress, so that it counted as stuck and was stopped at once; the worker was blamed besides. Ruled out: late orders of the predecessor (it was paused, and its term fenced). A listed run now counts as progressing from its first report, and a start is sent again only while its run is wanted. The test's worker accepts a run that was stopped there before, which the platform's refuse; the finding stands without that.

--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -243,6 +243,7 @@
         let task = job.task_mut(key);
         if !matches!(task.phase, Phase::Running { .. } | Phase::Stopping { .. }) {
             task.phase = Phase::Running { worker, since: now };
+            task.progressed_at = now;
         }
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.add(key, assigned);
@@ -339,6 +340,17 @@
         false
     }
 
+    /// Whether an order to start may be sent again.
+    #[must_use]
+    pub fn start_is_wanted(&self, start: &Start) -> bool {
+        let job = self.jobs.get(start.task.job);
+        let task = job.and_then(|job| job.task(start.task));
+        task.is_some_and(|task| {
+            task.run == start.run
+                && matches!(task.phase, Phase::Starting { worker, .. } if worker == start.worker)
+        })
+    }
+
     /// Orders a run to stop whose start was not answered, so that it cannot begin later.
     pub fn void(&mut self, start: &Start) {
         if let Some(job) = self.jobs.get(start.task.job)
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -47,6 +47,33 @@
     expect_that!(world.stops(), contains(eq(&(start.name, start.run))));
 }
 
+/// Guards against a task that counts as stuck, and is stopped, because a report lists it before
+/// its start is answered.
+#[gtest]
+fn a_task_whose_report_is_faster_than_the_answer_goes_on() {
+    let mut world = World::with_workers(1, 16_000);
+    world.accept(1, vec![step(1, 1_000)]);
+    world.pass(10_000);
+    let start = world.starts().remove(0);
+    world.pass(5);
+    world.report_progress(0, 1, start.run, 0);
+    expect_that!(world.stops(), is_empty());
+    expect_that!(world.answer(&start, StartAnswer::Unknown), eq(false));
+    expect_that!(world.stops(), is_empty());
+}
+
+/// Guards against a start that is sent again after the run was stopped.
+#[gtest]
+fn a_start_is_wanted_until_its_run_is_over() {
+    let mut world = World::with_workers(2, 16_000);
+    world.accept(1, vec![step(1, 1_000)]);
+    let start = world.starts().remove(0);
+    expect_that!(world.answer(&start, StartAnswer::Unknown), eq(true));
+    expect_that!(world.board.start_is_wanted(&start), eq(true));
+    world.cancel(1);
+    expect_that!(world.board.start_is_wanted(&start), eq(false));
+}
+
 /// Guards against a task that waits for ever after a worker refused it for want of room.
 #[gtest]
 fn a_start_that_was_refused_for_want_of_room_goes_to_another_worker() {
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -245,11 +245,16 @@
 
     /// Reports a run of task 0 of step 0 of a workflow.
     pub(crate) fn report_running(&mut self, number: usize, id: u64, run: Run) {
+        self.report_progress(number, id, run, 10);
+    }
+
+    /// Reports a run of task 0 of step 0 of a workflow, with its progress.
+    pub(crate) fn report_progress(&mut self, number: usize, id: u64, run: Run, percent: u8) {
         let row = Row {
             task: name(id),
             run,
             checkpoint: None,
-            percent: 10,
+            percent,
             figure: 1_000,
         };
         let report = Report {
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -83,6 +83,9 @@
                 return;
             }
             self.env.sleep(RESEND_MS).await;
+            if !self.board.borrow().start_is_wanted(&start) {
+                return;
+            }
         }
     }
 
