Beside a slow store, wait for the successor instead of appending from every node

A trace of the calls (trial) shows that all nodes append by themselves once the owner is gone, at 340 ms an append; the partition fills, appends are turned away, and the successor's read of the submissions, which waits behind them, times out at 1.2 s three times in a row. Every start of the recovery then began again with the fence. The new owner also claimed again and again until it had read its own claim. Now: what a node does with a submission is a decision of hemlocksaddle-policy::intake (ask the owner, append, wait, give up), which waits while the store is slow; the fence and all reads of a recovery are sent together, and a part that fails is read again by itself; a claim that was taken is known at once, and the right to act counts from when it was sent. Failed recoveries are logged (event 33). Ruled out: the processor of the new owner; the size of the pages.

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backoff;
 pub mod checkpoint;
 pub mod fairness;
+pub mod intake;
 pub mod interference;
 pub mod placement;
 pub mod retry;
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -83,6 +83,8 @@
     /// Changes of an owner or of the layout.
     pub(crate) changed: Signal,
     claiming: Cell<bool>,
+    /// Time at which the last claim of this node was sent.
+    claim_sent_at: Cell<MonoMs>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) owned: Cell<u64>,
 }
@@ -97,6 +99,7 @@
             parts: (0..MAX_SHARDS).map(|_| Part::default()).collect(),
             changed: Signal::default(),
             claiming: Cell::new(false),
+            claim_sent_at: Cell::new(MonoMs(0)),
             stopping: Cell::new(false),
             owned: Cell::new(0),
         })
@@ -327,8 +330,13 @@
         );
         let claim = self.own_claim(term, false);
         let first = self.first_sequence();
+        self.claim_sent_at.set(self.env.now());
         let made = self.append_claim(shard, &claim, first, Some(end)).await;
         self.claiming.set(false);
+        if made.is_ok() {
+            // Not read back first, which takes a third of a second while the store is slow.
+            self.hear(shard, claim);
+        }
         let inputs = json!({
             "shard": shard, "term": term, "end": end,
             "outcome": format!("{made:?}"),
@@ -340,6 +348,13 @@
         }
     }
 
+    /// Time from which the right of this node's last claim counts.
+    ///
+    /// The node may have been stopped for seconds before it saw the claim's answer.
+    pub(crate) fn claim_sent_at(&self) -> MonoMs {
+        self.claim_sent_at.get()
+    }
+
     /// Number of the first append of a term.
     ///
     /// Differs between nodes, because the store takes the same number of the same
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -77,6 +77,8 @@
     Recovered = 31, "recovered";
     /// Owner gave up the shard or lost it.
     Deposed = 32, "deposed";
+    /// Shard's state could not be read; it is read again.
+    RecoveryFailed = 33, "recovery failed";
     /// Submission was accepted.
     Accepted = 40, "accepted";
     /// Submission was refused.
--- a/hemlocksaddle-shard/src/front.rs
+++ b/hemlocksaddle-shard/src/front.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use foldhash::{HashMap, HashMapExt};
+use hemlocksaddle_policy::intake::{Situation, Step};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
@@ -19,18 +20,10 @@
     links::{Asked, Links},
     node::{Env, Owners},
     owner::state_text,
-    ports::{Conditions, Record, StoreError, Stream},
+    ports::{Conditions, StoreError, Stream},
     record::{self, Key},
 };
 
-/// Time after the submission up to which an append of unknown outcome is repeated.
-///
-/// Below the time limit of callers, so that most get an answer.
-const SETTLE_MS: Millis = Millis(2_600);
-
-/// Time for which the store may turn a submission away before it is refused.
-const REFUSE_AFTER_MS: Millis = Millis(120);
-
 /// Pause between two tries.
 const RETRY_MS: Millis = Millis(50);
 
@@ -166,21 +159,6 @@
         let Some(shard) = self.shard(id) else {
             return Submitted::Unavailable;
         };
-        if self.is_cut_off(shard) {
-            return Submitted::Unavailable;
-        }
-        let question = Question::Store(shard, id, submission.clone());
-        let asked = if self.claims.is_unanswered(shard) {
-            Asked::NotSent
-        } else {
-            self.ask_once(shard, question).await
-        };
-        // The owner may be gone or cut off from the store; storing twice does no harm.
-        let unsure = match asked {
-            Asked::Answered(Answer::Stored) => return Submitted::Accepted,
-            Asked::Answered(Answer::StoreUnknown) | Asked::NoAnswer => true,
-            Asked::Answered(_) | Asked::NotSent => false,
-        };
         let record = match record::encode(key.text(), submission) {
             Ok(record) => record,
             Err(cause) => {
@@ -189,38 +167,57 @@
                 return Submitted::Unavailable;
             }
         };
-        self.append(shard, record, unsure, started_at).await
-    }
-
-    async fn append(
-        &self,
-        shard: u32,
-        record: Record,
-        mut unsure: bool,
-        started_at: MonoMs,
-    ) -> Submitted {
-        let alone_at = self.env.now();
+        let mut tried = Tried::default();
         loop {
-            let records = vec![record.clone()];
-            let conditions = Conditions::default();
-            match self
-                .env
-                .append(Stream::Submissions, shard, records, conditions)
-                .await
-            {
-                Ok(_) => return Submitted::Accepted,
-                Err(StoreError::Unknown) => unsure = true,
-                Err(_) => {}
-            }
-            let waited = self.env.now().since(started_at);
-            let alone = self.env.now().since(alone_at);
-            if !unsure && alone >= REFUSE_AFTER_MS {
+            if self.is_cut_off(shard) && !tried.unsure {
                 return Submitted::Unavailable;
             }
-            if waited >= SETTLE_MS {
-                return Submitted::Unknown;
+            match self.situation(shard, started_at, &tried).next_step() {
+                Step::AskOwner => {
+                    // The owner may be gone or cut off from the store; storing twice does no harm.
+                    let question = Question::Store(shard, id, submission.clone());
+                    match self.ask_once(shard, question).await {
+                        Asked::Answered(Answer::Stored) => return Submitted::Accepted,
+                        Asked::Answered(Answer::StoreUnknown) | Asked::NoAnswer => {
+                            tried.unsure = true;
+                        }
+                        Asked::Answered(_) | Asked::NotSent => {}
+                    }
+                    let term = self.claims.claim(shard).map(|claim| claim.term);
+                    tried.asked = Some((term, self.env.now()));
+                }
+                Step::Append => {
+                    let records = vec![record.clone()];
+                    let append =
+                        self.env
+                            .append(Stream::Submissions, shard, records, Conditions::default());
+                    let sent_at = self.env.now();
+                    match append.await {
+                        Ok(_) => return Submitted::Accepted,
+                        Err(StoreError::Unknown) => tried.unsure = true,
+                        Err(_) => {}
+                    }
+                    tried.turned_away_since.get_or_insert(sent_at);
+                    self.env.sleep(RETRY_MS).await;
+                }
+                Step::Wait => self.env.sleep(RETRY_MS).await,
+                Step::GiveUp if tried.unsure => return Submitted::Unknown,
+                Step::GiveUp => return Submitted::Unavailable,
             }
-            self.env.sleep(RETRY_MS).await;
+        }
+    }
+
+    fn situation(&self, shard: u32, started_at: MonoMs, tried: &Tried) -> Situation {
+        let now = self.env.now();
+        let term = self.claims.claim(shard).map(|claim| claim.term);
+        let asked = tried.asked.filter(|(asked, _)| *asked == term);
+        Situation {
+            waited: now.since(started_at),
+            has_owner: term.is_some() && !self.claims.is_unanswered(shard),
+            asked_ago: asked.map(|(_, at)| now.since(at)),
+            store_delay: self.env.store_delay(),
+            turned_away_for: tried.turned_away_since.map(|since| now.since(since)),
+            unsure: tried.unsure,
         }
     }
 
@@ -320,6 +317,17 @@
     }
 }
 
+/// What was done for a submission so far.
+#[derive(Default)]
+struct Tried {
+    /// It may have been stored.
+    unsure: bool,
+    /// Term of the owner that was asked in vain, and the time of its answer.
+    asked: Option<(Option<u64>, MonoMs)>,
+    /// Time of the first append that the store did not answer with success.
+    turned_away_since: Option<MonoMs>,
+}
+
 /// Request in progress.
 pub struct InProgress(Rc<Front>);
 
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -74,6 +74,7 @@
     pub(crate) started_ms: u64,
     log: Log,
     store_failing_since: Cell<Option<MonoMs>>,
+    store_delay: Cell<Millis>,
 }
 
 impl Env {
@@ -122,8 +123,22 @@
         from: u64,
         wait: Millis,
     ) -> Result<Tail> {
+        let sent_at = self.now();
         let read = self.ports.store.read(stream, part, from, wait);
-        self.bounded("read", wait + STORE_ANSWER_MS, read).await
+        let read = self.bounded("read", wait + STORE_ANSWER_MS, read).await;
+        let took = self.now().since(sent_at);
+        match took.0.checked_sub(wait.0) {
+            _ if matches!(read, Err(StoreError::NotDone)) => {}
+            Some(delay) => self.store_delay.set(Millis(delay)),
+            // A record ended the wait; the delay is at most the whole time.
+            None => self.store_delay.set(self.store_delay.get().min(took)),
+        }
+        read
+    }
+
+    /// Time that the store has taken for its latest answer, beyond its wait.
+    pub(crate) fn store_delay(&self) -> Millis {
+        self.store_delay.get()
     }
 
     pub(crate) async fn append(
@@ -133,8 +148,14 @@
         records: Vec<Record>,
         conditions: Conditions,
     ) -> Result<u64> {
+        let sent_at = self.now();
         let append = self.ports.store.append(stream, part, records, conditions);
-        self.bounded("append", STORE_ANSWER_MS, append).await
+        let append = self.bounded("append", STORE_ANSWER_MS, append).await;
+        // A call that is turned away says nothing of how long others take.
+        if !matches!(append, Err(StoreError::NotDone)) {
+            self.store_delay.set(self.now().since(sent_at));
+        }
+        append
     }
 
     async fn bounded<T>(
@@ -229,6 +250,7 @@
             metrics: Metrics::new()?,
             started_ms,
             store_failing_since: Cell::new(None),
+            store_delay: Cell::new(Millis(0)),
             settings,
             ports,
         });
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -40,7 +40,7 @@
 pub(crate) const RIGHT_MS: Millis = Millis(3_000);
 
 /// Pause after a call to the store failed.
-const RETRY_MS: Millis = Millis(100);
+pub(crate) const RETRY_MS: Millis = Millis(100);
 
 /// Wait of one read of the submissions.
 const READ_WAIT_MS: Millis = Millis(1_000);
@@ -107,6 +107,7 @@
     ) -> Rc<Owner> {
         let now = env.now();
         let claim_sequence = Cell::new(claims.first_sequence() + 1);
+        let right_from = claims.claim_sent_at();
         let shards = claims.layout().map_or(1, |layout| layout.shards);
         let lease_ms = env.settings.lease_ms;
         let lapsed = Millis(lease_ms.0 + lease_ms.0 * CLOCK_ERROR_PERCENT / 100 + 100);
@@ -128,7 +129,7 @@
             saved: Signal::default(),
             ended: Cell::new(false),
             ready: Cell::new(false),
-            right_until: Cell::new(now + RIGHT_MS),
+            right_until: Cell::new(right_from + RIGHT_MS),
             claim_sequence,
             progress_sequence: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
@@ -168,7 +169,7 @@
             match self.recover().await {
                 Ok(followed) => break followed,
                 Err(StoreError::Fenced) => return self.depose("progress is fenced"),
-                Err(_) => self.env.sleep(RETRY_MS).await,
+                Err(error) => self.recovery_failed(error).await,
             }
         };
         self.submissions_read_at.set(self.env.now());
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -2,15 +2,15 @@
 
 use std::rc::Rc;
 
-use futures_util::future::join3;
+use futures_util::future::join4;
 use hemlocksaddle_policy::workflow::{Learned, Listing};
 use hemlocksaddle_types::workflow::{Progress, Submission};
 use serde_json::json;
 
 use crate::{
     event::Event,
-    owner::Owner,
-    ports::{Conditions, Record, Result, Stream},
+    owner::{Owner, RETRY_MS},
+    ports::{Conditions, Record, Result, StoreError, Stream},
     record::{self, Key},
 };
 
@@ -27,17 +27,23 @@
             end: None,
             writer: Some(self.progress_writer()),
         };
-        self.env
-            .append(Stream::Progress, self.shard, Vec::new(), fence)
-            .await?;
         // Together, because each call takes a third of a second while the store is slow.
-        let submissions = self.env.read_all(Stream::Submissions, self.shard);
-        let progress = self.env.read_all(Stream::Progress, self.shard);
-        let workers = self.env.read_all(Stream::Workers, 0);
-        let (submissions, progress, workers) = join3(submissions, progress, workers).await;
+        let fence = self
+            .env
+            .append(Stream::Progress, self.shard, Vec::new(), fence);
+        let submissions = self.read_stream(Stream::Submissions, self.shard);
+        let progress = self.read_stream(Stream::Progress, self.shard);
+        let workers = self.read_stream(Stream::Workers, 0);
+        let (fenced_at, submissions, progress, workers) =
+            join4(fence, submissions, progress, workers).await;
+        let fenced_at = fenced_at?;
         let (submissions, submissions_end) = submissions?;
-        let (progress, _) = progress?;
+        let (mut progress, progress_end) = progress?;
         let (workers, workers_end) = workers?;
+        if progress_end < fenced_at {
+            // The predecessor has appended since the read, and no more after the fence.
+            progress = self.read_stream(Stream::Progress, self.shard).await?.0;
+        }
         self.apply_learned(&progress);
         for record in &submissions {
             self.apply_submission(record, true);
@@ -55,6 +61,25 @@
         })
     }
 
+    /// Reads a stream until it is read whole or the shard is lost.
+    async fn read_stream(&self, stream: Stream, part: u32) -> Result<(Vec<Record>, u64)> {
+        loop {
+            match self.env.read_all(stream, part).await {
+                Err(error) if !self.ended.get() => self.recovery_failed(error).await,
+                read => return read,
+            }
+        }
+    }
+
+    /// Logs that a part of the state could not be read, and pauses before the next try.
+    pub(crate) async fn recovery_failed(&self, error: StoreError) {
+        let inputs = json!({
+            "shard": self.shard, "term": self.term, "error": format!("{error:?}"),
+        });
+        self.env.event(Event::RecoveryFailed, &inputs);
+        self.env.sleep(RETRY_MS).await;
+    }
+
     /// Applies a record of the submissions.
     pub(crate) fn apply_submission(&self, record: &Record, inherited: bool) {
         let Some(value) = &record.value else { return };
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use hemlocksaddle_shard::{
     front::{Found, Submitted},
@@ -9,9 +10,9 @@
 };
 use hemlocksaddle_types::{
     clock::Millis,
-    workflow::{State, Step},
+    workflow::{State, Step, WorkflowId},
 };
-use support::{Deployment, step};
+use support::{Deployment, step, workflow};
 
 /// Guards against a workflow that one node accepts and another does not know.
 #[gtest]
@@ -171,6 +172,42 @@
     }
 }
 
+/// Guards against nodes that all append by themselves while the owner is replaced: a slow store
+/// takes three appends a second, the partition fills, and the successor cannot read it.
+#[gtest]
+fn beside_a_slow_store_nodes_wait_for_the_successor_of_a_lost_owner() {
+    for seed in 1..=5 {
+        let deployment = Deployment::new(seed, 20, 3);
+        deployment.settle();
+        let owner = deployment.owner().expect("owner");
+        deployment.store.slow_times.set(85);
+        deployment.sim.run_for(Millis(1_500));
+        deployment.kill(owner);
+        let submissions = (1..=100).map(|id| {
+            let at = (owner + 1 + id % 19) % 20;
+            let node = deployment.node(at).expect("node");
+            let sim = deployment.sim.clone();
+            async move {
+                sim.sleep(Millis(40 * id as u64)).await;
+                let id = WorkflowId(id as u64);
+                node.front.submit(id, workflow(vec![step(1)])).await
+            }
+        });
+        let outcomes = deployment.sim.block_on(join_all(submissions));
+        let late = TAKE_OVER_TARGET.0 as usize / 40;
+        expect_that!(
+            outcomes,
+            not(contains(eq(&Submitted::Unknown))),
+            "seed {seed}"
+        );
+        expect_that!(
+            outcomes[late..],
+            each(eq(&Submitted::Accepted)),
+            "seed {seed}"
+        );
+    }
+}
+
 /// Guards against a task that runs in two places because a paused owner goes on.
 #[gtest]
 fn a_paused_owner_does_no_harm_when_it_wakes_up() {
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -202,15 +202,8 @@
     /// Submits a workflow at a node and waits for the answer.
     pub(crate) fn submit(&self, at: usize, id: u64, steps: Vec<Step>) -> Submitted {
         let node = self.node(at).expect("node");
-        let workflow = Workflow {
-            queue: "queue".into(),
-            text: "text".into(),
-            steps,
-            schedule: None,
-            received_ms: WallMs(0),
-        };
         self.sim
-            .block_on(node.front.submit(WorkflowId(id), workflow))
+            .block_on(node.front.submit(WorkflowId(id), workflow(steps)))
     }
 
     pub(crate) fn cancel(&self, at: usize, id: u64) -> Submitted {
@@ -253,6 +246,17 @@
 }
 
 /// Step of equal tasks that run for a second.
+/// Workflow of the test queue.
+pub(crate) fn workflow(steps: Vec<Step>) -> Workflow {
+    Workflow {
+        queue: "queue".into(),
+        text: "text".into(),
+        steps,
+        schedule: None,
+        received_ms: WallMs(0),
+    }
+}
+
 pub(crate) fn step(tasks: u32) -> Step {
     Step {
         tasks,
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -21,11 +21,16 @@
 /// Interval at which a read that waits looks again.
 const POLL_MS: Millis = Millis(5);
 
+/// Wait of an append from which it is turned away.
+const LONGEST_QUEUE_MS: Millis = Millis(2_000);
+
 #[derive(Default)]
 struct Partition {
     records: Vec<Record>,
     /// Epoch, last sequence number and the end after it, by writer.
     writers: HashMap<Arc<str>, (u64, Option<u64>, u64)>,
+    /// Time at which the appends that wait are done.
+    free_at: Millis,
 }
 
 pub(crate) struct FakeStore {
@@ -35,6 +40,8 @@
     pub(crate) down: Cell<bool>,
     /// Carries appends out without answering them.
     pub(crate) lose_answers: Cell<bool>,
+    /// Factor by which each answer and each append takes longer.
+    pub(crate) slow_times: Cell<u64>,
     /// Delays reads of the workers, to widen races with them.
     pub(crate) slow_workers_ms: Cell<u64>,
 }
@@ -46,6 +53,7 @@
             partitions: RefCell::default(),
             down: Cell::new(false),
             lose_answers: Cell::new(false),
+            slow_times: Cell::new(1),
             slow_workers_ms: Cell::new(0),
         })
     }
@@ -80,8 +88,32 @@
         records.iter().filter(|record| &*record.key == key).count()
     }
 
+    /// Waits for the appends before this call.
+    async fn queue(&self, stream: Stream, partition: u32, is_append: bool) -> Result<()> {
+        let now = self.sim.now();
+        let part = (stream, partition);
+        let free_at = self.partitions.borrow().get(&part).map(|part| part.free_at);
+        let wait = Millis(free_at.unwrap_or_default().0.saturating_sub(now.0));
+        if is_append && wait > LONGEST_QUEUE_MS {
+            return Err(StoreError::NotDone);
+        }
+        self.sim.sleep(wait).await;
+        Ok(())
+    }
+
+    /// Keeps the partition busy for an append.
+    fn occupy(&self, stream: Stream, partition: u32) {
+        let now = self.sim.now();
+        let work = ANSWER_MS.0 * (self.slow_times.get() - 1);
+        let mut partitions = self.partitions.borrow_mut();
+        let part = partitions.entry((stream, partition)).or_default();
+        part.free_at = Millis(part.free_at.0.max(now.0) + work);
+    }
+
     async fn answer(&self) -> Result<()> {
-        self.sim.sleep(ANSWER_MS).await;
+        self.sim
+            .sleep(Millis(ANSWER_MS.0 * self.slow_times.get()))
+            .await;
         if self.down.get() {
             Err(StoreError::NotDone)
         } else {
@@ -184,6 +216,7 @@
             if stream == Stream::Workers {
                 self.sim.sleep(Millis(self.slow_workers_ms.get())).await;
             }
+            self.queue(stream, partition, false).await?;
             self.answer().await?;
             let partitions = self.partitions.borrow();
             let Some(part) = partitions.get(&(stream, partition)) else {
@@ -212,9 +245,12 @@
         wait: Millis,
     ) -> PortFuture<'_, Result<Tail>> {
         Box::pin(async move {
+            self.answer().await?;
             let until = self.sim.now() + wait;
             loop {
-                self.answer().await?;
+                if self.down.get() {
+                    return Err(StoreError::NotDone);
+                }
                 let records: Vec<_> = {
                     let partitions = self.partitions.borrow();
                     let part = partitions.get(&(stream, partition));
@@ -243,8 +279,12 @@
         conditions: Conditions,
     ) -> PortFuture<'_, Result<u64>> {
         Box::pin(async move {
+            self.queue(stream, partition, true).await?;
             self.answer().await?;
             let appended = self.do_append(stream, partition, records, &conditions);
+            if appended.is_ok() {
+                self.occupy(stream, partition);
+            }
             if self.lose_answers.get() {
                 return Err(StoreError::Unknown);
             }
