Let lasting tasks leave room to short ones

Lasting tasks keep arriving and take each gap that a wave of short tasks leaves, for minutes; the next waves find fragments of one or two cores, and up to 260 short tasks wait. Steps were served by time of acceptance. Now steps that last are served after others of their priority, and take only what short tasks have not used for 1.5 s. Where one has waited for 2 s and there is room for two of it, it starts all the same. Ruled out: a reserve by the mean demand of short work (a lasting task that waits although there is room twice over for three seconds breaks a rule). Tests first: short_work_goes_before_lasting_work_that_waits, lasting_work_leaves_room_for_the_short_work_of_the_last_seconds.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -116,6 +116,8 @@
     pub(super) tasks: Vec<Task>,
     pub(super) done: u32,
     pub(super) waiting: u32,
+    /// Time since which a task waits, for a step that lasts.
+    pub(super) waiting_since: Option<MonoMs>,
     /// Learned load of the lasting tasks.
     pub(super) load: Option<f64>,
 }
@@ -132,6 +134,7 @@
             tasks: vec![Task::new(); step.tasks as usize],
             done: 0,
             waiting: step.tasks,
+            waiting_since: None,
             load: None,
         };
         Occurrence {
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod plan;
 mod report;
+mod room;
 mod worker;
 
 use std::sync::Arc;
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -12,6 +12,7 @@
 use super::{
     Board, TaskKey, Worker, WorkerKey,
     pacing::{Bears, share},
+    room::Room,
 };
 
 /// Part of its reservation that a lasting task is expected to use, in percent.
@@ -85,13 +86,17 @@
 }
 
 /// Workers that may get tasks in one plan.
-pub(super) struct Candidates(Vec<Candidate>);
+pub(super) struct Candidates {
+    list: Vec<Candidate>,
+    /// Room that the tasks to be placed may take.
+    pub(super) room: Room,
+}
 
 impl Candidates {
     /// Forgets what was derived from the tasks on a worker.
     pub(super) fn changed(&mut self, worker: WorkerKey) {
         let changed = self
-            .0
+            .list
             .iter_mut()
             .find(|candidate| candidate.worker == worker);
         if let Some(candidate) = changed {
@@ -101,7 +106,7 @@
 
     /// Keys of the workers.
     pub(super) fn keys(&self) -> impl Iterator<Item = WorkerKey> {
-        self.0.iter().map(|candidate| candidate.worker)
+        self.list.iter().map(|candidate| candidate.worker)
     }
 }
 
@@ -115,7 +120,10 @@
             worker,
             bears: None,
         });
-        Candidates(candidates.collect())
+        Candidates {
+            list: candidates.collect(),
+            room: Room::Any,
+        }
     }
 
     /// Best worker for a task, or `None` if it fits nowhere now.
@@ -128,11 +136,14 @@
     ) -> Option<WorkerKey> {
         let step = self.jobs[key.job].step(key);
         let failed_on = self.jobs[key.job].task(key)?.failed_on;
-        let costs = candidates.0.iter_mut().filter_map(|candidate| {
+        let room = candidates.room;
+        let mut found = 0;
+        let costs = candidates.list.iter_mut().filter_map(|candidate| {
             let worker = &self.workers[candidate.worker];
             let allowed = *worker.listing.pool == *pool
                 && worker.has_label(step)
                 && worker.fits(step)
+                && (room != Room::Unclaimed || worker.has_unclaimed(step.demand.cpu_milli))
                 && rack.is_none_or(|rack| worker.listing.rack().is_some_and(|of| **of == *rack))
                 && self.below_limit(worker, key, step);
             if !allowed {
@@ -141,10 +152,15 @@
             let failed = failed_on == Some(candidate.worker);
             let penalty = if failed { FAILED_PENALTY } else { 0.0 };
             let cost = self.cost(candidate, key, step)?;
+            found += 1;
             Some((candidate.worker, penalty + cost))
         });
         let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
-        best.map(|(worker, _)| worker)
+        let (worker, _) = best?;
+        let enough = room != Room::ForTwo
+            || found > 1
+            || self.workers[worker].has_unclaimed(step.demand.cpu_milli);
+        enough.then_some(worker)
     }
 
     fn below_limit(&self, worker: &Worker, key: TaskKey, step: &Step) -> bool {
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Board, JobKey, Order, Phase, Start, TaskKey, WorkerKey, job::FULL_PACE, placement::Candidates,
-    worker::Assigned,
+    room::Room, worker::Assigned,
 };
 
 /// Time without progress after which a run is moved.
@@ -31,6 +31,7 @@
     step: u16,
     queue: Arc<Queue>,
     accepted_at: MonoMs,
+    room: Room,
 }
 
 impl Ready {
@@ -47,6 +48,7 @@
         self.queue
             .priority
             .cmp(&other.queue.priority)
+            .then(self.room.cmp(&other.room))
             .then(self.accepted_at.cmp(&other.accepted_at))
             .then(self.step.cmp(&other.step))
     }
@@ -59,6 +61,7 @@
         self.move_stuck(now);
         self.leave_draining();
         self.pace(now);
+        self.note_short_work(now);
         let ready = self.ready(now, wall);
         let mut candidates = self.candidates(now);
         self.move_halted(&mut candidates, now);
@@ -78,19 +81,24 @@
             let Some(queue) = self.queues.get(&job.spec.queue) else {
                 continue;
             };
-            for (occurrence, state) in job.occurrences.iter().enumerate() {
-                for (number, step) in state.steps.iter().enumerate() {
-                    let spec = &job.spec.steps[number];
+            let spec: Rc<_> = job.spec.clone();
+            for occurrence in 0..job.occurrences.len() {
+                for (number, spec) in spec.steps.iter().enumerate() {
                     let unsettled = job.inherited && !settled && !spec.speculative;
-                    if step.waiting == 0 || unsettled || !job.step_is_due(occurrence, number) {
+                    let due = !unsettled && job.step_is_due(occurrence, number);
+                    let step = &mut job.occurrences[occurrence].steps[number];
+                    if step.waiting == 0 || !due {
+                        step.waiting_since = None;
                         continue;
                     }
+                    let waiting_since = *step.waiting_since.get_or_insert(now);
                     ready.push(Ready {
                         job: key,
                         occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
                         step: u16::try_from(number).unwrap_or(u16::MAX),
                         queue: queue.clone(),
                         accepted_at: job.accepted_at,
+                        room: Room::for_step(spec, waiting_since, now),
                     });
                 }
             }
@@ -107,6 +115,7 @@
             self.place_gang(ready, step, candidates, now);
             return;
         }
+        candidates.room = ready.room;
         for index in 0..step.tasks {
             let key = ready.key(index);
             let task = self.jobs[ready.job].task(key);
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -11,7 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Board, TaskKey, WorkerKey};
+use super::{Board, TaskKey, WorkerKey, room::RecentPeak};
 
 /// Failures in a row after which a worker gets no task for a while.
 const FAILURES_TO_SUSPEND: u32 = 2;
@@ -103,6 +103,8 @@
     pub(super) over_target_since: Option<MonoMs>,
     /// Reserved by lasting tasks, part of what is committed.
     pub(super) lasting_cpu_milli: u64,
+    /// Used by tasks that neither last nor are best-effort.
+    pub(super) short_peak: RecentPeak,
 }
 
 impl Worker {
@@ -126,6 +128,7 @@
             learned_at: MonoMs(0),
             over_target_since: None,
             lasting_cpu_milli: 0,
+            short_peak: RecentPeak::default(),
         }
     }
 
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -293,3 +293,54 @@
     world.accept(2, vec![workflow_support::filler(2, 3_000, "harmless")]);
     expect_that!(world.starts().len(), eq(2));
 }
+
+/// Guards against short work that waits behind lasting work when processors are short: it is worth
+/// several times as much for each processor, and only while it is in time.
+#[gtest]
+fn short_work_goes_before_lasting_work_that_waits() {
+    let mut world = World::with_workers(1, 16_000);
+    world.accept(1, vec![step(1, 16_000)]);
+    let first = world.starts();
+    world.answer_all(&first, StartAnswer::Accepted);
+    world.accept(2, vec![lasting(2, 8_000, "a")]);
+    world.accept(3, vec![step(1, 8_000)]);
+    expect_that!(world.starts(), is_empty());
+    world.end(&first[0], EndKind::Done);
+    let next = world.starts();
+    expect_that!(next[0].name.workflow.0, eq(3));
+}
+
+/// Guards against lasting work that arrives between two waves of short work, takes what these
+/// share in turn, and keeps it for minutes.
+#[gtest]
+fn lasting_work_leaves_room_for_the_short_work_of_the_last_seconds() {
+    let mut world = World::with_workers(4, 16_000);
+    world.accept(1, vec![step(4, 8_000)]);
+    let wave = world.starts();
+    world.answer_all(&wave, StartAnswer::Accepted);
+    world.pass(1_000);
+    expect_that!(world.starts(), is_empty());
+    wave.iter()
+        .for_each(|start| world.end(start, EndKind::Done));
+    world.pass(1_000);
+    world.accept(2, vec![lasting(8, 8_000, "a")]);
+    let lasting = world.starts();
+    expect_that!(lasting.len(), all![ge(3), le(4)]);
+    world.answer_all(&lasting, StartAnswer::Accepted);
+    world.accept(3, vec![step(4, 8_000)]);
+    expect_that!(world.starts().len(), eq(4));
+}
+
+/// Guards against lasting work that waits although most of the processors are free.
+#[gtest]
+fn lasting_work_starts_while_half_of_the_processors_are_free() {
+    let mut world = World::with_workers(4, 16_000);
+    world.accept(1, vec![step(8, 8_000)]);
+    let wave = world.starts();
+    world.answer_all(&wave, StartAnswer::Accepted);
+    world.pass(1_000);
+    wave.iter()
+        .for_each(|start| world.end(start, EndKind::Done));
+    world.accept(2, vec![lasting(4, 8_000, "a")]);
+    expect_that!(world.starts().len(), eq(4));
+}
