Group lasting tasks by what they bear, and move the few that bar idle workers

Now the cost of mixing is the part of the best-effort demand that one of two lasting images bears and the other does not, once that is learned. While best-effort work waits for want of a worker that bears it, the one or two tasks that bar it from a worker with idle processors are moved to workers that are barred already, one worker each 300 ms, no task within 5 s of its start.

--- a/hemlocksaddle-policy/src/workflow/bookkeeping.rs
+++ b/hemlocksaddle-policy/src/workflow/bookkeeping.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Board, JobKey, Order, Phase, TaskKey, WorkerKey,
+    harm::Image,
     job::{Job, StepState},
 };
 
@@ -34,9 +35,10 @@
             return false;
         }
         let steps = spec.steps.iter();
-        let images = steps
+        let images: Vec<_> = steps
             .map(|step| self.harm.image(step.image.as_ref()))
             .collect();
+        self.note_demand(&spec, &images);
         let key = self.jobs.insert(Job::new(id, spec, images, now, inherited));
         self.by_id.insert(id, key);
         self.open.push(key);
@@ -46,6 +48,16 @@
         true
     }
 
+    fn note_demand(&mut self, spec: &Workflow, images: &[Image]) {
+        for (step, &image) in spec.steps.iter().zip(images) {
+            if step.best_effort {
+                let run_s = step.expected_run_ms as f64 / 1_000.0;
+                let work = f64::from(step.tasks) * step.demand.cpu_milli as f64 * run_s;
+                self.harm.note_demand(image, work);
+            }
+        }
+    }
+
     /// Cancels a workflow and orders its runs to stop.
     pub fn cancel(&mut self, id: WorkflowId, now: MonoMs) {
         match self.by_id.get(&id) {
--- a/hemlocksaddle-policy/src/workflow/harm.rs
+++ b/hemlocksaddle-policy/src/workflow/harm.rs
@@ -53,6 +53,15 @@
 /// Weight up to which a pair counts as harmless: within the noise of some hundred observations.
 const NOISE_WEIGHT: f64 = 0.8;
 
+/// Weight from which a usual best-effort task does not fit beside a usual lasting one.
+///
+/// A tenth of a worker's processors then raises the utilisation by a quarter, about
+/// what lasting tasks at half of their load bear.
+const BARRED_WEIGHT: f64 = 2.5;
+
+/// Part of the earlier demand for an image that is kept with each workflow.
+const DEMAND_KEPT: f64 = 0.995;
+
 /// Most best-effort images of a regression; further ones share the last place.
 const MAX_IMAGES: usize = 32;
 
@@ -126,6 +135,8 @@
     regressions: Vec<Option<Regression>>,
     /// Base of each lasting image, by its key.
     bases: HashMap<Image, f64>,
+    /// Best-effort work that was asked for lately, by the place of its image.
+    demand: Vec<f64>,
 }
 
 /// What was learned about one lasting image.
@@ -212,6 +223,40 @@
             .unwrap_or(0.0)
     }
 
+    /// Notes best-effort work that was asked for.
+    pub(super) fn note_demand(&mut self, image: Image, work: f64) {
+        let place = place(image);
+        if self.demand.len() <= place {
+            self.demand.resize(place + 1, 0.0);
+        }
+        self.demand.iter_mut().for_each(|known| *known *= DEMAND_KEPT);
+        self.demand[place] += work;
+    }
+
+    /// Whether usual work of `image` does not fit beside a usual task of `lasting`.
+    pub(super) fn is_barred(&self, image: Image, lasting: Image) -> bool {
+        self.weight(image, lasting) > BARRED_WEIGHT
+    }
+
+    /// Part of the best-effort demand that one of two lasting images bears and the other does not.
+    ///
+    /// Images of which nothing is known differ wholly.
+    pub(super) fn difference(&self, lasting: Image, other: Image) -> f64 {
+        if lasting == other {
+            return 0.0;
+        }
+        let known = |image: Image| self.regressions.get(image.0).is_some_and(Option::is_some);
+        let all: f64 = self.demand.iter().sum();
+        if all <= 0.0 || !known(lasting) || !known(other) {
+            return 1.0;
+        }
+        let differing = self.demand.iter().enumerate().filter(|(place, _)| {
+            let image = Image(*place);
+            self.is_barred(image, lasting) != self.is_barred(image, other)
+        });
+        differing.map(|(_, work)| work).sum::<f64>() / all
+    }
+
     /// Part by which work raises the utilisation of a lasting task.
     pub(super) fn raise(&self, lasting: Image, beside: &[Neighbour]) -> f64 {
         let parts = beside
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -18,6 +18,7 @@
 mod pacing;
 mod placement;
 mod plan;
+mod regroup;
 mod report;
 mod room;
 mod worker;
@@ -145,6 +146,9 @@
     settled_at: MonoMs,
     open: Vec<JobKey>,
     harm: harm::Harm,
+    /// Best-effort work that found no worker in this plan.
+    blocked: Vec<regroup::Blocked>,
+    regrouped_at: MonoMs,
 }
 
 impl Board {
@@ -166,6 +170,8 @@
             settled_at,
             open: Vec::new(),
             harm: harm::Harm::default(),
+            blocked: Vec::new(),
+            regrouped_at: MonoMs(0),
         }
     }
 
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -1,8 +1,9 @@
 //! Choice of a worker for a task.
 //!
-//! Lasting tasks are packed by image. Harm depends on the pair of images, so that
-//! a worker with one lasting image suits more best-effort images than a mixed one,
-//! and some workers are left without any lasting task. Other tasks that reserve processors go
+//! Lasting tasks are packed by what their images bear. Harm depends on the pair of
+//! images, so that a worker whose lasting images bear the same suits more
+//! best-effort images than a mixed one, and some workers are left without any
+//! lasting task. Other tasks that reserve processors go
 //! where the smallest share is committed. Best-effort tasks go where the expected
 //! tail of the lasting tasks stays below its target, and of these where most
 //! processors are idle.
@@ -27,9 +28,9 @@
 /// Cost of a worker without lasting tasks for a best-effort task that harms few of them.
 const UNHARMED_COST: f64 = 0.6;
 
-/// Cost of a worker with lasting tasks of another image for a lasting task.
+/// Cost of a worker with lasting tasks that bear none of the images that a lasting task bears.
 ///
-/// Workers whose lasting tasks are of one image suit more best-effort images.
+/// Workers whose lasting tasks bear the same images suit more best-effort work.
 const MIX_COST: f64 = 1.0;
 
 /// Weight of the part that a best-effort task could not use, against idle processors.
@@ -71,6 +72,11 @@
         reserved.fits_in(&free) && step.demand.cpu_milli <= self.idle_cpu_milli()
     }
 
+    /// Whether a task of a step may be placed here, as far as room and labels go.
+    pub(super) fn takes(&self, step: &Step) -> bool {
+        self.has_label(step) && self.fits(step)
+    }
+
     fn has_label(&self, step: &Step) -> bool {
         let labels = &self.listing.labels;
         step.required_label
@@ -141,8 +147,7 @@
         let costs = candidates.list.iter_mut().filter_map(|candidate| {
             let worker = &self.workers[candidate.worker];
             let allowed = *worker.listing.pool == *pool
-                && worker.has_label(step)
-                && worker.fits(step)
+                && worker.takes(step)
                 && (room != Room::Unclaimed || worker.has_unclaimed(step.demand.cpu_milli))
                 && rack.is_none_or(|rack| worker.listing.rack().is_some_and(|of| **of == *rack))
                 && self.below_limit(worker, key, step);
@@ -189,10 +194,13 @@
         if !step.lasting {
             return Some(far + used);
         }
-        let mixed = worker.tasks.iter().any(|(other, assigned)| {
-            assigned.lasting && self.jobs[other.job].image(*other) != self.jobs[key.job].image(key)
+        let image = self.jobs[key.job].image(key);
+        let others = worker.tasks.iter().filter(|(_, assigned)| assigned.lasting);
+        let differences = others.map(|(other, _)| {
+            let beside = self.jobs[other.job].image(*other);
+            self.harm.difference(image, beside)
         });
-        Some(far - used + if mixed { MIX_COST } else { 0.0 })
+        Some(far - used + differences.fold(0.0, f64::max) * MIX_COST)
     }
 
     /// Cost of the harm that a best-effort task would do on a worker.
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Board, JobKey, Order, Phase, Start, TaskKey, WorkerKey, job::FULL_PACE, placement::Candidates,
-    room::Room, worker::Assigned,
+    regroup::Blocked, room::Room, worker::Assigned,
 };
 
 /// Time without progress after which a run is moved.
@@ -68,6 +68,7 @@
         for step in &ready {
             self.place_step(step, &mut candidates, now);
         }
+        self.regroup(&candidates, now);
         std::mem::take(&mut self.orders)
     }
 
@@ -126,6 +127,13 @@
             }
             // Equal tasks: where the first does not fit, the others do not fit either.
             let Some(worker) = self.choose(candidates, key, &ready.queue.pool, None) else {
+                if step.best_effort {
+                    self.blocked.push(Blocked {
+                        image: self.jobs[ready.job].image(key),
+                        demand: step.demand,
+                        tasks: step.tasks - index,
+                    });
+                }
                 return;
             };
             let run = self.next_run(key);
--- /dev/null
+++ b/hemlocksaddle-policy/src/workflow/regroup.rs
@@ -0,0 +1,119 @@
+//! Moves of lasting tasks that keep best-effort work from idle processors.
+//!
+//! Best-effort images differ in which lasting images they harm. A worker with a
+//! single task of an image that bears little is closed to work that all its other
+//! tasks bear, and lasting tasks stay for minutes. While best-effort tasks wait for
+//! want of a worker that bears them, such single tasks are moved to workers that are
+//! closed to this work already. A move costs about a second of one task; the
+//! processors that it opens are used until the task would have ended.
+
+use hemlocksaddle_types::{clock::Millis, clock::MonoMs, resources::Resources};
+
+use super::{Board, Phase, TaskKey, Worker, WorkerKey, harm::Image, placement::Candidates};
+
+/// Interval at which moves are considered, so that the effect of one shows before the next.
+const REGROUP_MS: Millis = Millis(300);
+
+/// Most tasks that are moved off one worker.
+const MOST_MOVED: usize = 2;
+
+/// Time that a lasting task is left where it is after its start.
+const LEFT_ALONE_MS: Millis = Millis(5_000);
+
+/// Best-effort tasks of a step for which no worker was found.
+#[derive(Clone, Debug)]
+pub(super) struct Blocked {
+    pub(super) image: Image,
+    pub(super) demand: Resources,
+    pub(super) tasks: u32,
+}
+
+impl Board {
+    /// Opens a worker to the best-effort work that waits most, if that takes few moves.
+    pub(super) fn regroup(&mut self, candidates: &Candidates, now: MonoMs) {
+        let blocked = std::mem::take(&mut self.blocked);
+        if now < self.regrouped_at + REGROUP_MS {
+            return;
+        }
+        let work = |blocked: &Blocked| blocked.demand.cpu_milli * u64::from(blocked.tasks);
+        let Some(most) = blocked.into_iter().max_by_key(work) else {
+            return;
+        };
+        let options = candidates.keys().filter_map(|key| {
+            let moved = self.to_move(key, &most, now)?;
+            let cpu_milli: u64 = moved.iter().map(|&task| self.demand(task).cpu_milli).sum();
+            let elsewhere = moved
+                .iter()
+                .all(|&task| self.has_place_beside(candidates, key, task, most.image));
+            elsewhere.then_some((cpu_milli, key, moved))
+        });
+        let Some((_, worker, moved)) = options.min_by_key(|(cpu_milli, ..)| *cpu_milli) else {
+            return;
+        };
+        self.regrouped_at = now;
+        for task in moved {
+            self.jobs[task.job].task_mut(task).failed_on = Some(worker);
+            self.stop(task);
+        }
+    }
+
+    fn demand(&self, key: TaskKey) -> Resources {
+        self.jobs[key.job].step(key).demand
+    }
+
+    /// Whether a worker has a lasting task that does not bear an image.
+    fn is_barred(&self, worker: &Worker, image: Image) -> bool {
+        worker.tasks.iter().any(|(key, task)| {
+            task.lasting && self.harm.is_barred(image, self.jobs[key.job].image(*key))
+        })
+    }
+
+    /// Lasting tasks that close a worker with idle processors to the work; `None` if it is of no use.
+    fn to_move(&self, key: WorkerKey, work: &Blocked, now: MonoMs) -> Option<Vec<TaskKey>> {
+        let worker = &self.workers[key];
+        let has_room = worker.idle_cpu_milli() >= work.demand.cpu_milli
+            && worker.free().memory_mb >= work.demand.memory_mb;
+        if !has_room {
+            return None;
+        }
+        let lasting = worker.tasks.iter().filter(|(_, task)| task.lasting);
+        let barring: Vec<TaskKey> = lasting
+            .filter(|(key, _)| {
+                self.harm
+                    .is_barred(work.image, self.jobs[key.job].image(**key))
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        let movable = barring.iter().all(|&key| self.may_move(key, now));
+        (movable && (1..=MOST_MOVED).contains(&barring.len())).then_some(barring)
+    }
+
+    fn may_move(&self, key: TaskKey, now: MonoMs) -> bool {
+        let job = &self.jobs[key.job];
+        let settled = job.task(key).is_some_and(|task| {
+            matches!(task.phase, Phase::Running { since, .. } if now.since(since) >= LEFT_ALONE_MS)
+        });
+        let step = job.step(key);
+        settled && step.max_unavailable.is_none() && !step.gang
+    }
+
+    /// Whether another worker that is closed to an image anyway has room for a task.
+    fn has_place_beside(
+        &self,
+        candidates: &Candidates,
+        from: WorkerKey,
+        task: TaskKey,
+        image: Image,
+    ) -> bool {
+        let step = self.jobs[task.job].step(task);
+        let pool = &self.workers[from].listing.pool;
+        candidates.keys().any(|key| {
+            let worker = &self.workers[key];
+            key != from
+                && worker.listing.pool == *pool
+                && worker.takes(step)
+                && worker.has_unclaimed(step.demand.cpu_milli)
+                && self.is_barred(worker, image)
+        })
+    }
+}
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -1,5 +1,6 @@
 //! Decisions of the board: what starts, where, and when it may start again.
 
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -265,6 +265,39 @@
         self.report(self.workers[number], &report);
     }
 
+    /// Reports task 0 of lasting workflows at work on a worker, with short tails.
+    pub(crate) fn report_lasting(&mut self, number: usize, running: &[(u64, Run)]) {
+        let row = |&(id, run): &(u64, Run)| Row {
+            task: name(id),
+            run,
+            checkpoint: None,
+            percent: 100,
+            figure: TARGET_MS / 4,
+        };
+        let report = Report {
+            sent_at: self.now,
+            rows: running.iter().map(row).collect(),
+            ends: Vec::new(),
+        };
+        self.report(self.workers[number], &report);
+    }
+
+    /// Reports that task 0 of a workflow was stopped.
+    pub(crate) fn end_stopped(&mut self, number: usize, id: u64, run: Run) {
+        let report = Report {
+            sent_at: MonoMs(0),
+            rows: Vec::new(),
+            ends: vec![End {
+                number: 1,
+                task: Some(name(id)),
+                run,
+                kind: EndKind::Stopped,
+                checkpoint: None,
+            }],
+        };
+        self.report(self.workers[number], &report);
+    }
+
     /// Reports every running task of the workflows 1 to 3 on a worker, lasting ones with a tail.
     pub(crate) fn report_tails(&mut self, number: usize, tail_ms: u64) {
         let mut rows = Vec::new();
