--- /dev/null
+++ b/hemlocksaddle-daemon/examples/soak/server.rs
@@ -0,0 +1,89 @@
+//! HTTP server on a free loopback port.
+
+use std::{collections::HashMap, io, net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::HyperStream;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+
+/// Request to a stand-in.
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) query: HashMap<String, String>,
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    /// Number of the query.
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+        self.query.get(name)?.parse().ok()
+    }
+}
+
+/// Status and body; `None` closes the connection without an answer.
+pub(crate) type Reply = Option<(u16, Bytes)>;
+
+/// Answers calls.
+pub(crate) trait Handler: 'static {
+    /// Answers one call.
+    fn handle(&self, call: Call) -> impl Future<Output = Reply>;
+}
+
+/// Answer with a JSON body.
+pub(crate) fn json(status: u16, body: &serde_json::Value) -> Reply {
+    Some((status, Bytes::from(body.to_string())))
+}
+
+/// Starts to serve on a free port.
+pub(crate) async fn start(handler: Rc<impl Handler>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    compio::runtime::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            compio::runtime::spawn(connection(stream, handler.clone())).detach();
+        }
+    })
+    .detach();
+    Ok(address)
+}
+
+async fn connection(stream: TcpStream, handler: Rc<impl Handler>) {
+    let answering = service_fn(move |request| {
+        let handler = handler.clone();
+        async move {
+            let call = decode(request).await;
+            let answered = match call {
+                Some(call) => handler.handle(call).await,
+                None => None,
+            };
+            let (status, body) = answered.ok_or_else(|| io::Error::other("answer is lost"))?;
+            let mut response = Response::new(Full::new(body));
+            *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+            Ok::<_, io::Error>(response)
+        }
+    });
+    let stream = HyperStream::new_plain(stream);
+    // An error is the peer's, which has closed the connection, or a lost answer.
+    let _ = http1::Builder::new()
+        .serve_connection(stream, answering)
+        .await;
+}
+
+async fn decode(request: Request<Incoming>) -> Option<Call> {
+    let (parts, body) = request.into_parts();
+    let query = parts.uri.query().unwrap_or_default().split('&');
+    let pairs = query.filter_map(|pair| pair.split_once('='));
+    Some(Call {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: pairs
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect(),
+        body: body.collect().await.ok()?.to_bytes(),
+    })
+}
--- /dev/null
+++ b/hemlocksaddle-daemon/examples/soak/store.rs
@@ -0,0 +1,194 @@
+//! Stand-in of the platform's store.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::{BufMut, Bytes, BytesMut};
+use serde_json::json;
+
+use crate::server::{Call, Handler, Reply, json};
+
+/// Interval at which a read that waits looks again.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Most records of one page.
+const PAGE: usize = 500;
+
+/// Host that callers name.
+pub(crate) const HOST: &str = "soak.example";
+
+/// Path of the queue.
+pub(crate) const PREFIX: &str = "/soak/";
+
+#[derive(Default)]
+struct Partition {
+    records: Vec<Bytes>,
+    /// Epoch, next sequence number and the last answer, by writer.
+    writers: HashMap<String, (u64, Option<u64>, u64)>,
+}
+
+impl Partition {
+    fn newest(&self) -> BTreeMap<String, (Bytes, usize)> {
+        let mut newest = BTreeMap::new();
+        for (offset, record) in self.records.iter().enumerate() {
+            let key = String::from_utf8_lossy(&record[1..=usize::from(record[0])]).into_owned();
+            let value = record.slice(1 + usize::from(record[0])..);
+            match value.is_empty() {
+                true => newest.remove(&key),
+                false => newest.insert(key, (value, offset)),
+            };
+        }
+        newest
+    }
+}
+
+/// Store in memory.
+#[derive(Default)]
+pub(crate) struct Store {
+    partitions: RefCell<HashMap<(String, u64), Partition>>,
+    version: Cell<u64>,
+    /// Turns every call away.
+    pub(crate) down: Cell<bool>,
+    /// Appends that are still to be carried out without an answer.
+    pub(crate) lose: Cell<u32>,
+}
+
+impl Store {
+    /// Writes a record as an operator or a worker.
+    pub(crate) fn put(&self, topic: &str, key: &str, value: &str) {
+        let mut record = BytesMut::new();
+        record.put_u8(key.len() as u8);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value.as_bytes());
+        let mut partitions = self.partitions.borrow_mut();
+        let part = partitions.entry((topic.to_owned(), 0)).or_default();
+        part.records.push(record.freeze());
+    }
+
+    /// Writes the next version of the configuration.
+    pub(crate) fn put_config(&self, pool: &str) {
+        self.version.set(self.version.get() + 1);
+        let config = json!({
+            "version": self.version.get(),
+            "routes": [{
+                "name": "soak", "host": HOST, "pathPrefix": PREFIX, "timeoutMs": 3000,
+                "targetCompletionMs": 250, "priority": 0, "service": pool, "maxAttempts": 4,
+                "stretch": 1.5,
+            }],
+            "services": [{ "name": pool, "admissionCheck": true }],
+        });
+        self.put("keyed.op", "config", &config.to_string());
+    }
+
+    fn append(&self, call: &Call) -> Reply {
+        let mut partitions = self.partitions.borrow_mut();
+        let part = partitions.entry(place(call)?).or_default();
+        let end = part.records.len() as u64;
+        if call.number("at").is_some_and(|at| at != end) {
+            return json(412, &json!({ "end": end }));
+        }
+        let records = records(&call.body)?;
+        if let Some(producer) = call.query.get("producer") {
+            let (epoch, sequence) = (call.number("epoch")?, call.number("seq")?);
+            match part.writers.get(producer) {
+                Some((known, ..)) if epoch < *known => {
+                    return json(409, &json!({ "reason": "fenced" }));
+                }
+                Some((known, Some(next), answer)) if epoch == *known => {
+                    if sequence + 1 == *next {
+                        return json(200, &json!({ "end": answer }));
+                    }
+                    if sequence != *next {
+                        return json(409, &json!({ "reason": "seq", "expected": next }));
+                    }
+                }
+                _ => {}
+            }
+            let next = (!records.is_empty()).then_some(sequence + 1);
+            let after = end + records.len() as u64;
+            part.writers.insert(producer.clone(), (epoch, next, after));
+        }
+        part.records.extend(records);
+        let end = part.records.len() as u64;
+        if self.lose.get() > 0 {
+            self.lose.set(self.lose.get() - 1);
+            return None;
+        }
+        json(200, &json!({ "end": end }))
+    }
+
+    async fn read(&self, call: &Call) -> Reply {
+        let place = place(call)?;
+        let from = call.number("from")? as usize;
+        let until = Instant::now() + Duration::from_millis(call.number("waitMs").unwrap_or(0));
+        loop {
+            {
+                let partitions = self.partitions.borrow();
+                let records = partitions.get(&place).map(|part| &part.records[..]);
+                let records = records.unwrap_or_default();
+                if records.len() > from || Instant::now() >= until {
+                    let mut body = BytesMut::new();
+                    body.put_u64(records.len() as u64);
+                    body.put_u64(0);
+                    for record in records.iter().skip(from) {
+                        body.put_u32(record.len() as u32);
+                        body.put_slice(record);
+                    }
+                    return Some((200, body.freeze()));
+                }
+            }
+            compio::time::sleep(POLL).await;
+        }
+    }
+
+    fn newest(&self, call: &Call) -> Reply {
+        let partitions = self.partitions.borrow();
+        let Some(part) = partitions.get(&place(call)?) else {
+            return json(200, &json!({ "items": [], "more": false, "end": 0 }));
+        };
+        let after = call.query.get("after").cloned().unwrap_or_default();
+        let mut newest: Vec<_> = part.newest().into_iter().collect();
+        newest.retain(|(key, _)| *key > after);
+        let more = newest.len() > PAGE;
+        newest.truncate(PAGE);
+        let item = |(key, (value, offset)): &(String, (Bytes, usize))| json!({ "key": key, "value": STANDARD.encode(value), "offset": offset });
+        let items: Vec<_> = newest.iter().map(item).collect();
+        json(
+            200,
+            &json!({ "items": items, "more": more, "end": part.records.len() }),
+        )
+    }
+}
+
+fn place(call: &Call) -> Option<(String, u64)> {
+    Some((call.query.get("topic")?.clone(), call.number("part")?))
+}
+
+fn records(body: &Bytes) -> Option<Vec<Bytes>> {
+    let mut rest = body.clone();
+    let mut records = Vec::new();
+    while !rest.is_empty() {
+        let length = u32::from_be_bytes(*rest.first_chunk::<4>()?) as usize;
+        records.push(rest.get(4..4 + length).map(|_| rest.slice(4..4 + length))?);
+        rest = rest.slice(4 + length..);
+    }
+    Some(records)
+}
+
+impl Handler for Store {
+    async fn handle(&self, call: Call) -> Reply {
+        if self.down.get() {
+            return json(503, &json!({}));
+        }
+        match call.path.as_str() {
+            "/log-append" => self.append(&call),
+            "/log-read" => self.read(&call).await,
+            "/log-newest" => self.newest(&call),
+            _ => json(404, &json!({})),
+        }
+    }
+}
--- a/hemlocksaddle-policy/src/workflow/harm.rs
+++ b/hemlocksaddle-policy/src/workflow/harm.rs
@@ -229,7 +229,9 @@
         if self.demand.len() <= place {
             self.demand.resize(place + 1, 0.0);
         }
-        self.demand.iter_mut().for_each(|known| *known *= DEMAND_KEPT);
+        self.demand
+            .iter_mut()
+            .for_each(|known| *known *= DEMAND_KEPT);
         self.demand[place] += work;
     }
 
--- a/hemlocksaddle-policy/tests/colocation.rs
+++ b/hemlocksaddle-policy/tests/colocation.rs
@@ -17,9 +17,7 @@
             "squares": vec![vec![1.0; 5]; 5],
         })
     };
-    let lasting = |image: usize, weights| {
-        serde_json::json!({ "image": image, "regression": regression(weights), "base": 0.2 })
-    };
+    let lasting = |image: usize, weights| serde_json::json!({ "image": image, "regression": regression(weights), "base": 0.2 });
     let learned = serde_json::json!({
         "images": ["frail", "robust", "sturdy", "loud", "noisy"],
         "lasting": [
@@ -81,6 +79,12 @@
     world.end_stopped(second, 4, run_4);
     let next = world.starts();
     let of = |id: u64| next.iter().find(|start| start.name.workflow.0 == id);
-    expect_that!(of(4).map(|start| start.worker), some(eq(world.workers[first])));
-    expect_that!(of(5).map(|start| start.worker), some(eq(world.workers[second])));
+    expect_that!(
+        of(4).map(|start| start.worker),
+        some(eq(world.workers[first]))
+    );
+    expect_that!(
+        of(5).map(|start| start.worker),
+        some(eq(world.workers[second]))
+    );
 }
