Let a gang take free room after a lasting step that waits

Cause: found on reading the change. The room that a step may take was set after the branch for gangs, so that a gang kept the room of the step before it, and waited for what short tasks had not used lately. Test first: a_gang_takes_free_room_after_a_lasting_step_that_waits.

--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -112,11 +112,11 @@
         let job = &self.jobs[ready.job];
         let spec: Rc<_> = job.spec.clone();
         let step = &spec.steps[usize::from(ready.step)];
+        candidates.room = ready.room;
         if step.gang {
             self.place_gang(ready, step, candidates, now);
             return;
         }
-        candidates.room = ready.room;
         for index in 0..step.tasks {
             let key = ready.key(index);
             let task = self.jobs[ready.job].task(key);
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -345,3 +345,24 @@
     world.accept(2, vec![lasting(4, 8_000, "a")]);
     expect_that!(world.starts().len(), eq(4));
 }
+
+/// Guards against a gang of a later queue that is held to the room of the lasting step before it.
+#[gtest]
+fn a_gang_takes_free_room_after_a_lasting_step_that_waits() {
+    let mut world = World::with_workers(1, 16_000);
+    world.accept(1, vec![step(1, 8_000)]);
+    let short = world.starts();
+    world.answer_all(&short, StartAnswer::Accepted);
+    world.pass(1_000);
+    expect_that!(world.starts(), is_empty());
+    world.end(&short[0], EndKind::Done);
+    world.accept(2, vec![lasting(1, 12_000, "a")]);
+    let gang = Step {
+        gang: true,
+        ..step(1, 10_000)
+    };
+    world.accept_in(3, "later", vec![gang]);
+    let starts = world.starts();
+    expect_that!(starts.len(), eq(1));
+    expect_that!(starts[0].name.workflow.0, eq(3));
+}
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -113,9 +113,14 @@
     pub(crate) fn unreported(count: usize, cpu_milli: u64, settled_ms: u64) -> World {
         let now = MonoMs(START_MS);
         let mut board = Board::new(limits(), 2, now + Millis(settled_ms));
+        let later = Queue {
+            name: "later".into(),
+            priority: 1,
+            ..queue()
+        };
         board.configure(&Catalogue {
             version: 1,
-            queues: vec![queue()],
+            queues: vec![queue(), later],
             ..Catalogue::default()
         });
         let workers = board.list_workers((0..count).map(|n| listing(n, cpu_milli)).collect());
@@ -144,16 +149,21 @@
     }
 
     pub(crate) fn accept(&mut self, id: u64, steps: Vec<Step>) {
-        self.add(id, steps, false);
+        self.add(id, "queue", steps, false);
     }
 
     pub(crate) fn accept_inherited(&mut self, id: u64, steps: Vec<Step>) {
-        self.add(id, steps, true);
+        self.add(id, "queue", steps, true);
+    }
+
+    /// Accepts a workflow of a queue.
+    pub(crate) fn accept_in(&mut self, id: u64, queue: &str, steps: Vec<Step>) {
+        self.add(id, queue, steps, false);
     }
 
-    fn add(&mut self, id: u64, steps: Vec<Step>, inherited: bool) {
+    fn add(&mut self, id: u64, queue: &str, steps: Vec<Step>, inherited: bool) {
         let workflow = Workflow {
-            queue: "queue".into(),
+            queue: queue.into(),
             text: "text".into(),
             steps,
             schedule: None,
