Refuse at once while the store is away, also at the owner's own node

A node that owns the shard itself asks itself without a time limit, and the intake keeps a submission whose append was not answered until its caller leaves: while the store ends every call without an answer, callers of that node were held to their own deadline, and the virtual clock ran on for ever. Callers of other nodes were held for 2.6 s and told that the outcome is unknown, after which they cannot try again. Now a question to the owner ends with the time of the submission, on every node; and while a node knows the store to be away (no call has succeeded for 300 ms), neither it nor the owner sends a new submission, which is refused at once. One that may have been stored is still tried. Ruled out: the fake store; a loop without time. Test first: while_the_store_resets_calls_new_submissions_are_refused_at_once (does not end before), three patterns in each_pattern_has_its_step.

--- a/hemlocksaddle-policy/src/intake.rs
+++ b/hemlocksaddle-policy/src/intake.rs
@@ -14,6 +14,9 @@
 /// Time for which the store may turn a submission away before it is refused; a few tries.
 const TURNED_AWAY_MS: Millis = Millis(120);
 
+/// Failure of the store, without any call that succeeds, after which it counts as away; a few tries.
+pub const STORE_AWAY_MS: Millis = Millis(300);
+
 /// Delay of the store's answers from which nodes do not append by themselves.
 ///
 /// Forty nodes at three submissions a second each then need no more than a partition takes.
@@ -33,6 +36,8 @@
     pub asked_ago: Option<Millis>,
     /// Delay of the store's latest answers.
     pub store_delay: Millis,
+    /// Time for which no call of the node to the store has succeeded.
+    pub store_failing_for: Millis,
     /// Time for which the store has turned the submission away.
     pub turned_away_for: Option<Millis>,
     /// Whether the submission may have been stored already.
@@ -65,6 +70,9 @@
         let may_ask = self.asked_ago.is_none_or(|ago| ago >= ASK_AGAIN_MS);
         if self.has_owner && may_ask {
             Step::AskOwner
+        } else if self.store_failing_for >= STORE_AWAY_MS && !self.unsure {
+            // An append that is not answered could not be told from one that is carried out.
+            Step::GiveUp
         } else if self.store_delay < SLOW_STORE_MS {
             Step::Append
         } else {
--- a/hemlocksaddle-policy/tests/intake.rs
+++ b/hemlocksaddle-policy/tests/intake.rs
@@ -9,6 +9,7 @@
     has_owner: true,
     asked_ago: None,
     store_delay: Millis(4),
+    store_failing_for: Millis(0),
     turned_away_for: None,
     unsure: false,
 };
@@ -29,6 +30,10 @@
         turned_away_for: Some(Millis(150)),
         ..lost
     };
+    let failing = Situation {
+        store_failing_for: Millis(400),
+        ..CALM
+    };
     let cases = [
         ("calm", CALM, Step::AskOwner),
         ("owner killed, store quick", lost, Step::Append),
@@ -67,6 +72,24 @@
             },
             Step::Append,
         ),
+        ("store away, owner not asked yet", failing, Step::AskOwner),
+        (
+            "store away, and the owner does not reach it either",
+            Situation {
+                asked_ago: Some(Millis(0)),
+                ..failing
+            },
+            Step::GiveUp,
+        ),
+        (
+            "store away, an append was not answered",
+            Situation {
+                asked_ago: Some(Millis(0)),
+                unsure: true,
+                ..failing
+            },
+            Step::Append,
+        ),
         (
             "no owner in time",
             Situation {
--- a/hemlocksaddle-shard/src/front.rs
+++ b/hemlocksaddle-shard/src/front.rs
@@ -3,7 +3,8 @@
 use std::{cell::Cell, rc::Rc};
 
 use foldhash::{HashMap, HashMapExt};
-use hemlocksaddle_policy::intake::{Situation, Step};
+use hemlocksaddle_node::wait::within;
+use hemlocksaddle_policy::intake::{SETTLE_MS, STORE_AWAY_MS, Situation, Step};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
@@ -32,9 +33,6 @@
 /// As long as a take-over usually takes.
 const OWNER_WAIT_MS: Millis = Millis(2_200);
 
-/// Failure of the store after which a node without an owner counts as cut off.
-const CUT_OFF_MS: Millis = Millis(300);
-
 /// Age up to which a count of waiting workflows is told again.
 const WAITING_AGE_MS: Millis = Millis(500);
 
@@ -176,12 +174,15 @@
                 Step::AskOwner => {
                     // The owner may be gone or cut off from the store; storing twice does no harm.
                     let question = Question::Store(shard, id, submission.clone());
-                    match self.ask_once(shard, question).await {
-                        Asked::Answered(Answer::Stored) => return Submitted::Accepted,
-                        Asked::Answered(Answer::StoreUnknown) | Asked::NoAnswer => {
+                    let waited = self.env.now().since(started_at);
+                    let left = Millis(SETTLE_MS.0.saturating_sub(waited.0));
+                    let asking = self.ask_once(shard, question);
+                    match within(&*self.env.ports.runtime, left, asking).await {
+                        Some(Asked::Answered(Answer::Stored)) => return Submitted::Accepted,
+                        Some(Asked::Answered(Answer::StoreUnknown) | Asked::NoAnswer) | None => {
                             tried.unsure = true;
                         }
-                        Asked::Answered(_) | Asked::NotSent => {}
+                        Some(Asked::Answered(_) | Asked::NotSent) => {}
                     }
                     let term = self.claims.claim(shard).map(|claim| claim.term);
                     tried.asked = Some((term, self.env.now()));
@@ -216,6 +217,7 @@
             has_owner: term.is_some() && !self.claims.is_unanswered(shard),
             asked_ago: asked.map(|(_, at)| now.since(at)),
             store_delay: self.env.store_delay(),
+            store_failing_for: self.env.store_failed_for(),
             turned_away_for: tried.turned_away_since.map(|since| now.since(since)),
             unsure: tried.unsure,
         }
@@ -303,7 +305,7 @@
         let lost = self.claims.claim(shard).is_some_and(|claim| {
             !self.claims.is_own(&claim) && self.links.just_lost(claim.address)
         });
-        lost && self.env.store_failed_for() >= CUT_OFF_MS
+        lost && self.env.store_failed_for() >= STORE_AWAY_MS
     }
 
     async fn ask_once(&self, shard: u32, question: Question) -> Asked {
--- a/hemlocksaddle-shard/src/intake.rs
+++ b/hemlocksaddle-shard/src/intake.rs
@@ -7,6 +7,7 @@
 //! stored twice is recognised by its id.
 
 use futures_channel::oneshot;
+use hemlocksaddle_policy::intake::STORE_AWAY_MS;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     workflow::{Answer, Submission, WorkflowId},
@@ -53,6 +54,9 @@
                 return Answer::NotStored;
             }
         };
+        if self.env.store_failed_for() >= STORE_AWAY_MS {
+            return Answer::NotStored;
+        }
         let (stored, answer) = oneshot::channel();
         self.to_store.borrow_mut().push(ToStore {
             record,
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -172,6 +172,32 @@
     }
 }
 
+/// Guards against callers that are held to their deadline, and then told nothing, while the store
+/// ends every call without an answer: nothing is sent for them, so that they can come back.
+#[gtest]
+fn while_the_store_resets_calls_new_submissions_are_refused_at_once() {
+    for seed in 1..=10 {
+        let deployment = Deployment::new(seed, 3, 2);
+        deployment.settle();
+        deployment.store.reset.set(true);
+        deployment.sim.run_for(Millis(1_000));
+        for at in 0..3 {
+            let sent_at = deployment.sim.now();
+            let id = 10 + at as u64;
+            let refused = deployment.submit(at, id, vec![step(1)]);
+            expect_that!(refused, eq(Submitted::Unavailable), "seed {seed}, {at}");
+            let took = since(&deployment, sent_at);
+            expect_that!(took, lt(Millis(300)), "seed {seed}, node {at}");
+        }
+        deployment.store.reset.set(false);
+        deployment.sim.run_for(Millis(500));
+        let accepted = deployment.submit(0, 1, vec![step(1)]);
+        expect_that!(accepted, eq(Submitted::Accepted), "seed {seed}");
+        deployment.sim.run_for(Millis(3_000));
+        expect_that!(deployment.fleet.starts(), eq(1), "seed {seed}");
+    }
+}
+
 /// Guards against nodes that all append by themselves while the owner is replaced: a slow store
 /// takes three appends a second, the partition fills, and the successor cannot read it.
 #[gtest]
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -38,6 +38,8 @@
     partitions: RefCell<HashMap<(Stream, u32), Partition>>,
     /// Turns every call away.
     pub(crate) down: Cell<bool>,
+    /// Ends every call without an answer or an effect.
+    pub(crate) reset: Cell<bool>,
     /// Carries appends out without answering them.
     pub(crate) lose_answers: Cell<bool>,
     /// Factor by which each answer and each append takes longer.
@@ -52,6 +54,7 @@
             sim,
             partitions: RefCell::default(),
             down: Cell::new(false),
+            reset: Cell::new(false),
             lose_answers: Cell::new(false),
             slow_times: Cell::new(1),
             slow_workers_ms: Cell::new(0),
@@ -114,7 +117,9 @@
         self.sim
             .sleep(Millis(ANSWER_MS.0 * self.slow_times.get()))
             .await;
-        if self.down.get() {
+        if self.reset.get() {
+            Err(StoreError::Unknown)
+        } else if self.down.get() {
             Err(StoreError::NotDone)
         } else {
             Ok(())
@@ -248,6 +253,9 @@
             self.answer().await?;
             let until = self.sim.now() + wait;
             loop {
+                if self.reset.get() {
+                    return Err(StoreError::Unknown);
+                }
                 if self.down.get() {
                     return Err(StoreError::NotDone);
                 }
