Bound what an owner sends, and keep back ends of restarted tasks

The owner's link of 2 Mbit/s was full; 14,434 starts and 39,166 stop orders were sent for 2,683 runs, nearly all without an answer in 400 ms. Each was repeated on a new connection (16,685 of them). Workers fell silent to the owner, leases lapsed. A task that had completed on a worker without other runs was started again after the lease, and its end was acknowledged 20 s later: TWICE. Change: start orders in flight are limited by additive increase and multiplicative decrease over the latency of answers; timeouts follow that latency; no order is repeated to a worker that does not answer reports; silent workers are polled at about a hundred calls a second in all. A Done of a run whose task was started again after an unknown end is not acknowledged and not used; which tasks these are is stored with the progress, for a successor. A worker with 300 listed ends gets no tasks.

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fairness;
 pub mod intake;
 pub mod interference;
+pub mod pacing;
 pub mod placement;
 pub mod retry;
 pub mod routing;
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -74,6 +74,11 @@
     pub run: Run,
     /// Runs that failed.
     pub failed: Vec<Run>,
+    /// Whether the end of an earlier run is unknown, because its worker was silent until its lease
+    /// had expired.
+    pub(super) end_unknown: bool,
+    /// First run after one whose end is unknown.
+    pub(super) restarted: Option<Run>,
     /// Latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
     /// Earliest time of the next start.
@@ -96,6 +101,8 @@
             phase: Phase::Waiting,
             run: Run(0),
             failed: Vec::new(),
+            end_unknown: false,
+            restarted: None,
             checkpoint: None,
             not_before: MonoMs(0),
             failed_on: None,
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -117,7 +117,7 @@
         Unsaved {
             progress: progress.collect(),
             ends: ends
-                .map(|(key, worker)| (key, worker.applied_ends))
+                .map(|(key, worker)| (key, worker.acknowledgeable_ends()))
                 .collect(),
             keys,
         }
@@ -309,6 +309,12 @@
             task.run = task.run.max(run);
         }
     }
+    for &(index, run) in &saved.restarted {
+        if let Some(task) = step.tasks.get_mut(index as usize) {
+            task.restarted = Some(run);
+            task.run = task.run.max(run);
+        }
+    }
 }
 
 fn progress(job: &Job) -> Progress {
@@ -320,8 +326,11 @@
                 step: u16::try_from(number).unwrap_or(u16::MAX),
                 done: done_ranges(step),
                 failed: failed_runs(step),
+                restarted: restarted_runs(step),
             };
-            if !saved.done.is_empty() || !saved.failed.is_empty() {
+            let is_empty =
+                saved.done.is_empty() && saved.failed.is_empty() && saved.restarted.is_empty();
+            if !is_empty {
                 steps.push(saved);
             }
         }
@@ -352,3 +361,9 @@
     let failed = tasks.flat_map(|(index, task)| task.failed.iter().map(move |&run| (index, run)));
     failed.collect()
 }
+
+fn restarted_runs(step: &StepState) -> Vec<(u32, hemlocksaddle_types::workflow::Run)> {
+    let tasks = (0u32..).zip(&step.tasks);
+    let restarted = tasks.filter_map(|(index, task)| Some((index, task.restarted?)));
+    restarted.collect()
+}
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -6,11 +6,13 @@
 //! send. It does no I/O and takes the time as an argument, so every decision can
 //! be tested and replayed.
 //!
-//! Two rules prevent a task from running twice. First, a task stays assigned to its
+//! Three rules prevent a task from running twice. First, a task stays assigned to its
 //! worker until its run has certainly ended: the worker reported the end, has a
 //! new incarnation, or its lease has certainly expired. Second, a new owner does
 //! not start a task that its predecessor may have started until every worker has
-//! reported or its lease has expired.
+//! reported or its lease has expired. Third, where a task was started again after a
+//! lease had expired, a completed earlier run that is reported later is not
+//! acknowledged; the result of the later run counts.
 
 mod capacity;
 mod consolidation;
@@ -144,11 +146,15 @@
     pending_cancels: HashMap<WorkflowId, MonoMs>,
     /// Time by which every lease granted in an earlier term has expired.
     failover_complete_at: MonoMs,
+    /// Whether leases of earlier terms were waited out because some worker did not report.
+    missing_reports: bool,
     open_jobs: Vec<JobKey>,
     interference: interference::InterferenceModel,
     /// Best-effort tasks that this plan could not place.
     blocked: Vec<consolidation::Blocked>,
     consolidated_at: MonoMs,
+    /// Number of start orders that the next plan may give.
+    start_budget: u32,
 }
 
 impl Scheduler {
@@ -168,10 +174,12 @@
             orders: Vec::new(),
             pending_cancels: HashMap::new(),
             failover_complete_at,
+            missing_reports: false,
             open_jobs: Vec::new(),
             interference: interference::InterferenceModel::default(),
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
+            start_budget: u32::MAX,
         }
     }
 
@@ -195,6 +203,19 @@
         self.closed = closed;
     }
 
+    /// Sets the number of start orders that the next plan may give.
+    ///
+    /// A gang is started whole, even if it exceeds what is left.
+    pub fn set_start_budget(&mut self, starts: u32) {
+        self.start_budget = starts;
+    }
+
+    /// Number of workers that did not answer the last report request.
+    #[must_use]
+    pub fn silent_workers(&self) -> usize {
+        self.workers.values().filter(|worker| worker.silent).count()
+    }
+
     /// Worker with the given key.
     #[must_use]
     pub fn worker(&self, key: WorkerKey) -> Option<&Worker> {
@@ -236,11 +257,13 @@
     /// Whether every worker has reported in this term or all earlier leases have expired.
     #[must_use]
     pub fn is_failover_complete(&self, now: MonoMs) -> bool {
-        now >= self.failover_complete_at
-            || self
-                .workers
-                .values()
-                .all(|worker| worker.reported_at.is_some())
+        now >= self.failover_complete_at || self.all_reported()
+    }
+
+    fn all_reported(&self) -> bool {
+        self.workers
+            .values()
+            .all(|worker| worker.reported_at.is_some())
     }
 
     fn task_key(&self, name: TaskName) -> Option<TaskKey> {
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -42,6 +42,11 @@
 /// Penalty of the worker where the latest run failed or was stopped to be moved.
 const FAILED_PENALTY: f64 = 4.0;
 
+/// Number of listed ends from which a worker gets no new tasks.
+///
+/// A report contains 500 ends at most; beyond them, new ends would not be seen.
+const MAX_LISTED_ENDS_FOR_START: u64 = 300;
+
 impl Worker {
     /// Whether new tasks may be started on the worker.
     pub(super) fn is_usable(&self, now: MonoMs) -> bool {
@@ -51,6 +56,7 @@
             && !self.silent
             && self.reported_at.is_some()
             && now >= self.suspended_until
+            && self.listed_ends() < MAX_LISTED_ENDS_FOR_START
     }
 
     /// Processors that best-effort tasks may still request, in thousandths of a core.
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -66,6 +66,9 @@
         let mut candidates = self.candidates(now);
         self.move_halted(&mut candidates, now);
         for step in &ready {
+            if self.start_budget == 0 {
+                break;
+            }
             self.place_step(step, &mut candidates, now);
         }
         self.consolidate(&candidates, now);
@@ -75,6 +78,7 @@
     /// Steps whose waiting tasks may start, most urgent first.
     fn ready(&mut self, now: MonoMs, wall: WallMs) -> Vec<ReadyStep> {
         let failover_complete = self.is_failover_complete(now);
+        self.missing_reports |= failover_complete && !self.all_reported();
         let mut ready = Vec::new();
         for &key in &self.open_jobs {
             let job = &mut self.jobs[key];
@@ -118,6 +122,9 @@
             return;
         }
         for index in 0..step.tasks {
+            if self.start_budget == 0 {
+                return;
+            }
             let key = ready.key(index);
             let task = self.jobs[ready.job].task(key);
             let startable =
@@ -228,7 +235,14 @@
             long_running: step.long_running,
             measurement: 0,
         };
+        // An inherited task may have run on a worker that has not reported.
+        let end_unknown = job.inherited && self.missing_reports;
         let task = job.task_mut(key);
+        task.end_unknown |= end_unknown;
+        if task.end_unknown && task.restarted.is_none() {
+            task.restarted = Some(run);
+            self.unsaved.insert(key.job);
+        }
         task.phase = Phase::Starting {
             worker,
             maybe_started: false,
@@ -243,6 +257,7 @@
         if let Some(on) = self.workers.get_mut(worker) {
             on.add(key, assigned);
         }
+        self.start_budget = self.start_budget.saturating_sub(1);
         self.orders.push(Order::Start(Start {
             worker,
             task: key,
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -104,6 +104,12 @@
     }
 
     fn apply_end(&mut self, worker: WorkerKey, end: &End, now: MonoMs, wall: WallMs) {
+        if end.kind == EndKind::Lapsed
+            && let Some(worker) = self.workers.get_mut(worker)
+        {
+            // Ends from before an expired lease need not be kept back.
+            worker.withheld_end = None;
+        }
         let Some(key) = end.task.and_then(|name| self.task_key(name)) else {
             return;
         };
@@ -116,6 +122,12 @@
         if end.checkpoint.is_some() && end.kind != EndKind::Done {
             task.checkpoint.clone_from(&end.checkpoint);
         }
+        if end.kind == EndKind::Done && task.restarted.is_some_and(|run| end.run < run) {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.withheld_end.get_or_insert(end.number);
+            }
+            return;
+        }
         match end.kind {
             EndKind::Done => {
                 if !current {
@@ -326,18 +338,18 @@
             StartAnswer::NotSent if maybe_started => return true,
             // The answer to the stop, or a report of the run, shows whether the first order took effect.
             _ if maybe_started => self.stop(start.task),
-            StartAnswer::OtherLife => self.unassign(start.task),
+            StartAnswer::OtherLife => self.unassign_refused(start),
             StartAnswer::NoRoom | StartAnswer::Unhealthy | StartAnswer::NotSent => {
-                self.unassign(start.task);
+                self.unassign_refused(start);
                 if let Some(worker) = self.workers.get_mut(start.worker) {
                     worker.record_refusal(now);
                 }
             }
             StartAnswer::OldRun | StartAnswer::Late | StartAnswer::Fenced => {
-                self.unassign(start.task);
+                self.unassign_refused(start);
             }
             StartAnswer::Invalid => {
-                self.unassign(start.task);
+                self.unassign_refused(start);
                 let task = self.jobs[start.task.job].task_mut(start.task);
                 task.not_before = now + INVALID_PAUSE_MS;
             }
@@ -345,6 +357,15 @@
         false
     }
 
+    /// Returns a task to the waiting state whose start was certainly not carried out.
+    fn unassign_refused(&mut self, start: &Start) {
+        self.unassign(start.task);
+        let task = self.jobs[start.task.job].task_mut(start.task);
+        if task.restarted == Some(start.run) {
+            task.restarted = None;
+        }
+    }
+
     /// Whether a start is still unconfirmed, so that its order may be sent again.
     #[must_use]
     pub fn is_start_pending(&self, start: &Start) -> bool {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -86,8 +86,10 @@
     pub lease_until: MonoMs,
     /// Number of the last end that was applied.
     pub applied_ends: u64,
-    /// Number up to which ends are durable.
+    /// Number up to which ends are durable and acknowledged.
     pub saved_ends: u64,
+    /// First end that must not be acknowledged: a run completed whose task was started again.
+    pub(super) withheld_end: Option<u64>,
     pub(super) tasks: HashMap<TaskKey, Assigned>,
     /// Resources reserved by tasks; best-effort tasks reserve no processors.
     pub(super) committed: Resources,
@@ -118,6 +120,7 @@
             lease_until: MonoMs(0),
             applied_ends: 0,
             saved_ends: 0,
+            withheld_end: None,
             tasks: HashMap::default(),
             committed: Resources::default(),
             best_effort_cpu_milli: 0,
@@ -133,6 +136,12 @@
         }
     }
 
+    /// Whether the last report request got no answer.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
     /// Number of assigned tasks.
     #[must_use]
     pub fn tasks(&self) -> usize {
@@ -148,7 +157,25 @@
     /// Whether some applied ends are not durable yet.
     #[must_use]
     pub fn has_unsaved_ends(&self) -> bool {
-        self.applied_ends > self.saved_ends
+        self.acknowledgeable_ends() > self.saved_ends
+    }
+
+    /// Number up to which applied ends may be acknowledged once they are durable.
+    pub(super) fn acknowledgeable_ends(&self) -> u64 {
+        let withheld = self.withheld_end.unwrap_or(u64::MAX);
+        self.applied_ends.min(withheld - 1)
+    }
+
+    /// Whether the worker lists ends that must not be acknowledged; it then answers each report
+    /// request at once.
+    #[must_use]
+    pub fn withholds_ends(&self) -> bool {
+        self.withheld_end.is_some()
+    }
+
+    /// Number of applied ends that the worker still lists.
+    pub(super) fn listed_ends(&self) -> u64 {
+        self.applied_ends.saturating_sub(self.saved_ends)
     }
 
     pub(super) fn free(&self) -> Resources {
@@ -329,6 +356,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in keys {
+            self.mark_ends_unknown(key);
             if self.workers[key].listed {
                 self.unassign_all(key);
             } else {
@@ -337,6 +365,19 @@
         }
     }
 
+    /// Records that the runs on a worker have ended in a way that is not known.
+    fn mark_ends_unknown(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        self.missing_reports |= worker.reported_at.is_none();
+        for &task in worker.tasks.keys() {
+            if let Some(job) = self.jobs.get_mut(task.job) {
+                job.task_mut(task).end_unknown = true;
+            }
+        }
+    }
+
     fn unassign_all(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else {
             return;
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -3,7 +3,10 @@
 use std::rc::Rc;
 
 use hemlocksaddle_node::wait::within;
-use hemlocksaddle_policy::workflow::{Order, Start, StartAnswer, WorkerKey};
+use hemlocksaddle_policy::{
+    pacing::StartWindow,
+    workflow::{Order, Start, StartAnswer, WorkerKey},
+};
 use hemlocksaddle_types::{
     clock::Millis,
     workflow::{Run, TaskName},
@@ -16,8 +19,11 @@
     ports::{StartCall, Timed, WorkerError},
 };
 
-/// Timeout of an order; a hundred times the round trip to a worker.
-const ANSWER_TIMEOUT_MS: Millis = Millis(400);
+/// Shortest timeout of an order; a hundred times the round trip to a worker.
+const MIN_ANSWER_TIMEOUT_MS: Millis = Millis(400);
+
+/// Longest timeout of an order, while answers take long.
+const MAX_ANSWER_TIMEOUT_MS: Millis = Millis(2_000);
 
 /// Pause before an order is sent again.
 const RESEND_MS: Millis = Millis(40);
@@ -25,6 +31,9 @@
 /// Longest pause before a stop order is sent again.
 const MAX_RESEND_MS: Millis = Millis(500);
 
+/// Interval at which an order checks whether its worker answers reports again.
+const SILENT_CHECK_MS: Millis = Millis(100);
+
 /// Number of unanswered orders to start a run after which a stop order cancels it.
 const MAX_UNANSWERED: u32 = 3;
 
@@ -72,18 +81,33 @@
                 return;
             }
             unanswered += 1;
+            self.env.sleep(RESEND_MS).await;
+            // A report shows whether the run began; until then a repeat would only add load.
+            while self.is_silent(start.worker) && self.scheduler.borrow().is_start_pending(&start) {
+                self.env.sleep(SILENT_CHECK_MS).await;
+            }
+            if !self.scheduler.borrow().is_start_pending(&start) {
+                return;
+            }
             if unanswered >= MAX_UNANSWERED {
                 self.scheduler.borrow_mut().abandon_start(&start);
                 self.changed.notify();
                 return;
             }
-            self.env.sleep(RESEND_MS).await;
-            if !self.scheduler.borrow().is_start_pending(&start) {
-                return;
-            }
         }
     }
 
+    fn is_silent(&self, worker: WorkerKey) -> bool {
+        let scheduler = self.scheduler.borrow();
+        !self.ended.get() && scheduler.worker(worker).is_some_and(|w| w.is_silent())
+    }
+
+    /// Timeout of an order, from the latency of recent answers.
+    fn answer_timeout(&self) -> Millis {
+        let latency = self.latency.get();
+        latency.timeout(MIN_ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS)
+    }
+
     async fn send_start(self: &Rc<Self>, start: &Start) -> StartAnswer {
         let Some(listing) = self.listing(start.worker) else {
             return StartAnswer::OtherLife;
@@ -105,8 +129,18 @@
             lease_until_ms,
             term: self.term,
         };
+        let sent_at = self.env.now();
+        self.update_window(StartWindow::sent);
         let sent = self.env.ports.fleet.start(&listing, call);
-        let answer = within(&*self.env.ports.runtime, ANSWER_TIMEOUT_MS, sent).await;
+        let answer = within(&*self.env.ports.runtime, self.answer_timeout(), sent).await;
+        let now = self.env.now();
+        match &answer {
+            Some(timed) if timed.clock_ms.is_some() => {
+                self.record_latency(sent_at);
+                self.update_window(|window| window.answered(sent_at, now));
+            }
+            _ => self.update_window(|window| window.lost(sent_at, now)),
+        }
         let timed = answer.unwrap_or(Timed {
             clock_ms: None,
             born_ms: None,
@@ -125,6 +159,16 @@
         answer
     }
 
+    fn update_window(&self, update: impl FnOnce(&mut StartWindow)) {
+        let mut window = self.start_window.get();
+        let was_full = window.available() == 0;
+        update(&mut window);
+        self.start_window.set(window);
+        if was_full && window.available() > 0 {
+            self.changed.notify();
+        }
+    }
+
     async fn stop(self: Rc<Self>, worker: WorkerKey, task: TaskName, run: Run) {
         let mut pause = RESEND_MS;
         loop {
@@ -132,6 +176,13 @@
             let Some(listing) = listing.filter(|_| !self.ended.get()) else {
                 return;
             };
+            if self.is_silent(worker) {
+                if !self.scheduler.borrow().is_stop_pending(worker, task, run) {
+                    return;
+                }
+                self.env.sleep(SILENT_CHECK_MS).await;
+                continue;
+            }
             let sent = self.env.ports.fleet.stop(&listing, task, run, self.term);
             let answer = self.await_answer("stop", sent).await;
             let inputs = json!({
@@ -166,7 +217,7 @@
         order: &str,
         sent: impl Future<Output = Result<(), WorkerError>>,
     ) -> Result<(), WorkerError> {
-        let answer = within(&*self.env.ports.runtime, ANSWER_TIMEOUT_MS, sent).await;
+        let answer = within(&*self.env.ports.runtime, self.answer_timeout(), sent).await;
         let answer = answer.unwrap_or(Err(WorkerError::Unknown));
         self.count_order(order, &format!("{answer:?}"));
         answer
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -12,6 +12,7 @@
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
+    pacing::{LatencyEstimate, StartWindow},
     take_over::RENEW_INTERVAL_MS,
     workflow::{Limits, Listing, Scheduler, Unsaved, WorkerKey},
 };
@@ -82,6 +83,10 @@
     pub(crate) term: u64,
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(crate) clocks: RefCell<HashMap<WorkerKey, WorkerClock>>,
+    /// Latency of the workers' answers.
+    pub(crate) latency: Cell<LatencyEstimate>,
+    /// Limit of the start orders in flight.
+    pub(crate) start_window: Cell<StartWindow>,
     listings: RefCell<HashMap<Arc<str>, Listing>>,
     /// Signals a change that may affect the plan.
     pub(crate) changed: Signal,
@@ -127,6 +132,8 @@
             shards,
             term,
             clocks: RefCell::new(HashMap::new()),
+            latency: Cell::default(),
+            start_window: Cell::default(),
             listings: RefCell::new(HashMap::new()),
             changed: Signal::default(),
             saved: Signal::default(),
@@ -149,6 +156,13 @@
         !self.ended.get() && self.env.now() < self.ownership_lease_until.get()
     }
 
+    /// Records the latency of a worker's answer to a call that was sent at `sent_at`.
+    pub(crate) fn record_latency(&self, sent_at: MonoMs) {
+        let mut latency = self.latency.get();
+        latency.record(self.env.now().since(sent_at));
+        self.latency.set(latency);
+    }
+
     /// Ends ownership because a newer owner was detected.
     pub(crate) fn step_down(&self, reason: &str) {
         if self.ended.replace(true) {
@@ -342,6 +356,7 @@
             let seen = self.changed.count();
             let orders = {
                 let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.set_start_budget(self.start_window.get().available());
                 scheduler.plan(self.env.now(), self.env.wall())
             };
             for order in orders {
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -3,7 +3,10 @@
 use std::rc::Rc;
 
 use hemlocksaddle_node::wait::within;
-use hemlocksaddle_policy::workflow::{Listing, Report, WorkerKey};
+use hemlocksaddle_policy::{
+    pacing::silent_poll_pause,
+    workflow::{Listing, Report, WorkerKey},
+};
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 use serde_json::json;
 
@@ -20,11 +23,14 @@
 /// reported value.
 const SHARED_REPORT_WAIT_MS: Millis = Millis(350);
 
-/// Timeout of a report request, beyond its wait.
-const ANSWER_TIMEOUT_MS: Millis = Millis(600);
+/// Shortest timeout of a report request, beyond its wait.
+const MIN_ANSWER_TIMEOUT_MS: Millis = Millis(600);
+
+/// Longest timeout of a report request, beyond its wait, while answers take long.
+const MAX_ANSWER_TIMEOUT_MS: Millis = Millis(2_500);
 
-/// Pause before a worker that did not answer is polled again.
-const RETRY_MS: Millis = Millis(150);
+/// Pause between two report requests to a worker that lists ends which are not acknowledged.
+const WITHHELD_PAUSE_MS: Millis = Millis(300);
 
 /// Longest wait for reported ends to become durable before the next request.
 ///
@@ -106,6 +112,9 @@
                     }
                     silent = false;
                     is_new = false;
+                    if self.withholds_ends(key) {
+                        self.env.sleep(WITHHELD_PAUSE_MS).await;
+                    }
                 }
                 Err(WorkerError::Fenced) => return self.step_down("worker has seen a higher term"),
                 Err(WorkerError::OtherLife) => {
@@ -119,8 +128,12 @@
                         self.worker_event(Event::WorkerLost, &listing, &format!("{error:?}"));
                     }
                     silent = true;
-                    self.scheduler.borrow_mut().set_worker_silent(key, true);
-                    self.env.sleep(RETRY_MS).await;
+                    let pause = {
+                        let mut scheduler = self.scheduler.borrow_mut();
+                        scheduler.set_worker_silent(key, true);
+                        silent_poll_pause(scheduler.silent_workers())
+                    };
+                    self.env.sleep(pause).await;
                 }
             }
         }
@@ -146,6 +159,13 @@
             .is_some_and(|worker| worker.has_unsaved_ends())
     }
 
+    fn withholds_ends(&self, key: WorkerKey) -> bool {
+        let scheduler = self.scheduler.borrow();
+        scheduler
+            .worker(key)
+            .is_some_and(|worker| worker.withholds_ends())
+    }
+
     async fn wait_for_save(&self, key: WorkerKey) {
         let saved = async {
             loop {
@@ -197,8 +217,13 @@
             term: self.term,
         };
         let asked = self.env.ports.fleet.fetch_report(listing, request);
-        let answer = within(&*self.env.ports.runtime, wait + ANSWER_TIMEOUT_MS, asked).await;
+        let latency = self.latency.get();
+        let timeout = wait + latency.timeout(MIN_ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS);
+        let answer = within(&*self.env.ports.runtime, timeout, asked).await;
         let timed = answer.unwrap_or(Err(WorkerError::Unknown))?;
+        if wait == Millis(0) {
+            self.record_latency(sent_at);
+        }
         self.check_answer(key, listing, &timed)?;
         let report = Report {
             sent_at,
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -248,7 +248,7 @@
     }
 }
 
-/// Done tasks and failed runs of one step.
+/// Done tasks, failed runs and restarted tasks of one step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
     /// Occurrence of the workflow.
@@ -259,6 +259,10 @@
     pub done: Vec<(u32, u32)>,
     /// Failed runs, as pairs of task index and run number.
     pub failed: Vec<(u32, Run)>,
+    /// Tasks that were started again while the end of an earlier run was unknown, as pairs of task
+    /// index and number of the new run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub restarted: Vec<(u32, Run)>,
 }
 
 /// Durable progress of a workflow.
@@ -268,7 +272,7 @@
     pub ended: Option<State>,
     /// Wall-clock time at which the workflow ended.
     pub ended_ms: Option<WallMs>,
-    /// Progress of the steps with done tasks or failed runs.
+    /// Progress of the steps with done tasks, failed runs or restarted tasks.
     pub steps: Vec<StepProgress>,
 }
 
