Let an owner delegate its calls to workers to other nodes

Change: one owner for up to 1,200 workers, which decides; nodes offer themselves to it each second and carry out its calls over one connection each. Delegates hold no state that a decision depends on, decline calls of a replaced owner, and get the text of a workflow once. The owner picks as few as suffice (policy::delegation), a worker's rack is called through a node of its data centre, a delegate that is lost moves only its racks, and a call that was not sent is made directly. Messages to peers that are queued together are written together.

--- a/hemlocksaddle-adapters/src/peers/link.rs
+++ b/hemlocksaddle-adapters/src/peers/link.rs
@@ -92,9 +92,18 @@
     mut queued: mpsc::UnboundedReceiver<Bytes>,
     connection: Rc<Connection>,
 ) {
-    while let Some(bytes) = queued.next().await {
-        let length = bytes.len();
-        if sink.send(Frame::Binary(bytes)).await.is_err() {
+    while let Some(first) = queued.next().await {
+        // Messages that are queued together are written together.
+        let mut next = Some(first);
+        let mut length = 0;
+        while let Some(bytes) = next {
+            length += bytes.len();
+            if sink.feed(Frame::Binary(bytes)).await.is_err() {
+                return;
+            }
+            next = queued.try_recv().ok();
+        }
+        if sink.flush().await.is_err() {
             return;
         }
         let remaining = connection.queued_bytes.get().saturating_sub(length);
--- /dev/null
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -0,0 +1,195 @@
+//! Which nodes carry out an owner's calls to its workers.
+//!
+//! One owner sees all workers of a shard and therefore places better than several
+//! that see a part, but each call to a worker costs it processor time and bytes. An
+//! owner whose own processor or link does not suffice for its workers delegates the
+//! calls to other nodes. It uses as few of them as suffice, because each needs the
+//! text of the workflows whose tasks it starts, and prefers those with a large share
+//! of a core, whose answers are fast.
+//!
+//! A worker is called through a node in its own data centre if there is one. The
+//! node is chosen by rendezvous hashing over racks, so that a delegate that is lost
+//! or gained moves only its own racks.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    delegation::Offer,
+    hash::stable_hash,
+    name::{DataCentre, NodeName},
+};
+
+/// Interval at which a node repeats its offer.
+pub const OFFER_INTERVAL_MS: Millis = Millis(1_000);
+
+/// Age from which an offer no longer counts: three missed repeats.
+const OFFER_TTL_MS: Millis = Millis(3_500);
+
+/// Time for which a delegate that did not answer is not used.
+const FAILED_PAUSE_MS: Millis = Millis(3_000);
+
+/// Thousandths of a core that the calls to one worker take: five calls a second of 150 us each, and
+/// as much again for peaks.
+const CPU_MILLI_PER_WORKER: f64 = 1.5;
+
+/// Bandwidth that the calls to one worker take, in kbit/s: five calls a second of 1,200 bytes, and
+/// as much again for peaks.
+const KBPS_PER_WORKER: f64 = 100.0;
+
+/// Share of the workers that the delegates must suffice for, so that one may be lost.
+const SPARE: f64 = 1.5;
+
+/// Share of a core in thousandths at or above which a node is preferred.
+const FULL_SHARE_MILLI: u32 = 250;
+
+/// Number of workers that a node can call.
+#[must_use]
+pub fn worker_capacity(cpu_milli: u32, link_kbps: u32) -> f64 {
+    let by_cpu = f64::from(cpu_milli) / CPU_MILLI_PER_WORKER;
+    by_cpu.min(f64::from(link_kbps) / KBPS_PER_WORKER)
+}
+
+/// Whether a node should offer itself to an owner.
+///
+/// Nodes with a small share of a core do so only if the owner is one of them, because then there
+/// are probably no others.
+#[must_use]
+pub fn should_offer(cpu_milli: u32, owner_cpu_milli: u32) -> bool {
+    cpu_milli >= FULL_SHARE_MILLI || owner_cpu_milli < FULL_SHARE_MILLI
+}
+
+/// Node that has offered to carry out calls.
+#[derive(Clone, Debug)]
+struct Candidate {
+    offer: Offer,
+    heard_at: MonoMs,
+    failed_until: MonoMs,
+}
+
+impl Candidate {
+    fn is_usable(&self, now: MonoMs) -> bool {
+        self.offer.available && now.since(self.heard_at) < OFFER_TTL_MS && now >= self.failed_until
+    }
+
+    fn capacity(&self) -> f64 {
+        worker_capacity(self.offer.cpu_milli, self.offer.link_kbps)
+    }
+}
+
+/// Node that calls are delegated to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delegate {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Data centre that the node is in.
+    pub data_centre: DataCentre,
+    /// Address for peers.
+    pub address: SocketAddr,
+}
+
+/// Delegates of an owner.
+#[derive(Debug)]
+pub struct Delegates {
+    own_capacity: f64,
+    candidates: BTreeMap<NodeName, Candidate>,
+    active: Vec<Delegate>,
+}
+
+impl Delegates {
+    /// No delegates, for an owner with the given share of a core and link.
+    #[must_use]
+    pub fn new(cpu_milli: u32, link_kbps: u32) -> Delegates {
+        Delegates {
+            own_capacity: worker_capacity(cpu_milli, link_kbps),
+            candidates: BTreeMap::new(),
+            active: Vec::new(),
+        }
+    }
+
+    /// Records an offer.
+    pub fn record_offer(&mut self, offer: Offer, now: MonoMs) {
+        let node = offer.node.clone();
+        let known = self.candidates.get(&node);
+        let failed_until = known.map_or(MonoMs(0), |known| known.failed_until);
+        let candidate = Candidate {
+            offer,
+            heard_at: now,
+            failed_until,
+        };
+        self.candidates.insert(node, candidate);
+    }
+
+    /// Records that a delegate did not answer, and stops using it.
+    pub fn record_failure(&mut self, node: &NodeName, now: MonoMs) {
+        if let Some(candidate) = self.candidates.get_mut(node) {
+            candidate.failed_until = now + FAILED_PAUSE_MS;
+        }
+        self.active.retain(|delegate| delegate.node != *node);
+    }
+
+    /// Chooses the delegates for a number of workers; returns whether they changed.
+    pub fn choose(&mut self, workers: usize, now: MonoMs) -> bool {
+        self.candidates
+            .retain(|_, candidate| now.since(candidate.heard_at) < OFFER_TTL_MS);
+        let mut chosen = Vec::new();
+        if workers as f64 > self.own_capacity {
+            let mut needed = workers as f64 * SPARE;
+            for candidate in self.by_preference(now) {
+                if needed <= 0.0 {
+                    break;
+                }
+                needed -= candidate.capacity();
+                chosen.push(Delegate {
+                    node: candidate.offer.node.clone(),
+                    data_centre: candidate.offer.data_centre.clone(),
+                    address: candidate.offer.address,
+                });
+            }
+        }
+        let changed = chosen != self.active;
+        self.active = chosen;
+        changed
+    }
+
+    /// Usable candidates: nodes with a large share first, and of these in turn one of each data
+    /// centre.
+    fn by_preference(&self, now: MonoMs) -> Vec<&Candidate> {
+        let mut ranks: BTreeMap<&DataCentre, u32> = BTreeMap::new();
+        let mut usable: Vec<&Candidate> = self
+            .candidates
+            .values()
+            .filter(|candidate| candidate.is_usable(now))
+            .collect();
+        usable.sort_by_key(|candidate| candidate.offer.cpu_milli < FULL_SHARE_MILLI);
+        let mut ranked: Vec<_> = usable
+            .into_iter()
+            .map(|candidate| {
+                let rank = ranks.entry(&candidate.offer.data_centre).or_default();
+                *rank += 1;
+                let is_slow = candidate.offer.cpu_milli < FULL_SHARE_MILLI;
+                ((is_slow, *rank), candidate)
+            })
+            .collect();
+        ranked.sort_by_key(|(key, _)| *key);
+        ranked.into_iter().map(|(_, candidate)| candidate).collect()
+    }
+
+    /// Nodes that calls are delegated to.
+    #[must_use]
+    pub fn active(&self) -> &[Delegate] {
+        &self.active
+    }
+
+    /// Node through which the workers of a rack are called; `None` if the owner calls them itself.
+    #[must_use]
+    pub fn route(&self, data_centre: &DataCentre, rack: &str) -> Option<&Delegate> {
+        let is_near = |delegate: &&Delegate| delegate.data_centre == *data_centre;
+        let near = self.active.iter().filter(is_near);
+        let weight = |delegate: &&Delegate| {
+            stable_hash(&[delegate.node.as_str().as_bytes(), rack.as_bytes()])
+        };
+        near.max_by_key(weight)
+            .or_else(|| self.active.iter().max_by_key(weight))
+    }
+}
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod backoff;
 pub mod checkpoint;
+pub mod delegation;
 pub mod failure_attribution;
 pub mod fairness;
 pub mod intake;
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -35,11 +35,12 @@
 };
 use slotmap::{SlotMap, new_key_type};
 
+pub use hemlocksaddle_types::delegation::{End, EndKind, Report, StartAnswer, TaskStatus};
+
 pub use self::{
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
     lifecycle::Unsaved,
-    report::{End, EndKind, Report, TaskStatus},
     worker::{Listing, Worker},
 };
 
@@ -104,31 +105,6 @@
     pub checkpoint: Option<Arc<str>>,
 }
 
-/// Answer to an order to start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum StartAnswer {
-    /// The worker holds the run.
-    Accepted,
-    /// The worker lacks free capacity.
-    NoRoom,
-    /// The run number is not above that of a run that ended on the worker.
-    OldRun,
-    /// The order arrived after its deadline.
-    Late,
-    /// The worker is unhealthy and did not start the run.
-    Unhealthy,
-    /// The worker could not parse the order.
-    Invalid,
-    /// The worker has a new incarnation.
-    OtherLife,
-    /// The worker has seen a higher term.
-    Fenced,
-    /// The order was certainly not carried out: there was no connection.
-    NotSent,
-    /// No answer; the order may have been carried out.
-    Unknown,
-}
-
 /// Scheduling state of one shard, kept by its owner.
 pub struct Scheduler {
     limits: Limits,
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -7,14 +7,16 @@
 //! a tail exceeds its target nevertheless, the runs known to interfere with it are
 //! halted regardless of the model, and all best-effort runs if that is not enough.
 
-use hemlocksaddle_types::clock::{Millis, MonoMs};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    delegation::Report,
+};
 
 use super::{
     Order, Phase, Scheduler, TaskKey, Worker, WorkerKey,
     interference::{ImageId, Neighbour, expected_load},
     job::FULL_PACE,
     placement::Candidates,
-    report::Report,
 };
 
 /// Time between two changes of pace on one worker: the window of the reported tail plus its delay.
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -1,16 +1,12 @@
 //! Applies reports of workers and their answers to orders.
 
-use std::sync::Arc;
-
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
+    delegation::{End, EndKind, Report, StartAnswer, TaskStatus},
     workflow::{Run, TaskName},
 };
 
-use super::{
-    Order, Phase, Scheduler, Start, StartAnswer, TaskKey, WorkerKey, job::FULL_PACE,
-    worker::Assigned,
-};
+use super::{Order, Phase, Scheduler, Start, TaskKey, WorkerKey, job::FULL_PACE, worker::Assigned};
 
 /// Maximum number of ends in one report; further ends follow in later reports.
 const MAX_LISTED_ENDS: usize = 500;
@@ -21,64 +17,6 @@
 /// worker is suspended separately.
 const RETRY_PAUSE_MS: Millis = Millis(50);
 
-/// State of a running task in a report.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TaskStatus {
-    /// Name of the task.
-    pub task: TaskName,
-    /// Run that is in progress.
-    pub run: Run,
-    /// Latest checkpoint.
-    pub checkpoint: Option<Arc<str>>,
-    /// Progress in percent; 100 for a long-running task at work.
-    pub percent: u8,
-    /// Tail latency in ms of a long-running task, thousandths of a core in use by any other.
-    pub measurement: u64,
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum EndKind {
-    /// Completed successfully.
-    Done,
-    /// Failed, by a fault of the task or of the worker.
-    Failed,
-    /// Stopped by an order.
-    Stopped,
-    /// Stopped by the worker when its lease expired.
-    Lapsed,
-    /// Stopped because another member of the gang ended.
-    Broken,
-    /// Stopped because other members of the gang did not start.
-    Alone,
-}
-
-/// End of a run in a report.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct End {
-    /// Sequence number of the end within the worker's incarnation.
-    pub number: u64,
-    /// Name of the task; `None` if it could not be parsed.
-    pub task: Option<TaskName>,
-    /// Run that ended.
-    pub run: Run,
-    /// How the run ended.
-    pub kind: EndKind,
-    /// Checkpoint at the end.
-    pub checkpoint: Option<Arc<str>>,
-}
-
-/// Report of a worker.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Time at which the report was requested.
-    pub sent_at: MonoMs,
-    /// Running tasks.
-    pub running: Vec<TaskStatus>,
-    /// Ends that the worker still keeps, in ascending order of their numbers.
-    pub ends: Vec<End>,
-}
-
 impl Scheduler {
     /// Applies a report.
     pub fn apply_report(&mut self, key: WorkerKey, report: &Report, now: MonoMs, wall: WallMs) {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -5,6 +5,7 @@
 use foldhash::HashMap;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
+    delegation::Endpoint,
     name::DataCentre,
     resources::Resources,
     workflow::Run,
@@ -52,6 +53,15 @@
 }
 
 impl Listing {
+    /// What is needed to call the worker.
+    #[must_use]
+    pub fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            name: self.name.clone(),
+            address: self.address,
+        }
+    }
+
     /// Rack, which is the last label.
     #[must_use]
     pub fn rack(&self) -> Option<&Arc<str>> {
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -39,10 +39,10 @@
 
 /// Workers per shard, from which the first start of a deployment derives the number of shards.
 ///
-/// An owner that sees all workers places tasks better than several that see a part:
-/// for 490 workers it uses a quarter of a core, whereas seven shards completed a third
-/// less work, because racks and workflows are assigned whole and spread unevenly.
-const WORKERS_PER_SHARD: usize = 600;
+/// An owner that sees all workers places tasks better than several that see a part, because racks
+/// and workflows are assigned whole and spread unevenly, and it learns interference from all runs.
+/// Calls to workers do not limit it, since it delegates them.
+const WORKERS_PER_SHARD: usize = 1_200;
 
 /// Largest number of shards; a stream has this many partitions.
 const MAX_SHARDS: u32 = 8;
@@ -377,7 +377,7 @@
             node: self.env.settings.node.clone(),
             started_ms: self.env.started_ms,
             address: self.env.settings.peer_address,
-            cpu_milli: (self.env.settings.cpu_share * 1_000.0).round() as u32,
+            cpu_milli: self.env.settings.cpu_milli(),
             released,
         }
     }
--- /dev/null
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -0,0 +1,311 @@
+//! Calls of an owner to its workers, made directly or through delegates.
+//!
+//! `hemlocksaddle_policy::delegation` decides which nodes are delegates and through
+//! which one a worker is called. A call that was certainly not sent to the delegate
+//! is made directly. One that got no answer has an unknown outcome, as if the worker
+//! had not answered; the owner repeats it, by then through another node.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use foldhash::{HashMap, HashSet};
+use hemlocksaddle_policy::{
+    delegation::{Delegate, Delegates},
+    workflow::Listing,
+};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    delegation::{Action, DelegatedAnswer, DelegatedCall, Offer, Report, StartAnswer},
+    name::NodeName,
+    workflow::{Run, ShardRequest, ShardResponse, TaskName, WorkflowId},
+};
+use serde_json::json;
+
+use crate::{
+    event::Event,
+    links::{CallOutcome, Links},
+    node::Env,
+    ports::{ReportRequest, StartCall, Timed, WorkerError},
+};
+
+/// Time without any answer of a delegate after which an unanswered call counts against it.
+///
+/// Each of its workers answers a report request at least once a second, so that a working
+/// delegate with several workers is heard much more often.
+const DELEGATE_SILENT_MS: Millis = Millis(700);
+
+/// Number of workflows per delegate whose text it is assumed to keep; below what it keeps.
+const MAX_KNOWN_TEXTS: usize = 1_000;
+
+/// What the owner knows of a delegate.
+#[derive(Default)]
+struct Peer {
+    heard_at: Cell<MonoMs>,
+    /// Workflows whose text was sent to the delegate.
+    texts: RefCell<HashSet<WorkflowId>>,
+}
+
+/// Outcome of a delegated call.
+enum Outcome {
+    Answered(DelegatedAnswer),
+    /// Certainly not carried out.
+    NotSent,
+    NoAnswer,
+}
+
+/// Sender of an owner's calls to workers.
+pub(crate) struct Dispatcher {
+    env: Rc<Env>,
+    links: Rc<Links>,
+    shard: u32,
+    term: u64,
+    delegates: RefCell<Delegates>,
+    peers: RefCell<HashMap<NodeName, Rc<Peer>>>,
+}
+
+impl Dispatcher {
+    pub(crate) fn new(env: Rc<Env>, links: Rc<Links>, shard: u32, term: u64) -> Dispatcher {
+        let settings = &env.settings;
+        let delegates = Delegates::new(settings.cpu_milli(), settings.link_kbps);
+        Dispatcher {
+            env,
+            links,
+            shard,
+            term,
+            delegates: RefCell::new(delegates),
+            peers: RefCell::default(),
+        }
+    }
+
+    /// Records the offer of a node.
+    pub(crate) fn record_offer(&self, offer: Offer) {
+        self.delegates
+            .borrow_mut()
+            .record_offer(offer, self.env.now());
+    }
+
+    /// Chooses the delegates for a number of workers.
+    pub(crate) fn choose_delegates(&self, workers: usize) {
+        let mut delegates = self.delegates.borrow_mut();
+        if !delegates.choose(workers, self.env.now()) {
+            return;
+        }
+        let names: Vec<_> = delegates.active().iter().map(|d| d.node.as_str()).collect();
+        let inputs = json!({
+            "shard": self.shard, "term": self.term, "workers": workers, "delegates": names,
+        });
+        self.env.event(Event::DelegatesChosen, &inputs);
+        let count = i64::try_from(names.len()).unwrap_or(i64::MAX);
+        self.env.metrics.delegates.set(count);
+    }
+
+    fn route(&self, worker: &Listing) -> Option<Delegate> {
+        let rack = worker.rack().unwrap_or(&worker.name);
+        let delegates = self.delegates.borrow();
+        delegates.route(&worker.data_centre, rack).cloned()
+    }
+
+    fn peer(&self, node: &NodeName) -> Rc<Peer> {
+        let mut peers = self.peers.borrow_mut();
+        peers.entry(node.clone()).or_default().clone()
+    }
+
+    /// Orders a task to start.
+    pub(crate) async fn start(
+        &self,
+        worker: &Listing,
+        call: StartCall,
+        timeout: Millis,
+    ) -> Timed<StartAnswer> {
+        let unknown = Timed {
+            clock_ms: None,
+            born_ms: None,
+            value: StartAnswer::Unknown,
+        };
+        if let Some(delegate) = self.route(worker) {
+            match self.delegate_start(&delegate, worker, &call, timeout).await {
+                Outcome::Answered(DelegatedAnswer::Start(answer)) => return answer,
+                Outcome::NoAnswer => return unknown,
+                Outcome::Answered(_) | Outcome::NotSent => {}
+            }
+        }
+        let sent = self.env.ports.fleet.start(&worker.endpoint(), call);
+        self.limit(timeout, sent).await.unwrap_or(unknown)
+    }
+
+    async fn delegate_start(
+        &self,
+        delegate: &Delegate,
+        worker: &Listing,
+        call: &StartCall,
+        timeout: Millis,
+    ) -> Outcome {
+        let peer = self.peer(&delegate.node);
+        let workflow = call.task.workflow;
+        let is_known = peer.texts.borrow().contains(&workflow);
+        let action = Action::start(call, !is_known);
+        let mut outcome = self.delegate(delegate, worker, action, timeout).await;
+        if matches!(outcome, Outcome::Answered(DelegatedAnswer::TextMissing)) {
+            peer.texts.borrow_mut().remove(&workflow);
+            let action = Action::start(call, true);
+            outcome = self.delegate(delegate, worker, action, timeout).await;
+        }
+        if matches!(outcome, Outcome::Answered(DelegatedAnswer::Start(_))) {
+            let mut texts = peer.texts.borrow_mut();
+            if texts.len() >= MAX_KNOWN_TEXTS {
+                texts.clear();
+            }
+            texts.insert(workflow);
+        }
+        outcome
+    }
+
+    /// Orders a run to stop.
+    pub(crate) async fn stop(
+        &self,
+        worker: &Listing,
+        task: TaskName,
+        run: Run,
+        timeout: Millis,
+    ) -> Result<(), WorkerError> {
+        let action = Action::stop(task, run);
+        if let Some(answer) = self.delegate_order(worker, action, timeout).await {
+            return answer;
+        }
+        let fleet = &self.env.ports.fleet;
+        let sent = fleet.stop(&worker.endpoint(), task, run, self.term);
+        let answer = self.limit(timeout, sent).await;
+        answer.unwrap_or(Err(WorkerError::Unknown))
+    }
+
+    /// Sets the share of its processors that a run may use, in percent.
+    pub(crate) async fn pace(
+        &self,
+        worker: &Listing,
+        task: TaskName,
+        run: Run,
+        percent: u8,
+        timeout: Millis,
+    ) -> Result<(), WorkerError> {
+        let action = Action::pace(task, run, percent);
+        if let Some(answer) = self.delegate_order(worker, action, timeout).await {
+            return answer;
+        }
+        let fleet = &self.env.ports.fleet;
+        let sent = fleet.pace(&worker.endpoint(), task, run, percent, self.term);
+        let answer = self.limit(timeout, sent).await;
+        answer.unwrap_or(Err(WorkerError::Unknown))
+    }
+
+    async fn delegate_order(
+        &self,
+        worker: &Listing,
+        action: Action,
+        timeout: Millis,
+    ) -> Option<Result<(), WorkerError>> {
+        let delegate = self.route(worker)?;
+        match self.delegate(&delegate, worker, action, timeout).await {
+            Outcome::Answered(DelegatedAnswer::Order(answer)) => Some(answer),
+            Outcome::NoAnswer => Some(Err(WorkerError::Unknown)),
+            Outcome::Answered(_) | Outcome::NotSent => None,
+        }
+    }
+
+    /// Requests a report.
+    pub(crate) async fn fetch_report(
+        &self,
+        worker: &Listing,
+        request: ReportRequest,
+        timeout: Millis,
+    ) -> Result<Timed<Report>, WorkerError> {
+        if let Some(delegate) = self.route(worker) {
+            let ReportRequest {
+                lease_until_ms,
+                saved_ends,
+                wait,
+                ..
+            } = request;
+            let action = Action::Report(lease_until_ms, saved_ends, wait);
+            match self.delegate(&delegate, worker, action, timeout).await {
+                Outcome::Answered(DelegatedAnswer::Report(answer)) => return answer,
+                Outcome::NoAnswer => return Err(WorkerError::Unknown),
+                Outcome::Answered(_) | Outcome::NotSent => {}
+            }
+        }
+        let fleet = &self.env.ports.fleet;
+        let sent = fleet.fetch_report(&worker.endpoint(), request);
+        let answer = self.limit(timeout, sent).await;
+        answer.unwrap_or(Err(WorkerError::Unknown))
+    }
+
+    async fn limit<T>(&self, timeout: Millis, call: impl Future<Output = T>) -> Option<T> {
+        hemlocksaddle_node::wait::within(&*self.env.ports.runtime, timeout, call).await
+    }
+
+    async fn delegate(
+        &self,
+        delegate: &Delegate,
+        worker: &Listing,
+        action: Action,
+        timeout: Millis,
+    ) -> Outcome {
+        let call = DelegatedCall {
+            worker: worker.endpoint(),
+            term: self.term,
+            timeout,
+            action,
+        };
+        let request = ShardRequest::Delegate(self.shard, Box::new(call));
+        let sent_at = self.env.now();
+        let called = self
+            .links
+            .call_within(&delegate.node, delegate.address, request, timeout);
+        let outcome = called.await;
+        let peer = self.peer(&delegate.node);
+        let label = match &outcome {
+            CallOutcome::Answered(_) => "answered",
+            CallOutcome::NotSent => "not sent",
+            CallOutcome::NoAnswer => "no answer",
+        };
+        let calls = &self.env.metrics.delegated_calls;
+        calls.with_label_values(&[label]).inc();
+        match outcome {
+            CallOutcome::Answered(ShardResponse::Delegated(answer)) => {
+                peer.heard_at.set(self.env.now());
+                Outcome::Answered(answer)
+            }
+            CallOutcome::Answered(_) => {
+                self.drop_delegate(delegate, "does not take delegated calls");
+                Outcome::NotSent
+            }
+            CallOutcome::NotSent => {
+                self.drop_delegate(delegate, "cannot be reached");
+                Outcome::NotSent
+            }
+            CallOutcome::NoAnswer => {
+                let heard_at = peer.heard_at.get().max(sent_at);
+                if self.env.now().since(heard_at) >= DELEGATE_SILENT_MS.min(timeout) {
+                    self.drop_delegate(delegate, "does not answer");
+                }
+                Outcome::NoAnswer
+            }
+        }
+    }
+
+    fn drop_delegate(&self, delegate: &Delegate, reason: &str) {
+        let now = self.env.now();
+        let mut delegates = self.delegates.borrow_mut();
+        let was_active = delegates.active().contains(delegate);
+        delegates.record_failure(&delegate.node, now);
+        drop(delegates);
+        self.peers.borrow_mut().remove(&delegate.node);
+        if was_active {
+            let inputs = json!({
+                "shard": self.shard, "delegate": delegate.node.as_str(), "reason": reason,
+            });
+            self.env.event(Event::DelegateLost, &inputs);
+        }
+    }
+}
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -100,6 +100,10 @@
     Paced = 53, "paced";
     /// Workflow reached a final state.
     Ended = 54, "ended";
+    /// Nodes that carry out the owner's calls to workers were chosen.
+    DelegatesChosen = 60, "delegates chosen";
+    /// Delegate does not answer or cannot be reached.
+    DelegateLost = 61, "delegate lost";
     /// Lines were dropped because of the rate limit.
     LinesDropped = 90, "lines dropped";
     /// Invariant was violated; the action was not carried out.
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -26,6 +26,8 @@
 
 mod claims;
 mod configuration;
+mod delegate;
+mod dispatcher;
 mod failure_detector;
 mod group_commit;
 mod links;
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection to an owner is opened by the first call and kept open. A call that
 //! times out closes the connection, because a connection may stay silent although a
-//! new one would work.
+//! new one would work. Calls to delegates share a connection with many others and
+//! leave it open; the failure of a delegate is noticed by its silence.
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -94,23 +95,39 @@
     ) -> CallOutcome {
         let limit = match request {
             ShardRequest::Store(..) => STORE_REPLY_TIMEOUT_MS,
-            ShardRequest::State(..) | ShardRequest::Waiting(..) | ShardRequest::Ownership(_) => {
-                ANSWER_TIMEOUT_MS
-            }
+            _ => ANSWER_TIMEOUT_MS,
         };
-        let sent = Cell::new(false);
+        let outcome = self.call_within(node, address, request, limit).await;
+        match outcome {
+            CallOutcome::Answered(_) => {
+                self.lost.borrow_mut().remove(&address);
+            }
+            CallOutcome::NoAnswer | CallOutcome::NotSent => self.close(node, address),
+        }
+        outcome
+    }
+
+    /// Calls a node and waits for its answer; a timeout leaves the connection open.
+    pub(crate) async fn call_within(
+        self: &Rc<Self>,
+        node: &NodeName,
+        address: SocketAddr,
+        request: ShardRequest,
+        limit: Millis,
+    ) -> CallOutcome {
+        let sent = Cell::new(None);
         let call = self.call_on_link(node, address, request, &sent);
         let answer = within(&*self.env.ports.runtime, limit, call).await;
-        let Some(answer) = answer.flatten() else {
-            self.close(node, address);
-            return if sent.get() {
-                CallOutcome::NoAnswer
-            } else {
-                CallOutcome::NotSent
-            };
+        if let Some(answer) = answer.flatten() {
+            return CallOutcome::Answered(answer);
+        }
+        let Some(number) = sent.get() else {
+            return CallOutcome::NotSent;
         };
-        self.lost.borrow_mut().remove(&address);
-        CallOutcome::Answered(answer)
+        if let Some(link) = self.open.borrow().get(&address) {
+            link.pending.borrow_mut().remove(&number);
+        }
+        CallOutcome::NoAnswer
     }
 
     /// Returns whether a call to an owner failed less than `RETRY_LOST_MS` ago.
@@ -151,7 +168,7 @@
         node: &NodeName,
         address: SocketAddr,
         request: ShardRequest,
-        sent: &Cell<bool>,
+        sent: &Cell<Option<u64>>,
     ) -> Option<ShardResponse> {
         let opening = self.link(node, address);
         let opened = within(&*self.env.ports.runtime, ANSWER_TIMEOUT_MS, opening).await;
@@ -162,7 +179,7 @@
         link.pending.borrow_mut().insert(number, answered);
         let call = Message::Call(number, Request::Workflow(request));
         link.sender.send(call).ok()?;
-        sent.set(true);
+        sent.set(Some(number));
         answer.await.ok()
     }
 
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -24,6 +24,10 @@
     pub save_s: Histogram,
     /// Number of shards that the node owns.
     pub owned_shards: IntGauge,
+    /// Number of nodes that carry out the owner's calls to workers.
+    pub delegates: IntGauge,
+    /// Calls to delegates by outcome.
+    pub delegated_calls: IntCounterVec,
 }
 
 impl Metrics {
@@ -47,7 +51,18 @@
         };
         let owned_shards = IntGauge::new("shard_owned", "Shards that the node owns.")?;
         registry.register(Box::new(owned_shards.clone()))?;
+        let delegates = IntGauge::new(
+            "shard_delegates",
+            "Nodes that carry out the owner's calls to workers.",
+        )?;
+        registry.register(Box::new(delegates.clone()))?;
         Ok(Metrics {
+            delegates,
+            delegated_calls: counter(
+                "shard_delegated_calls_total",
+                "Calls to delegates by outcome.",
+                &["outcome"],
+            )?,
             submissions: counter(
                 "shard_submissions_total",
                 "Submissions by outcome.",
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -19,6 +19,7 @@
 use crate::{
     claims::Claims,
     configuration::Configuration,
+    delegate::{Delegate, offer_delegation, offer_to_owner},
     event::{Event, Log},
     failure_detector::probe_owners,
     frontend::Frontend,
@@ -48,12 +49,21 @@
     pub peer_address: SocketAddr,
     /// Share of a core that the node may use; 1.0 is a whole core.
     pub cpu_share: f64,
+    /// Bandwidth of the node's link in kbit/s.
+    pub link_kbps: u32,
     /// Longest lease of a worker.
     pub lease_ms: Millis,
     /// Retention time of ended workflows.
     pub keep_ended_ms: Millis,
 }
 
+impl Settings {
+    /// Share of a core that the node may use, in thousandths.
+    pub(crate) fn cpu_milli(&self) -> u32 {
+        (self.cpu_share * 1_000.0).round() as u32
+    }
+}
+
 /// Interfaces (ports) through which a node reaches its environment.
 pub struct Ports {
     /// Clock, task spawning and randomness.
@@ -215,11 +225,15 @@
 /// Owners that run on this node, by shard.
 pub(crate) struct Owners {
     owners: RefCell<HashMap<u32, Rc<Owner>>>,
+    delegate: Rc<Delegate>,
 }
 
 impl Owners {
-    /// Answers a request from local state, if this node owns the shard.
+    /// Answers a request from local state, if this node owns the shard, or carries out a call.
     pub(crate) async fn answer_locally(&self, request: ShardRequest) -> ShardResponse {
+        if let ShardRequest::Delegate(shard, call) = request {
+            return ShardResponse::Delegated(self.delegate.carry_out(shard, *call).await);
+        }
         let owner = self.owners.borrow().get(&request.shard()).cloned();
         match owner {
             Some(owner) => owner.answer(request).await,
@@ -268,6 +282,7 @@
         let links = Links::new(env.clone());
         let owners = Rc::new(Owners {
             owners: RefCell::new(HashMap::new()),
+            delegate: Delegate::new(env.clone()),
         });
         let frontend = Frontend::new(
             env.clone(),
@@ -302,6 +317,11 @@
             self.claims.clone(),
             self.links.clone(),
         ));
+        self.env.spawn(offer_delegation(
+            self.env.clone(),
+            self.claims.clone(),
+            self.links.clone(),
+        ));
         let node = self.clone();
         self.env.spawn(async move { node.run_owners().await });
     }
@@ -360,6 +380,17 @@
         self.env
             .event(Event::Stopping, &json!({ "owned": owners.len() }));
         owners.values().for_each(|owner| owner.release());
+        drop(owners);
+        let shards = self.claims.layout().map_or(0, |layout| layout.shards);
+        for shard in 0..shards {
+            // Withdraws the offer, so that owners use other delegates before the process ends.
+            self.env.spawn(offer_to_owner(
+                self.env.clone(),
+                self.claims.clone(),
+                self.links.clone(),
+                shard,
+            ));
+        }
     }
 
     /// Returns the number of shards that the node still owns.
@@ -393,6 +424,7 @@
                     self.env.clone(),
                     self.claims.clone(),
                     self.configuration.clone(),
+                    self.links.clone(),
                     shard,
                     claim.term,
                 );
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use hemlocksaddle_node::wait::within;
 use hemlocksaddle_policy::{
     pacing::StartWindow,
     workflow::{Order, Start, StartAnswer, WorkerKey},
@@ -16,7 +15,7 @@
 use crate::{
     event::Event,
     owner::Owner,
-    ports::{StartCall, Timed, WorkerError},
+    ports::{StartCall, WorkerError},
 };
 
 /// Shortest timeout of an order; a hundred times the round trip to a worker.
@@ -131,21 +130,15 @@
         };
         let sent_at = self.env.now();
         self.update_window(StartWindow::sent);
-        let sent = self.env.ports.fleet.start(&listing, call);
-        let answer = within(&*self.env.ports.runtime, self.answer_timeout(), sent).await;
+        let sent = self.dispatcher.start(&listing, call, self.answer_timeout());
+        let timed = sent.await;
         let now = self.env.now();
-        match &answer {
-            Some(timed) if timed.clock_ms.is_some() => {
-                self.record_latency(sent_at);
-                self.update_window(|window| window.answered(sent_at, now));
-            }
-            _ => self.update_window(|window| window.lost(sent_at, now)),
+        if timed.clock_ms.is_some() {
+            self.record_latency(sent_at);
+            self.update_window(|window| window.answered(sent_at, now));
+        } else {
+            self.update_window(|window| window.lost(sent_at, now));
         }
-        let timed = answer.unwrap_or(Timed {
-            clock_ms: None,
-            born_ms: None,
-            value: StartAnswer::Unknown,
-        });
         let answer = match self.check_answer(start.worker, &listing, &timed) {
             Ok(()) => timed.value,
             Err(_) => StartAnswer::OtherLife,
@@ -183,8 +176,9 @@
                 self.env.sleep(SILENT_CHECK_MS).await;
                 continue;
             }
-            let sent = self.env.ports.fleet.stop(&listing, task, run, self.term);
-            let answer = self.await_answer("stop", sent).await;
+            let timeout = self.answer_timeout();
+            let answer = self.dispatcher.stop(&listing, task, run, timeout).await;
+            self.count_order("stop", &format!("{answer:?}"));
             let inputs = json!({
                 "task": task.to_string(), "run": run.0, "worker": &*listing.name,
                 "term": self.term, "answer": format!("{answer:?}"),
@@ -211,18 +205,6 @@
         }
     }
 
-    /// Waits for the answer to an order and counts it in the metrics.
-    async fn await_answer(
-        &self,
-        order: &str,
-        sent: impl Future<Output = Result<(), WorkerError>>,
-    ) -> Result<(), WorkerError> {
-        let answer = within(&*self.env.ports.runtime, self.answer_timeout(), sent).await;
-        let answer = answer.unwrap_or(Err(WorkerError::Unknown));
-        self.count_order(order, &format!("{answer:?}"));
-        answer
-    }
-
     fn count_order(&self, order: &str, answer: &str) {
         let orders = &self.env.metrics.orders;
         orders.with_label_values(&[order, answer]).inc();
@@ -233,12 +215,10 @@
         let Some(listing) = listing.filter(|_| self.holds_lease()) else {
             return;
         };
-        let sent = self
-            .env
-            .ports
-            .fleet
-            .pace(&listing, task, run, percent, self.term);
-        let answer = self.await_answer("pace", sent).await;
+        let timeout = self.answer_timeout();
+        let paced = self.dispatcher.pace(&listing, task, run, percent, timeout);
+        let answer = paced.await;
+        self.count_order("pace", &format!("{answer:?}"));
         let inputs = json!({
             "task": task.to_string(), "run": run.0, "worker": &*listing.name,
             "percent": percent, "answer": format!("{answer:?}"),
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -27,8 +27,10 @@
 use crate::{
     claims::Claims,
     configuration::Configuration,
+    dispatcher::Dispatcher,
     event::Event,
     group_commit::PendingSubmission,
+    links::Links,
     node::Env,
     ports::{Conditions, Record, StoreError, Stream, Writer},
     record::{self, Key},
@@ -54,6 +56,9 @@
 /// Interval at which the workers' records are read.
 const WORKERS_INTERVAL_MS: Millis = Millis(400);
 
+/// Interval at which delegates are chosen.
+const CHOOSE_DELEGATES_INTERVAL_MS: Millis = Millis(250);
+
 /// Shortest time between two plans, so that one plan covers runs that end together.
 const MIN_PLAN_INTERVAL_MS: Millis = Millis(4);
 
@@ -78,6 +83,7 @@
     pub(crate) env: Rc<Env>,
     pub(crate) claims: Rc<Claims>,
     configuration: Rc<Configuration>,
+    pub(crate) dispatcher: Dispatcher,
     pub(crate) shard: u32,
     shards: u32,
     pub(crate) term: u64,
@@ -110,6 +116,7 @@
         env: Rc<Env>,
         claims: Rc<Claims>,
         configuration: Rc<Configuration>,
+        links: Rc<Links>,
         shard: u32,
         term: u64,
     ) -> Rc<Owner> {
@@ -123,7 +130,9 @@
         let limits = Limits {
             keep_ended_ms: env.settings.keep_ended_ms,
         };
+        let dispatcher = Dispatcher::new(env.clone(), links, shard, term);
         Rc::new(Owner {
+            dispatcher,
             scheduler: RefCell::new(Scheduler::new(limits, term, failover_complete_at)),
             env,
             claims,
@@ -179,6 +188,7 @@
     pub(crate) async fn run(self: Rc<Self>) {
         self.spawn(|owner| owner.renew());
         self.spawn(|owner| owner.watch_claim());
+        self.spawn(|owner| owner.choose_delegates());
         let followed = loop {
             if self.ended.get() {
                 return;
@@ -252,6 +262,14 @@
         }
     }
 
+    async fn choose_delegates(self: Rc<Self>) {
+        while !self.ended.get() {
+            let workers = self.scheduler.borrow().workers().count();
+            self.dispatcher.choose_delegates(workers);
+            self.env.sleep(CHOOSE_DELEGATES_INTERVAL_MS).await;
+        }
+    }
+
     async fn follow_configuration(self: Rc<Self>) {
         while !self.ended.get() {
             let seen = self.configuration.changed.count();
@@ -519,6 +537,10 @@
         if matches!(request, ShardRequest::Ownership(_)) && !self.ended.get() {
             return ShardResponse::Owner;
         }
+        if let ShardRequest::Offer(_, offer) = request {
+            self.dispatcher.record_offer(offer);
+            return ShardResponse::Owner;
+        }
         if !self.ready.get() || self.ended.get() {
             return ShardResponse::NotOwner;
         }
@@ -535,7 +557,10 @@
             ShardRequest::Waiting(_, queue) => {
                 ShardResponse::Waiting(scheduler.count_waiting(&queue))
             }
-            ShardRequest::Store(..) | ShardRequest::Ownership(_) => ShardResponse::NotOwner,
+            ShardRequest::Store(..)
+            | ShardRequest::Ownership(_)
+            | ShardRequest::Offer(..)
+            | ShardRequest::Delegate(..) => ShardResponse::NotOwner,
         }
     }
 
--- a/hemlocksaddle-shard/src/ports.rs
+++ b/hemlocksaddle-shard/src/ports.rs
@@ -4,13 +4,16 @@
 
 use bytes::Bytes;
 use hemlocksaddle_node::ports::PortFuture;
-use hemlocksaddle_policy::workflow::{Listing, Report, StartAnswer};
+use hemlocksaddle_policy::workflow::Listing;
 use hemlocksaddle_types::{
     clock::Millis,
+    delegation::{Endpoint, Report, StartAnswer},
     name::DataCentre,
     workflow::{Catalogue, Run, TaskName},
 };
 
+pub use hemlocksaddle_types::delegation::{ReportRequest, StartCall, Timed, WorkerError};
+
 /// Result of a call to the store.
 pub type Result<T> = std::result::Result<T, StoreError>;
 
@@ -145,70 +148,14 @@
     fn listing(&self, record: &Record) -> std::result::Result<Listing, String>;
 }
 
-/// Why a call to a worker failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum WorkerError {
-    /// Call was not sent and certainly had no effect.
-    NotSent,
-    /// No answer, or one that cannot be decoded; the call may have taken effect.
-    Unknown,
-    /// Worker has restarted: it is a newer incarnation.
-    OtherLife,
-    /// Worker has seen a higher term.
-    Fenced,
-    /// Worker refused the call.
-    Refused,
-}
-
-/// Order to start a task.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StartCall {
-    /// Name of the task.
-    pub task: TaskName,
-    /// Number of the run.
-    pub run: Run,
-    /// Text of the workflow, passed to the task.
-    pub text: Arc<str>,
-    /// Checkpoint to resume from.
-    pub checkpoint: Option<Arc<str>>,
-    /// End of the lease in milliseconds, on the worker's clock.
-    pub lease_until_ms: u64,
-    /// Owner's term.
-    pub term: u64,
-}
-
-/// Request for a report, which may renew the lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportRequest {
-    /// New end of the lease in milliseconds, on the worker's clock; `None` keeps the current one.
-    pub lease_until_ms: Option<u64>,
-    /// Number up to which ends are durable; the worker may drop these.
-    pub saved_ends: u64,
-    /// Time to wait for a run to end.
-    pub wait: Millis,
-    /// Owner's term.
-    pub term: u64,
-}
-
-/// Answer of a worker, with its clock and incarnation.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Timed<T> {
-    /// Reading of the worker's clock in milliseconds, if the answer has one.
-    pub clock_ms: Option<u64>,
-    /// Start time of the worker's process in milliseconds, if the answer has one.
-    pub born_ms: Option<u64>,
-    /// Content of the answer.
-    pub value: T,
-}
-
 /// Platform's workers.
 pub trait Fleet {
     /// Orders a task to start.
-    fn start(&self, worker: &Listing, call: StartCall) -> PortFuture<'_, Timed<StartAnswer>>;
+    fn start(&self, worker: &Endpoint, call: StartCall) -> PortFuture<'_, Timed<StartAnswer>>;
     /// Orders a run to stop.
     fn stop(
         &self,
-        worker: &Listing,
+        worker: &Endpoint,
         task: TaskName,
         run: Run,
         term: u64,
@@ -216,7 +163,7 @@
     /// Sets the share of its processors that a run may use, in percent.
     fn pace(
         &self,
-        worker: &Listing,
+        worker: &Endpoint,
         task: TaskName,
         run: Run,
         percent: u8,
@@ -225,7 +172,7 @@
     /// Requests a report; the caller sets its `sent_at`.
     fn fetch_report(
         &self,
-        worker: &Listing,
+        worker: &Endpoint,
         request: ReportRequest,
     ) -> PortFuture<'_, std::result::Result<Timed<Report>, WorkerError>>;
 }
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -216,11 +216,12 @@
             wait,
             term: self.term,
         };
-        let asked = self.env.ports.fleet.fetch_report(listing, request);
         let latency = self.latency.get();
         let timeout = wait + latency.timeout(MIN_ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS);
-        let answer = within(&*self.env.ports.runtime, timeout, asked).await;
-        let timed = answer.unwrap_or(Err(WorkerError::Unknown))?;
+        let timed = self
+            .dispatcher
+            .fetch_report(listing, request, timeout)
+            .await?;
         if wait == Millis(0) {
             self.record_latency(sent_at);
         }
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -9,10 +9,11 @@
 
 use hemlocksaddle_fakes::runtime::SimRuntime;
 use hemlocksaddle_node::ports::PortFuture;
-use hemlocksaddle_policy::workflow::{End, EndKind, Listing, Report, StartAnswer, TaskStatus};
+use hemlocksaddle_policy::workflow::{End, EndKind, Report, StartAnswer, TaskStatus};
 use hemlocksaddle_shard::ports::{Fleet, ReportRequest, StartCall, Timed, WorkerError};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
+    delegation::Endpoint,
     workflow::{Run, TaskName},
 };
 
@@ -127,7 +128,7 @@
         }
     }
 
-    fn number(worker: &Listing) -> usize {
+    fn number(worker: &Endpoint) -> usize {
         worker.name.parse().expect("worker name is a number")
     }
 
@@ -211,7 +212,7 @@
 }
 
 impl Fleet for FakeFleet {
-    fn start(&self, worker: &Listing, call: StartCall) -> PortFuture<'_, Timed<StartAnswer>> {
+    fn start(&self, worker: &Endpoint, call: StartCall) -> PortFuture<'_, Timed<StartAnswer>> {
         let number = FakeFleet::number(worker);
         Box::pin(async move {
             self.sim.sleep(LATENCY_MS).await;
@@ -234,7 +235,7 @@
 
     fn stop(
         &self,
-        worker: &Listing,
+        worker: &Endpoint,
         task: TaskName,
         run: Run,
         term: u64,
@@ -265,7 +266,7 @@
 
     fn pace(
         &self,
-        _worker: &Listing,
+        _worker: &Endpoint,
         _task: TaskName,
         _run: Run,
         _percent: u8,
@@ -276,7 +277,7 @@
 
     fn fetch_report(
         &self,
-        worker: &Listing,
+        worker: &Endpoint,
         request: ReportRequest,
     ) -> PortFuture<'_, result::Result<Timed<Report>, WorkerError>> {
         let number = FakeFleet::number(worker);
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -144,6 +144,7 @@
             data_centre: DataCentre::try_from("a").expect("name"),
             peer_address: address(number),
             cpu_share,
+            link_kbps: 1_000_000,
             lease_ms: Millis(LEASE_MS),
             keep_ended_ms: Millis(120_000),
         };
--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod burn;
 pub mod clock;
+pub mod delegation;
 pub mod document;
 pub mod error;
 pub mod hash;
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     clock::{Millis, WallMs},
+    delegation::{DelegatedAnswer, DelegatedCall, Offer},
     error::{Error, ErrorKind, Result},
     resources::Resources,
 };
@@ -369,6 +370,10 @@
     Store(u32, WorkflowId, Submission),
     /// Asks whether the node owns the shard; sent by nodes that monitor the owner.
     Ownership(u32),
+    /// Offers the owner to carry out calls to workers.
+    Offer(u32, Offer),
+    /// Asks a delegate to carry out a call to a worker; sent by the owner.
+    Delegate(u32, Box<DelegatedCall>),
 }
 
 impl ShardRequest {
@@ -379,7 +384,9 @@
             ShardRequest::State(shard, _)
             | ShardRequest::Waiting(shard, _)
             | ShardRequest::Store(shard, _, _)
-            | ShardRequest::Ownership(shard) => *shard,
+            | ShardRequest::Ownership(shard)
+            | ShardRequest::Offer(shard, _)
+            | ShardRequest::Delegate(shard, _) => *shard,
         }
     }
 }
@@ -401,4 +408,6 @@
     Owner,
     /// Node does not own the shard, or its state is not loaded or not current.
     NotOwner,
+    /// Answer to a delegated call.
+    Delegated(DelegatedAnswer),
 }
