Keep peers' connections while late answers arrive, and spare a slow link

Probes waited 250 ms, then closed the connection; 16 nodes opened new ones again and again, offers of delegates did not arrive, and the owner called 140 workers itself. Change: an unanswered call closes a connection only if nothing was heard from the peer; timeouts follow the latency of answers; reports of tail latencies are requested less often while answers take long; progress takes a tenth of the link.

--- a/hemlocksaddle-policy/src/pacing.rs
+++ b/hemlocksaddle-policy/src/pacing.rs
@@ -54,6 +54,24 @@
     }
 }
 
+/// Mean latency from which reports are requested less often.
+const SLOW_LATENCY_MS: f64 = 50.0;
+
+/// Time by which the wait of a report request grows for each millisecond of latency.
+const WAIT_PER_LATENCY: f64 = 5.0;
+
+impl LatencyEstimate {
+    /// Time for which a worker should wait for a run to end before it reports, from the usual one
+    /// to the longest.
+    ///
+    /// Frequent reports of tail latencies give way to orders while the path is slow.
+    #[must_use]
+    pub fn report_wait(&self, usual: Millis, max: Millis) -> Millis {
+        let excess_ms = (self.mean_ms.unwrap_or(0.0) - SLOW_LATENCY_MS).max(0.0);
+        Millis((usual.0 + (excess_ms * WAIT_PER_LATENCY) as u64).min(max.0))
+    }
+}
+
 /// Start orders in flight at the beginning, and at least.
 const MIN_WINDOW: f64 = 32.0;
 
@@ -163,3 +181,22 @@
     let pause_ms = SILENT_PAUSE_MS * silent_workers as u64 / SILENT_POLLED_FAST;
     Millis(pause_ms.clamp(SILENT_PAUSE_MS, MAX_SILENT_PAUSE_MS))
 }
+
+/// Shortest pause between two appends of progress.
+const MIN_SAVE_PAUSE_MS: u64 = 20;
+
+/// Longest pause between two appends of progress.
+const MAX_SAVE_PAUSE_MS: u64 = 250;
+
+/// Share of the link that appends of progress may take.
+const SAVE_LINK_SHARE: f64 = 0.1;
+
+/// Pause after an append of progress of the given size, on a link of the given bandwidth.
+///
+/// A longer pause covers more runs with one record, since a workflow's progress is stored whole.
+#[must_use]
+pub fn save_pause(bytes: usize, link_kbps: u32) -> Millis {
+    let sending_ms = bytes as f64 * 8.0 / f64::from(link_kbps.max(1));
+    let pause_ms = (sending_ms / SAVE_LINK_SHARE) as u64;
+    Millis(pause_ms.clamp(MIN_SAVE_PAUSE_MS, MAX_SAVE_PAUSE_MS))
+}
--- a/hemlocksaddle-policy/tests/pacing.rs
+++ b/hemlocksaddle-policy/tests/pacing.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::pacing::{LatencyEstimate, StartWindow, silent_poll_pause};
+use hemlocksaddle_policy::pacing::{LatencyEstimate, StartWindow, save_pause, silent_poll_pause};
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 
 /// Time at which a run of a path starts; not zero, so that "never" and "now" differ.
@@ -144,6 +144,21 @@
     expect_that!(latency.timeout(min, max), eq(min));
 }
 
+/// Load pattern: owner's link full. Guards against reports of tail latencies that take the link from
+/// orders.
+#[gtest]
+fn reports_are_requested_less_often_while_answers_take_long() {
+    let mut latency = LatencyEstimate::default();
+    let wait = |latency: &LatencyEstimate| latency.report_wait(Millis(350), Millis(1_000));
+    expect_that!(wait(&latency), eq(Millis(350)));
+    (0..50).for_each(|_| latency.record(Millis(20)));
+    expect_that!(wait(&latency), eq(Millis(350)));
+    (0..50).for_each(|_| latency.record(Millis(150)));
+    expect_that!(wait(&latency), gt(Millis(800)));
+    (0..50).for_each(|_| latency.record(Millis(900)));
+    expect_that!(wait(&latency), eq(Millis(1_000)));
+}
+
 /// Load pattern: a rack or a data centre silent at once. Guards against polls of silent workers
 /// that grow with their number.
 #[gtest]
@@ -155,3 +170,20 @@
     }
     expect_that!(silent_poll_pause(2_400), eq(Millis(1_500)));
 }
+
+/// Load pattern: owner's link full. Guards against progress records that take the link from orders.
+#[gtest]
+fn saving_progress_takes_a_bounded_share_of_the_link() {
+    for (bytes, link_kbps) in [
+        (500, 2_000),
+        (2_000, 2_000),
+        (5_000, 2_000),
+        (5_000, 20_000),
+    ] {
+        let pause = save_pause(bytes, link_kbps);
+        let kbps = bytes as f64 * 8.0 / pause.0 as f64;
+        expect_that!(kbps, le(f64::from(link_kbps) * 0.11), "{bytes} bytes");
+    }
+    expect_that!(save_pause(5_000, 1_000_000), eq(Millis(20)));
+    expect_that!(save_pause(1_000_000, 100), eq(Millis(250)));
+}
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -17,6 +17,7 @@
     ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers, PortFuture},
     wait::within,
 };
+use hemlocksaddle_policy::pacing::LatencyEstimate;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     name::NodeName,
@@ -27,8 +28,20 @@
 
 use crate::{event::Event, node::Env};
 
-/// Timeout of a call; a hundred times the latency between two data centres.
-const ANSWER_TIMEOUT_MS: Millis = Millis(250);
+/// Shortest timeout of a call; a hundred times the latency between two data centres.
+const MIN_ANSWER_TIMEOUT_MS: Millis = Millis(250);
+
+/// Longest timeout of a call, while answers take long.
+const MAX_ANSWER_TIMEOUT_MS: Millis = Millis(1_000);
+
+/// Time limit for opening a connection.
+const CONNECT_TIMEOUT_MS: Millis = Millis(500);
+
+/// Time without a message from the peer after which an unanswered call closes the connection.
+///
+/// A congested link delivers late answers; to close its connections and open new ones would add to
+/// the load.
+const SILENT_MS: Millis = Millis(400);
 
 /// Timeout of a call that stores a submission; leaves time for an attempt without the owner.
 const STORE_REPLY_TIMEOUT_MS: Millis = Millis(2_000);
@@ -41,6 +54,10 @@
 struct Link {
     sender: Rc<dyn PeerSender>,
     pending: Pending,
+    /// Time of the latest message from the peer.
+    heard_at: Cell<MonoMs>,
+    /// Latency of the peer's answers.
+    latency: Cell<LatencyEstimate>,
 }
 
 /// Outcome of a call to an owner.
@@ -93,20 +110,53 @@
         address: SocketAddr,
         request: ShardRequest,
     ) -> CallOutcome {
-        let limit = match request {
-            ShardRequest::Store(..) => STORE_REPLY_TIMEOUT_MS,
-            _ => ANSWER_TIMEOUT_MS,
+        // The answer to a submission waits for the store.
+        let is_quick = !matches!(request, ShardRequest::Store(..));
+        let limit = if is_quick {
+            self.answer_timeout(address)
+        } else {
+            STORE_REPLY_TIMEOUT_MS
         };
+        let sent_at = self.env.now();
         let outcome = self.call_within(node, address, request, limit).await;
         match outcome {
             CallOutcome::Answered(_) => {
                 self.lost.borrow_mut().remove(&address);
+                if is_quick {
+                    self.record_latency(address, sent_at);
+                }
             }
+            CallOutcome::NoAnswer if self.heard_since(address, sent_at) => {}
             CallOutcome::NoAnswer | CallOutcome::NotSent => self.close(node, address),
         }
         outcome
     }
 
+    fn answer_timeout(&self, address: SocketAddr) -> Millis {
+        let open = self.open.borrow();
+        open.get(&address).map_or(MIN_ANSWER_TIMEOUT_MS, |link| {
+            let latency = link.latency.get();
+            latency.timeout(MIN_ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS)
+        })
+    }
+
+    fn record_latency(&self, address: SocketAddr, sent_at: MonoMs) {
+        if let Some(link) = self.open.borrow().get(&address) {
+            let mut latency = link.latency.get();
+            latency.record(self.env.now().since(sent_at));
+            link.latency.set(latency);
+        }
+    }
+
+    /// Returns whether the peer has sent anything since a call, or shortly before.
+    fn heard_since(&self, address: SocketAddr, sent_at: MonoMs) -> bool {
+        let open = self.open.borrow();
+        open.get(&address).is_some_and(|link| {
+            let heard_at = link.heard_at.get();
+            heard_at >= sent_at || self.env.now().since(heard_at) < SILENT_MS
+        })
+    }
+
     /// Calls a node and waits for its answer; a timeout leaves the connection open.
     pub(crate) async fn call_within(
         self: &Rc<Self>,
@@ -171,7 +221,7 @@
         sent: &Cell<Option<u64>>,
     ) -> Option<ShardResponse> {
         let opening = self.link(node, address);
-        let opened = within(&*self.env.ports.runtime, ANSWER_TIMEOUT_MS, opening).await;
+        let opened = within(&*self.env.ports.runtime, CONNECT_TIMEOUT_MS, opening).await;
         let link = opened.flatten()?;
         let number = self.next.get();
         self.next.set(number + 1);
@@ -197,12 +247,14 @@
         let link = Rc::new(Link {
             sender: opened.sender,
             pending: Pending::default(),
+            heard_at: Cell::new(self.env.now()),
+            latency: Cell::default(),
         });
         self.open.borrow_mut().insert(address, link.clone());
         let links = self.clone();
         let received = link.clone();
         self.env.spawn(async move {
-            receive_answers(&received, opened.receiver).await;
+            receive_answers(&links.env, &received, opened.receiver).await;
             let mut open = links.open.borrow_mut();
             if open
                 .get(&address)
@@ -239,8 +291,9 @@
     }
 }
 
-async fn receive_answers(link: &Link, mut receiver: Box<dyn PeerReceiver>) {
+async fn receive_answers(env: &Env, link: &Link, mut receiver: Box<dyn PeerReceiver>) {
     while let Ok(message) = receiver.receive().await {
+        link.heard_at.set(env.now());
         if let Message::Reply(number, Response::Workflow(answer)) = message {
             let waiting = link.pending.borrow_mut().remove(&number);
             if let Some(waiting) = waiting {
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -12,7 +12,7 @@
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
-    pacing::{LatencyEstimate, StartWindow},
+    pacing::{LatencyEstimate, StartWindow, save_pause},
     take_over::RENEW_INTERVAL_MS,
     workflow::{Limits, Listing, Scheduler, Unsaved, WorkerKey},
 };
@@ -65,9 +65,6 @@
 /// Longest time between two plans; pauses and leases end without an event that triggers one.
 const MAX_PLAN_INTERVAL_MS: Millis = Millis(100);
 
-/// Shortest time between two appends of progress.
-const MIN_SAVE_INTERVAL_MS: Millis = Millis(20);
-
 /// Interval at which the interference estimates are saved.
 const SAVE_INTERFERENCE_INTERVAL_MS: Millis = Millis(2_000);
 
@@ -417,14 +414,18 @@
                 let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
                 continue;
             }
-            self.save_batch(unsaved, &roster).await;
-            self.env.sleep(MIN_SAVE_INTERVAL_MS).await;
+            let bytes = self.save_batch(unsaved, &roster).await;
+            let pause = save_pause(bytes, self.env.settings.link_kbps);
+            self.env.sleep(pause).await;
         }
     }
 
-    async fn save_batch(&self, unsaved: Unsaved, roster: &[(WorkerKey, Listing)]) {
+    /// Appends progress until it is durable; returns the size of the values in bytes.
+    async fn save_batch(&self, unsaved: Unsaved, roster: &[(WorkerKey, Listing)]) -> usize {
         let started_at = self.env.now();
         let records = self.progress_records(&unsaved, roster);
+        let values = records.iter().filter_map(|record| record.value.as_ref());
+        let bytes = values.map(|value| value.len()).sum();
         while !self.ended.get() && !records.is_empty() {
             let conditions = Conditions {
                 end: None,
@@ -440,12 +441,15 @@
                     break;
                 }
                 Err(StoreError::OutOfSequence(expected)) => self.progress_sequence.set(expected),
-                Err(StoreError::Fenced) => return self.step_down("progress is fenced"),
+                Err(StoreError::Fenced) => {
+                    self.step_down("progress is fenced");
+                    return bytes;
+                }
                 Err(_) => self.env.sleep(RETRY_MS).await,
             }
         }
         if self.ended.get() {
-            return;
+            return bytes;
         }
         let took_ms = self.env.now().since(started_at);
         self.env.metrics.save_s.observe(took_ms.0 as f64 / 1_000.0);
@@ -458,6 +462,7 @@
         drop(scheduler);
         self.saved.notify();
         self.changed.notify();
+        bytes
     }
 
     fn progress_records(&self, unsaved: &Unsaved, roster: &[(WorkerKey, Listing)]) -> Vec<Record> {
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -101,7 +101,8 @@
             let wait = if silent || is_new {
                 Millis(0)
             } else if shared {
-                SHARED_REPORT_WAIT_MS
+                let latency = self.latency.get();
+                latency.report_wait(SHARED_REPORT_WAIT_MS, REPORT_WAIT_MS)
             } else {
                 REPORT_WAIT_MS
             };
