Test delegates that are killed, suspended and replaced

Found by the tests: racks went to one delegate of a data centre, since FNV hashes of names with a common end compare alike (now mixed); a submission waited two seconds for a silent owner, since a new connection counted as heard (now 300 ms after it was opened).

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -197,9 +197,21 @@
         let is_near = |delegate: &&Delegate| delegate.data_centre == *data_centre;
         let near = self.active.iter().filter(is_near);
         let weight = |delegate: &&Delegate| {
-            stable_hash(&[delegate.node.as_str().as_bytes(), rack.as_bytes()])
+            avalanche(stable_hash(&[
+                delegate.node.as_str().as_bytes(),
+                rack.as_bytes(),
+            ]))
         };
         near.max_by_key(weight)
             .or_else(|| self.active.iter().max_by_key(weight))
     }
 }
+
+/// Spreads a difference in any bit over all bits, as the comparison of weights needs.
+///
+/// Constants are those of the finaliser of MurmurHash3.
+fn avalanche(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/hemlocksaddle-policy/tests/delegation.rs
@@ -0,0 +1,189 @@
+//! Choice of the nodes that carry out an owner's calls, and of the one for each worker.
+
+use std::collections::BTreeSet;
+
+use googletest::prelude::*;
+use hemlocksaddle_policy::delegation::{Delegates, should_offer, worker_capacity};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    delegation::Offer,
+    name::{DataCentre, NodeName},
+};
+
+/// Time at which a test starts; not zero, so that "never" and "now" differ.
+const START: MonoMs = MonoMs(100_000);
+
+const SLOW_MILLI: u32 = 120;
+const FAST_MILLI: u32 = 500;
+
+fn data_centre(number: usize) -> DataCentre {
+    DataCentre::try_from(format!("dc-{number}").as_str()).expect("name")
+}
+
+fn node(number: usize) -> NodeName {
+    NodeName::try_from(format!("node-{number:03}").as_str()).expect("name")
+}
+
+fn offer(number: usize, data_centres: usize, cpu_milli: u32, link_kbps: u32) -> Offer {
+    Offer {
+        node: node(number),
+        data_centre: data_centre(number % data_centres),
+        address: ([127, 0, 0, 1], 7_000 + number as u16).into(),
+        cpu_milli,
+        link_kbps,
+        available: true,
+    }
+}
+
+fn racks(count: usize) -> impl Iterator<Item = (DataCentre, String)> {
+    (0..count).map(|number| (data_centre(number % 5), format!("rack-{number}")))
+}
+
+fn routes(delegates: &Delegates) -> Vec<Option<NodeName>> {
+    racks(110)
+        .map(|(data_centre, rack)| {
+            let route = delegates.route(&data_centre, &rack);
+            route.map(|delegate| delegate.node.clone())
+        })
+        .collect()
+}
+
+/// Owner on a fast node of a fleet with 15 fast and 82 slow nodes in five data centres.
+fn large_fleet() -> Delegates {
+    let mut delegates = Delegates::new(FAST_MILLI, 200_000);
+    for number in 0..15 {
+        delegates.record_offer(offer(number, 5, FAST_MILLI, 200_000), START);
+    }
+    for number in 15..97 {
+        delegates.record_offer(offer(number, 5, SLOW_MILLI, 20_000), START);
+    }
+    delegates
+}
+
+/// Guards against calls that take a detour although the owner could make them.
+#[gtest]
+fn a_small_fleet_is_called_directly() {
+    let mut delegates = Delegates::new(250, 1_000_000);
+    (0..8).for_each(|number| delegates.record_offer(offer(number, 3, 250, 1_000_000), START));
+    expect_that!(delegates.choose(66, START), eq(false));
+    expect_that!(delegates.active(), is_empty());
+    expect_that!(delegates.route(&data_centre(0), "rack"), none());
+}
+
+/// Load pattern: owner's processor full. Guards against an owner of hundreds of workers that calls
+/// all of them, against delegates on slow nodes, and against data centres without one.
+#[gtest]
+fn a_large_fleet_is_called_through_fast_nodes_of_each_data_centre() {
+    let mut delegates = large_fleet();
+    expect_that!(delegates.choose(890, START), eq(true));
+    let active = delegates.active();
+    let capacity = worker_capacity(FAST_MILLI, 200_000) * active.len() as f64;
+    expect_that!(capacity, ge(890.0 * 1.5));
+    expect_that!(capacity, lt(890.0 * 1.5 + 400.0));
+    let fast: Vec<NodeName> = (0..15).map(node).collect();
+    expect_that!(active.iter().all(|d| fast.contains(&d.node)), eq(true));
+    let near = racks(110).all(|(data_centre, rack)| {
+        let route = delegates.route(&data_centre, &rack);
+        active.iter().all(|d| d.data_centre != data_centre)
+            || route.is_some_and(|route| route.data_centre == data_centre)
+    });
+    expect_that!(near, eq(true));
+    let data_centres: BTreeSet<_> = active.iter().map(|d| &d.data_centre).collect();
+    expect_that!(data_centres.len(), ge(active.len().min(5)));
+}
+
+/// Guards against racks that all go to one delegate of a data centre.
+#[gtest]
+fn racks_are_spread_over_the_delegates() {
+    let mut delegates = Delegates::new(FAST_MILLI, 200_000);
+    (0..4).for_each(|number| delegates.record_offer(offer(number, 1, FAST_MILLI, 200_000), START));
+    delegates.choose(890, START);
+    let count = delegates.active().len();
+    expect_that!(count, ge(4));
+    let racks = 200;
+    let mut racks_of = std::collections::BTreeMap::new();
+    for number in 0..racks {
+        let route = delegates.route(&data_centre(0), &format!("r{number}"));
+        *racks_of
+            .entry(route.expect("delegate").node.clone())
+            .or_insert(0) += 1;
+    }
+    expect_that!(racks_of.len(), eq(count));
+    for (node, of_node) in racks_of {
+        expect_that!(of_node, ge(racks / count / 2), "{}", node.as_str());
+    }
+}
+
+/// Load pattern: owner's link full, all nodes slow, none better. Guards against an owner that has to
+/// do without delegates because no node is fast.
+#[gtest]
+fn slow_nodes_are_used_where_there_are_no_others() {
+    let mut delegates = Delegates::new(SLOW_MILLI, 2_000);
+    for number in 0..16 {
+        expect_that!(should_offer(SLOW_MILLI, SLOW_MILLI), eq(true));
+        delegates.record_offer(offer(number, 5, SLOW_MILLI, 2_000), START);
+    }
+    delegates.choose(140, START);
+    expect_that!(delegates.active().len(), ge(7));
+    expect_that!(should_offer(SLOW_MILLI, FAST_MILLI), eq(false));
+}
+
+/// Guards against a lost delegate that moves the workers of others, and against its further use.
+#[gtest]
+fn a_lost_delegate_moves_only_its_own_racks() {
+    let mut delegates = large_fleet();
+    delegates.choose(890, START);
+    let before = routes(&delegates);
+    let lost = delegates.active()[1].node.clone();
+    delegates.record_failure(&lost, START);
+    let after = routes(&delegates);
+    for (before, after) in before.iter().zip(&after) {
+        expect_that!(after.as_ref(), not(some(eq(&lost))));
+        if before.as_ref() != Some(&lost) {
+            expect_that!(after, eq(before));
+        }
+    }
+    delegates.choose(890, START + Millis(1_000));
+    expect_that!(routes(&delegates).contains(&Some(lost.clone())), eq(false));
+    delegates.record_offer(offer(1, 5, FAST_MILLI, 200_000), START + Millis(4_000));
+    delegates.choose(890, START + Millis(4_000));
+    expect_that!(delegates.active().len(), ge(4));
+}
+
+/// Load pattern: owner's link full. Guards against delegates that are given up because their offers
+/// are late while they answer calls.
+#[gtest]
+fn a_delegate_that_answers_is_kept_without_offers() {
+    let mut delegates = large_fleet();
+    delegates.choose(890, START);
+    let active: Vec<NodeName> = delegates.active().iter().map(|d| d.node.clone()).collect();
+    for second in 1..=30 {
+        let now = START + Millis(1_000 * second);
+        active
+            .iter()
+            .for_each(|node| delegates.record_answer(node, now));
+        delegates.choose(890, now);
+        let kept = delegates.active().iter().all(|d| active.contains(&d.node));
+        expect_that!(kept, eq(true), "after {second} s");
+    }
+    delegates.choose(890, START + Millis(60_000));
+    expect_that!(delegates.active(), is_empty());
+}
+
+/// Guards against calls through a node that is about to stop.
+#[gtest]
+fn a_withdrawn_offer_is_not_used() {
+    let mut delegates = large_fleet();
+    delegates.choose(890, START);
+    let stopping = delegates.active()[0].node.clone();
+    let number = (0..97)
+        .find(|&number| node(number) == stopping)
+        .expect("node");
+    let withdrawn = Offer {
+        available: false,
+        ..offer(number, 5, FAST_MILLI, 200_000)
+    };
+    delegates.record_offer(withdrawn, START);
+    expect_that!(delegates.choose(890, START), eq(true));
+    expect_that!(routes(&delegates).contains(&Some(stopping)), eq(false));
+}
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -41,7 +41,7 @@
 ///
 /// A congested link delivers late answers; to close its connections and open new ones would add to
 /// the load.
-const SILENT_MS: Millis = Millis(400);
+const SILENT_MS: Millis = Millis(300);
 
 /// Timeout of a call that stores a submission; leaves time for an attempt without the owner.
 const STORE_REPLY_TIMEOUT_MS: Millis = Millis(2_000);
@@ -54,8 +54,9 @@
 struct Link {
     sender: Rc<dyn PeerSender>,
     pending: Pending,
+    opened_at: MonoMs,
     /// Time of the latest message from the peer.
-    heard_at: Cell<MonoMs>,
+    heard_at: Cell<Option<MonoMs>>,
     /// Latency of the peer's answers.
     latency: Cell<LatencyEstimate>,
 }
@@ -153,7 +154,8 @@
         let open = self.open.borrow();
         open.get(&address).is_some_and(|link| {
             let heard_at = link.heard_at.get();
-            heard_at >= sent_at || self.env.now().since(heard_at) < SILENT_MS
+            let alive_at = heard_at.unwrap_or(link.opened_at);
+            heard_at.is_some_and(|at| at >= sent_at) || self.env.now().since(alive_at) < SILENT_MS
         })
     }
 
@@ -247,7 +249,8 @@
         let link = Rc::new(Link {
             sender: opened.sender,
             pending: Pending::default(),
-            heard_at: Cell::new(self.env.now()),
+            opened_at: self.env.now(),
+            heard_at: Cell::new(None),
             latency: Cell::default(),
         });
         self.open.borrow_mut().insert(address, link.clone());
@@ -293,7 +296,7 @@
 
 async fn receive_answers(env: &Env, link: &Link, mut receiver: Box<dyn PeerReceiver>) {
     while let Ok(message) = receiver.receive().await {
-        link.heard_at.set(env.now());
+        link.heard_at.set(Some(env.now()));
         if let Message::Reply(number, Response::Workflow(answer)) = message {
             let waiting = link.pending.borrow_mut().remove(&number);
             if let Some(waiting) = waiting {
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -55,9 +55,73 @@
     pub(crate) lose_answer_every: Cell<u64>,
     /// Run time of a task.
     pub(crate) run_ms: Cell<u64>,
+    /// Number of calls that each node made.
+    calls: RefCell<BTreeMap<usize, u64>>,
+}
+
+/// The workers as one node reaches them; counts its calls.
+struct NodeFleet {
+    fleet: Rc<FakeFleet>,
+    node: usize,
+}
+
+impl NodeFleet {
+    fn count_call(&self) {
+        *self.fleet.calls.borrow_mut().entry(self.node).or_default() += 1;
+    }
+}
+
+impl Fleet for NodeFleet {
+    fn start(&self, worker: &Endpoint, call: StartCall) -> PortFuture<'_, Timed<StartAnswer>> {
+        self.count_call();
+        self.fleet.start(worker, call)
+    }
+
+    fn stop(
+        &self,
+        worker: &Endpoint,
+        task: TaskName,
+        run: Run,
+        term: u64,
+    ) -> PortFuture<'_, result::Result<(), WorkerError>> {
+        self.count_call();
+        self.fleet.stop(worker, task, run, term)
+    }
+
+    fn pace(
+        &self,
+        worker: &Endpoint,
+        task: TaskName,
+        run: Run,
+        percent: u8,
+        term: u64,
+    ) -> PortFuture<'_, result::Result<(), WorkerError>> {
+        self.count_call();
+        self.fleet.pace(worker, task, run, percent, term)
+    }
+
+    fn fetch_report(
+        &self,
+        worker: &Endpoint,
+        request: ReportRequest,
+    ) -> PortFuture<'_, result::Result<Timed<Report>, WorkerError>> {
+        self.count_call();
+        self.fleet.fetch_report(worker, request)
+    }
 }
 
 impl FakeFleet {
+    /// Returns the workers as a node reaches them.
+    pub(crate) fn of_node(self: &Rc<Self>, node: usize) -> Rc<dyn Fleet> {
+        let fleet = self.clone();
+        Rc::new(NodeFleet { fleet, node })
+    }
+
+    /// Returns the number of calls that a node made, and sets it to 0.
+    pub(crate) fn take_calls(&self, node: usize) -> u64 {
+        self.calls.borrow_mut().remove(&node).unwrap_or(0)
+    }
+
     pub(crate) fn new(sim: SimRuntime, count: usize) -> Rc<FakeFleet> {
         Rc::new(FakeFleet {
             sim,
@@ -67,6 +131,7 @@
             starts: Cell::new(0),
             lose_answer_every: Cell::new(0),
             run_ms: Cell::new(RUN_MS),
+            calls: RefCell::default(),
         })
     }
 
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -32,6 +32,9 @@
     store::{FakeStore, NodeStore},
 };
 
+/// Bandwidth of a link that carries the calls to all workers of a test.
+const FAST_LINK_KBPS: u32 = 1_000_000;
+
 /// Maximum lease of a worker in milliseconds.
 pub(crate) const LEASE_MS: u64 = 6_000;
 
@@ -76,7 +79,7 @@
         address: SocketAddr::from(([127, 0, 1, 1], 1_000 + number as u16)),
         pool: "pool".into(),
         data_centre: DataCentre::try_from("a").expect("name"),
-        labels: vec!["kind".into(), "rack".into()],
+        labels: vec!["kind".into(), format!("rack-{}", number / 3).into()],
         capacity: Resources {
             cpu_milli: 8_000,
             memory_mb: 8_000,
@@ -137,6 +140,11 @@
 
     /// Starts a node with a share of a core.
     pub(crate) fn start_with_share(&self, number: usize, cpu_share: f64) {
+        self.start_with(number, cpu_share, FAST_LINK_KBPS);
+    }
+
+    /// Starts a node with a share of a core and a link of the given bandwidth.
+    pub(crate) fn start_with(&self, number: usize, cpu_share: f64, link_kbps: u32) {
         let name = node_name(number);
         let runtime = self.sim.node_runtime(&name);
         let settings = Settings {
@@ -144,7 +152,7 @@
             data_centre: DataCentre::try_from("a").expect("name"),
             peer_address: address(number),
             cpu_share,
-            link_kbps: 1_000_000,
+            link_kbps,
             lease_ms: Millis(LEASE_MS),
             keep_ended_ms: Millis(120_000),
         };
@@ -160,7 +168,7 @@
                 catalogue: self.catalogue.clone(),
                 workers: self.fleet.count(),
             }),
-            fleet: self.fleet.clone(),
+            fleet: self.fleet.of_node(number),
         };
         let node = Node::new(settings, ports).expect("metrics");
         node.set_peers(Rc::new(FakePeers::new(self.nodes.clone())));
