Recover over a slow link

A page of newest records has up to 1.4 MB on the wire and takes 5.6 s at 2 Mbit/s; a call to the store was given up after 1.2 s, and the next owner failed alike. The test (virtual time, page of 5.6 s, all nodes killed) fails without the change.

--- a/hemlocksaddle-daemon/src/shards.rs
+++ b/hemlocksaddle-daemon/src/shards.rs
@@ -58,7 +58,7 @@
     let metrics = bind(addresses.metrics, "metrics").await?;
     let ports = Ports {
         runtime: Rc::new(CompioRuntime::new()),
-        store: LogStore::new(addresses.store),
+        store: LogStore::new(addresses.store, file.node.link_kbps),
         formats: Rc::new(PlatformFormats),
         fleet: HttpFleet::new(),
     };
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -35,6 +35,12 @@
 /// for each, and short enough to detect a silent connection before the ownership lease expires.
 const STORE_TIMEOUT_MS: Millis = Millis(1_200);
 
+/// Maximum size of a page of newest records on the wire, encoded in base64.
+const MAX_PAGE_BYTES: u64 = 1_400_000;
+
+/// Number of streams that a new owner reads at the same time, over one link.
+const CONCURRENT_STREAMS: u64 = 2;
+
 /// Duration of a store failure after which the node reports itself as not ready.
 const UNREADY_AFTER_MS: Millis = Millis(700);
 
@@ -119,7 +125,9 @@
         loop {
             let after = records.last().map(|record| record.key.clone());
             let page = self.ports.store.newest(stream, partition, after);
-            let page = self.with_timeout("newest", STORE_TIMEOUT_MS, page).await?;
+            let page = self
+                .with_timeout("newest", self.page_timeout(), page)
+                .await?;
             // Changes between two pages are read again when the stream is followed.
             end.get_or_insert(page.end);
             let is_empty = page.records.is_empty();
@@ -130,6 +138,12 @@
         }
     }
 
+    /// Timeout of a call that reads a page: the page may be as large as the store allows.
+    fn page_timeout(&self) -> Millis {
+        let link_kbps = u64::from(self.settings.link_kbps.max(1));
+        Millis(STORE_TIMEOUT_MS.0 + CONCURRENT_STREAMS * MAX_PAGE_BYTES * 8 / link_kbps)
+    }
+
     pub(crate) async fn read(
         &self,
         stream: Stream,
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -454,3 +454,26 @@
         );
     }
 }
+
+/// Load pattern: loss of all nodes, behind slow links. Guards against a state that no successor can
+/// read, because its pages take longer than a call to the store may.
+#[gtest]
+fn a_successor_reads_its_state_over_a_slow_link() {
+    let deployment = Deployment::without_nodes(1, 2);
+    // 1.4 MB take 5.6 s at 2 Mbit/s.
+    let start_all = || {
+        for number in 0..3 {
+            deployment.start_with(number, 0.25, 2_000);
+            deployment.set_page_time(number, Millis(5_600));
+        }
+    };
+    start_all();
+    deployment.sim.run_for(Millis(30_000));
+    deployment.submit(0, 1, vec![step(4)]);
+    (0..3).for_each(|number| deployment.kill(number));
+    start_all();
+    deployment.sim.run_for(Millis(30_000));
+    let ended = deployment.wait_for_end(1, 1, Millis(10_000));
+    expect_that!(ended, some(eq(State::Completed)));
+    expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+}
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -159,6 +159,7 @@
         let store = Rc::new(NodeStore {
             store: self.store.clone(),
             rejects_calls: Cell::new(false),
+            page_ms: Cell::new(0),
         });
         self.stores.borrow_mut().insert(number, store.clone());
         let ports = Ports {
@@ -187,6 +188,11 @@
         self.stores.borrow()[&number].rejects_calls.set(true);
     }
 
+    /// Sets the time that a page of newest records takes on a node's link.
+    pub(crate) fn set_page_time(&self, number: usize, page: Millis) {
+        self.stores.borrow()[&number].page_ms.set(page.0);
+    }
+
     /// Suspends a node's process.
     pub(crate) fn pause(&self, number: usize, duration: Millis) {
         self.sim.pause(&node_name(number), duration);
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -169,6 +169,8 @@
     pub(crate) store: Rc<FakeStore>,
     /// Rejects the calls of this node; other nodes are served.
     pub(crate) rejects_calls: Cell<bool>,
+    /// Time that a page of newest records takes on this node's link.
+    pub(crate) page_ms: Cell<u64>,
 }
 
 impl Store for NodeStore {
@@ -181,7 +183,12 @@
         if self.rejects_calls.get() {
             return Box::pin(async { Err(StoreError::NotDone) });
         }
-        self.store.newest(stream, partition, after)
+        let page = self.store.newest(stream, partition, after);
+        Box::pin(async {
+            let page = page.await;
+            self.store.sim.sleep(Millis(self.page_ms.get())).await;
+            page
+        })
     }
 
     fn read(
