Watch workers over their target closely, and tell a silent worker from a silent delegate

Besides, a delegate waited as long for a silent worker as the owner, which then took the delegate for silent. Change: a worker over its target is asked every 350 ms whatever the latency; a delegate gives up 40 ms before the owner.

--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -164,6 +164,12 @@
         self.best_effort_cpu_milli > 0 && self.long_running_cpu_milli > 0
     }
 
+    /// Whether the tail of a long-running task exceeded its target in the last report.
+    #[must_use]
+    pub fn is_over_target(&self) -> bool {
+        self.over_target_since.is_some()
+    }
+
     /// Whether some applied ends are not durable yet.
     #[must_use]
     pub fn has_unsaved_ends(&self) -> bool {
--- a/hemlocksaddle-policy/tests/colocation.rs
+++ b/hemlocksaddle-policy/tests/colocation.rs
@@ -137,3 +137,29 @@
     let (ten, forty) = (size(10), size(40));
     expect_that!(forty, lt(6 * ten));
 }
+
+/// Load pattern: owner's link full, so that reports are requested less often. Guards against a
+/// long-running task over its target whose worker is not watched closely.
+#[gtest]
+fn a_worker_is_over_target_from_the_report_that_shows_it() {
+    let mut harness = Harness::with_workers(1, 32_000);
+    harness.accept(1, vec![long_running(1, 8_000, "serving")]);
+    harness.accept(2, vec![best_effort(1, 4_000, "first")]);
+    harness.accept(3, vec![best_effort(1, 4_000, "second")]);
+    let starts = harness.starts();
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    let is_over_target = |harness: &Harness| {
+        let worker = harness.scheduler.worker(harness.workers[0]);
+        worker.expect("worker").is_over_target()
+    };
+    for (tail_ms, expected) in [(50, false), (150, true), (150, true), (50, false)] {
+        harness.advance(700);
+        harness.report_tails(0, tail_ms);
+        harness.starts();
+        expect_that!(
+            is_over_target(&harness),
+            eq(expected),
+            "tail of {tail_ms} ms"
+        );
+    }
+}
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -36,6 +36,10 @@
 /// delegate with several workers is heard much more often.
 const DELEGATE_SILENT_MS: Millis = Millis(700);
 
+/// Time by which a delegate gives up a call before the owner does, so that its answer shows that the
+/// worker is silent and not the delegate.
+const ANSWER_MARGIN_MS: u64 = 40;
+
 /// Number of workflows per delegate whose text it is assumed to keep; below what it keeps.
 const MAX_KNOWN_TEXTS: usize = 1_000;
 
@@ -254,7 +258,7 @@
         let call = DelegatedCall {
             worker: worker.endpoint(),
             term: self.term,
-            timeout,
+            timeout: Millis(timeout.0.saturating_sub(ANSWER_MARGIN_MS)),
             action,
         };
         let request = ShardRequest::Delegate(self.shard, Box::new(call));
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -93,14 +93,19 @@
             if self.has_unsaved_ends(key) {
                 self.wait_for_save(key).await;
             }
-            let shared = self
-                .scheduler
-                .borrow()
-                .worker(key)
-                .is_some_and(|worker| worker.is_shared());
+            let (is_shared, is_over_target) = {
+                let scheduler = self.scheduler.borrow();
+                let worker = scheduler.worker(key);
+                worker.map_or((false, false), |worker| {
+                    (worker.is_shared(), worker.is_over_target())
+                })
+            };
             let wait = if silent || is_new {
                 Millis(0)
-            } else if shared {
+            } else if is_over_target {
+                // Whether a change of pace sufficed has to show in time, even on a slow path.
+                SHARED_REPORT_WAIT_MS
+            } else if is_shared {
                 let latency = self.latency.get();
                 latency.report_wait(SHARED_REPORT_WAIT_MS, REPORT_WAIT_MS)
             } else {
--- a/hemlocksaddle-shard/tests/delegation.rs
+++ b/hemlocksaddle-shard/tests/delegation.rs
@@ -145,3 +145,21 @@
     submit(&deployment, owner, 5..=8);
     expect_completed(&deployment, owner, 1..=8);
 }
+
+/// Guards against a delegate that is given up because a worker behind it is silent.
+#[gtest]
+fn a_silent_worker_does_not_cost_its_delegate() {
+    let deployment = deployment(4, 12);
+    let owner = deployment.owner().expect("owner");
+    submit(&deployment, owner, 1..=2);
+    callers(&deployment);
+    deployment.fleet.set_unreachable(0, true);
+    for _ in 0..10 {
+        deployment.sim.run_for(Millis(500));
+        expect_that!(callers(&deployment), not(contains(eq(&owner))));
+    }
+    let metrics = deployment.node(owner).expect("node").metrics_text();
+    let metrics = String::from_utf8(metrics.expect("metrics")).expect("text");
+    let unanswered = "shard_delegated_calls_total{outcome=\"no answer\"}";
+    expect_that!(metrics, not(contains_substring(unanswered)));
+}
--- a/hemlocksaddle-types/src/delegation.rs
+++ b/hemlocksaddle-types/src/delegation.rs
@@ -254,7 +254,7 @@
     pub worker: Endpoint,
     /// Owner's term.
     pub term: u64,
-    /// Time after which the owner no longer waits for the answer.
+    /// Time after which the delegate answers that the worker did not.
     pub timeout: Millis,
     /// Call.
     pub action: Action,
