--- a/hemlocksaddle-policy/src/pacing.rs
+++ b/hemlocksaddle-policy/src/congestion.rs
@@ -9,7 +9,8 @@
 //! orders in flight by additive increase and multiplicative decrease, so that tasks
 //! wait with the scheduler, which can still change its mind, and not on the path.
 //!
-//! A worker that does not answer tells nothing about the path: only answers count.
+//! A worker that does not answer counts against the path only if no other worker has
+//! answered fast meanwhile.
 
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 
@@ -22,6 +23,12 @@
 /// Deviations that a timeout allows for beyond the mean latency, from RFC 6298.
 const DEVIATIONS: f64 = 4.0;
 
+/// Mean latency from which reports are requested less often.
+const SLOW_LATENCY_MS: f64 = 50.0;
+
+/// Time by which the wait of a report request grows for each millisecond of latency.
+const WAIT_PER_LATENCY: f64 = 5.0;
+
 /// Latency of the calls to many workers, mean and deviation.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LatencyEstimate {
@@ -52,15 +59,7 @@
         let timeout_ms = mean_ms + DEVIATIONS * self.deviation_ms;
         Millis((timeout_ms as u64).clamp(min.0, max.0))
     }
-}
 
-/// Mean latency from which reports are requested less often.
-const SLOW_LATENCY_MS: f64 = 50.0;
-
-/// Time by which the wait of a report request grows for each millisecond of latency.
-const WAIT_PER_LATENCY: f64 = 5.0;
-
-impl LatencyEstimate {
     /// Time for which a worker should wait for a run to end before it reports, from the usual one
     /// to the longest.
     ///
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -7,12 +7,12 @@
 pub mod admission;
 pub mod backoff;
 pub mod checkpoint;
+pub mod congestion;
 pub mod delegation;
 pub mod failure_attribution;
 pub mod fairness;
 pub mod intake;
 pub mod interference;
-pub mod pacing;
 pub mod placement;
 pub mod retry;
 pub mod routing;
--- a/hemlocksaddle-policy/tests/pacing.rs
+++ b/hemlocksaddle-policy/tests/congestion.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::pacing::{LatencyEstimate, StartWindow, save_pause, silent_poll_pause};
+use hemlocksaddle_policy::congestion::{
+    LatencyEstimate, StartWindow, save_pause, silent_poll_pause,
+};
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 
 /// Time at which a run of a path starts; not zero, so that "never" and "now" differ.
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -17,7 +17,7 @@
     ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers, PortFuture},
     wait::within,
 };
-use hemlocksaddle_policy::pacing::LatencyEstimate;
+use hemlocksaddle_policy::congestion::LatencyEstimate;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     name::NodeName,
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use hemlocksaddle_policy::{
-    pacing::StartWindow,
+    congestion::StartWindow,
     workflow::{Order, Start, StartAnswer, WorkerKey},
 };
 use hemlocksaddle_types::{
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -12,7 +12,7 @@
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
-    pacing::{LatencyEstimate, StartWindow, save_pause},
+    congestion::{LatencyEstimate, StartWindow, save_pause},
     take_over::RENEW_INTERVAL_MS,
     workflow::{Limits, Listing, Scheduler, Unsaved, WorkerKey},
 };
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -4,7 +4,7 @@
 
 use hemlocksaddle_node::wait::within;
 use hemlocksaddle_policy::{
-    pacing::silent_poll_pause,
+    congestion::silent_poll_pause,
     workflow::{Listing, Report, WorkerKey},
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs};
