Take late answers of a delegate as a sign of life; test two more of the reported cases

Change: any message on the connection shows that the delegate lives. Tests: a worker that has left and is in the roster gets no task after a restart; malformed records in every stream stop nothing.

--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -376,3 +376,21 @@
     expect_that!(starts.len(), eq(1));
     expect_that!(starts[0].name.workflow.0, eq(3));
 }
+
+/// Guards against a worker that has left and is used again after a restart of the owner, which knows
+/// it from the roster only.
+#[gtest]
+fn a_worker_that_has_left_gets_no_task_after_a_restart() {
+    let mut before = Harness::with_workers(2, 16_000);
+    let roster = before.roster();
+    before.leave(0);
+    let mut harness = Harness::unreported(0, 16_000, 10_000);
+    harness.restore_roster(roster);
+    harness.list(1);
+    (0..2).for_each(|number| harness.report_idle(number));
+    harness.accept(1, vec![step(20, 1_000)]);
+    let starts = harness.starts();
+    expect_that!(starts, not(is_empty()));
+    let left = harness.workers[0];
+    expect_that!(starts.iter().all(|start| start.worker != left), eq(true));
+}
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -138,6 +138,30 @@
         }
     }
 
+    /// Listings of all workers, as a roster stores them.
+    pub(crate) fn roster(&self) -> Vec<Listing> {
+        let worker = |&key| self.scheduler.worker(key).expect("worker").listing.clone();
+        self.workers.iter().map(worker).collect()
+    }
+
+    /// Removes a worker from the platform's list.
+    pub(crate) fn leave(&mut self, number: usize) {
+        let mut listed = self.roster();
+        listed.remove(number);
+        self.scheduler.list_workers(listed);
+    }
+
+    /// Restores a roster; its workers become the harness's workers.
+    pub(crate) fn restore_roster(&mut self, roster: Vec<Listing>) {
+        self.workers = self.scheduler.restore_roster(roster);
+    }
+
+    /// Lists only the worker with the given number.
+    pub(crate) fn list(&mut self, number: usize) {
+        let listed = vec![self.roster().remove(number)];
+        self.scheduler.list_workers(listed);
+    }
+
     pub(crate) fn advance(&mut self, ms: u64) {
         self.now = self.now + Millis(ms);
     }
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -5,10 +5,7 @@
 //! is made directly. One that got no answer has an unknown outcome, as if the worker
 //! had not answered; the owner repeats it, by then through another node.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-};
+use std::{cell::RefCell, rc::Rc};
 
 use foldhash::{HashMap, HashSet};
 use hemlocksaddle_policy::{
@@ -16,7 +13,7 @@
     workflow::Listing,
 };
 use hemlocksaddle_types::{
-    clock::{Millis, MonoMs},
+    clock::Millis,
     delegation::{Action, DelegatedAnswer, DelegatedCall, Offer, Report, StartAnswer},
     name::NodeName,
     workflow::{Run, ShardRequest, ShardResponse, TaskName, WorkflowId},
@@ -30,7 +27,7 @@
     ports::{ReportRequest, StartCall, Timed, WorkerError},
 };
 
-/// Time without any answer of a delegate after which an unanswered call counts against it.
+/// Time without any message of a delegate after which an unanswered call counts against it.
 ///
 /// Each of its workers answers a report request at least once a second, so that a working
 /// delegate with several workers is heard much more often.
@@ -43,13 +40,8 @@
 /// Number of workflows per delegate whose text it is assumed to keep; below what it keeps.
 const MAX_KNOWN_TEXTS: usize = 1_000;
 
-/// What the owner knows of a delegate.
-#[derive(Default)]
-struct Peer {
-    heard_at: Cell<MonoMs>,
-    /// Workflows whose text was sent to the delegate.
-    texts: RefCell<HashSet<WorkflowId>>,
-}
+/// Workflows whose text was sent to a delegate.
+type KnownTexts = Rc<RefCell<HashSet<WorkflowId>>>;
 
 /// Outcome of a delegated call.
 enum Outcome {
@@ -66,7 +58,7 @@
     shard: u32,
     term: u64,
     delegates: RefCell<Delegates>,
-    peers: RefCell<HashMap<NodeName, Rc<Peer>>>,
+    known_texts: RefCell<HashMap<NodeName, KnownTexts>>,
 }
 
 impl Dispatcher {
@@ -79,7 +71,7 @@
             shard,
             term,
             delegates: RefCell::new(delegates),
-            peers: RefCell::default(),
+            known_texts: RefCell::default(),
         }
     }
 
@@ -111,9 +103,9 @@
         delegates.route(&worker.data_centre, rack).cloned()
     }
 
-    fn peer(&self, node: &NodeName) -> Rc<Peer> {
-        let mut peers = self.peers.borrow_mut();
-        peers.entry(node.clone()).or_default().clone()
+    fn known_texts(&self, node: &NodeName) -> KnownTexts {
+        let mut known = self.known_texts.borrow_mut();
+        known.entry(node.clone()).or_default().clone()
     }
 
     /// Orders a task to start.
@@ -146,18 +138,18 @@
         call: &StartCall,
         timeout: Millis,
     ) -> Outcome {
-        let peer = self.peer(&delegate.node);
+        let texts = self.known_texts(&delegate.node);
         let workflow = call.task.workflow;
-        let is_known = peer.texts.borrow().contains(&workflow);
+        let is_known = texts.borrow().contains(&workflow);
         let action = Action::start(call, !is_known);
         let mut outcome = self.delegate(delegate, worker, action, timeout).await;
         if matches!(outcome, Outcome::Answered(DelegatedAnswer::TextMissing)) {
-            peer.texts.borrow_mut().remove(&workflow);
+            texts.borrow_mut().remove(&workflow);
             let action = Action::start(call, true);
             outcome = self.delegate(delegate, worker, action, timeout).await;
         }
         if matches!(outcome, Outcome::Answered(DelegatedAnswer::Start(_))) {
-            let mut texts = peer.texts.borrow_mut();
+            let mut texts = texts.borrow_mut();
             if texts.len() >= MAX_KNOWN_TEXTS {
                 texts.clear();
             }
@@ -267,7 +259,6 @@
             .links
             .call_within(&delegate.node, delegate.address, request, timeout);
         let outcome = called.await;
-        let peer = self.peer(&delegate.node);
         let label = match &outcome {
             CallOutcome::Answered(_) => "answered",
             CallOutcome::NotSent => "not sent",
@@ -278,7 +269,6 @@
         match outcome {
             CallOutcome::Answered(ShardResponse::Delegated(answer)) => {
                 let now = self.env.now();
-                peer.heard_at.set(now);
                 let mut delegates = self.delegates.borrow_mut();
                 delegates.record_answer(&delegate.node, now);
                 Outcome::Answered(answer)
@@ -292,7 +282,9 @@
                 Outcome::NotSent
             }
             CallOutcome::NoAnswer => {
-                let heard_at = peer.heard_at.get().max(sent_at);
+                // Late answers to earlier calls show that the path is slow and the delegate alive.
+                let heard_at = self.links.heard_at(delegate.address);
+                let heard_at = heard_at.unwrap_or(sent_at).max(sent_at);
                 if self.env.now().since(heard_at) >= DELEGATE_SILENT_MS.min(timeout) {
                     self.drop_delegate(delegate, "does not answer");
                 }
@@ -307,7 +299,7 @@
         let was_active = delegates.active().contains(delegate);
         delegates.record_failure(&delegate.node, now);
         drop(delegates);
-        self.peers.borrow_mut().remove(&delegate.node);
+        self.known_texts.borrow_mut().remove(&delegate.node);
         if was_active {
             let inputs = json!({
                 "shard": self.shard, "delegate": delegate.node.as_str(), "reason": reason,
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -133,6 +133,12 @@
         outcome
     }
 
+    /// Returns the time at which a peer last sent anything on the open connection to it.
+    pub(crate) fn heard_at(&self, address: SocketAddr) -> Option<MonoMs> {
+        let open = self.open.borrow();
+        open.get(&address).and_then(|link| link.heard_at.get())
+    }
+
     fn answer_timeout(&self, address: SocketAddr) -> Millis {
         let open = self.open.borrow();
         open.get(&address).map_or(MIN_ANSWER_TIMEOUT_MS, |link| {
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -477,3 +477,39 @@
     expect_that!(ended, some(eq(State::Completed)));
     expect_that!(*deployment.fleet.violations.borrow(), is_empty());
 }
+
+/// Guards against one malformed record that stops an owner or ends its process: records of other
+/// writers, in any stream, before the start and while work runs.
+#[gtest]
+fn malformed_records_are_left_out() {
+    let streams = [Stream::Submissions, Stream::Progress, Stream::Workers];
+    let deployment = Deployment::without_nodes(1, 3);
+    for stream in streams {
+        deployment.store.put_garbage(stream);
+    }
+    (0..3).for_each(|number| deployment.start(number));
+    deployment.wait_for_owner();
+    deployment.submit(0, 1, vec![step(4)]);
+    for stream in [Stream::Claims, Stream::Operator]
+        .into_iter()
+        .chain(streams)
+    {
+        deployment.store.put_garbage(stream);
+    }
+    deployment.sim.run_for(Millis(500));
+    deployment.submit(1, 2, vec![step(4)]);
+    for id in 1..=2 {
+        let ended = deployment.wait_for_end(2, id, Millis(20_000));
+        expect_that!(ended, some(eq(State::Completed)), "workflow {id}");
+    }
+    let owner = deployment.owner().expect("owner");
+    deployment.kill(owner);
+    let other = (owner + 1) % 3;
+    deployment.sim.run_for(Millis(4_000));
+    expect_that!(
+        deployment.submit(other, 3, vec![step(2)]),
+        eq(Submitted::Accepted)
+    );
+    let ended = deployment.wait_for_end(other, 3, Millis(20_000));
+    expect_that!(ended, some(eq(State::Completed)));
+}
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -61,6 +61,18 @@
         })
     }
 
+    /// Appends records that cannot be decoded, with keys of every kind and of none.
+    pub(crate) fn put_garbage(&self, stream: Stream) {
+        let id = "00000000000000aa";
+        let keys = ["", "garbage", "a", "config", "claim-0", "layout", id];
+        let mut partitions = self.partitions.borrow_mut();
+        let part = partitions.entry((stream, 0)).or_default();
+        part.records.extend(keys.map(|key| Record {
+            key: key.into(),
+            value: Some(Bytes::from_static(&[0xff, 0x00, 0x9f])),
+        }));
+    }
+
     pub(crate) fn put_config(&self) {
         self.put(Stream::Operator, "config");
     }
