Keep back the ends of all lost runs of a task

Cause, found on reading: only the first start after an unknown end was recorded; if that run was lost too and the task started a third time, the second run's end would have been acknowledged beside the third. A refused start also forgot the earlier one. Change: each start after an unknown end is recorded, a refused one is taken back. The gauge of delegates ends with its owner. no_lost_run_is_acknowledged_after_a_third_start fails without the change.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -74,11 +74,13 @@
     pub run: Run,
     /// Runs that failed.
     pub failed: Vec<Run>,
-    /// Whether the end of an earlier run is unknown, because its worker was silent until its lease
+    /// Whether the end of the latest run is unknown, because its worker was silent until its lease
     /// had expired.
     pub(super) end_unknown: bool,
-    /// First run after one whose end is unknown.
+    /// Latest run that was started after one whose end is unknown.
     pub(super) restarted: Option<Run>,
+    /// Value of `restarted` before its last change, for a start that is refused.
+    restarted_before: Option<Run>,
     /// Latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
     /// Earliest time of the next start.
@@ -103,6 +105,7 @@
             failed: Vec::new(),
             end_unknown: false,
             restarted: None,
+            restarted_before: None,
             checkpoint: None,
             not_before: MonoMs(0),
             failed_on: None,
@@ -114,6 +117,22 @@
     }
 }
 
+impl Task {
+    /// Records that a run is started although the end of an earlier one is unknown.
+    pub(super) fn mark_restarted(&mut self, run: Run) {
+        self.restarted_before = self.restarted.replace(run);
+        self.end_unknown = false;
+    }
+
+    /// Takes [`Task::mark_restarted`] back after the start of the run was refused.
+    pub(super) fn undo_restarted(&mut self, run: Run) {
+        if self.restarted == Some(run) {
+            self.restarted = self.restarted_before;
+            self.end_unknown = true;
+        }
+    }
+}
+
 /// Pace of a run that is not limited, in percent.
 pub(super) const FULL_PACE: u8 = 100;
 
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -238,9 +238,8 @@
         // An inherited task may have run on a worker that has not reported.
         let end_unknown = job.inherited && self.missing_reports;
         let task = job.task_mut(key);
-        task.end_unknown |= end_unknown;
-        if task.end_unknown && task.restarted.is_none() {
-            task.restarted = Some(run);
+        if task.end_unknown || end_unknown {
+            task.mark_restarted(run);
             self.unsaved.insert(key.job);
         }
         task.phase = Phase::Starting {
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -299,9 +299,7 @@
     fn unassign_refused(&mut self, start: &Start) {
         self.unassign(start.task);
         let task = self.jobs[start.task.job].task_mut(start.task);
-        if task.restarted == Some(start.run) {
-            task.restarted = None;
-        }
+        task.undo_restarted(start.run);
     }
 
     /// Whether a start is still unconfirmed, so that its order may be sent again.
--- a/hemlocksaddle-policy/tests/lost_runs.rs
+++ b/hemlocksaddle-policy/tests/lost_runs.rs
@@ -20,9 +20,17 @@
     harness.advance(LEASE_MS + 100);
     let second = harness.starts().remove(0);
     harness.answer(&second, StartAnswer::Accepted);
+    // The order and the report that follows it renew the lease of the second worker.
+    harness.report_running(number_of(harness, &second), 1, second.run);
     (first, second)
 }
 
+/// Returns the index of the worker of a start.
+fn number_of(harness: &Harness, start: &Start) -> usize {
+    let index = harness.workers.iter().position(|&key| key == start.worker);
+    index.expect("worker")
+}
+
 fn acknowledged_ends(harness: &Harness, start: &Start) -> u64 {
     let worker = harness.scheduler.worker(start.worker);
     worker.expect("worker").saved_ends
@@ -132,3 +140,49 @@
         })
     );
 }
+
+/// Loses the second run of a task as well, and returns it with the order to start the third.
+fn lost_twice(harness: &mut Harness) -> (Start, Start, Start) {
+    let (first, second) = restarted(harness);
+    harness.scheduler.set_worker_silent(second.worker, true);
+    harness.advance(LEASE_MS + 100);
+    harness.report_idle(2);
+    let third = harness.starts().remove(0);
+    (first, second, third)
+}
+
+/// Guards against the end of a second lost run that is acknowledged beside a third run.
+#[gtest]
+fn no_lost_run_is_acknowledged_after_a_third_start() {
+    let mut harness = Harness::with_workers(3, 16_000);
+    let (first, second, third) = lost_twice(&mut harness);
+    harness.answer(&third, StartAnswer::Accepted);
+    harness.end(&second, EndKind::Done);
+    harness.end(&first, EndKind::Done);
+    harness.save();
+    expect_that!(acknowledged_ends(&harness, &first), eq(0));
+    expect_that!(acknowledged_ends(&harness, &second), eq(0));
+    expect_that!(
+        harness.phase(1, 0),
+        pat!(Phase::Running {
+            worker: eq(third.worker),
+            ..
+        })
+    );
+}
+
+/// Guards against a refused third start that makes the end of the first run acknowledged, although
+/// the second run has begun.
+#[gtest]
+fn a_refused_start_changes_nothing_for_earlier_runs() {
+    let mut harness = Harness::with_workers(3, 16_000);
+    let (first, second, third) = lost_twice(&mut harness);
+    harness.answer(&third, StartAnswer::NoRoom);
+    harness.end(&first, EndKind::Done);
+    harness.save();
+    expect_that!(acknowledged_ends(&harness, &first), eq(0));
+    harness.end(&second, EndKind::Done);
+    harness.save();
+    expect_that!(acknowledged_ends(&harness, &second), eq(1));
+    expect_that!(harness.state(1), some(eq(State::Completed)));
+}
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -265,6 +265,7 @@
             self.dispatcher.choose_delegates(workers);
             self.env.sleep(CHOOSE_DELEGATES_INTERVAL_MS).await;
         }
+        self.env.metrics.delegates.set(0);
     }
 
     async fn follow_configuration(self: Rc<Self>) {
