--- a/hemlocksaddle-policy/src/congestion.rs
+++ b/hemlocksaddle-policy/src/congestion.rs
@@ -173,8 +173,9 @@
 
 /// Pause before a worker that did not answer is polled again.
 ///
-/// It grows with the number of such workers, so that all of them together are polled about a
-/// hundred times per second, whatever the size of the fleet.
+/// It grows with the number of such workers, so that up to 160 of them together are polled about a
+/// hundred times per second. More are polled more often in all, because a worker that answers again
+/// has to be noticed before its lease expires.
 #[must_use]
 pub fn silent_poll_pause(silent_workers: usize) -> Millis {
     let pause_ms = SILENT_PAUSE_MS * silent_workers as u64 / SILENT_POLLED_FAST;
--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -40,7 +40,7 @@
 /// as much again for peaks.
 const KBPS_PER_WORKER: f64 = 100.0;
 
-/// Share of the workers that the delegates must suffice for, so that one may be lost.
+/// Capacity of the delegates relative to the number of workers, so that one may be lost.
 const SPARE: f64 = 1.5;
 
 /// Share of a core in thousandths at or above which a node is preferred.
