Log crashes of workers with the runs that were lost

The log named no task of a worker that was lost, so it could not tell an owner that does not count such runs from one that forgets the count. Event 15 lists the lost runs that started last, each with the time for which the worker is known to have lived after its start, read on the worker's own clock. A worker that leaves as announced has not crashed.

Ruled out: a count lost with its owner (the owner never changed).

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -87,6 +87,8 @@
     pub not_before: MonoMs,
     /// Worker to avoid: the latest run failed there or was moved off it.
     pub failed_on: Option<WorkerKey>,
+    /// Reading of the worker's clock by which the run had started; `None` if it may not have.
+    pub(super) started_clock_ms: Option<u64>,
     /// Progress of the run in percent, as last reported.
     pub percent: u8,
     /// Time at which the progress last changed.
@@ -109,6 +111,7 @@
             checkpoint: None,
             not_before: MonoMs(0),
             failed_on: None,
+            started_clock_ms: None,
             percent: 0,
             progressed_at: MonoMs(0),
             pace: FULL_PACE,
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -16,6 +16,7 @@
 
 mod capacity;
 mod consolidation;
+mod crash;
 mod interference;
 mod job;
 mod lifecycle;
@@ -38,6 +39,7 @@
 pub use hemlocksaddle_types::delegation::{End, EndKind, Report, StartAnswer, TaskStatus};
 
 pub use self::{
+    crash::{Crash, LostRun},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
     lifecycle::Unsaved,
@@ -131,6 +133,8 @@
     consolidated_at: MonoMs,
     /// Number of start orders that the next plan may give.
     start_budget: u32,
+    /// Crashes that are not logged yet.
+    crashes: Vec<Crash>,
 }
 
 impl Scheduler {
@@ -156,6 +160,7 @@
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
             start_budget: u32::MAX,
+            crashes: Vec::new(),
         }
     }
 
@@ -189,7 +194,10 @@
     /// Number of workers that did not answer the last report request.
     #[must_use]
     pub fn silent_workers(&self) -> usize {
-        self.workers.values().filter(|worker| worker.silent).count()
+        self.workers
+            .values()
+            .filter(|worker| worker.is_silent())
+            .count()
     }
 
     /// Worker with the given key.
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -53,7 +53,7 @@
         self.listed
             && self.rostered
             && !self.listing.draining
-            && !self.silent
+            && self.silent_since.is_none()
             && self.reported_at.is_some()
             && now >= self.suspended_until
             && self.listed_ends() < MAX_LISTED_ENDS_FOR_START
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -247,6 +247,7 @@
             maybe_started: false,
         };
         task.run = run;
+        task.started_clock_ms = None;
         task.percent = 0;
         task.pace = FULL_PACE;
         task.halted_at = None;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -23,7 +23,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        worker.silent = false;
+        worker.silent_since = None;
         worker.reported_at = worker.reported_at.max(Some(report.sent_at));
         let applied = worker.applied_ends;
         for end in report.ends.iter().filter(|end| end.number > applied) {
@@ -158,6 +158,7 @@
             self.stop_unknown(worker, status);
             return;
         };
+        let clock_ms = self.workers.get(worker).map(|worker| worker.clock_ms);
         let job = &mut self.jobs[key.job];
         job.started = true;
         let wanted = job.is_open();
@@ -180,6 +181,9 @@
             task.progressed_at = now;
         }
         task.percent = status.percent;
+        if adopted || task.run != status.run || task.started_clock_ms.is_none() {
+            task.started_clock_ms = clock_ms;
+        }
         task.run = status.run;
         if status.checkpoint.is_some() {
             task.checkpoint.clone_from(&status.checkpoint);
@@ -244,6 +248,7 @@
 
     /// Applies the answer to an order to start; returns whether to send the order again.
     pub fn start_answered(&mut self, start: &Start, answer: StartAnswer, now: MonoMs) -> bool {
+        let clock_ms = self.workers.get(start.worker).map(|worker| worker.clock_ms);
         let Some(job) = self.jobs.get_mut(start.task.job) else {
             return false;
         };
@@ -264,6 +269,7 @@
                 task.phase = Phase::Running { worker, since: now };
                 task.progressed_at = now;
                 task.percent = 0;
+                task.started_clock_ms = clock_ms;
                 job.started = true;
             }
             StartAnswer::Unknown => {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -108,8 +108,10 @@
     pub(super) failures_in_row: u32,
     pub(super) suspended_until: MonoMs,
     pub(super) suspend_ms: Millis,
-    /// Whether the last call got no answer.
-    pub(super) silent: bool,
+    /// Time of the first call without an answer; `None` if the last call was answered.
+    pub(super) silent_since: Option<MonoMs>,
+    /// Latest reading of the worker's clock.
+    pub(super) clock_ms: u64,
     pub(super) paced_at: MonoMs,
     pub(super) learned_at: MonoMs,
     /// Time since which the tail of a long-running task has exceeded its target.
@@ -137,7 +139,8 @@
             failures_in_row: 0,
             suspended_until: MonoMs(0),
             suspend_ms: SUSPEND_MS,
-            silent: false,
+            silent_since: None,
+            clock_ms: 0,
             paced_at: MonoMs(0),
             learned_at: MonoMs(0),
             over_target_since: None,
@@ -149,7 +152,7 @@
     /// Whether the last report request got no answer.
     #[must_use]
     pub fn is_silent(&self) -> bool {
-        self.silent
+        self.silent_since.is_some()
     }
 
     /// Number of assigned tasks.
@@ -301,7 +304,7 @@
     ///
     /// A new incarnation of a worker replaces the old one, whose tasks have ended with it.
     /// Returns the incarnations that were not known before.
-    pub fn list_workers(&mut self, listings: Vec<Listing>) -> Vec<WorkerKey> {
+    pub fn list_workers(&mut self, listings: Vec<Listing>, now: MonoMs) -> Vec<WorkerKey> {
         let mut new = Vec::new();
         for worker in self.workers.values_mut() {
             worker.listed = false;
@@ -321,7 +324,7 @@
                     worker.listed = true;
                     continue;
                 }
-                self.remove_worker(key);
+                self.worker_replaced(key, now);
             }
             let name = listing.name.clone();
             let key = self.workers.insert(Worker::new(listing));
@@ -332,7 +335,7 @@
     }
 
     /// Unassigns all tasks of a worker incarnation that has certainly ended, and removes it.
-    pub fn remove_worker(&mut self, key: WorkerKey) {
+    pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         self.unassign_all(key);
         let Some(worker) = self.workers.remove(key) else {
             return;
@@ -343,9 +346,9 @@
     }
 
     /// Records whether the last call to a worker got no answer.
-    pub fn set_worker_silent(&mut self, key: WorkerKey, silent: bool) {
+    pub fn set_worker_silent(&mut self, key: WorkerKey, silent: bool, now: MonoMs) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.silent = silent;
+            worker.silent_since = silent.then(|| worker.silent_since.unwrap_or(now));
         }
     }
 
--- a/hemlocksaddle-policy/tests/lost_runs.rs
+++ b/hemlocksaddle-policy/tests/lost_runs.rs
@@ -16,21 +16,15 @@
     harness.accept(1, vec![step(1, 1_000)]);
     let first = harness.starts().remove(0);
     harness.answer(&first, StartAnswer::Accepted);
-    harness.scheduler.set_worker_silent(first.worker, true);
+    harness.silence(first.worker);
     harness.advance(LEASE_MS + 100);
     let second = harness.starts().remove(0);
     harness.answer(&second, StartAnswer::Accepted);
     // The order and the report that follows it renew the lease of the second worker.
-    harness.report_running(number_of(harness, &second), 1, second.run);
+    harness.report_running(harness.number_of(&second), 1, second.run);
     (first, second)
 }
 
-/// Returns the index of the worker of a start.
-fn number_of(harness: &Harness, start: &Start) -> usize {
-    let index = harness.workers.iter().position(|&key| key == start.worker);
-    index.expect("worker")
-}
-
 fn acknowledged_ends(harness: &Harness, start: &Start) -> u64 {
     let worker = harness.scheduler.worker(start.worker);
     worker.expect("worker").saved_ends
@@ -69,7 +63,7 @@
     harness.accept(1, vec![step(1, 1_000)]);
     let first = harness.starts().remove(0);
     harness.answer(&first, StartAnswer::Accepted);
-    harness.scheduler.set_worker_silent(first.worker, true);
+    harness.silence(first.worker);
     harness.advance(LEASE_MS + 100);
     let second = harness.starts().remove(0);
     harness.answer(&second, StartAnswer::NoRoom);
@@ -144,7 +138,7 @@
 /// Loses the second run of a task as well, and returns it with the order to start the third.
 fn lost_twice(harness: &mut Harness) -> (Start, Start, Start) {
     let (first, second) = restarted(harness);
-    harness.scheduler.set_worker_silent(second.worker, true);
+    harness.silence(second.worker);
     harness.advance(LEASE_MS + 100);
     harness.report_idle(2);
     let third = harness.starts().remove(0);
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -94,7 +94,7 @@
     harness.accept(1, vec![step(1, 1_000)]);
     let start = harness.starts().remove(0);
     harness.answer(&start, StartAnswer::Accepted);
-    harness.scheduler.set_worker_silent(start.worker, true);
+    harness.silence(start.worker);
     harness.advance(LEASE_MS - 100);
     expect_that!(harness.starts(), is_empty());
     harness.advance(200);
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -126,7 +126,8 @@
             queues: vec![queue(), later],
             ..Catalogue::default()
         });
-        let workers = scheduler.list_workers((0..count).map(|n| listing(n, cpu_milli)).collect());
+        let workers =
+            scheduler.list_workers((0..count).map(|n| listing(n, cpu_milli)).collect(), now);
         workers.iter().for_each(|&key| scheduler.mark_rostered(key));
         Harness {
             scheduler,
@@ -148,7 +149,7 @@
     pub(crate) fn leave(&mut self, number: usize) {
         let mut listed = self.roster();
         listed.remove(number);
-        self.scheduler.list_workers(listed);
+        self.scheduler.list_workers(listed, self.now);
     }
 
     /// Restores a roster; its workers become the harness's workers.
@@ -159,16 +160,52 @@
     /// Lists only the worker with the given number.
     pub(crate) fn list(&mut self, number: usize) {
         let listed = vec![self.roster().remove(number)];
-        self.scheduler.list_workers(listed);
+        self.scheduler.list_workers(listed, self.now);
     }
 
     pub(crate) fn advance(&mut self, ms: u64) {
         self.now = self.now + Millis(ms);
     }
 
+    /// Records that a worker did not answer the last call.
+    pub(crate) fn silence(&mut self, worker: WorkerKey) {
+        self.scheduler.set_worker_silent(worker, true, self.now);
+    }
+
+    /// Returns the index of the worker of a start.
+    pub(crate) fn number_of(&self, start: &Start) -> usize {
+        let index = self.workers.iter().position(|&key| key == start.worker);
+        index.expect("worker")
+    }
+
+    /// Crashes the worker of a start; it is back as a new process, idle, after `away_ms`.
+    pub(crate) fn crash(&mut self, start: &Start, away_ms: u64) {
+        self.crash_worker(self.number_of(start), away_ms);
+    }
+
+    /// Crashes a worker; it is back as a new process, idle, after `away_ms`.
+    pub(crate) fn crash_worker(&mut self, number: usize, away_ms: u64) {
+        self.silence(self.workers[number]);
+        self.advance(away_ms);
+        let mut listed = self.roster();
+        listed[number].born_ms += 1;
+        self.workers[number] = self.scheduler.list_workers(listed, self.now)[0];
+        self.scheduler.mark_rostered(self.workers[number]);
+        self.clock_readings();
+        self.report_idle(number);
+    }
+
+    /// Records a reading of every worker's clock.
+    fn clock_readings(&mut self) {
+        for &key in &self.workers {
+            self.scheduler.record_clock(key, self.now.0);
+        }
+    }
+
     fn report(&mut self, worker: WorkerKey, report: &Report) {
         self.scheduler
             .extend_lease(worker, self.now + Millis(LEASE_MS));
+        self.scheduler.record_clock(worker, self.now.0);
         self.scheduler
             .apply_report(worker, report, self.now, self.wall());
     }
@@ -228,6 +265,7 @@
     }
 
     pub(crate) fn answer(&mut self, start: &Start, answer: StartAnswer) -> bool {
+        self.scheduler.record_clock(start.worker, self.now.0);
         self.scheduler.start_answered(start, answer, self.now)
     }
 
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -66,6 +66,8 @@
     WorkerRegained = 13, "worker regained";
     /// Worker does not answer.
     WorkerLost = 14, "worker lost";
+    /// Worker has crashed: a later process answers in its place.
+    WorkerCrashed = 15, "worker crashed";
     /// Configuration was applied.
     Configured = 20, "configured";
     /// Data centre was closed or reopened.
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and histograms of a node.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, from one store append to a caller's time limit.
@@ -18,6 +19,8 @@
     pub store_calls: IntCounterVec,
     /// Ended runs by kind of end.
     pub ends: IntCounterVec,
+    /// Crashes of workers.
+    pub worker_crashes: IntCounter,
     /// Time from submission to durable acceptance.
     pub accept_s: Histogram,
     /// Time to save progress.
@@ -56,7 +59,10 @@
             "Nodes that carry out the owner's calls to workers.",
         )?;
         registry.register(Box::new(delegates.clone()))?;
+        let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
+        registry.register(Box::new(worker_crashes.clone()))?;
         Ok(Metrics {
+            worker_crashes,
             delegates,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -356,7 +356,11 @@
         }
         let all = listings.values().cloned().collect();
         drop(listings);
-        let new = self.scheduler.borrow_mut().list_workers(all);
+        let new = self
+            .scheduler
+            .borrow_mut()
+            .list_workers(all, self.env.now());
+        self.log_crashes();
         self.poll_workers(new);
         self.changed.notify();
     }
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -37,6 +37,9 @@
 /// A report lists ends again until they are acknowledged as durable.
 const MAX_SAVE_WAIT_MS: Millis = Millis(500);
 
+/// Maximum number of lost runs in the log line of a crash; those that started last come first.
+const MAX_LOGGED_RUNS: usize = 8;
+
 /// Lowest rate of a worker's clock relative to this node's: 2% slow.
 const MIN_CLOCK_RATE: f64 = 0.98;
 
@@ -125,7 +128,9 @@
                 Err(WorkerError::Fenced) => return self.step_down("worker has seen a higher term"),
                 Err(WorkerError::OtherLife) => {
                     self.worker_event(Event::WorkerLost, &listing, "has a new life");
-                    self.scheduler.borrow_mut().remove_worker(key);
+                    let now = self.env.now();
+                    self.scheduler.borrow_mut().worker_replaced(key, now);
+                    self.log_crashes();
                     self.changed.notify();
                     return;
                 }
@@ -136,7 +141,7 @@
                     silent = true;
                     let pause = {
                         let mut scheduler = self.scheduler.borrow_mut();
-                        scheduler.set_worker_silent(key, true);
+                        scheduler.set_worker_silent(key, true, self.env.now());
                         silent_poll_pause(scheduler.silent_workers())
                     };
                     self.env.sleep(pause).await;
@@ -158,6 +163,25 @@
         self.env.event(event, &inputs);
     }
 
+    /// Logs crashes of workers with the runs that were lost.
+    pub(crate) fn log_crashes(&self) {
+        let crashes = self.scheduler.borrow_mut().take_crashes();
+        for crash in crashes {
+            self.env.metrics.worker_crashes.inc();
+            let runs = crash.runs.iter().take(MAX_LOGGED_RUNS).map(|run| {
+                json!({
+                    "task": run.task.to_string(), "run": run.run.0,
+                    "survived_ms": run.survived.0,
+                })
+            });
+            let inputs = json!({
+                "worker": &*crash.worker, "silent_ms": crash.silent.0, "lost": crash.runs.len(),
+                "runs": runs.collect::<Vec<_>>(),
+            });
+            self.env.event(Event::WorkerCrashed, &inputs);
+        }
+    }
+
     fn has_unsaved_ends(&self, key: WorkerKey) -> bool {
         let scheduler = self.scheduler.borrow();
         scheduler
@@ -272,6 +296,7 @@
         }
         let now = self.env.now();
         if let Some(clock_ms) = timed.clock_ms {
+            self.scheduler.borrow_mut().record_clock(key, clock_ms);
             let first = self
                 .clocks
                 .borrow_mut()
