Give up tasks that crash the workers that start them

Callers saw other work slow down while worker after worker crashed: a task that ends its worker was started again without end. Cause: only ends that a worker reports as failed count against a task, and a task that crashes its worker reports none. Class of fault: a retry without a limit where the failure is seen by its effect only.

Each crash is now weighed as evidence against the tasks on the worker: most against the only one that had just started on a steady worker, less against one of several, little against one that had run for some time; withdrawn once the task has run for longer. A suspect is started apart from other new runs. A crash is durable before its task is started again, so a successor counts on.

Ruled out: a plain count of crashes per task. Others on the same workers were lost up to six times in a row on the unchanged code.

--- a/hemlocksaddle-policy/src/workflow/crash.rs
+++ b/hemlocksaddle-policy/src/workflow/crash.rs
@@ -1,17 +1,57 @@
-//! Crashes of workers and the runs that were lost with them.
+//! Crashes of workers and the tasks that may have caused them.
 //!
 //! A worker that answers as a later process has crashed, and its runs ended with it.
+//! A task may cause this, again on each worker that starts it; but most of the lost
+//! runs only ran beside, and workers also crash for other reasons. Each crash is
+//! therefore weighed as evidence against the tasks on the worker:
+//!
+//! - It weighs most against a task that had just started, if it is the only such task
+//!   and the worker had been steady. Among several, those with earlier evidence against
+//!   them are suspected first.
+//! - It weighs little against a task that had run for some time.
+//! - It is withdrawn once the task has run for longer than when the worker crashed.
+//!
+//! A workflow is given up when the evidence against one of its tasks suffices: after
+//! two crashes at least, and after four if each of them is weak. A smaller weight of
+//! single crashes would cost more workers for each such task; a larger one would give
+//! up workflows for crashes that happened by chance soon after a start.
+//!
 //! How long the worker lived after the start of a run is measured between readings
 //! of the worker's own clock, so that slow answers do not distort it.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use hemlocksaddle_types::{
-    clock::{Millis, MonoMs},
-    workflow::{Run, TaskName},
+    clock::{Millis, MonoMs, WallMs},
+    workflow::{CrashedRun, Failure, Run, TaskName},
 };
 
-use super::{Scheduler, TaskKey, Worker, WorkerKey};
+use super::{Scheduler, TaskKey, Worker, WorkerKey, job::Task};
+
+/// Time after the start of a run within which a crash is called prompt.
+///
+/// Covers the loading of a program and a report interval of a busy worker.
+const PROMPT_MS: Millis = Millis(300);
+
+/// Time after a crash at an address from which the worker there is taken as steady.
+///
+/// Some periods of a worker that crashes by turns, which are seconds.
+const STEADY_AFTER_MS: Millis = Millis(30_000);
+
+/// Time after an expired lease for which a worker may still turn out to have crashed.
+const RETURN_TIMEOUT_MS: Millis = Millis(30_000);
+
+/// Sum of the evidence against a task at which its workflow is given up.
+const GIVE_UP_SUSPICION: u32 = 7;
+
+/// Evidence of a prompt crash of a steady worker against the only suspect.
+const SOLE_SUSPECT: u32 = 4;
+
+/// Evidence of a crash against one of several suspects, or on a worker that was not steady.
+const SHARED: u32 = 2;
+
+/// Evidence of a crash against a task that is not among the first suspects.
+const REMOTE: u32 = 1;
 
 /// Crash of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,7 +60,9 @@
     pub worker: Arc<str>,
     /// Time from the first unanswered call to the discovery of the new incarnation.
     pub silent: Millis,
-    /// Runs that were lost.
+    /// Whether no other crash at the worker's address was recent.
+    pub steady: bool,
+    /// Runs that were lost, most suspected first.
     pub runs: Vec<LostRun>,
 }
 
@@ -33,14 +75,92 @@
     pub run: Run,
     /// Time for which the worker is known to have lived after the start of the run.
     pub survived: Millis,
+    /// Evidence of this crash against the task.
+    pub suspicion: u32,
+    /// Evidence of all crashes against the task.
+    pub total_suspicion: u32,
+}
+
+/// Run on a worker that has crashed, or that was silent until its lease had expired.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Suspect {
+    task: TaskKey,
+    run: Run,
+    survived: Millis,
+    /// Upper bound of the time from the start of the run to the crash.
+    age: Millis,
+}
+
+impl Suspect {
+    fn is_prompt(&self) -> bool {
+        self.survived < PROMPT_MS
+    }
+
+    /// Evidence of a crash, given the other suspects.
+    fn evidence(&self, prior: u32, standing: Standing, steady: bool) -> u32 {
+        let (first, sole) = (standing != Standing::Other, standing == Standing::Sole);
+        match (self.is_prompt(), steady) {
+            (true, true) if sole => SOLE_SUSPECT,
+            (true, _) if first => SHARED,
+            (true, _) => REMOTE,
+            (false, true) if sole && prior > 0 => SHARED,
+            (false, true) => REMOTE,
+            (false, false) => 0,
+        }
+    }
+}
+
+/// Standing of a task among those that may have caused a crash.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// Alone suspected first.
+    Sole,
+    /// One of several that are suspected first.
+    First,
+    /// Suspected less than another task.
+    Other,
+}
+
+impl Task {
+    /// Evidence against the task.
+    pub(super) fn suspicion(&self) -> u32 {
+        self.crashes.iter().map(|crash| crash.suspicion).sum()
+    }
+
+    /// Whether a run lived on for longer than the one that was lost at a given age.
+    fn has_outlived(&self, age: Millis) -> bool {
+        self.longest_survived > age + PROMPT_MS
+    }
 }
 
 impl Worker {
     /// Time for which the worker is known to have lived after a reading of its clock.
-    pub(super) fn survived(&self, started_clock_ms: Option<u64>) -> Millis {
+    fn survived(&self, started_clock_ms: Option<u64>) -> Millis {
         let survived_ms = started_clock_ms.map_or(0, |ms| self.clock_ms.saturating_sub(ms));
         Millis(survived_ms)
     }
+
+    /// Records the order to start a task.
+    pub(super) fn record_start(&mut self, is_suspect: bool, now: MonoMs) {
+        self.started_at = now;
+        if is_suspect {
+            self.probation_until = now + PROMPT_MS;
+        }
+    }
+
+    /// Whether a crash of the worker after a start now would have several possible causes.
+    pub(super) fn blurs_evidence(&self, is_suspect: bool, now: MonoMs) -> bool {
+        if is_suspect {
+            now < self.started_at + PROMPT_MS || now < self.steady_from
+        } else {
+            now < self.probation_until
+        }
+    }
+
+    /// Whether a lease expired on the worker that may turn out to have ended by a crash.
+    pub(super) fn may_have_crashed(&self, now: MonoMs) -> bool {
+        !self.expired.is_empty() && now < self.lease_until + RETURN_TIMEOUT_MS
+    }
 }
 
 impl Scheduler {
@@ -57,29 +177,10 @@
             return;
         };
         let is_new = worker.reported_at.is_none() && worker.tasks.is_empty();
-        if worker.listing.draining || is_new {
-            // It left as announced, or its crash is known and only its listing is out of date.
-            self.remove_worker(key);
-            return;
+        // It left as announced, or its crash is known and only its listing is out of date.
+        if !worker.listing.draining && !is_new {
+            self.weigh_crash(key, now);
         }
-        let lost_run = |&key: &TaskKey| {
-            let task = self.jobs[key.job].task(key);
-            LostRun {
-                task: self.name(key),
-                run: task.map_or(Run(0), |task| task.run),
-                survived: worker.survived(task.and_then(|task| task.started_clock_ms)),
-            }
-        };
-        let mut runs: Vec<LostRun> = worker.tasks.keys().map(lost_run).collect();
-        runs.sort_by_key(|run| run.survived);
-        let silent = worker
-            .silent_since
-            .map_or(Millis(0), |since| now.since(since));
-        self.crashes.push(Crash {
-            worker: worker.listing.name.clone(),
-            silent,
-            runs,
-        });
         self.remove_worker(key);
     }
 
@@ -88,4 +189,158 @@
     pub fn take_crashes(&mut self) -> Vec<Crash> {
         std::mem::take(&mut self.crashes)
     }
+
+    /// Weighs a crash as evidence against the tasks on the worker.
+    fn weigh_crash(&mut self, key: WorkerKey, now: MonoMs) {
+        let suspects = self.suspects_on(key, now);
+        let worker = &self.workers[key];
+        let name = worker.listing.name.clone();
+        let steady = now >= worker.steady_from;
+        let silent_since = worker.silent_since.unwrap_or(now);
+        self.crashed_at.insert(worker.listing.address, now);
+        let rank = |suspect: &Suspect, prior: u32| {
+            let prompt = if suspect.is_prompt() { SHARED } else { 0 };
+            prior + prompt
+        };
+        let prior = |suspect: &Suspect| {
+            let task = self.jobs[suspect.task.job].task(suspect.task);
+            task.map_or(0, Task::suspicion)
+        };
+        let ranked: Vec<(Suspect, u32)> = suspects
+            .into_iter()
+            .map(|suspect| (suspect, prior(&suspect)))
+            .collect();
+        let ranks = || ranked.iter().map(|(suspect, prior)| rank(suspect, *prior));
+        let top = ranks().max().unwrap_or(0);
+        let first = ranks().filter(|&rank| rank == top).count();
+        let mut runs = Vec::new();
+        for (suspect, prior) in &ranked {
+            let standing = match (rank(suspect, *prior) == top, first) {
+                (true, 1) => Standing::Sole,
+                (true, _) => Standing::First,
+                (false, _) => Standing::Other,
+            };
+            let suspicion = suspect.evidence(*prior, standing, steady);
+            runs.push(LostRun {
+                task: self.name(suspect.task),
+                run: suspect.run,
+                survived: suspect.survived,
+                suspicion,
+                total_suspicion: prior + suspicion,
+            });
+            self.record_crash(suspect, suspicion, &name);
+        }
+        runs.sort_by_key(|run| (std::cmp::Reverse(run.total_suspicion), run.survived));
+        self.crashes.push(Crash {
+            worker: name,
+            silent: now.since(silent_since),
+            steady,
+            runs,
+        });
+    }
+
+    /// Runs on a worker whose tasks may have crashed it.
+    fn suspects_on(&mut self, key: WorkerKey, now: MonoMs) -> Vec<Suspect> {
+        self.keep_expired(key, now);
+        let suspects = std::mem::take(&mut self.workers[key].expired);
+        let still_suspected = |suspect: &Suspect| {
+            let job = self.jobs.get(suspect.task.job)?;
+            let task = job.task(suspect.task).filter(|_| job.is_open())?;
+            let known = task.crashes.iter().any(|crash| crash.run == suspect.run);
+            let done = task.phase == super::Phase::Done;
+            (!known && !done && !task.has_outlived(suspect.age)).then_some(())
+        };
+        suspects
+            .into_iter()
+            .filter(|suspect| still_suspected(suspect).is_some())
+            .collect()
+    }
+
+    /// Keeps the runs on a worker that may have crashed, for when it answers again.
+    pub(super) fn keep_expired(&mut self, key: WorkerKey, now: MonoMs) {
+        let worker = &self.workers[key];
+        if worker.listing.draining {
+            return;
+        }
+        let lost_at = worker.silent_since.unwrap_or(now);
+        let suspect = |(&task_key, assigned): (&TaskKey, &super::worker::Assigned)| {
+            let task = self.jobs.get(task_key.job)?.task(task_key)?;
+            Some(Suspect {
+                task: task_key,
+                run: assigned.run,
+                survived: worker.survived(task.started_clock_ms),
+                age: lost_at.since(task.ordered_at),
+            })
+        };
+        let suspects: Vec<Suspect> = worker.tasks.iter().filter_map(suspect).collect();
+        for suspect in &suspects {
+            let task = self.jobs[suspect.task.job].task_mut(suspect.task);
+            task.longest_survived = task.longest_survived.max(suspect.survived);
+        }
+        self.workers[key].expired.extend(suspects);
+    }
+
+    fn record_crash(&mut self, suspect: &Suspect, suspicion: u32, worker: &Arc<str>) {
+        if suspicion == 0 {
+            return;
+        }
+        let job = &mut self.jobs[suspect.task.job];
+        let task = job.task_mut(suspect.task);
+        task.crashes.push(CrashedRun {
+            run: suspect.run,
+            worker: worker.clone(),
+            suspicion,
+            age: suspect.age,
+        });
+        task.crash_unsaved = true;
+        job.unsaved_crashes.push(suspect.task);
+        self.unsaved.insert(suspect.task.job);
+        self.suspects.push(suspect.task);
+    }
+
+    /// Records how long a worker has lived with a run, and withdraws crashes that it has outlived.
+    pub(super) fn record_survival(&mut self, key: TaskKey, worker: WorkerKey) {
+        let Some(worker) = self.workers.get(worker) else {
+            return;
+        };
+        let job = &mut self.jobs[key.job];
+        let task = job.task_mut(key);
+        let survived = worker.survived(task.started_clock_ms);
+        task.longest_survived = task.longest_survived.max(survived);
+        let oldest = task.crashes.iter().map(|crash| crash.age).max();
+        if oldest.is_some_and(|age| task.has_outlived(age)) {
+            task.crashes.clear();
+            self.unsaved.insert(key.job);
+        }
+    }
+
+    /// Gives up the workflows of tasks with enough evidence against them.
+    pub(super) fn give_up_suspects(&mut self, wall: WallMs) {
+        for key in std::mem::take(&mut self.suspects) {
+            let Some(task) = self.jobs.get(key.job).and_then(|job| job.task(key)) else {
+                continue;
+            };
+            if task.suspicion() < GIVE_UP_SUSPICION {
+                continue;
+            }
+            let crashes = task.crashes.iter();
+            let failure = Failure::Crashes {
+                task: self.name(key),
+                workers: crashes.map(|crash| crash.worker.clone()).collect(),
+            };
+            self.fail_job(key.job, failure, wall);
+        }
+    }
+
+    /// Time from which a worker at an address is taken as steady.
+    pub(super) fn steady_from(&self, address: SocketAddr) -> MonoMs {
+        let crashed_at = self.crashed_at.get(&address);
+        crashed_at.map_or(MonoMs(0), |&at| at + STEADY_AFTER_MS)
+    }
+
+    /// Forgets crashes that no longer matter.
+    pub(super) fn forget_crashes(&mut self, now: MonoMs) {
+        self.crashed_at
+            .retain(|_, at| now.since(*at) < STEADY_AFTER_MS);
+    }
 }
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -3,8 +3,8 @@
 use std::{rc::Rc, sync::Arc};
 
 use hemlocksaddle_types::{
-    clock::{MonoMs, WallMs},
-    workflow::{Run, State, Step, TaskName, Workflow, WorkflowId},
+    clock::{Millis, MonoMs, WallMs},
+    workflow::{CrashedRun, Failure, Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
 use super::{JobKey, WorkerKey, interference::ImageId};
@@ -87,6 +87,14 @@
     pub not_before: MonoMs,
     /// Worker to avoid: the latest run failed there or was moved off it.
     pub failed_on: Option<WorkerKey>,
+    /// Crashes that the task may have caused.
+    pub crashes: Vec<CrashedRun>,
+    /// Whether a crash is not durable yet.
+    pub(super) crash_unsaved: bool,
+    /// Longest time for which a worker is known to have lived after the start of a run.
+    pub(super) longest_survived: Millis,
+    /// Time of the order to start the latest run.
+    pub(super) ordered_at: MonoMs,
     /// Reading of the worker's clock by which the run had started; `None` if it may not have.
     pub(super) started_clock_ms: Option<u64>,
     /// Progress of the run in percent, as last reported.
@@ -111,6 +119,10 @@
             checkpoint: None,
             not_before: MonoMs(0),
             failed_on: None,
+            crashes: Vec::new(),
+            crash_unsaved: false,
+            longest_survived: Millis(0),
+            ordered_at: MonoMs(0),
             started_clock_ms: None,
             percent: 0,
             progressed_at: MonoMs(0),
@@ -121,6 +133,13 @@
 }
 
 impl Task {
+    /// Whether the task may be started now.
+    ///
+    /// A crash has to be durable first, so that a successor knows of it.
+    pub(super) fn may_start(&self, now: MonoMs) -> bool {
+        self.phase == Phase::Waiting && now >= self.not_before && !self.crash_unsaved
+    }
+
     /// Records that a run is started although the end of an earlier one is unknown.
     pub(super) fn mark_restarted(&mut self, run: Run) {
         self.restarted_before = self.restarted.replace(run);
@@ -201,6 +220,10 @@
     pub ended: Option<(State, WallMs)>,
     /// Whether the final state is durable.
     pub ended_saved: bool,
+    /// Why the workflow failed.
+    pub failure: Option<Failure>,
+    /// Tasks with a crash that is not durable yet.
+    pub(super) unsaved_crashes: Vec<TaskKey>,
     pub(super) occurrences: Vec<Occurrence>,
     /// Image of each step.
     pub(super) images: Vec<ImageId>,
@@ -230,6 +253,8 @@
             cancelled: false,
             ended: None,
             ended_saved: false,
+            failure: None,
+            unsaved_crashes: Vec::new(),
             occurrences: first,
             images,
             placed: 0,
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -2,7 +2,7 @@
 
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
-    workflow::{Progress, State, StepProgress, Workflow, WorkflowId},
+    workflow::{CrashedRun, Failure, Progress, State, StepProgress, Workflow, WorkflowId},
 };
 
 use super::{
@@ -18,6 +18,7 @@
     pub progress: Vec<(WorkflowId, Progress)>,
     keys: Vec<JobKey>,
     ends: Vec<(WorkerKey, u64)>,
+    crashes: Vec<TaskKey>,
 }
 
 impl Unsaved {
@@ -93,11 +94,19 @@
             };
             restore_step(step, saved);
             job.started = true;
+            let suspects = saved.crashed.iter().map(|&(index, _)| TaskKey {
+                job: key,
+                occurrence: saved.occurrence,
+                step: saved.step,
+                index,
+            });
+            self.suspects.extend(suspects);
         }
         if let Some(state) = progress.ended {
             let at_ms = progress.ended_ms.unwrap_or(job.spec.received_ms);
             job.ended = Some((state, at_ms));
             job.ended_saved = true;
+            job.failure.clone_from(&progress.failure);
             self.remove_open(key);
         }
     }
@@ -110,12 +119,18 @@
             let job = &self.jobs[key];
             (job.id, progress(job))
         });
+        let progress = progress.collect();
+        let with_crashes = keys.iter().copied();
+        let crashes = with_crashes
+            .flat_map(|key| std::mem::take(&mut self.jobs[key].unsaved_crashes))
+            .collect();
         let ends = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.has_unsaved_ends());
         Unsaved {
-            progress: progress.collect(),
+            progress,
+            crashes,
             ends: ends
                 .map(|(key, worker)| (key, worker.acknowledgeable_ends()))
                 .collect(),
@@ -133,6 +148,13 @@
                 job.ended_saved = true;
             }
         }
+        for key in saved.crashes {
+            if let Some(job) = self.jobs.get_mut(key.job)
+                && !job.unsaved_crashes.contains(&key)
+            {
+                job.task_mut(key).crash_unsaved = false;
+            }
+        }
         for (key, upto) in saved.ends {
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.saved_ends = worker.saved_ends.max(upto);
@@ -143,6 +165,11 @@
     /// Puts back progress that could not be saved.
     pub fn mark_unsaved(&mut self, unsaved: Unsaved) {
         self.unsaved.extend(unsaved.keys);
+        for key in unsaved.crashes {
+            if let Some(job) = self.jobs.get_mut(key.job) {
+                job.unsaved_crashes.push(key);
+            }
+        }
     }
 
     /// Number of open workflows of a queue without a started task, excluding those with a schedule.
@@ -195,13 +222,14 @@
         }
     }
 
-    /// Ends a workflow as failed after a task has failed too often.
-    pub(super) fn fail_job(&mut self, key: JobKey, wall: WallMs) {
+    /// Ends a workflow as failed.
+    pub(super) fn fail_job(&mut self, key: JobKey, failure: Failure, wall: WallMs) {
         let job = &mut self.jobs[key];
         if job.ended.is_some() || job.cancelled {
             return;
         }
         job.ended = Some((State::Failed, wall));
+        job.failure = Some(failure);
         self.unsaved.insert(key);
         self.stop_all(key);
         self.remove_open(key);
@@ -283,6 +311,7 @@
         }
         task.phase = Phase::Done;
         task.checkpoint = None;
+        task.crashes.clear();
         state.waiting -= 1;
         state.done += 1;
         job.started = true;
@@ -309,6 +338,14 @@
             task.run = task.run.max(run);
         }
     }
+    for (index, crashed) in &saved.crashed {
+        if let Some(task) = step.tasks.get_mut(*index as usize)
+            && !task.crashes.contains(crashed)
+        {
+            task.crashes.push(crashed.clone());
+            task.run = task.run.max(crashed.run);
+        }
+    }
     for &(index, run) in &saved.restarted {
         if let Some(task) = step.tasks.get_mut(index as usize) {
             task.restarted = Some(run);
@@ -317,6 +354,13 @@
     }
 }
 
+fn crashed_runs(step: &StepState) -> Vec<(u32, CrashedRun)> {
+    let tasks = (0u32..).zip(&step.tasks);
+    let crashed =
+        tasks.flat_map(|(index, task)| task.crashes.iter().map(move |run| (index, run.clone())));
+    crashed.collect()
+}
+
 fn progress(job: &Job) -> Progress {
     let mut steps = Vec::new();
     for (occurrence, state) in job.occurrences.iter().enumerate() {
@@ -327,10 +371,9 @@
                 done: done_ranges(step),
                 failed: failed_runs(step),
                 restarted: restarted_runs(step),
+                crashed: crashed_runs(step),
             };
-            let is_empty =
-                saved.done.is_empty() && saved.failed.is_empty() && saved.restarted.is_empty();
-            if !is_empty {
+            if !saved.is_empty() {
                 steps.push(saved);
             }
         }
@@ -338,6 +381,7 @@
     Progress {
         ended: job.ended.map(|(state, _)| state),
         ended_ms: job.ended.map(|(_, at_ms)| at_ms),
+        failure: job.failure.clone(),
         steps,
     }
 }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -26,7 +26,7 @@
 mod report;
 mod worker;
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use foldhash::{HashMap, HashMapExt, HashSet};
 use hemlocksaddle_types::{
@@ -133,6 +133,10 @@
     consolidated_at: MonoMs,
     /// Number of start orders that the next plan may give.
     start_budget: u32,
+    /// Tasks whose crashes have not been weighed yet.
+    suspects: Vec<TaskKey>,
+    /// Latest crash at each address, for as long as its worker is not taken as steady.
+    crashed_at: HashMap<SocketAddr, MonoMs>,
     /// Crashes that are not logged yet.
     crashes: Vec<Crash>,
 }
@@ -160,6 +164,8 @@
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
             start_budget: u32::MAX,
+            suspects: Vec::new(),
+            crashed_at: HashMap::new(),
             crashes: Vec::new(),
         }
     }
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -6,7 +6,8 @@
 //! long-running task at all. Other tasks that reserve processors go to the worker
 //! with the smallest committed share. Best-effort tasks go where the expected tails
 //! of the long-running tasks stay below their targets, and among those workers to
-//! the one with the most idle processors.
+//! the one with the most idle processors. A task that may have crashed a worker is kept
+//! apart from other starts where possible, so that a further crash shows its cause.
 
 use hemlocksaddle_types::{clock::MonoMs, resources::Resources, workflow::Step};
 
@@ -42,6 +43,9 @@
 /// Penalty of the worker where the latest run failed or was stopped to be moved.
 const FAILED_PENALTY: f64 = 4.0;
 
+/// Penalty of a worker on which a crash would not show which task caused it.
+const ISOLATION_PENALTY: f64 = 2.0;
+
 /// Number of listed ends from which a worker gets no new tasks.
 ///
 /// A report contains 500 ends at most; beyond them, new ends would not be seen.
@@ -102,6 +106,7 @@
     list: Vec<Candidate>,
     /// Capacity that the tasks being placed may use.
     pub(super) capacity_rule: CapacityRule,
+    now: MonoMs,
 }
 
 impl Candidates {
@@ -135,6 +140,7 @@
         Candidates {
             list: candidates.collect(),
             capacity_rule: CapacityRule::Any,
+            now,
         }
     }
 
@@ -147,7 +153,10 @@
         rack: Option<&str>,
     ) -> Option<WorkerKey> {
         let step = self.jobs[key.job].step(key);
-        let failed_on = self.jobs[key.job].task(key)?.failed_on;
+        let task = self.jobs[key.job].task(key)?;
+        let failed_on = task.failed_on;
+        let is_suspect = task.suspicion() > 0;
+        let now = candidates.now;
         let capacity_rule = candidates.capacity_rule;
         let mut found = 0;
         let costs = candidates.list.iter_mut().filter_map(|candidate| {
@@ -162,7 +171,10 @@
                 return None;
             }
             let failed = failed_on == Some(candidate.worker);
-            let penalty = if failed { FAILED_PENALTY } else { 0.0 };
+            let mut penalty = if failed { FAILED_PENALTY } else { 0.0 };
+            if worker.blurs_evidence(is_suspect, now) {
+                penalty += ISOLATION_PENALTY;
+            }
             let cost = self.cost(candidate, key, step)?;
             found += 1;
             Some((candidate.worker, penalty + cost))
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -58,6 +58,7 @@
     /// Orders to send now.
     pub fn plan(&mut self, now: MonoMs, wall: WallMs) -> Vec<Order> {
         self.expire(now);
+        self.give_up_suspects(wall);
         self.move_stalled(now);
         self.move_off_draining();
         self.adjust_paces(now);
@@ -127,9 +128,7 @@
             }
             let key = ready.key(index);
             let task = self.jobs[ready.job].task(key);
-            let startable =
-                task.is_some_and(|task| task.phase == Phase::Waiting && now >= task.not_before);
-            if !startable {
+            if !task.is_some_and(|task| task.may_start(now)) {
                 continue;
             }
             // All tasks of a step are equal: if this one fits nowhere, neither do the others.
@@ -144,7 +143,7 @@
                 return;
             };
             let run = self.next_run(key);
-            self.start(key, worker, run);
+            self.start(key, worker, run, now);
             candidates.invalidate(worker);
         }
     }
@@ -160,7 +159,7 @@
         let members: Vec<TaskKey> = (0..step.tasks).map(|index| ready.key(index)).collect();
         let all_wait = members.iter().all(|&key| {
             let task = self.jobs[ready.job].task(key);
-            task.is_some_and(|task| task.phase == Phase::Waiting && now >= task.not_before)
+            task.is_some_and(|task| task.may_start(now))
         });
         if !all_wait {
             return;
@@ -172,7 +171,7 @@
             let placed = members.iter().all(|&key| {
                 match self.choose(candidates, key, &ready.queue.pool, rack.as_deref()) {
                     Some(worker) => {
-                        self.start(key, worker, run);
+                        self.start(key, worker, run, now);
                         true
                     }
                     None => false,
@@ -223,7 +222,7 @@
         self.first_run().max(Run(last.0 + 1))
     }
 
-    fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run) {
+    fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run, now: MonoMs) {
         let name = self.name(key);
         let job = &mut self.jobs[key.job];
         let text = job.spec.text.clone();
@@ -248,6 +247,8 @@
         };
         task.run = run;
         task.started_clock_ms = None;
+        task.ordered_at = now;
+        let is_suspect = task.suspicion() > 0;
         task.percent = 0;
         task.pace = FULL_PACE;
         task.halted_at = None;
@@ -256,6 +257,7 @@
         job.placed += 1;
         if let Some(on) = self.workers.get_mut(worker) {
             on.add(key, assigned);
+            on.record_start(is_suspect, now);
         }
         self.start_budget = self.start_budget.saturating_sub(1);
         self.orders.push(Order::Start(Start {
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -3,7 +3,7 @@
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     delegation::{End, EndKind, Report, StartAnswer, TaskStatus},
-    workflow::{Run, TaskName},
+    workflow::{Failure, Run, TaskName},
 };
 
 use super::{Order, Phase, Scheduler, Start, TaskKey, WorkerKey, job::FULL_PACE, worker::Assigned};
@@ -24,6 +24,8 @@
             return;
         };
         worker.silent_since = None;
+        // Its runs ended with their lease, not by a crash.
+        worker.expired.clear();
         worker.reported_at = worker.reported_at.max(Some(report.sent_at));
         let applied = worker.applied_ends;
         for end in report.ends.iter().filter(|end| end.number > applied) {
@@ -131,7 +133,9 @@
         self.unsaved.insert(key.job);
         let max_attempts = self.queue(&queue).map_or(1, |queue| queue.max_attempts);
         if !long_running && failed >= max_attempts as usize {
-            self.fail_job(key.job, wall);
+            let attempts = u32::try_from(failed).unwrap_or(u32::MAX);
+            let task = self.name(key);
+            self.fail_job(key.job, Failure::Attempts { task, attempts }, wall);
         }
     }
 
@@ -196,6 +200,9 @@
             job.placed += 1;
         }
         let task = job.task_mut(key);
+        if adopted {
+            task.ordered_at = now;
+        }
         if !matches!(task.phase, Phase::Running { .. } | Phase::Stopping { .. }) {
             task.phase = Phase::Running { worker, since: now };
             task.progressed_at = now;
@@ -206,6 +213,7 @@
                 task.measurement = status.measurement;
             }
         }
+        self.record_survival(key, worker);
         if !wanted {
             self.stop(key);
         }
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -12,7 +12,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Scheduler, TaskKey, WorkerKey, capacity::RecentPeak};
+use super::{Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect};
 
 /// Consecutive failures after which a worker is suspended.
 const FAILURES_TO_SUSPEND: u32 = 2;
@@ -110,6 +110,14 @@
     pub(super) suspend_ms: Millis,
     /// Time of the first call without an answer; `None` if the last call was answered.
     pub(super) silent_since: Option<MonoMs>,
+    /// Time of the latest order to start a task.
+    pub(super) started_at: MonoMs,
+    /// Time until which a task that may crash the worker is watched.
+    pub(super) probation_until: MonoMs,
+    /// Time from which the worker is taken as steady; later than now after a crash at its address.
+    pub(super) steady_from: MonoMs,
+    /// Runs whose lease expired while the worker was silent; it may have crashed.
+    pub(super) expired: Vec<Suspect>,
     /// Latest reading of the worker's clock.
     pub(super) clock_ms: u64,
     pub(super) paced_at: MonoMs,
@@ -140,6 +148,10 @@
             suspended_until: MonoMs(0),
             suspend_ms: SUSPEND_MS,
             silent_since: None,
+            started_at: MonoMs(0),
+            probation_until: MonoMs(0),
+            steady_from: MonoMs(0),
+            expired: Vec::new(),
             clock_ms: 0,
             paced_at: MonoMs(0),
             learned_at: MonoMs(0),
@@ -327,7 +339,9 @@
                 self.worker_replaced(key, now);
             }
             let name = listing.name.clone();
-            let key = self.workers.insert(Worker::new(listing));
+            let mut worker = Worker::new(listing);
+            worker.steady_from = self.steady_from(worker.listing.address);
+            let key = self.workers.insert(worker);
             self.by_name.insert(name, key);
             new.push(key);
         }
@@ -365,18 +379,23 @@
         self.pending_cancels
             .retain(|_, at| now.since(*at) < keep_ms);
         let failover_complete = now >= self.failover_complete_at;
+        self.forget_crashes(now);
         let expired = |worker: &Worker| {
             now > worker.lease_until && (failover_complete || worker.reported_at.is_some())
         };
         let keys: Vec<_> = self
             .workers
             .iter()
-            .filter(|(_, worker)| expired(worker) && (worker.tasks() > 0 || !worker.listed))
+            .filter(|(_, worker)| {
+                let is_gone = !worker.listed && !worker.may_have_crashed(now);
+                expired(worker) && (worker.tasks() > 0 || is_gone)
+            })
             .map(|(key, _)| key)
             .collect();
         for key in keys {
             self.mark_ends_unknown(key);
-            if self.workers[key].listed {
+            self.keep_expired(key, now);
+            if self.workers[key].listed || self.workers[key].may_have_crashed(now) {
                 self.unassign_all(key);
             } else {
                 self.remove_worker(key);
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -189,12 +189,42 @@
         self.advance(away_ms);
         let mut listed = self.roster();
         listed[number].born_ms += 1;
+        listed[number].draining = false;
         self.workers[number] = self.scheduler.list_workers(listed, self.now)[0];
         self.scheduler.mark_rostered(self.workers[number]);
         self.clock_readings();
         self.report_idle(number);
     }
 
+    /// Crashes all workers at once; they are back as new processes, idle, after `away_ms`.
+    pub(crate) fn crash_all(&mut self, away_ms: u64) {
+        for &key in &self.workers {
+            self.scheduler.set_worker_silent(key, true, self.now);
+        }
+        self.advance(away_ms);
+        let mut listed = self.roster();
+        listed.iter_mut().for_each(|listing| listing.born_ms += 1);
+        self.workers = self.scheduler.list_workers(listed, self.now);
+        for number in 0..self.workers.len() {
+            self.scheduler.mark_rostered(self.workers[number]);
+            self.report_idle(number);
+        }
+    }
+
+    /// Announces that the worker of a start leaves.
+    pub(crate) fn drain(&mut self, start: &Start) {
+        let number = self.number_of(start);
+        let mut listed = self.roster();
+        listed[number].draining = true;
+        self.scheduler.list_workers(listed, self.now);
+    }
+
+    /// Plans and puts back the starts, for a later call of [`Harness::starts`].
+    pub(crate) fn starts_again_later(&mut self) {
+        let starts = self.starts();
+        self.starts = starts;
+    }
+
     /// Records a reading of every worker's clock.
     fn clock_readings(&mut self) {
         for &key in &self.workers {
--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -10,7 +10,9 @@
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
-    workflow::{Catalogue, ShardRequest, ShardResponse, State, Submission, Workflow, WorkflowId},
+    workflow::{
+        Catalogue, Failure, ShardRequest, ShardResponse, State, Submission, Workflow, WorkflowId,
+    },
 };
 use serde_json::json;
 use std::cell::RefCell;
@@ -51,10 +53,12 @@
 }
 
 /// Outcome of a state query.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StateLookup {
-    /// Current state.
+    /// Current state, if it is not failed.
     State(State),
+    /// Workflow has failed, with the reason if it is known.
+    Failed(Option<Box<Failure>>),
     /// No such workflow.
     NotFound,
     /// Owner of the shard did not answer.
@@ -244,6 +248,7 @@
         };
         match self.call_owner(shard, ShardRequest::State(shard, id)).await {
             Some(ShardResponse::State(Some(state))) => StateLookup::State(state),
+            Some(ShardResponse::Failed(failure)) => StateLookup::Failed(failure),
             Some(ShardResponse::State(None)) => {
                 let inputs = json!({ "workflow": id.to_string(), "state": state_text(None) });
                 self.env.event(Event::StateUnknown, &inputs);
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -21,6 +21,8 @@
     pub ends: IntCounterVec,
     /// Crashes of workers.
     pub worker_crashes: IntCounter,
+    /// Workflows that were given up because workers crashed under a task.
+    pub given_up: IntCounter,
     /// Time from submission to durable acceptance.
     pub accept_s: Histogram,
     /// Time to save progress.
@@ -61,8 +63,14 @@
         registry.register(Box::new(delegates.clone()))?;
         let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
         registry.register(Box::new(worker_crashes.clone()))?;
+        let given_up = IntCounter::new(
+            "shard_workflows_given_up_total",
+            "Workflows given up because workers crashed under a task.",
+        )?;
+        registry.register(Box::new(given_up.clone()))?;
         Ok(Metrics {
             worker_crashes,
+            given_up,
             delegates,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -19,7 +19,7 @@
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
-    workflow::{ShardRequest, ShardResponse, State},
+    workflow::{Failure, ShardRequest, ShardResponse, State},
 };
 use serde_json::json;
 use std::sync::Arc;
@@ -500,9 +500,15 @@
     fn log_ended(&self, unsaved: &Unsaved) {
         for (id, progress) in &unsaved.progress {
             if let Some(state) = progress.ended {
+                let failure = progress.failure.as_ref();
                 let inputs = json!({
                     "workflow": id.to_string(), "state": format!("{state:?}"), "term": self.term,
+                    "reason": failure.map(ToString::to_string),
+                    "crashed_workers": failure.map(|failure| failure.workers()),
                 });
+                if matches!(failure, Some(Failure::Crashes { .. })) {
+                    self.env.metrics.given_up.inc();
+                }
                 self.env.event(Event::Ended, &inputs);
             }
         }
@@ -560,6 +566,10 @@
         let scheduler = self.scheduler.borrow();
         match request {
             ShardRequest::State(_, id) => match scheduler.job(id).map(|job| job.state()) {
+                Some(State::Failed) => {
+                    let failure = scheduler.job(id).and_then(|job| job.failure.clone());
+                    ShardResponse::Failed(failure.map(Box::new))
+                }
                 Some(state) => ShardResponse::State(Some(state)),
                 None if self.submissions_are_fresh() => ShardResponse::State(None),
                 None => ShardResponse::NotOwner,
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -37,7 +37,7 @@
 /// A report lists ends again until they are acknowledged as durable.
 const MAX_SAVE_WAIT_MS: Millis = Millis(500);
 
-/// Maximum number of lost runs in the log line of a crash; those that started last come first.
+/// Maximum number of lost runs in the log line of a crash; the most suspected come first.
 const MAX_LOGGED_RUNS: usize = 8;
 
 /// Lowest rate of a worker's clock relative to this node's: 2% slow.
@@ -171,11 +171,13 @@
             let runs = crash.runs.iter().take(MAX_LOGGED_RUNS).map(|run| {
                 json!({
                     "task": run.task.to_string(), "run": run.run.0,
-                    "survived_ms": run.survived.0,
+                    "survived_ms": run.survived.0, "suspicion": run.suspicion,
+                    "total_suspicion": run.total_suspicion,
                 })
             });
             let inputs = json!({
-                "worker": &*crash.worker, "silent_ms": crash.silent.0, "lost": crash.runs.len(),
+                "worker": &*crash.worker, "silent_ms": crash.silent.0, "steady": crash.steady,
+                "lost": crash.runs.len(),
                 "runs": runs.collect::<Vec<_>>(),
             });
             self.env.event(Event::WorkerCrashed, &inputs);
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -32,9 +32,9 @@
     expect_that!(ended, some(eq(State::Completed)));
     expect_that!(
         deployment.state(2, 7),
-        eq(StateLookup::State(State::Completed))
+        eq(&StateLookup::State(State::Completed))
     );
-    expect_that!(deployment.state(2, 8), eq(StateLookup::NotFound));
+    expect_that!(deployment.state(2, 8), eq(&StateLookup::NotFound));
     expect_that!(deployment.fleet.starts(), eq(4));
     expect_that!(*deployment.fleet.violations.borrow(), is_empty());
 }
@@ -327,7 +327,7 @@
     deployment.store.down.set(false);
     let ended = deployment.wait_for_end(1, 1, Millis(10_000));
     expect_that!(ended, some(eq(State::Completed)));
-    expect_that!(deployment.state(1, 2), eq(StateLookup::NotFound));
+    expect_that!(deployment.state(1, 2), eq(&StateLookup::NotFound));
     expect_that!(deployment.fleet.starts(), eq(2));
     expect_that!(*deployment.fleet.violations.borrow(), is_empty());
 }
@@ -365,7 +365,7 @@
     expect_that!(deployment.fleet.running(), eq(0));
     expect_that!(
         deployment.state(2, 1),
-        eq(StateLookup::State(State::Cancelled))
+        eq(&StateLookup::State(State::Cancelled))
     );
 }
 
@@ -424,7 +424,7 @@
         deployment.submit(other, 3, vec![step(1)]),
         eq(Submitted::Unavailable)
     );
-    expect_that!(deployment.state(other, 1), eq(StateLookup::Unavailable));
+    expect_that!(deployment.state(other, 1), eq(&StateLookup::Unavailable));
     expect_that!(deployment.sim.now().0 - asked_at.0, lt(100));
 }
 
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -235,10 +235,10 @@
     pub(crate) fn wait_for_end(&self, at: usize, id: u64, timeout: Millis) -> Option<State> {
         let until = self.sim.now() + timeout;
         while self.sim.now() < until {
-            if let StateLookup::State(state) = self.state(at, id)
-                && state.is_final()
-            {
-                return Some(state);
+            match self.state(at, id) {
+                StateLookup::State(state) if state.is_final() => return Some(state),
+                StateLookup::Failed(_) => return Some(State::Failed),
+                _ => {}
             }
             self.sim.run_for(Millis(100));
         }
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -249,7 +249,71 @@
     }
 }
 
-/// Done tasks, failed runs and restarted tasks of one step.
+/// Why a workflow failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Failure {
+    /// A task failed as often as its queue allows.
+    Attempts {
+        /// Task that failed.
+        task: TaskName,
+        /// Number of failed runs.
+        attempts: u32,
+    },
+    /// Workers crashed under a task.
+    Crashes {
+        /// Task that is held responsible.
+        task: TaskName,
+        /// Workers that crashed.
+        workers: Vec<Arc<str>>,
+    },
+}
+
+impl Failure {
+    /// Task that made the workflow fail.
+    #[must_use]
+    pub fn task(&self) -> TaskName {
+        match self {
+            Failure::Attempts { task, .. } | Failure::Crashes { task, .. } => *task,
+        }
+    }
+
+    /// Workers that crashed under the task.
+    #[must_use]
+    pub fn workers(&self) -> &[Arc<str>] {
+        match self {
+            Failure::Attempts { .. } => &[],
+            Failure::Crashes { workers, .. } => workers,
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Attempts { task, attempts } => {
+                write!(f, "task {task} failed {attempts} times")
+            }
+            Failure::Crashes { task, workers } => {
+                write!(f, "{} workers crashed under task {task}", workers.len())
+            }
+        }
+    }
+}
+
+/// Run that was lost when its worker crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// Run that was lost.
+    pub run: Run,
+    /// Worker that crashed.
+    pub worker: Arc<str>,
+    /// Weight of the crash as evidence against the task.
+    pub suspicion: u32,
+    /// Upper bound of the time from the start of the run to the crash.
+    pub age: Millis,
+}
+
+/// Done tasks, failed and crashed runs, and restarted tasks of one step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
     /// Occurrence of the workflow.
@@ -264,6 +328,20 @@
     /// index and number of the new run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub restarted: Vec<(u32, Run)>,
+    /// Runs that were lost in crashes which their tasks may have caused, by task index.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<(u32, CrashedRun)>,
+}
+
+impl StepProgress {
+    /// Whether there is nothing to store.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.done.is_empty()
+            && self.failed.is_empty()
+            && self.restarted.is_empty()
+            && self.crashed.is_empty()
+    }
 }
 
 /// Durable progress of a workflow.
@@ -273,7 +351,10 @@
     pub ended: Option<State>,
     /// Wall-clock time at which the workflow ended.
     pub ended_ms: Option<WallMs>,
-    /// Progress of the steps with done tasks, failed runs or restarted tasks.
+    /// Why the workflow failed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub failure: Option<Failure>,
+    /// Progress of the steps that have any.
     pub steps: Vec<StepProgress>,
 }
 
@@ -396,6 +477,8 @@
 pub enum ShardResponse {
     /// State of the workflow; `None` if the shard has no such workflow.
     State(Option<State>),
+    /// Workflow has failed, with the reason if it is known.
+    Failed(Option<Box<Failure>>),
     /// Number of workflows without a started task.
     Waiting(u32),
     /// Submission is stored.
