Start nothing on unguarded workers by an outdated capacity

Workers of a pool without an admission check start whatever they are told. A capacity that shrinks shows in their listing only; while the list could not be read (store away for the owner's reads, lease still held), starts went on by the capacity of old. A reported run whose workflow is not known has no known size, and was not counted at all. Workers of such a pool now get no new task while the latest read of the list is older than 2 s, or while they report a run of unknown size; those of other pools do, as they refuse what does not fit.

an_unguarded_pool_gets_no_task_while_its_workers_cannot_be_listed and an_unguarded_worker_with_an_unknown_run_gets_no_task failed before.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -114,6 +114,10 @@
     /// Latest definition of every queue, including queues removed since.
     queues: HashMap<Arc<str>, Arc<Queue>>,
     closed: HashSet<DataCentre>,
+    /// Pools whose workers start a task even if it does not fit.
+    unguarded_pools: HashSet<Arc<str>>,
+    /// Time of the latest read of the platform's list of workers.
+    listed_at: MonoMs,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<WorkflowId, JobKey>,
     workers: SlotMap<WorkerKey, Worker>,
@@ -152,6 +156,8 @@
             term,
             queues: HashMap::new(),
             closed: HashSet::default(),
+            unguarded_pools: HashSet::default(),
+            listed_at: MonoMs(0),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
             workers: SlotMap::with_key(),
@@ -182,6 +188,8 @@
                     .insert(queue.name.clone(), Arc::new(queue.clone()));
             }
         }
+        let unguarded = catalogue.pools.iter().filter(|pool| !pool.admission_check);
+        self.unguarded_pools = unguarded.map(|pool| pool.name.clone()).collect();
     }
 
     fn queue(&self, name: &str) -> Option<&Arc<Queue>> {
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -9,7 +9,11 @@
 //! the one with the most idle processors. A task that may have crashed a worker is kept
 //! apart from other starts where possible, so that a further crash shows its cause.
 
-use hemlocksaddle_types::{clock::MonoMs, resources::Resources, workflow::Step};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    resources::Resources,
+    workflow::Step,
+};
 
 use super::{
     Scheduler, TaskKey, Worker, WorkerKey,
@@ -46,6 +50,11 @@
 /// Penalty of a worker on which a crash would not show which task caused it.
 const ISOLATION_PENALTY: f64 = 2.0;
 
+/// Age of the list of workers from which those that do not check their capacity get no new tasks.
+///
+/// The platform allows at least 3 s until a capacity that has shrunk counts.
+const MAX_LISTING_AGE_MS: Millis = Millis(2_000);
+
 /// Number of listed ends from which a worker gets no new tasks.
 ///
 /// A report contains 500 ends at most; beyond them, new ends would not be seen.
@@ -130,8 +139,12 @@
 impl Scheduler {
     /// Workers eligible for new tasks now.
     pub(super) fn candidates(&self, now: MonoMs) -> Candidates {
+        let listing_is_current = now.since(self.listed_at) <= MAX_LISTING_AGE_MS;
         let usable = self.workers.iter().filter(|(_, worker)| {
-            worker.is_usable(now) && !self.closed.contains(&worker.listing.data_centre)
+            let checks_capacity = !self.unguarded_pools.contains(&worker.listing.pool);
+            worker.is_usable(now)
+                && !self.closed.contains(&worker.listing.data_centre)
+                && (checks_capacity || (listing_is_current && !worker.has_unknown_runs()))
         });
         let candidates = usable.map(|(worker, _)| Candidate {
             worker,
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -231,6 +231,11 @@
         self.listing.capacity.saturating_sub(&occupied)
     }
 
+    /// Whether a run of unknown size occupies the worker.
+    pub(super) fn has_unknown_runs(&self) -> bool {
+        self.leftovers.iter().any(|run| run.demand.is_none())
+    }
+
     pub(super) fn add(&mut self, key: TaskKey, task: Assigned) {
         if self.tasks.insert(key, task).is_none() {
             self.commit(task);
@@ -336,6 +341,7 @@
     /// Returns the incarnations that were not known before.
     pub fn list_workers(&mut self, listings: Vec<Listing>, now: MonoMs) -> Vec<WorkerKey> {
         let mut new = Vec::new();
+        self.listed_at = now;
         for worker in self.workers.values_mut() {
             worker.listed = false;
         }
@@ -377,6 +383,11 @@
         }
     }
 
+    /// Records that the platform's list of workers was read and has not changed.
+    pub fn workers_unchanged(&mut self, now: MonoMs) {
+        self.listed_at = now;
+    }
+
     /// Records whether the last call to a worker got no answer.
     pub fn set_worker_silent(&mut self, key: WorkerKey, silent: bool, now: MonoMs) {
         if let Some(worker) = self.workers.get_mut(key) {
--- a/hemlocksaddle-policy/tests/capacity.rs
+++ b/hemlocksaddle-policy/tests/capacity.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
 use hemlocksaddle_types::workflow::Run;
-use workflow_support::{Harness, step};
+use workflow_support::{Harness, LEASE_MS, step};
 
 /// Guards against a start beyond a capacity that has shrunk, and against room that stays unused
 /// once it has grown again.
@@ -87,3 +87,34 @@
     harness.report_idle(other);
     expect_that!(harness.starts().len(), eq(1));
 }
+
+/// Guards against a start on a worker of an unguarded pool that runs a task of unknown size.
+#[gtest]
+fn an_unguarded_worker_with_an_unknown_run_gets_no_task() {
+    let mut harness = Harness::with_workers(1, 8_000);
+    harness.unguard_pool();
+    harness.report_running(0, 77, Run(1));
+    harness.accept(1, vec![step(1, 1_000)]);
+    expect_that!(harness.starts(), is_empty());
+    harness.report_idle(0);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
+/// Guards against starts by an outdated capacity where the worker does not check it: the list of
+/// workers cannot be read, so a capacity that has shrunk would not be seen.
+#[gtest]
+fn an_unguarded_pool_gets_no_task_while_its_workers_cannot_be_listed() {
+    for guarded in [true, false] {
+        let mut harness = Harness::with_workers(1, 8_000);
+        if !guarded {
+            harness.unguard_pool();
+        }
+        harness.advance(LEASE_MS / 2);
+        harness.report_idle(0);
+        harness.accept(1, vec![step(1, 1_000)]);
+        let expected = if guarded { 1 } else { 0 };
+        expect_that!(harness.starts().len(), eq(expected));
+        harness.set_capacity(0, 8_000);
+        expect_that!(harness.starts().len(), eq(1 - expected));
+    }
+}
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -335,7 +335,8 @@
     /// Applies the workers' records.
     pub(crate) fn apply_listings(self: &Rc<Self>, records: Vec<Option<Record>>) {
         if records.is_empty() {
-            return;
+            let now = self.env.now();
+            return self.scheduler.borrow_mut().workers_unchanged(now);
         }
         let mut listings = self.listings.borrow_mut();
         for record in records.into_iter().flatten() {
