--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -236,7 +236,7 @@
         now: MonoMs,
     ) {
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.leftovers.push(Leftover {
+            worker.add_leftover(Leftover {
                 task,
                 run,
                 demand,
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -231,6 +231,12 @@
         self.listing.capacity.saturating_sub(&occupied)
     }
 
+    pub(super) fn add_leftover(&mut self, leftover: Leftover) {
+        self.leftovers
+            .retain(|known| (known.task, known.run) != (leftover.task, leftover.run));
+        self.leftovers.push(leftover);
+    }
+
     /// Whether a run of unknown size occupies the worker.
     pub(super) fn has_unknown_runs(&self) -> bool {
         self.leftovers.iter().any(|run| run.demand.is_none())
