Blame no task for the outage of a notable part of all workers

Where a third of the workers crashed every few seconds, soon after the lost tasks had been started again, sound tasks were given up after four such crashes: each worker held a run that had just started, so every loss looked explained. Losses of a tenth of all workers (three at least) within 100 ms are now taken as a mass outage, which is no evidence against any task. Tasks that crash workers do so one at a time; a tenth of all within 100 ms would need more of them than a fleet can run.

--- a/hemlocksaddle-policy/src/workflow/crash.rs
+++ b/hemlocksaddle-policy/src/workflow/crash.rs
@@ -11,6 +11,7 @@
 //!   suspected first.
 //! - It weighs little against a task that had run for some time, and nothing if there
 //!   are signs of another cause.
+//! - It weighs nothing if a notable part of all workers was lost at the same moment.
 //! - It is withdrawn once the task has run for longer than when the worker crashed.
 //!
 //! A workflow is given up when the evidence against one of its tasks suffices: after
@@ -44,6 +45,16 @@
 /// together: the longest time until a report is missed.
 const LOSS_SPREAD_MS: Millis = Millis(1_500);
 
+/// Largest difference between the times at which the loss of two workers is noticed that were lost
+/// at the same moment and closed their connections.
+const SAME_MOMENT_MS: Millis = Millis(100);
+
+/// Part of all workers that is lost at the same moment in a mass outage only, in percent.
+const MASS_OUTAGE_PERCENT: usize = 10;
+
+/// Smallest number of workers in a mass outage.
+const MIN_MASS_OUTAGE: usize = 3;
+
 /// Time after an expired lease for which a worker may still turn out to have crashed.
 const RETURN_TIMEOUT_MS: Millis = Millis(30_000);
 
@@ -68,12 +79,23 @@
     pub silent: Millis,
     /// Whether no other crash at the worker's address was recent.
     pub steady: bool,
-    /// Whether other workers were lost at about the same time without a run that had just started.
-    pub in_outage: bool,
+    /// Signs of a cause outside the tasks.
+    pub outage: Outage,
     /// Runs that were lost, most suspected first.
     pub runs: Vec<LostRun>,
 }
 
+/// Signs of a cause outside the tasks for the loss of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// No signs.
+    None,
+    /// Another worker was lost at about the same time, without a run that had just started.
+    Other,
+    /// A notable part of all workers was lost at the same moment.
+    Mass,
+}
+
 /// Run that was lost when its worker crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LostRun {
@@ -98,8 +120,8 @@
 }
 
 impl Loss {
-    fn is_near(self, at: MonoMs) -> bool {
-        self.at.since(at).max(at.since(self.at)) < LOSS_SPREAD_MS
+    fn is_within(self, spread: Millis, at: MonoMs) -> bool {
+        self.at.since(at).max(at.since(self.at)) < spread
     }
 }
 
@@ -219,7 +241,7 @@
         let name = worker.listing.name.clone();
         let steady = now >= worker.steady_from;
         let silent_since = worker.silent_since.unwrap_or(now);
-        let in_outage = self.is_in_outage(key, silent_since);
+        let outage = self.outage_at(key, silent_since);
         self.losses.push(Loss {
             at: silent_since,
             explained: suspects.iter().any(Suspect::is_prompt),
@@ -247,7 +269,11 @@
                 (true, _) => Standing::First,
                 (false, _) => Standing::Other,
             };
-            let suspicion = suspect.evidence(*prior, standing, steady && !in_outage);
+            let suspicion = match outage {
+                Outage::Mass => 0,
+                Outage::Other => suspect.evidence(*prior, standing, false),
+                Outage::None => suspect.evidence(*prior, standing, steady),
+            };
             runs.push(LostRun {
                 task: self.name(suspect.task),
                 run: suspect.run,
@@ -262,27 +288,40 @@
             worker: name,
             silent: now.since(silent_since),
             steady,
-            in_outage,
+            outage,
             runs,
         });
     }
 
-    /// Whether another worker was lost at about the same time, and no run explains that.
-    fn is_in_outage(&self, key: WorkerKey, at: MonoMs) -> bool {
+    /// Signs of a cause outside the tasks for the loss of a worker.
+    fn outage_at(&self, key: WorkerKey, at: MonoMs) -> Outage {
         let silent = self.workers.iter().filter(|(other, _)| *other != key);
-        let silent = silent.filter_map(|(_, worker)| {
-            let held = worker.tasks.keys().filter_map(|&key| {
-                let task = self.jobs.get(key.job)?.task(key)?;
-                Some(worker.survived(task.started_clock_ms))
-            });
-            let mut survived = held.chain(worker.expired.iter().map(|suspect| suspect.survived));
-            Some(Loss {
-                at: worker.silent_since?,
-                explained: survived.any(|survived| survived < PROMPT_MS),
-            })
+        let silent = silent.filter_map(|(_, worker)| self.loss_of(worker));
+        let losses: Vec<Loss> = self.losses.iter().copied().chain(silent).collect();
+        let together = losses
+            .iter()
+            .filter(|loss| loss.is_within(SAME_MOMENT_MS, at));
+        let mass = (self.workers.len() * MASS_OUTAGE_PERCENT / 100).max(MIN_MASS_OUTAGE);
+        let unexplained = |loss: &Loss| loss.is_within(LOSS_SPREAD_MS, at) && !loss.explained;
+        if together.count() + 1 >= mass {
+            Outage::Mass
+        } else if losses.iter().any(unexplained) {
+            Outage::Other
+        } else {
+            Outage::None
+        }
+    }
+
+    /// Loss of a worker that is silent, as if it had crashed.
+    fn loss_of(&self, worker: &Worker) -> Option<Loss> {
+        let at = worker.silent_since?;
+        let held = worker.tasks.keys().filter_map(|&key| {
+            let task = self.jobs.get(key.job)?.task(key)?;
+            Some(worker.survived(task.started_clock_ms))
         });
-        let mut losses = self.losses.iter().copied().chain(silent);
-        losses.any(|loss| loss.is_near(at) && !loss.explained)
+        let mut survived = held.chain(worker.expired.iter().map(|suspect| suspect.survived));
+        let explained = survived.any(|survived| survived < PROMPT_MS);
+        Some(Loss { at, explained })
     }
 
     /// Runs on a worker whose tasks may have crashed it.
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -39,7 +39,7 @@
 pub use hemlocksaddle_types::delegation::{End, EndKind, Report, StartAnswer, TaskStatus};
 
 pub use self::{
-    crash::{Crash, LostRun},
+    crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
     lifecycle::Unsaved,
--- a/hemlocksaddle-policy/tests/crashes.rs
+++ b/hemlocksaddle-policy/tests/crashes.rs
@@ -219,6 +219,28 @@
     expect_that!(harness.state(1), some(eq(State::Completed)));
 }
 
+/// Guards against blame for outages that hit a third of the workers again and again, each time soon
+/// after the lost tasks were started again.
+#[gtest]
+fn tasks_that_are_hit_by_outage_after_outage_are_not_given_up() {
+    let mut harness = Harness::with_workers(12, 16_000);
+    for id in 1..=4 {
+        harness.accept(id, vec![step(1, 9_000)]);
+    }
+    for _ in 0..6 {
+        let starts = harness.starts();
+        assert_that!(starts.len(), eq(4));
+        harness.answer_all(&starts, StartAnswer::Accepted);
+        let numbers = starts.iter().map(|start| harness.number_of(start));
+        let numbers: Vec<usize> = numbers.collect();
+        harness.crash_workers(&numbers, AWAY_MS);
+        harness.save();
+    }
+    for id in 1..=4 {
+        expect_that!(harness.state(id), some(eq(State::Running)));
+    }
+}
+
 /// Guards against a start before the crash is durable, which a successor would not know of.
 #[gtest]
 fn a_crash_is_durable_before_its_task_is_started_again() {
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -176,7 +176,7 @@
                 })
             });
             let inputs = json!({
-                "worker": &*crash.worker, "silent_ms": crash.silent.0, "steady": crash.steady, "in_outage": crash.in_outage,
+                "worker": &*crash.worker, "silent_ms": crash.silent.0, "steady": crash.steady, "outage": format!("{:?}", crash.outage),
                 "lost": crash.runs.len(),
                 "runs": runs.collect::<Vec<_>>(),
             });
