Emulate workers that crash, shrink and grow

The fake workers of the shard crate crash 8 ms after the start of a deadly task and are back after 3.1 s as a new process; their capacity shrinks and grows while they run, and a start beyond it is a violation after the platform's grace time (4.1 s).

--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -2,22 +2,22 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
-    rc::Rc,
+    collections::{BTreeMap, BTreeSet},
+    rc::{Rc, Weak},
     result,
 };
 
-use hemlocksaddle_fakes::runtime::SimRuntime;
+use hemlocksaddle_fakes::runtime::{ENVIRONMENT, SimRuntime};
 use hemlocksaddle_node::ports::PortFuture;
 use hemlocksaddle_policy::workflow::{End, EndKind, Report, StartAnswer, TaskStatus};
 use hemlocksaddle_shard::ports::{Fleet, ReportRequest, StartCall, Timed, WorkerError};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     delegation::Endpoint,
-    workflow::{Run, TaskName},
+    workflow::{Run, TaskName, WorkflowId},
 };
 
-use super::LEASE_MS;
+use super::{FakeStore, LEASE_MS, TASK_CPU_MILLI};
 
 /// Default run time of a task.
 const RUN_MS: u64 = 1_000;
@@ -28,6 +28,18 @@
 /// Interval at which a waiting report request checks for ended runs.
 const POLL_MS: Millis = Millis(10);
 
+/// Capacity of a worker at first, in thousandths of a core.
+const CAPACITY_MILLI: u64 = 8_000;
+
+/// Time after which a capacity that has shrunk counts: the platform's contact time and a heartbeat.
+const SHRINK_GRACE_MS: u64 = 4_100;
+
+/// Time from the start of a task that crashes its worker to the crash.
+const CRASH_DELAY_MS: Millis = Millis(8);
+
+/// Time for which a crashed worker is away.
+const AWAY_MS: Millis = Millis(3_100);
+
 #[derive(Default)]
 struct Worker {
     /// Run and its end time in milliseconds, by task.
@@ -41,10 +53,55 @@
     unreachable: bool,
     /// If set, only the owner of this term can reach the worker.
     reachable_by_term: Option<u64>,
+    /// Start time, which identifies the incarnation.
+    born_ms: u64,
+    /// Whether the worker has crashed and is not back yet.
+    is_down: bool,
+    /// Capacity in thousandths of a core since a time in milliseconds, latest last.
+    capacities: Vec<(u64, u64)>,
+}
+
+impl Worker {
+    fn new() -> Worker {
+        Worker {
+            born_ms: 1,
+            capacities: vec![(0, CAPACITY_MILLI)],
+            ..Worker::default()
+        }
+    }
+
+    fn capacity_milli(&self) -> u64 {
+        self.capacities.last().map_or(0, |&(_, milli)| milli)
+    }
+
+    /// Largest capacity that a start may use: one that has shrunk counts later.
+    fn allowed_milli(&self, now_ms: u64) -> u64 {
+        let mut largest = self.capacity_milli();
+        let mut replaced_at_ms = now_ms;
+        for &(since_ms, milli) in self.capacities.iter().rev() {
+            if replaced_at_ms + SHRINK_GRACE_MS >= now_ms {
+                largest = largest.max(milli);
+            }
+            replaced_at_ms = since_ms;
+        }
+        largest
+    }
+
+    fn used_milli(&self) -> u64 {
+        self.running.len() as u64 * TASK_CPU_MILLI
+    }
 }
 
 pub(crate) struct FakeFleet {
+    this: Weak<FakeFleet>,
     sim: SimRuntime,
+    store: Rc<FakeStore>,
+    /// Workflows whose tasks crash each worker that starts them.
+    pub(crate) deadly: RefCell<BTreeSet<WorkflowId>>,
+    /// Number of workers that each task has crashed.
+    pub(crate) crashes: RefCell<BTreeMap<TaskName, u64>>,
+    /// Whether workers start tasks that do not fit.
+    pub(crate) unguarded: Cell<bool>,
     workers: RefCell<Vec<Worker>>,
     /// Violations of the run guarantees: concurrent runs of a task, and starts after its end.
     pub(crate) violations: RefCell<Vec<String>>,
@@ -122,10 +179,15 @@
         self.calls.borrow_mut().remove(&node).unwrap_or(0)
     }
 
-    pub(crate) fn new(sim: SimRuntime, count: usize) -> Rc<FakeFleet> {
-        Rc::new(FakeFleet {
+    pub(crate) fn new(sim: SimRuntime, store: Rc<FakeStore>, count: usize) -> Rc<FakeFleet> {
+        Rc::new_cyclic(|this| FakeFleet {
+            this: this.clone(),
             sim,
-            workers: RefCell::new((0..count).map(|_| Worker::default()).collect()),
+            store,
+            deadly: RefCell::default(),
+            crashes: RefCell::default(),
+            unguarded: Cell::new(false),
+            workers: RefCell::new((0..count).map(|_| Worker::new()).collect()),
             violations: RefCell::default(),
             done: RefCell::default(),
             starts: Cell::new(0),
@@ -159,6 +221,60 @@
         self.workers.borrow_mut()[number].unreachable = unreachable;
     }
 
+    /// Start time and capacity in thousandths of a core that a worker lists.
+    pub(crate) fn listed(&self, number: usize) -> (u64, u64) {
+        let worker = &self.workers.borrow()[number];
+        (worker.born_ms, worker.capacity_milli())
+    }
+
+    /// Changes the capacity of a worker, which lists it at once.
+    pub(crate) fn set_capacity(&self, number: usize, milli: u64) {
+        let now_ms = self.sim.now().0;
+        self.workers.borrow_mut()[number]
+            .capacities
+            .push((now_ms, milli));
+        self.store.put_worker(number);
+    }
+
+    /// Crashes a worker; it is back as a new process after a while.
+    pub(crate) fn crash(&self, number: usize) {
+        {
+            let worker = &mut self.workers.borrow_mut()[number];
+            *worker = Worker {
+                born_ms: worker.born_ms + 1,
+                capacities: std::mem::take(&mut worker.capacities),
+                unreachable: worker.unreachable,
+                is_down: true,
+                ..Worker::default()
+            };
+        }
+        let fleet = self.this.clone();
+        let back = self.sim.sleep(AWAY_MS);
+        self.sim.spawn(ENVIRONMENT, async move {
+            back.await;
+            if let Some(fleet) = fleet.upgrade() {
+                fleet.workers.borrow_mut()[number].is_down = false;
+                fleet.store.put_worker(number);
+            }
+        });
+    }
+
+    /// Crashes a worker soon if the workflow of a task is deadly.
+    fn crash_if_deadly(&self, number: usize, task: TaskName) {
+        if !self.deadly.borrow().contains(&task.workflow) {
+            return;
+        }
+        *self.crashes.borrow_mut().entry(task).or_default() += 1;
+        let fleet = self.this.clone();
+        let delay = self.sim.sleep(CRASH_DELAY_MS);
+        self.sim.spawn(ENVIRONMENT, async move {
+            delay.await;
+            if let Some(fleet) = fleet.upgrade() {
+                fleet.crash(number);
+            }
+        });
+    }
+
     fn violation(&self, text: String) {
         self.violations
             .borrow_mut()
@@ -223,6 +339,17 @@
             if worker.ends.iter().any(old) {
                 return StartAnswer::OldRun;
             }
+            let used_milli = worker.used_milli() + TASK_CPU_MILLI;
+            if !self.unguarded.get() && used_milli > worker.capacity_milli() {
+                return StartAnswer::NoRoom;
+            }
+            let allowed_milli = worker.allowed_milli(now_ms);
+            if used_milli > allowed_milli {
+                self.violation(format!(
+                    "{} brings worker {number} to {used_milli} of {allowed_milli}",
+                    call.task
+                ));
+            }
         }
         let is_running = self
             .workers
@@ -243,6 +370,7 @@
         worker
             .running
             .insert(call.task, (call.run, now_ms + self.run_ms.get()));
+        self.crash_if_deadly(number, call.task);
         StartAnswer::Accepted
     }
 
@@ -257,10 +385,10 @@
         worker.ends.retain(|end| end.number > upto);
     }
 
-    fn timed<T>(&self, value: T) -> Timed<T> {
+    fn timed<T>(&self, number: usize, value: T) -> Timed<T> {
         Timed {
             clock_ms: Some(self.sim.now().0),
-            born_ms: Some(1),
+            born_ms: Some(self.workers.borrow()[number].born_ms),
             value,
         }
     }
@@ -272,7 +400,9 @@
 
     fn is_unreachable(&self, number: usize, term: u64) -> bool {
         let worker = &self.workers.borrow()[number];
-        worker.unreachable || worker.reachable_by_term.is_some_and(|only| only != term)
+        worker.is_down
+            || worker.unreachable
+            || worker.reachable_by_term.is_some_and(|only| only != term)
     }
 }
 
@@ -294,7 +424,7 @@
             if every > 0 && self.starts.get().is_multiple_of(every) {
                 return unknown;
             }
-            self.timed(answer)
+            self.timed(number, answer)
         })
     }
 
@@ -349,10 +479,14 @@
         Box::pin(async move {
             self.sim.sleep(LATENCY_MS).await;
             let until = self.sim.now() + request.wait;
+            if self.workers.borrow()[number].is_down {
+                return Err(WorkerError::NotSent);
+            }
             if self.is_unreachable(number, request.term) {
                 self.sim.sleep(Millis(10_000)).await;
                 return Err(WorkerError::Unknown);
             }
+            let born_ms = self.workers.borrow()[number].born_ms;
             self.advance();
             {
                 let worker = &mut self.workers.borrow_mut()[number];
@@ -374,6 +508,10 @@
                     break;
                 }
                 self.sim.sleep(POLL_MS).await;
+                if self.workers.borrow()[number].born_ms != born_ms {
+                    // The connection ends with the process.
+                    return Err(WorkerError::Unknown);
+                }
             }
             let workers = self.workers.borrow();
             let worker = &workers[number];
@@ -390,7 +528,8 @@
                 running: worker.running.iter().map(status).collect(),
                 ends: worker.ends.clone(),
             };
-            Ok(self.timed(report))
+            drop(workers);
+            Ok(self.timed(number, report))
         })
     }
 }
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -23,7 +23,7 @@
     clock::{Millis, WallMs},
     name::{DataCentre, NodeName},
     resources::Resources,
-    workflow::{Catalogue, Queue, State, Step, Workflow, WorkflowId},
+    workflow::{Catalogue, Pool, Queue, State, Step, Workflow, WorkflowId},
 };
 
 use self::peers::FakePeers;
@@ -38,6 +38,9 @@
 /// Maximum lease of a worker in milliseconds.
 pub(crate) const LEASE_MS: u64 = 6_000;
 
+/// Processors that each task needs, in thousandths of a core.
+pub(crate) const TASK_CPU_MILLI: u64 = 1_000;
+
 /// Nodes by peer address.
 type Registry = Rc<RefCell<BTreeMap<SocketAddr, Rc<Node>>>>;
 
@@ -53,7 +56,7 @@
 /// Decoder of operator and worker records in the fake store; the key alone identifies them.
 struct FakeFormats {
     catalogue: Catalogue,
-    workers: usize,
+    fleet: Rc<FakeFleet>,
 }
 
 impl Formats for FakeFormats {
@@ -66,9 +69,14 @@
 
     fn listing(&self, record: &Record) -> Result<Listing, String> {
         let number: usize = record.key.parse().map_err(|_| "not a worker")?;
-        (number < self.workers)
-            .then(|| listing(number))
-            .ok_or_else(|| "not a worker".to_owned())
+        if number >= self.fleet.count() {
+            return Err("not a worker".to_owned());
+        }
+        let (born_ms, cpu_milli) = self.fleet.listed(number);
+        let mut listing = listing(number);
+        listing.born_ms = born_ms;
+        listing.capacity.cpu_milli = cpu_milli;
+        Ok(listing)
     }
 }
 
@@ -104,7 +112,11 @@
             target_completion_ms: Millis(250),
             timeout_ms: Millis(3_000),
         }],
-        pools: Vec::new(),
+        pools: vec![Pool {
+            name: "pool".into(),
+            admission_check: false,
+            standby: false,
+        }],
         max_body_bytes: 1 << 18,
     }
 }
@@ -120,9 +132,10 @@
     /// Creates the store and workers; the test starts the nodes.
     pub(crate) fn without_nodes(seed: u64, workers: usize) -> Deployment {
         let sim = SimRuntime::new(seed);
+        let store = FakeStore::new(sim.clone());
         let deployment = Deployment {
-            store: FakeStore::new(sim.clone()),
-            fleet: FakeFleet::new(sim.clone(), workers),
+            fleet: FakeFleet::new(sim.clone(), store.clone(), workers),
+            store,
             nodes: Registry::default(),
             stores: RefCell::default(),
             catalogue: catalogue(),
@@ -167,7 +180,7 @@
             store: store.clone(),
             formats: Rc::new(FakeFormats {
                 catalogue: self.catalogue.clone(),
-                workers: self.fleet.count(),
+                fleet: self.fleet.clone(),
             }),
             fleet: self.fleet.of_node(number),
         };
@@ -276,7 +289,7 @@
     Step {
         tasks,
         demand: Resources {
-            cpu_milli: 1_000,
+            cpu_milli: TASK_CPU_MILLI,
             memory_mb: 100,
             accelerators: 0,
         },
