Move the saving of progress into a module, simplify the weighing of crashes

In crash.rs, the rank, standing and evidence of a suspect become its methods, and the prior evidence a field, so that a crash is weighed in one pass.

--- a/hemlocksaddle-policy/src/workflow/crash.rs
+++ b/hemlocksaddle-policy/src/workflow/crash.rs
@@ -28,14 +28,14 @@
 //! How long the worker lived after the start of a run is measured between readings
 //! of the worker's own clock, so that slow answers do not distort it.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{cmp::Reverse, net::SocketAddr, sync::Arc};
 
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     workflow::{CrashedRun, Failure, Run, TaskName},
 };
 
-use super::{Scheduler, TaskKey, Worker, WorkerKey, job::Task};
+use super::{Phase, Scheduler, TaskKey, Worker, WorkerKey, job::Task};
 
 /// Time after the start of a run within which a crash is called prompt.
 ///
@@ -134,16 +134,6 @@
     Suspect,
 }
 
-impl Explanation {
-    fn of_run(survived: Millis, prior: u32) -> Explanation {
-        match (survived < PROMPT_MS, prior) {
-            (false, _) => Explanation::None,
-            (true, 0) => Explanation::Start,
-            (true, _) => Explanation::Suspect,
-        }
-    }
-}
-
 /// Loss of a worker by a crash.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Loss {
@@ -165,6 +155,8 @@
     survived: Millis,
     /// Upper bound of the time from the start of the run to the crash.
     age: Millis,
+    /// Evidence of earlier crashes against the task.
+    prior: u32,
 }
 
 impl Suspect {
@@ -172,16 +164,43 @@
         self.survived < PROMPT_MS
     }
 
-    /// Evidence of a crash, given the other suspects and whether there are no signs of another cause.
-    fn evidence(&self, prior: u32, standing: Standing, only_suspects: bool) -> u32 {
-        let (first, sole) = (standing != Standing::Other, standing == Standing::Sole);
-        match (self.is_prompt(), only_suspects) {
-            (true, true) if sole => SOLE_SUSPECT,
-            (true, _) if first => SHARED,
-            (true, _) => REMOTE,
-            (false, true) if sole && prior > 0 => SHARED,
-            (false, true) => REMOTE,
-            (false, false) => 0,
+    fn explanation(&self) -> Explanation {
+        match (self.is_prompt(), self.prior) {
+            (false, _) => Explanation::None,
+            (true, 0) => Explanation::Start,
+            (true, _) => Explanation::Suspect,
+        }
+    }
+
+    /// Order in which tasks are suspected; a start just before counts like an earlier crash.
+    fn rank(&self) -> u32 {
+        self.prior + if self.is_prompt() { SHARED } else { 0 }
+    }
+
+    fn standing(&self, all: &[Suspect]) -> Standing {
+        let above = all.iter().any(|other| other.rank() > self.rank());
+        let equal = all.iter().filter(|other| other.rank() == self.rank());
+        match (above, equal.count()) {
+            (true, _) => Standing::Other,
+            (false, 1) => Standing::Sole,
+            (false, _) => Standing::First,
+        }
+    }
+
+    /// Evidence of a crash against the task.
+    fn evidence(&self, standing: Standing, steady: bool, outage: Outage) -> u32 {
+        let prompt = self.is_prompt();
+        if outage == Outage::Mass {
+            return if prompt { REMOTE } else { 0 };
+        }
+        let only_tasks = steady && outage == Outage::None;
+        match (prompt, only_tasks, standing) {
+            (true, true, Standing::Sole) => SOLE_SUSPECT,
+            (true, _, Standing::Sole | Standing::First) => SHARED,
+            (true, _, Standing::Other) => REMOTE,
+            (false, true, Standing::Sole) if self.prior > 0 => SHARED,
+            (false, true, _) => REMOTE,
+            (false, false, _) => 0,
         }
     }
 }
@@ -307,60 +326,34 @@
     fn weigh_crash(&mut self, key: WorkerKey, now: MonoMs) {
         let suspects = self.suspects_on(key, now);
         let worker = &self.workers[key];
-        let name = worker.listing.name.clone();
+        let (name, address) = (worker.listing.name.clone(), worker.listing.address);
         let steady = worker.is_steady(now);
-        let silent_since = worker.silent_since.unwrap_or(now);
-        self.crashed_at.insert(worker.listing.address, now);
-        let rank = |suspect: &Suspect, prior: u32| {
-            let prompt = if suspect.is_prompt() { SHARED } else { 0 };
-            prior + prompt
-        };
-        let prior = |suspect: &Suspect| {
-            let task = self.jobs[suspect.task.job].task(suspect.task);
-            task.map_or(0, Task::suspicion)
-        };
-        let ranked: Vec<(Suspect, u32)> = suspects
-            .into_iter()
-            .map(|suspect| (suspect, prior(&suspect)))
-            .collect();
-        let explanations = ranked
-            .iter()
-            .map(|(suspect, prior)| Explanation::of_run(suspect.survived, *prior));
+        let lost_at = worker.silent_since.unwrap_or(now);
+        let explanation = suspects.iter().map(Suspect::explanation).max();
         let loss = Loss {
-            at: silent_since,
-            explanation: explanations.max().unwrap_or(Explanation::None),
+            at: lost_at,
+            explanation: explanation.unwrap_or(Explanation::None),
         };
         let outage = self.outage_at(key, loss);
         self.losses.push(loss);
-        let ranks = || ranked.iter().map(|(suspect, prior)| rank(suspect, *prior));
-        let top = ranks().max().unwrap_or(0);
-        let first = ranks().filter(|&rank| rank == top).count();
+        self.crashed_at.insert(address, now);
         let mut runs = Vec::new();
-        for (suspect, prior) in &ranked {
-            let standing = match (rank(suspect, *prior) == top, first) {
-                (true, 1) => Standing::Sole,
-                (true, _) => Standing::First,
-                (false, _) => Standing::Other,
-            };
-            let suspicion = match outage {
-                Outage::Mass if suspect.is_prompt() => REMOTE,
-                Outage::Mass => 0,
-                Outage::Other => suspect.evidence(*prior, standing, false),
-                Outage::None => suspect.evidence(*prior, standing, steady),
-            };
+        for suspect in &suspects {
+            let standing = suspect.standing(&suspects);
+            let suspicion = suspect.evidence(standing, steady, outage);
             runs.push(LostRun {
                 task: self.name(suspect.task),
                 run: suspect.run,
                 survived: suspect.survived,
                 suspicion,
-                total_suspicion: prior + suspicion,
+                total_suspicion: suspect.prior + suspicion,
             });
             self.record_crash(suspect, suspicion, &name);
         }
-        runs.sort_by_key(|run| (std::cmp::Reverse(run.total_suspicion), run.survived));
+        runs.sort_by_key(|run| (Reverse(run.total_suspicion), run.survived));
         self.crashes.push(Crash {
             worker: name,
-            silent: now.since(silent_since),
+            silent: now.since(lost_at),
             steady,
             outage,
             runs,
@@ -393,37 +386,47 @@
     /// Loss of a worker that is silent, as if it had crashed.
     fn loss_of(&self, worker: &Worker) -> Option<Loss> {
         let at = worker.silent_since?;
-        let run_of = |key: TaskKey| self.jobs.get(key.job)?.task(key);
-        let held = worker.tasks.keys().filter_map(|&key| {
-            let task = run_of(key)?;
-            let survived = worker.survived(task.started_clock_ms);
-            Some(Explanation::of_run(survived, task.suspicion()))
-        });
-        let expired = worker.expired.iter().filter_map(|suspect| {
-            let task = run_of(suspect.task)?;
-            Some(Explanation::of_run(suspect.survived, task.suspicion()))
-        });
-        let explanation = held.chain(expired).max().unwrap_or(Explanation::None);
-        Some(Loss { at, explanation })
+        let runs = self.runs_on(worker, at);
+        let explanation = runs.chain(worker.expired.iter().copied());
+        let explanation = explanation.map(|run| run.explanation()).max();
+        Some(Loss {
+            at,
+            explanation: explanation.unwrap_or(Explanation::None),
+        })
+    }
+
+    /// Runs that are assigned to a worker that was lost at the given time.
+    fn runs_on<'a>(
+        &'a self,
+        worker: &'a Worker,
+        lost_at: MonoMs,
+    ) -> impl Iterator<Item = Suspect> + 'a {
+        worker.tasks.iter().filter_map(move |(&key, assigned)| {
+            let task = self.jobs.get(key.job)?.task(key)?;
+            Some(Suspect {
+                task: key,
+                run: assigned.run,
+                survived: worker.survived(task.started_clock_ms),
+                age: lost_at.since(task.ordered_at),
+                prior: task.suspicion(),
+            })
+        })
     }
 
     /// Runs on a worker whose tasks may have crashed it.
     fn suspects_on(&mut self, key: WorkerKey, now: MonoMs) -> Vec<Suspect> {
         self.keep_runs(key, now);
         let suspects = std::mem::take(&mut self.workers[key].expired);
-        let still_suspected = |suspect: &Suspect| {
+        let still_suspected = |suspect: Suspect| {
             let job = self.jobs.get(suspect.task.job)?;
             let task = job.task(suspect.task).filter(|_| job.is_open())?;
-            let known = task
-                .confirmed_crashes()
-                .any(|crash| crash.run == suspect.run);
-            let done = task.phase == super::Phase::Done;
-            (!known && !done && !task.has_outlived(suspect.age)).then_some(())
+            let mut confirmed = task.confirmed_crashes();
+            let is_known = confirmed.any(|crash| crash.run == suspect.run);
+            let is_cleared = task.phase == Phase::Done || task.has_outlived(suspect.age);
+            let prior = task.suspicion();
+            (!is_known && !is_cleared).then_some(Suspect { prior, ..suspect })
         };
-        suspects
-            .into_iter()
-            .filter(|suspect| still_suspected(suspect).is_some())
-            .collect()
+        suspects.into_iter().filter_map(still_suspected).collect()
     }
 
     /// Keeps the runs on a worker whose lease has expired, for when it answers again.
@@ -454,16 +457,7 @@
             return;
         }
         let lost_at = worker.silent_since.unwrap_or(now);
-        let suspect = |(&task_key, assigned): (&TaskKey, &super::worker::Assigned)| {
-            let task = self.jobs.get(task_key.job)?.task(task_key)?;
-            Some(Suspect {
-                task: task_key,
-                run: assigned.run,
-                survived: worker.survived(task.started_clock_ms),
-                age: lost_at.since(task.ordered_at),
-            })
-        };
-        let suspects: Vec<Suspect> = worker.tasks.iter().filter_map(suspect).collect();
+        let suspects: Vec<Suspect> = self.runs_on(worker, lost_at).collect();
         for suspect in &suspects {
             let task = self.jobs[suspect.task.job].task_mut(suspect.task);
             task.longest_survived = task.longest_survived.max(suspect.survived);
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -10,7 +10,7 @@
 //! | --- | --- | --- |
 //! | claims | owner, term and renewals of each shard; layout with the peers' key | every node |
 //! | submissions | accepted and cancelled workflows | every node |
-//! | progress | ended tasks and final states; roster of workers; interference estimates | owner |
+//! | progress | ended tasks, crashes and final states; roster of workers; interference estimates | owner |
 //!
 //! Streams are compacted: the store keeps the newest record of each key, so a new
 //! owner reads the live state and not the history. Running tasks are not recorded:
@@ -35,6 +35,7 @@
 mod owner;
 mod record;
 mod recovery;
+mod saving;
 mod worker_poll;
 
 pub use node::{Node, Settings};
