Keep crashes in the log when many runs end

Events of single runs and submissions now have a bucket of their own, all others one of 200 lines a second.

--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -1,9 +1,10 @@
 //! Structured log lines.
 //!
 //! Each line is a JSON object with the time, the node, the event's number and name,
-//! and the inputs of the decision. `docs/shard-events.md` lists the numbers. A token
-//! bucket limits the rate; dropped lines are counted, and the count is logged before
-//! the next line.
+//! and the inputs of the decision. `docs/shard-events.md` lists the numbers. Token
+//! buckets limit the rate; dropped lines are counted, and the count is logged before
+//! the next line. Events of single runs have a bucket of their own, so that they do not
+//! displace the rare ones that explain an incident.
 
 use std::cell::Cell;
 
@@ -22,6 +23,13 @@
 /// Capacity of the token bucket in lines.
 const BURST_LINES: u64 = 2_000;
 
+/// Refill rate of the token bucket of rare events in lines per second.
+const RARE_LINES_PER_S: u64 = 200;
+
+/// Capacity of the token bucket of rare events in lines: a crash of each worker of a data centre of
+/// the design size.
+const RARE_BURST_LINES: u64 = 400;
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal;)*) => {
         /// Log event with a stable number.
@@ -112,11 +120,57 @@
     InvariantViolated = 100, "invariant violated";
 }
 
-/// Structured log with a rate limit.
-pub struct Log {
-    node: NodeName,
+impl Event {
+    /// Whether the event concerns a single run or submission.
+    fn is_frequent(self) -> bool {
+        matches!(
+            self,
+            Event::Accepted
+                | Event::StartAnswered
+                | Event::StopOrdered
+                | Event::RunEnded
+                | Event::Paced
+        )
+    }
+}
+
+/// Token bucket.
+struct Bucket {
+    lines_per_s: u64,
+    burst_lines: u64,
     tokens: Cell<u64>,
     refilled_at: Cell<MonoMs>,
+}
+
+impl Bucket {
+    fn new(lines_per_s: u64, burst_lines: u64) -> Bucket {
+        Bucket {
+            lines_per_s,
+            burst_lines,
+            tokens: Cell::new(burst_lines),
+            refilled_at: Cell::new(MonoMs(0)),
+        }
+    }
+
+    fn take_token(&self, now: MonoMs) -> bool {
+        let passed = now.since(self.refilled_at.get());
+        let lines = passed.0 * self.lines_per_s / 1_000;
+        if lines > 0 {
+            self.tokens
+                .set((self.tokens.get() + lines).min(self.burst_lines));
+            self.refilled_at.set(now);
+        }
+        let tokens = self.tokens.get();
+        self.tokens.set(tokens.saturating_sub(1));
+        tokens > 0
+    }
+}
+
+/// Structured log with rate limits.
+pub struct Log {
+    node: NodeName,
+    frequent: Bucket,
+    rare: Bucket,
     dropped: Cell<u64>,
 }
 
@@ -126,15 +180,20 @@
     pub fn new(node: NodeName) -> Log {
         Log {
             node,
-            tokens: Cell::new(BURST_LINES),
-            refilled_at: Cell::new(MonoMs(0)),
+            frequent: Bucket::new(LINES_PER_S, BURST_LINES),
+            rare: Bucket::new(RARE_LINES_PER_S, RARE_BURST_LINES),
             dropped: Cell::new(0),
         }
     }
 
     /// Logs an event with its inputs, or counts it as dropped if the rate limit is reached.
     pub fn emit(&self, event: Event, now: MonoMs, wall: WallMs, inputs: &Value) {
-        if !self.take_token(now) {
+        let bucket = if event.is_frequent() {
+            &self.frequent
+        } else {
+            &self.rare
+        };
+        if !bucket.take_token(now) {
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
@@ -155,17 +214,4 @@
         });
         log::info!(target: "hemlocksaddle", "{line}");
     }
-
-    fn take_token(&self, now: MonoMs) -> bool {
-        let passed = now.since(self.refilled_at.get());
-        let lines = passed.0 * LINES_PER_S / 1_000;
-        if lines > 0 {
-            self.tokens
-                .set((self.tokens.get() + lines).min(BURST_LINES));
-            self.refilled_at.set(now);
-        }
-        let tokens = self.tokens.get();
-        self.tokens.set(tokens.saturating_sub(1));
-        tokens > 0
-    }
 }
