Add failing tests for long-running tasks that starve

In the tests, a long-running task waits while short tasks arrive without a pause, and never starts: each plan offers what has become free to short tasks first, however long the other has waited. The third test has one worker with room for two, which the capacity rule counts as one.

--- /dev/null
+++ b/hemlocksaddle-policy/tests/starvation.rs
@@ -0,0 +1,102 @@
+//! Long-running tasks that wait while short tasks arrive without a pause.
+//!
+//! Load pattern: a full fleet whose short tasks come back in waves or queue up, so that all
+//! capacity that becomes free has a short task waiting for it.
+
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod workflow_support;
+
+use googletest::prelude::*;
+use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
+use workflow_support::{Harness, long_running, step};
+
+/// Time within which a task has to start for which two times its demand is free.
+const START_WITHIN_MS: u64 = 3_000;
+
+/// Interval at which short tasks end in pairs.
+const PAIR_ENDS_MS: u64 = 100;
+
+/// Id of the workflow with the long-running task.
+const LONG_RUNNING: u64 = 1;
+
+/// Plans, and accepts the starts; returns those of short tasks and whether the long-running task started.
+fn start_all(harness: &mut Harness) -> (Vec<Start>, bool) {
+    let starts = harness.starts();
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    let (long, short): (Vec<_>, Vec<_>) = starts
+        .into_iter()
+        .partition(|start| start.name.workflow.0 == LONG_RUNNING);
+    (short, !long.is_empty())
+}
+
+/// Queues up short tasks on full workers, then a long-running one; the pairs of short tasks that end
+/// are replaced at once. Returns the time that the long-running task waited, or `None`.
+fn wait_behind_short_tasks(queue_of_long_running: &str) -> Option<u64> {
+    let mut harness = Harness::with_workers(4, 16_000);
+    harness.accept(2, vec![step(400, 8_000)]);
+    let (mut running, _) = start_all(&mut harness);
+    harness.accept_in(
+        LONG_RUNNING,
+        queue_of_long_running,
+        vec![long_running(1, 8_000, "a")],
+    );
+    for waited_ms in (0..=2 * START_WITHIN_MS).step_by(PAIR_ENDS_MS as usize) {
+        for start in running.drain(..2) {
+            harness.end(&start, EndKind::Done);
+        }
+        harness.save();
+        let (started, long_running_started) = start_all(&mut harness);
+        if long_running_started {
+            return Some(waited_ms);
+        }
+        running.extend(started);
+        harness.advance(PAIR_ENDS_MS);
+    }
+    None
+}
+
+/// Guards against a long-running task that never starts although capacity for two of it becomes free
+/// again and again, because short tasks of its priority always wait as well.
+#[gtest]
+fn a_long_running_task_starts_although_short_tasks_keep_waiting() {
+    expect_that!(wait_behind_short_tasks("queue"), some(le(START_WITHIN_MS)));
+}
+
+/// Guards against a long-running task of a less urgent queue that never starts although capacity for
+/// two of it becomes free again and again.
+#[gtest]
+fn a_long_running_task_of_a_later_queue_starts_although_short_tasks_keep_waiting() {
+    expect_that!(wait_behind_short_tasks("later"), some(le(START_WITHIN_MS)));
+}
+
+/// Guards against a long-running task that waits beside a worker with room for two of it, because that
+/// worker is the only one and short tasks use it in waves.
+#[gtest]
+fn one_worker_with_room_for_two_suffices_for_a_long_running_task() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    let mut waited_ms = 0;
+    for wave in 0..10 {
+        harness.accept(10 + wave, vec![step(2, 8_000)]);
+        let (short, _) = start_all(&mut harness);
+        if wave == 0 {
+            harness.accept(LONG_RUNNING, vec![long_running(1, 8_000, "a")]);
+        }
+        harness.advance(PAIR_ENDS_MS);
+        waited_ms += PAIR_ENDS_MS;
+        expect_that!(start_all(&mut harness).1, eq(false));
+        short
+            .iter()
+            .for_each(|start| harness.end(start, EndKind::Done));
+        harness.save();
+        for _ in 0..4 {
+            let (_, started) = start_all(&mut harness);
+            if started {
+                expect_that!(waited_ms, le(START_WITHIN_MS));
+                return;
+            }
+            harness.advance(PAIR_ENDS_MS);
+            waited_ms += PAIR_ENDS_MS;
+        }
+    }
+    fail!("never started").and_log_failure();
+}
