Diagnose steps whose tasks have waited long

Scheduler::waiting tells, for the eight steps that have waited longest beyond 3 s (long-running) or 10 s, what their task waits for, and how many workers of its pool are usable, have room for one or two of it, and are allowed. Plan and diagnosis share the checks of a worker (unusable, obstacle). A task's wait counts from the end of its last run, through refused starts; start orders carry it.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -83,6 +83,10 @@
     restarted_before: Option<Run>,
     /// Latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
+    /// Time since which the task has waited; `None` before its first start.
+    ///
+    /// A start that is refused does not change it.
+    pub(super) waiting_since: Option<MonoMs>,
     /// Earliest time of the next start.
     pub not_before: MonoMs,
     /// Worker to avoid: the latest run failed there or was moved off it.
@@ -119,6 +123,7 @@
             restarted: None,
             restarted_before: None,
             checkpoint: None,
+            waiting_since: None,
             not_before: MonoMs(0),
             failed_on: None,
             crashes: Vec::new(),
@@ -351,6 +356,21 @@
             && self.occurrences.iter().all(Occurrence::is_done)
     }
 
+    /// Whether a step has to wait until all workers have reported in this term.
+    ///
+    /// A predecessor may have started its tasks.
+    pub(super) fn awaits_reports(&self, step: &Step, failover_complete: bool) -> bool {
+        self.inherited && !failover_complete && !step.speculative
+    }
+
+    /// Time since which a task has waited or, if it does not wait, had waited before its start.
+    pub(super) fn waiting_since(&self, key: TaskKey) -> MonoMs {
+        let state = &self.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
+        let task = &state.tasks[key.index as usize];
+        let since = task.waiting_since.or(state.waiting_since);
+        since.unwrap_or(self.accepted_at)
+    }
+
     /// Whether all steps that this one depends on are done.
     pub(super) fn step_is_due(&self, occurrence: usize, step: usize) -> bool {
         let states = &self.occurrences[occurrence].steps;
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -292,6 +292,10 @@
         let Some(worker) = task.phase.worker() else {
             return;
         };
+        // A start that was refused or taken back continues the wait.
+        if !matches!(task.phase, Phase::Starting { .. }) {
+            task.waiting_since = Some(self.updated_at);
+        }
         task.phase = Phase::Waiting;
         state.waiting += 1;
         job.placed -= 1;
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod plan;
 mod report;
+mod waiting;
 mod worker;
 
 use std::{net::SocketAddr, sync::Arc};
@@ -43,6 +44,7 @@
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
     lifecycle::Unsaved,
+    waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     worker::{Listing, Worker},
 };
 
@@ -105,6 +107,8 @@
     pub text: Arc<str>,
     /// Checkpoint to resume from.
     pub checkpoint: Option<Arc<str>>,
+    /// Time for which the task had waited.
+    pub waited: Millis,
 }
 
 /// Scheduling state of one shard, kept by its owner.
@@ -137,6 +141,8 @@
     consolidated_at: MonoMs,
     /// Number of start orders that the next plan may give.
     start_budget: u32,
+    /// Time of the latest plan or report.
+    updated_at: MonoMs,
     /// Tasks whose crashes have not been weighed yet.
     suspects: Vec<TaskKey>,
     /// Latest crash at each address, for as long as its worker is not taken as steady.
@@ -172,6 +178,7 @@
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
             start_budget: u32::MAX,
+            updated_at: MonoMs(0),
             suspects: Vec::new(),
             crashed_at: HashMap::new(),
             losses: Vec::new(),
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -64,16 +64,56 @@
 /// A report contains 500 ends at most; beyond them, new ends would not be seen.
 const MAX_LISTED_ENDS_FOR_START: u64 = 300;
 
+/// Why a worker gets no new tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unusable {
+    /// It is not listed, not in the durable roster, or has not reported in this term.
+    Unreported,
+    /// It is about to leave.
+    Draining,
+    /// It did not answer the last call.
+    Silent,
+    /// It is suspended after failures or a refusal.
+    Suspended,
+    /// Its data centre is closed.
+    Closed,
+    /// It lists too many ends, or its capacity or its runs are not known well enough.
+    HeldBack,
+}
+
+/// Rule that excludes a usable worker for a task, in the order of the checks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Obstacle {
+    /// The worker lacks the required label.
+    Label,
+    /// The free capacity is too small.
+    Room,
+    /// The task would use capacity within the recent peak of short tasks.
+    RecentPeak,
+    /// The worker is outside the rack that is being tried.
+    Rack,
+    /// The worker has as many tasks of the step as it may have.
+    TasksPerWorker,
+    /// The task would interfere with long-running tasks.
+    Interference,
+}
+
 impl Worker {
-    /// Whether new tasks may be started on the worker.
-    pub(super) fn is_usable(&self, now: MonoMs) -> bool {
-        self.listed
-            && self.rostered
-            && !self.listing.draining
-            && self.silent_since.is_none()
-            && self.reported_at.is_some()
-            && now >= self.suspended_until
-            && self.listed_ends() < MAX_LISTED_ENDS_FOR_START
+    /// Why no new tasks may be started on the worker; `None` if they may.
+    fn unusable(&self, now: MonoMs) -> Option<Unusable> {
+        if !self.listed || !self.rostered || self.reported_at.is_none() {
+            Some(Unusable::Unreported)
+        } else if self.listing.draining {
+            Some(Unusable::Draining)
+        } else if self.silent_since.is_some() {
+            Some(Unusable::Silent)
+        } else if now < self.suspended_until {
+            Some(Unusable::Suspended)
+        } else if self.listed_ends() >= MAX_LISTED_ENDS_FOR_START {
+            Some(Unusable::HeldBack)
+        } else {
+            None
+        }
     }
 
     /// Processors that best-effort tasks may still request, in thousandths of a core.
@@ -143,13 +183,8 @@
 impl Scheduler {
     /// Workers eligible for new tasks now.
     pub(super) fn candidates(&self, now: MonoMs) -> Candidates {
-        let listing_is_current = now.since(self.listed_at) <= MAX_LISTING_AGE_MS;
-        let usable = self.workers.iter().filter(|(_, worker)| {
-            let checks_capacity = !self.unguarded_pools.contains(&worker.listing.pool);
-            worker.is_usable(now)
-                && !self.closed.contains(&worker.listing.data_centre)
-                && (checks_capacity || (listing_is_current && !worker.has_unknown_runs()))
-        });
+        let workers = self.workers.iter();
+        let usable = workers.filter(|(_, worker)| self.unusable(worker, now).is_none());
         let candidates = usable.map(|(worker, _)| Candidate {
             worker,
             headroom: None,
@@ -161,6 +196,71 @@
         }
     }
 
+    /// Why a worker gets no new tasks now; `None` if it is eligible.
+    pub(super) fn unusable(&self, worker: &Worker, now: MonoMs) -> Option<Unusable> {
+        let unusable = worker.unusable(now);
+        if unusable.is_some() {
+            return unusable;
+        }
+        if self.closed.contains(&worker.listing.data_centre) {
+            return Some(Unusable::Closed);
+        }
+        let checks_capacity = !self.unguarded_pools.contains(&worker.listing.pool);
+        let listing_is_current = now.since(self.listed_at) <= MAX_LISTING_AGE_MS;
+        let is_known = checks_capacity || (listing_is_current && !worker.has_unknown_runs());
+        (!is_known).then_some(Unusable::HeldBack)
+    }
+
+    /// Rule that excludes a worker of the task's pool; `None` if the task may run there.
+    fn obstacle(
+        &self,
+        worker: &Worker,
+        key: TaskKey,
+        rule: CapacityRule,
+        rack: Option<&str>,
+    ) -> Option<Obstacle> {
+        let step = self.jobs[key.job].step(key);
+        if !worker.has_label(step) {
+            Some(Obstacle::Label)
+        } else if !worker.fits(step) {
+            Some(Obstacle::Room)
+        } else if rule == CapacityRule::OutsideRecentPeak
+            && !worker.fits_outside_recent_peak(step.demand.cpu_milli)
+        {
+            Some(Obstacle::RecentPeak)
+        } else if rack.is_some_and(|rack| worker.listing.rack().is_none_or(|of| **of != *rack)) {
+            Some(Obstacle::Rack)
+        } else if !self.below_limit(worker, key, step) {
+            Some(Obstacle::TasksPerWorker)
+        } else {
+            None
+        }
+    }
+
+    /// Rules that exclude the usable workers of a pool for a task; `None` where it may run.
+    pub(super) fn obstacles(
+        &self,
+        candidates: &mut Candidates,
+        key: TaskKey,
+        pool: &str,
+    ) -> Vec<(WorkerKey, Option<Obstacle>)> {
+        let step = self.jobs[key.job].step(key);
+        let rule = candidates.capacity_rule;
+        let mut obstacles = Vec::new();
+        for candidate in &mut candidates.list {
+            let worker = &self.workers[candidate.worker];
+            if *worker.listing.pool != *pool {
+                continue;
+            }
+            let mut obstacle = self.obstacle(worker, key, rule, None);
+            if obstacle.is_none() && self.cost(candidate, key, step).is_none() {
+                obstacle = Some(Obstacle::Interference);
+            }
+            obstacles.push((candidate.worker, obstacle));
+        }
+        obstacles
+    }
+
     /// Cheapest worker for a task, or `None` if it fits nowhere now.
     pub(super) fn choose(
         &self,
@@ -179,13 +279,8 @@
         let mut found = 0;
         let costs = candidates.list.iter_mut().filter_map(|candidate| {
             let worker = &self.workers[candidate.worker];
-            let allowed = *worker.listing.pool == *pool
-                && worker.takes(step)
-                && (capacity_rule != CapacityRule::OutsideRecentPeak
-                    || worker.fits_outside_recent_peak(step.demand.cpu_milli))
-                && rack.is_none_or(|rack| worker.listing.rack().is_some_and(|of| **of == *rack))
-                && self.below_limit(worker, key, step);
-            if !allowed {
+            let of_pool = *worker.listing.pool == *pool;
+            if !of_pool || self.obstacle(worker, key, capacity_rule, rack).is_some() {
                 return None;
             }
             let failed = failed_on == Some(candidate.worker);
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -57,6 +57,7 @@
 impl Scheduler {
     /// Orders to send now.
     pub fn plan(&mut self, now: MonoMs, wall: WallMs) -> Vec<Order> {
+        self.updated_at = now;
         self.expire(now);
         self.give_up_suspects(wall);
         self.move_stalled(now);
@@ -90,7 +91,7 @@
             let spec: Rc<_> = job.spec.clone();
             for occurrence in 0..job.occurrences.len() {
                 for (number, spec) in spec.steps.iter().enumerate() {
-                    let must_wait = job.inherited && !failover_complete && !spec.speculative;
+                    let must_wait = job.awaits_reports(spec, failover_complete);
                     let due = !must_wait && job.step_is_due(occurrence, number);
                     let step = &mut job.occurrences[occurrence].steps[number];
                     if step.waiting == 0 || !due {
@@ -226,6 +227,7 @@
         let name = self.name(key);
         let job = &mut self.jobs[key.job];
         let text = job.spec.text.clone();
+        let waiting_since = job.waiting_since(key);
         let step = job.step(key);
         let assigned = Assigned {
             run,
@@ -253,6 +255,7 @@
         task.run = run;
         task.started_clock_ms = None;
         task.ordered_at = now;
+        task.waiting_since = Some(waiting_since);
         let is_suspect = task.is_suspect();
         task.percent = 0;
         task.pace = FULL_PACE;
@@ -272,6 +275,7 @@
             run,
             text,
             checkpoint,
+            waited: now.since(waiting_since),
         }));
     }
 
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -28,6 +28,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        self.updated_at = now;
         worker.silent_since = None;
         // Its runs ended with their lease, not by a crash.
         worker.expired.clear();
--- /dev/null
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -0,0 +1,441 @@
+//! Diagnosis of steps whose tasks have waited for long.
+//!
+//! [`Scheduler::waiting`] tells what the longest-waiting steps wait for and which
+//! capacity their pool has at that moment. It applies the predicates of the plan, so
+//! that both agree, and examines a few steps only: the owner calls it about once a
+//! second.
+
+use std::{cmp::Reverse, collections::BTreeMap};
+
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    resources::Resources,
+    workflow::{Step, TaskName},
+};
+
+use super::{
+    JobKey, Phase, Scheduler, TaskKey, WorkerKey,
+    capacity::CapacityRule,
+    job::StepState,
+    placement::{Candidates, Obstacle, Unusable},
+};
+
+/// Wait from which a long-running task is reported: the platform's limit while two such tasks
+/// would fit.
+const LONG_RUNNING_THRESHOLD_MS: Millis = Millis(3_000);
+
+/// Wait from which any other task is reported.
+///
+/// Twice the time within which 95 of 100 first starts came on the day of incident 26.
+const THRESHOLD_MS: Millis = Millis(10_000);
+
+/// Maximum number of steps that are examined at once.
+const MAX_EXAMINED_STEPS: usize = 8;
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident = $text:literal,)*) => {
+        /// What a task waits for.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum WaitReason {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl WaitReason {
+            /// All reasons.
+            pub const ALL: &[WaitReason] = &[$(WaitReason::$name,)*];
+
+            /// Returns the name of the reason, for logs and metrics.
+            #[must_use]
+            pub fn text(self) -> &'static str {
+                match self { $(WaitReason::$name => $text,)* }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// Some workers have not reported in this term, and the predecessor may have started the task.
+    UnreportedWorkers = "unreported workers",
+    /// A crash that the task may have caused is not durable yet.
+    UnsavedCrash = "unsaved crash",
+    /// The pause after a failed run or an invalid order has not passed.
+    BackOff = "back-off",
+    /// Other members of the gang have not ended yet.
+    GangEnding = "gang ending",
+    /// The order to start the task is not answered yet.
+    StartUnanswered = "start unanswered",
+    /// No worker of the pool takes new tasks.
+    NoWorker = "no worker",
+    /// No usable worker has the required label.
+    Label = "label",
+    /// No usable worker has room for the task.
+    Room = "room",
+    /// There would be room without tasks that were started while the task waited.
+    Overtaken = "overtaken",
+    /// Room is only left within the recent peak of short tasks.
+    RecentPeak = "recent peak",
+    /// Room is left on one worker only, within the recent peak of short tasks.
+    RoomForOne = "room for one",
+    /// The workers with room have as many tasks of the step as they may have.
+    TasksPerWorker = "tasks per worker",
+    /// The task would interfere with long-running tasks wherever there is room.
+    Interference = "interference",
+    /// A member of the gang fits, but not all of them.
+    GangRoom = "gang room",
+    /// The start orders in flight leave no budget for another.
+    StartBudget = "start budget",
+    /// The task fits now; the next plan may start it.
+    NextPlan = "next plan",
+}
+
+/// Workers of a pool at one moment, as seen by one waiting task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolCapacity {
+    /// Workers that take new tasks.
+    pub usable: u32,
+    /// Workers that are not listed, not in the durable roster or have not reported in this term.
+    pub unreported: u32,
+    /// Workers that are about to leave.
+    pub draining: u32,
+    /// Workers that did not answer the last call.
+    pub silent: u32,
+    /// Workers that are suspended after failures or a refusal.
+    pub suspended: u32,
+    /// Workers in closed data centres.
+    pub closed: u32,
+    /// Workers with too many listed ends, or whose capacity or runs are not known well enough.
+    pub held_back: u32,
+    /// Usable workers with the label and room for one task of the step.
+    pub room_for_one: u32,
+    /// Usable workers with the label and room for two tasks of the step.
+    pub room_for_two: u32,
+    /// Usable workers that no rule excludes.
+    pub allowed: u32,
+    /// Free processors of all usable workers, in thousandths of a core.
+    pub free_cpu_milli: u64,
+    /// Assigned tasks on the usable workers that were started while the task waited.
+    pub started_meanwhile: u32,
+}
+
+/// Step with a task that has waited beyond the threshold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitingStep {
+    /// Task that has waited longest.
+    pub task: TaskName,
+    /// Time for which it has waited.
+    pub waited: Millis,
+    /// Wait from which tasks of its kind are reported.
+    pub threshold: Millis,
+    /// Number of waiting tasks of the step.
+    pub tasks: u32,
+    /// What the task waits for.
+    pub reason: WaitReason,
+    /// Resources that each task needs.
+    pub demand: Resources,
+    /// Workers of its pool.
+    pub capacity: PoolCapacity,
+}
+
+impl WaitingStep {
+    /// Whether the wait has reached its threshold, or a doubling of it, within the last `interval`.
+    #[must_use]
+    pub fn has_doubled(&self, interval: Millis) -> bool {
+        let level = |waited: u64| (waited / self.threshold.0).checked_ilog2();
+        level(self.waited.0) != level(self.waited.0.saturating_sub(interval.0))
+    }
+}
+
+/// Tasks that have waited beyond their threshold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Waiting {
+    /// Steps that have waited longest relative to their threshold, in this order.
+    pub steps: Vec<WaitingStep>,
+    /// Number of waiting tasks of the other steps.
+    pub unexamined_tasks: u32,
+    /// Longest wait.
+    pub longest: Millis,
+}
+
+/// Step that is overdue, before it is examined.
+struct Overdue {
+    /// Task that has waited longest.
+    key: TaskKey,
+    waited: Millis,
+    threshold: Millis,
+    tasks: u32,
+}
+
+impl Overdue {
+    /// Wait in thousandths of the threshold.
+    fn urgency(&self) -> u64 {
+        self.waited.0 * 1_000 / self.threshold.0
+    }
+}
+
+fn threshold(step: &Step) -> Millis {
+    if step.long_running {
+        LONG_RUNNING_THRESHOLD_MS
+    } else {
+        THRESHOLD_MS
+    }
+}
+
+impl Scheduler {
+    /// Tasks that have waited beyond their threshold, and what they wait for.
+    #[must_use]
+    pub fn waiting(&self, now: MonoMs) -> Waiting {
+        let mut overdue = self.overdue_steps(now);
+        overdue.extend(self.unanswered_starts(now));
+        if overdue.is_empty() {
+            return Waiting::default();
+        }
+        overdue.sort_by_key(|step| Reverse(step.urgency()));
+        let examined = overdue.len().min(MAX_EXAMINED_STEPS);
+        let mut candidates = self.candidates(now);
+        let steps = overdue[..examined].iter();
+        Waiting {
+            steps: steps
+                .map(|step| self.examine(step, &mut candidates, now))
+                .collect(),
+            unexamined_tasks: overdue[examined..].iter().map(|step| step.tasks).sum(),
+            longest: overdue
+                .iter()
+                .map(|step| step.waited)
+                .max()
+                .unwrap_or_default(),
+        }
+    }
+
+    /// Steps with tasks that have waited beyond the threshold to be started.
+    fn overdue_steps(&self, now: MonoMs) -> Vec<Overdue> {
+        let failover_complete = self.is_failover_complete(now);
+        let mut overdue = Vec::new();
+        for &key in &self.open_jobs {
+            let job = &self.jobs[key];
+            for (occurrence, states) in (0u32..).zip(&job.occurrences) {
+                for (number, state) in (0u16..).zip(&states.steps) {
+                    let step = &job.spec.steps[usize::from(number)];
+                    let awaits_reports = job.awaits_reports(step, failover_complete)
+                        && job.step_is_due(occurrence as usize, usize::from(number));
+                    let is_ready = state.waiting_since.is_some() || awaits_reports;
+                    if state.waiting == 0 || !is_ready {
+                        continue;
+                    }
+                    let first = TaskKey {
+                        job: key,
+                        occurrence,
+                        step: number,
+                        index: 0,
+                    };
+                    overdue.extend(self.overdue_step(first, state, now));
+                }
+            }
+        }
+        overdue
+    }
+
+    /// Step of a task, if its longest-waiting task has waited beyond the threshold.
+    fn overdue_step(&self, first: TaskKey, state: &StepState, now: MonoMs) -> Option<Overdue> {
+        let job = &self.jobs[first.job];
+        let step = job.step(first);
+        let threshold = threshold(step);
+        let ready_since = state.waiting_since.unwrap_or(job.accepted_at);
+        // Long-running tasks are few; the others are scanned only if some may be overdue.
+        if !step.long_running && now.since(ready_since) < threshold {
+            return None;
+        }
+        let tasks = (0u32..).zip(&state.tasks);
+        let waiting = tasks.filter(|(_, task)| task.phase == Phase::Waiting);
+        let waits = waiting.map(|(index, _)| {
+            let key = TaskKey { index, ..first };
+            (job.waiting_since(key), key)
+        });
+        let (since, key) = waits.min_by_key(|(since, _)| *since)?;
+        let waited = now.since(since);
+        (waited >= threshold).then_some(Overdue {
+            key,
+            waited,
+            threshold,
+            tasks: state.waiting,
+        })
+    }
+
+    /// Steps with tasks whose order to start has not been answered within the threshold.
+    fn unanswered_starts(&self, now: MonoMs) -> impl Iterator<Item = Overdue> {
+        let mut steps: BTreeMap<(JobKey, u32, u16), Overdue> = BTreeMap::new();
+        let assigned = self.workers.values().flat_map(|worker| worker.tasks.keys());
+        for &key in assigned {
+            let job = &self.jobs[key.job];
+            let starting = job
+                .task(key)
+                .filter(|task| job.is_open() && matches!(task.phase, Phase::Starting { .. }));
+            let Some(task) = starting else { continue };
+            let threshold = threshold(job.step(key));
+            if now.since(task.ordered_at) < threshold {
+                continue;
+            }
+            let waited = now.since(job.waiting_since(key));
+            let step = steps
+                .entry((key.job, key.occurrence, key.step))
+                .or_insert(Overdue {
+                    key,
+                    waited,
+                    threshold,
+                    tasks: 0,
+                });
+            step.tasks += 1;
+            if waited > step.waited {
+                step.key = key;
+                step.waited = waited;
+            }
+        }
+        steps.into_values()
+    }
+
+    fn examine(&self, overdue: &Overdue, candidates: &mut Candidates, now: MonoMs) -> WaitingStep {
+        let key = overdue.key;
+        let job = &self.jobs[key.job];
+        let step = job.step(key);
+        let pool = self.queue(&job.spec.queue).map_or("", |queue| &queue.pool);
+        let state = &job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
+        let ready_since = state.waiting_since.unwrap_or(now);
+        candidates.capacity_rule = CapacityRule::for_step(step, ready_since, now);
+        let obstacles = self.obstacles(candidates, key, pool);
+        let capacity = self.pool_capacity(key, pool, &obstacles, now);
+        let reason = self
+            .own_reason(key, now)
+            .unwrap_or_else(|| self.capacity_reason(key, pool, &obstacles, candidates));
+        WaitingStep {
+            task: self.name(key),
+            waited: overdue.waited,
+            threshold: overdue.threshold,
+            tasks: overdue.tasks,
+            reason,
+            demand: step.demand,
+            capacity,
+        }
+    }
+
+    /// What a task waits for that does not depend on capacity.
+    fn own_reason(&self, key: TaskKey, now: MonoMs) -> Option<WaitReason> {
+        let job = &self.jobs[key.job];
+        let step = job.step(key);
+        let task = job.task(key)?;
+        let member_waits = |member| job.task(member).is_some_and(|task| task.may_start(now));
+        if matches!(task.phase, Phase::Starting { .. }) {
+            Some(WaitReason::StartUnanswered)
+        } else if job.awaits_reports(step, self.is_failover_complete(now)) {
+            Some(WaitReason::UnreportedWorkers)
+        } else if task.crash_unsaved {
+            Some(WaitReason::UnsavedCrash)
+        } else if now < task.not_before {
+            Some(WaitReason::BackOff)
+        } else if step.gang && !self.members(key).into_iter().all(member_waits) {
+            Some(WaitReason::GangEnding)
+        } else {
+            None
+        }
+    }
+
+    fn capacity_reason(
+        &self,
+        key: TaskKey,
+        pool: &str,
+        obstacles: &[(WorkerKey, Option<Obstacle>)],
+        candidates: &mut Candidates,
+    ) -> WaitReason {
+        if self.choose(candidates, key, pool, None).is_some() {
+            return if self.jobs[key.job].step(key).gang {
+                WaitReason::GangRoom
+            } else if self.start_budget == 0 {
+                WaitReason::StartBudget
+            } else {
+                WaitReason::NextPlan
+            };
+        }
+        if obstacles.iter().any(|(_, obstacle)| obstacle.is_none()) {
+            return WaitReason::RoomForOne;
+        }
+        // The last check that some worker reached.
+        match obstacles.iter().filter_map(|(_, obstacle)| *obstacle).max() {
+            None => WaitReason::NoWorker,
+            Some(Obstacle::Label) => WaitReason::Label,
+            Some(Obstacle::Room) if self.is_overtaken(key, obstacles) => WaitReason::Overtaken,
+            Some(Obstacle::Room | Obstacle::Rack) => WaitReason::Room,
+            Some(Obstacle::RecentPeak) => WaitReason::RecentPeak,
+            Some(Obstacle::TasksPerWorker) => WaitReason::TasksPerWorker,
+            Some(Obstacle::Interference) => WaitReason::Interference,
+        }
+    }
+
+    /// Whether a task would fit without the tasks that were started while it waited.
+    fn is_overtaken(&self, key: TaskKey, obstacles: &[(WorkerKey, Option<Obstacle>)]) -> bool {
+        let demand = self.jobs[key.job].step(key).demand;
+        let full = obstacles
+            .iter()
+            .filter(|(_, obstacle)| *obstacle == Some(Obstacle::Room));
+        full.into_iter().any(|&(worker, _)| {
+            let free = self.workers[worker].free();
+            let released = self.started_meanwhile(worker, key);
+            let free = released.fold(free, |free, demand| free + demand);
+            demand.fits_in(&free)
+        })
+    }
+
+    /// Demands of the tasks on a worker that were started while a task waited.
+    fn started_meanwhile(
+        &self,
+        worker: WorkerKey,
+        key: TaskKey,
+    ) -> impl Iterator<Item = Resources> {
+        let since = self.jobs[key.job].waiting_since(key);
+        let reserving = self.workers[worker]
+            .tasks
+            .iter()
+            .filter(|(_, assigned)| !assigned.best_effort);
+        let later = reserving.filter(move |(other, _)| {
+            let other = self.jobs[other.job].task(**other);
+            other.is_some_and(|other| other.ordered_at > since)
+        });
+        later.map(|(_, assigned)| assigned.demand)
+    }
+
+    fn pool_capacity(
+        &self,
+        key: TaskKey,
+        pool: &str,
+        obstacles: &[(WorkerKey, Option<Obstacle>)],
+        now: MonoMs,
+    ) -> PoolCapacity {
+        let mut counts = PoolCapacity::default();
+        for worker in self.workers.values() {
+            if *worker.listing.pool != *pool {
+                continue;
+            }
+            *match self.unusable(worker, now) {
+                None => &mut counts.usable,
+                Some(Unusable::Unreported) => &mut counts.unreported,
+                Some(Unusable::Draining) => &mut counts.draining,
+                Some(Unusable::Silent) => &mut counts.silent,
+                Some(Unusable::Suspended) => &mut counts.suspended,
+                Some(Unusable::Closed) => &mut counts.closed,
+                Some(Unusable::HeldBack) => &mut counts.held_back,
+            } += 1;
+        }
+        let step = self.jobs[key.job].step(key);
+        let two = Step {
+            demand: step.demand + step.demand,
+            ..step.clone()
+        };
+        for &(worker_key, obstacle) in obstacles {
+            let worker = &self.workers[worker_key];
+            counts.free_cpu_milli += worker.free().cpu_milli;
+            counts.room_for_one += u32::from(worker.takes(step));
+            counts.room_for_two += u32::from(worker.takes(&two));
+            counts.allowed += u32::from(obstacle.is_none());
+            let started = self.started_meanwhile(worker_key, key).count();
+            counts.started_meanwhile += u32::try_from(started).unwrap_or(u32::MAX);
+        }
+        counts
+    }
+}
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -4,7 +4,7 @@
 
 use hemlocksaddle_policy::workflow::{
     End, EndKind, Limits, Listing, Order, Phase, Report, Scheduler, Start, StartAnswer, TaskStatus,
-    WorkerKey,
+    Waiting, WorkerKey,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
@@ -307,6 +307,11 @@
         std::mem::take(&mut self.starts)
     }
 
+    /// Tasks that have waited long.
+    pub(crate) fn waiting(&self) -> Waiting {
+        self.scheduler.waiting(self.now)
+    }
+
     /// Stop orders since the last call.
     pub(crate) fn stops(&mut self) -> Vec<(TaskName, Run)> {
         let starts = self.starts();
