Log and count what tasks wait for that have waited long

Event 55 (task waits) tells the reason, the wait and the capacity of the pool at 3 s (long-running) or 10 s and at each doubling; event 50 tells how long the task had waited; shard_waiting_tasks{reason} and shard_longest_wait_seconds count.

The diagnosis runs right after a plan, tells apart tasks of less urgent queues, and adds the processors in total and the most free on one worker.

--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -3,7 +3,7 @@
 //! [`Scheduler::waiting`] tells what the longest-waiting steps wait for and which
 //! capacity their pool has at that moment. It applies the predicates of the plan, so
 //! that both agree, and examines a few steps only: the owner calls it about once a
-//! second.
+//! second, right after a plan.
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
@@ -70,6 +70,8 @@
     Label = "label",
     /// No usable worker has room for the task.
     Room = "room",
+    /// There would be room without less urgent tasks that were started while the task waited.
+    OvertakenByLessUrgent = "overtaken by less urgent",
     /// There would be room without tasks that were started while the task waited.
     Overtaken = "overtaken",
     /// Room is only left within the recent peak of short tasks.
@@ -84,7 +86,7 @@
     GangRoom = "gang room",
     /// The start orders in flight leave no budget for another.
     StartBudget = "start budget",
-    /// The task fits now; the next plan may start it.
+    /// The task fits, since a change after the latest plan.
     NextPlan = "next plan",
 }
 
@@ -111,10 +113,23 @@
     pub room_for_two: u32,
     /// Usable workers that no rule excludes.
     pub allowed: u32,
+    /// Processors of all usable workers, in thousandths of a core.
+    pub cpu_milli: u64,
     /// Free processors of all usable workers, in thousandths of a core.
     pub free_cpu_milli: u64,
-    /// Assigned tasks on the usable workers that were started while the task waited.
+    /// Most free processors of a usable worker, in thousandths of a core.
+    pub largest_free_cpu_milli: u64,
+    /// Tasks that reserve processors on usable workers and were started while the task waited.
     pub started_meanwhile: u32,
+    /// Those of them whose queue has a lower priority.
+    pub started_less_urgent: u32,
+}
+
+/// Task that was started while another one waited.
+struct StartedMeanwhile {
+    demand: Resources,
+    /// Whether its queue has a lower priority.
+    is_less_urgent: bool,
 }
 
 /// Step with a task that has waited beyond the threshold.
@@ -154,6 +169,8 @@
     pub unexamined_tasks: u32,
     /// Longest wait.
     pub longest: Millis,
+    /// Number of start orders that the latest plan could still have given.
+    pub start_budget: u32,
 }
 
 /// Step that is overdue, before it is examined.
@@ -187,7 +204,10 @@
         let mut overdue = self.overdue_steps(now);
         overdue.extend(self.unanswered_starts(now));
         if overdue.is_empty() {
-            return Waiting::default();
+            return Waiting {
+                start_budget: self.start_budget,
+                ..Waiting::default()
+            };
         }
         overdue.sort_by_key(|step| Reverse(step.urgency()));
         let examined = overdue.len().min(MAX_EXAMINED_STEPS);
@@ -198,6 +218,7 @@
                 .map(|step| self.examine(step, &mut candidates, now))
                 .collect(),
             unexamined_tasks: overdue[examined..].iter().map(|step| step.tasks).sum(),
+            start_budget: self.start_budget,
             longest: overdue
                 .iter()
                 .map(|step| step.waited)
@@ -360,44 +381,60 @@
         match obstacles.iter().filter_map(|(_, obstacle)| *obstacle).max() {
             None => WaitReason::NoWorker,
             Some(Obstacle::Label) => WaitReason::Label,
-            Some(Obstacle::Room) if self.is_overtaken(key, obstacles) => WaitReason::Overtaken,
-            Some(Obstacle::Room | Obstacle::Rack) => WaitReason::Room,
+            Some(Obstacle::Room | Obstacle::Rack) => self.room_reason(key, obstacles),
             Some(Obstacle::RecentPeak) => WaitReason::RecentPeak,
             Some(Obstacle::TasksPerWorker) => WaitReason::TasksPerWorker,
             Some(Obstacle::Interference) => WaitReason::Interference,
         }
     }
 
-    /// Whether a task would fit without the tasks that were started while it waited.
-    fn is_overtaken(&self, key: TaskKey, obstacles: &[(WorkerKey, Option<Obstacle>)]) -> bool {
+    /// Whose tasks take the room on the workers of a pool.
+    fn room_reason(&self, key: TaskKey, obstacles: &[(WorkerKey, Option<Obstacle>)]) -> WaitReason {
         let demand = self.jobs[key.job].step(key).demand;
-        let full = obstacles
-            .iter()
-            .filter(|(_, obstacle)| *obstacle == Some(Obstacle::Room));
-        full.into_iter().any(|&(worker, _)| {
-            let free = self.workers[worker].free();
-            let released = self.started_meanwhile(worker, key);
-            let free = released.fold(free, |free, demand| free + demand);
-            demand.fits_in(&free)
-        })
+        // Whether the task would fit without those tasks started meanwhile that are `released`.
+        let would_fit = |released: fn(&StartedMeanwhile) -> bool| {
+            let full = obstacles
+                .iter()
+                .filter(|(_, obstacle)| *obstacle == Some(Obstacle::Room));
+            full.into_iter().any(|&(worker, _)| {
+                let started = self.started_meanwhile(worker, key).filter(released);
+                let free = self.workers[worker].free();
+                let free = started.fold(free, |free, task| free + task.demand);
+                demand.fits_in(&free)
+            })
+        };
+        if would_fit(|task| task.is_less_urgent) {
+            WaitReason::OvertakenByLessUrgent
+        } else if would_fit(|_| true) {
+            WaitReason::Overtaken
+        } else {
+            WaitReason::Room
+        }
     }
 
-    /// Demands of the tasks on a worker that were started while a task waited.
+    /// Tasks that reserve processors on a worker and were started while a task waited.
     fn started_meanwhile(
         &self,
         worker: WorkerKey,
         key: TaskKey,
-    ) -> impl Iterator<Item = Resources> {
+    ) -> impl Iterator<Item = StartedMeanwhile> {
         let since = self.jobs[key.job].waiting_since(key);
-        let reserving = self.workers[worker]
-            .tasks
-            .iter()
-            .filter(|(_, assigned)| !assigned.best_effort);
-        let later = reserving.filter(move |(other, _)| {
-            let other = self.jobs[other.job].task(**other);
-            other.is_some_and(|other| other.ordered_at > since)
-        });
-        later.map(|(_, assigned)| assigned.demand)
+        let priority = self.priority(key);
+        let tasks = self.workers[worker].tasks.iter();
+        tasks.filter_map(move |(&other, assigned)| {
+            let task = self.jobs[other.job].task(other)?;
+            let counts = !assigned.best_effort && task.ordered_at > since;
+            counts.then(|| StartedMeanwhile {
+                demand: assigned.demand,
+                is_less_urgent: self.priority(other) > priority,
+            })
+        })
+    }
+
+    /// Priority of the queue of a task; 0 is the most urgent.
+    fn priority(&self, key: TaskKey) -> u32 {
+        self.queue(&self.jobs[key.job].spec.queue)
+            .map_or(0, |queue| queue.priority)
     }
 
     fn pool_capacity(
@@ -429,12 +466,17 @@
         };
         for &(worker_key, obstacle) in obstacles {
             let worker = &self.workers[worker_key];
-            counts.free_cpu_milli += worker.free().cpu_milli;
+            let free_cpu_milli = worker.free().cpu_milli;
+            counts.cpu_milli += worker.listing.capacity.cpu_milli;
+            counts.free_cpu_milli += free_cpu_milli;
+            counts.largest_free_cpu_milli = counts.largest_free_cpu_milli.max(free_cpu_milli);
             counts.room_for_one += u32::from(worker.takes(step));
             counts.room_for_two += u32::from(worker.takes(&two));
             counts.allowed += u32::from(obstacle.is_none());
-            let started = self.started_meanwhile(worker_key, key).count();
-            counts.started_meanwhile += u32::try_from(started).unwrap_or(u32::MAX);
+            for task in self.started_meanwhile(worker_key, key) {
+                counts.started_meanwhile += 1;
+                counts.started_less_urgent += u32::from(task.is_less_urgent);
+            }
         }
         counts
     }
--- a/hemlocksaddle-policy/tests/waiting.rs
+++ b/hemlocksaddle-policy/tests/waiting.rs
@@ -315,10 +315,29 @@
     }
     let workers = expect_reason(&harness, WaitReason::Overtaken);
     expect_that!(workers.started_meanwhile, eq(1));
+    expect_that!(workers.started_less_urgent, eq(0));
+    expect_that!(workers.cpu_milli, eq(4_000));
     expect_that!(workers.free_cpu_milli, eq(3_000));
+    expect_that!(workers.largest_free_cpu_milli, eq(3_000));
     expect_that!(workers.room_for_one, eq(0));
 }
 
+#[gtest]
+fn a_task_is_overtaken_by_less_urgent_short_tasks_that_fit_where_it_does_not() {
+    let mut harness = Harness::with_workers(1, 4_000);
+    harness.accept(9, vec![step(1, 500)]);
+    let first = start(&mut harness);
+    harness.accept(1, vec![long_running(1, 4_000, "image")]);
+    wait(&mut harness, 1_000);
+    harness.accept_in(10, "later", vec![step(1, 1_000)]);
+    start(&mut harness);
+    harness.end(&first, EndKind::Done);
+    wait(&mut harness, 2_000);
+    let workers = expect_reason(&harness, WaitReason::OvertakenByLessUrgent);
+    expect_that!(workers.started_meanwhile, eq(1));
+    expect_that!(workers.started_less_urgent, eq(1));
+}
+
 /// Short tasks fill a worker while a long-running one waits, and end together.
 fn wave_on_one_worker(harness: &mut Harness, ms: u64) {
     harness.accept(10, vec![step(3, 1_000)]);
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -110,6 +110,8 @@
     Paced = 53, "paced";
     /// Workflow reached a final state.
     Ended = 54, "ended";
+    /// Task has waited long to be started.
+    TaskWaits = 55, "task waits";
     /// Nodes that carry out the owner's calls to workers were chosen.
     DelegatesChosen = 60, "delegates chosen";
     /// Delegate does not answer or cannot be reached.
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -36,6 +36,7 @@
 mod record;
 mod recovery;
 mod saving;
+mod waiting;
 mod worker_poll;
 
 pub use node::{Node, Settings};
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms of a node.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, from one store append to a caller's time limit.
@@ -33,6 +33,10 @@
     pub delegates: IntGauge,
     /// Calls to delegates by outcome.
     pub delegated_calls: IntCounterVec,
+    /// Tasks that have waited long, by what they wait for.
+    pub waiting_tasks: IntGaugeVec,
+    /// Longest wait of a task, 0 while none has waited long.
+    pub longest_wait_s: Gauge,
 }
 
 impl Metrics {
@@ -61,6 +65,19 @@
             "Nodes that carry out the owner's calls to workers.",
         )?;
         registry.register(Box::new(delegates.clone()))?;
+        let waiting_tasks = IntGaugeVec::new(
+            Opts::new(
+                "shard_waiting_tasks",
+                "Tasks that have waited long, by what they wait for.",
+            ),
+            &["reason"],
+        )?;
+        registry.register(Box::new(waiting_tasks.clone()))?;
+        let longest_wait_s = Gauge::new(
+            "shard_longest_wait_seconds",
+            "Longest wait of a task, 0 while none has waited long.",
+        )?;
+        registry.register(Box::new(longest_wait_s.clone()))?;
         let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
         registry.register(Box::new(worker_crashes.clone()))?;
         let given_up = IntCounter::new(
@@ -72,6 +89,8 @@
             worker_crashes,
             given_up,
             delegates,
+            waiting_tasks,
+            longest_wait_s,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -146,7 +146,7 @@
         let inputs = json!({
             "task": start.name.to_string(), "run": start.run.0, "worker": &*listing.name,
             "term": self.term, "lease_until_ms": lease_until_ms,
-            "resumed": start.checkpoint.is_some(), "answer": format!("{answer:?}"),
+            "waited_ms": start.waited.0, "resumed": start.checkpoint.is_some(), "answer": format!("{answer:?}"),
         });
         self.env.event(Event::StartAnswered, &inputs);
         answer
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -99,6 +99,8 @@
     pub(crate) progress_sequence: Cell<u64>,
     submissions_read_at: Cell<MonoMs>,
     pub(crate) interference_due: Cell<bool>,
+    /// Time at which tasks that have waited long were last reported.
+    pub(crate) waiting_reported_at: Cell<MonoMs>,
     released: Cell<bool>,
     released_changed: Signal,
     pub(crate) pending_submissions: RefCell<Vec<PendingSubmission>>,
@@ -147,6 +149,7 @@
             progress_sequence: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
             interference_due: Cell::new(false),
+            waiting_reported_at: Cell::new(now),
             released: Cell::new(false),
             released_changed: Signal::default(),
             pending_submissions: RefCell::default(),
@@ -380,10 +383,12 @@
             for order in orders {
                 self.dispatch(order);
             }
+            self.report_waiting();
             let waiting = self.changed.wait_past(seen);
             let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
             self.env.sleep(MIN_PLAN_INTERVAL_MS).await;
         }
+        self.clear_waiting();
     }
 
     /// Deletes the records of workflows whose retention time has passed.
