--- a/hemlocksaddle-shard/tests/crashes.rs
+++ b/hemlocksaddle-shard/tests/crashes.rs
@@ -140,6 +140,61 @@
     }
 }
 
+/// Load pattern: a share of the workflows crash their workers, the node that called the workers last
+/// is killed meanwhile, and a part of the workers shrinks. Guards against deadly tasks that hide
+/// behind each other, behind the change of caller, or behind workers that take fewer tasks.
+#[gtest]
+fn any_share_of_deadly_workflows_is_given_up_while_callers_are_killed_and_workers_shrink() {
+    const WORKFLOWS: u64 = 20;
+    for seed in 1..=12 {
+        let deployment = Deployment::without_nodes(seed, 12);
+        (0..6).for_each(|number| deployment.start_with(number, 0.25, 200));
+        deployment.sim.run_for(Millis(9_000));
+        assert_that!(deployment.owner(), some(anything()), "seed {seed}");
+        let deadly = [1, 2, 6][seed as usize % 3];
+        deployment
+            .fleet
+            .deadly
+            .borrow_mut()
+            .extend((1..=deadly).map(WorkflowId));
+        let at_ms = 300 + deployment.sim.below(4_000);
+        let shrunk = 1 + deployment.sim.below(12) as usize;
+        for id in 1..=WORKFLOWS {
+            let tasks = if id <= deadly { 1 } else { 3 };
+            let accepted = deployment.submit(0, id, vec![step(tasks)]);
+            assert_that!(accepted, eq(Submitted::Accepted));
+            deployment.sim.run_for(Millis(40));
+        }
+        (0..shrunk).for_each(|worker| deployment.fleet.set_capacity(worker, 4_400));
+        deployment.sim.run_for(Millis(at_ms));
+        (0..6).for_each(|node| {
+            deployment.fleet.take_calls(node);
+        });
+        deployment.sim.run_for(Millis(50));
+        // Workflows are looked up at node 0.
+        let caller = (1..6).max_by_key(|&node| deployment.fleet.take_calls(node));
+        let caller = caller.expect("node");
+        deployment.kill(caller);
+        deployment.start_with(caller, 0.25, 200);
+        deployment.sim.run_for(Millis(4_000));
+        (0..shrunk).for_each(|worker| deployment.fleet.set_capacity(worker, 8_000));
+        for id in 1..=WORKFLOWS {
+            let expected = if id <= deadly {
+                State::Failed
+            } else {
+                State::Completed
+            };
+            let ended = deployment.wait_for_end(0, id, TIMEOUT_MS);
+            expect_that!(ended, some(eq(expected)), "seed {seed}: workflow {id}");
+        }
+        let crashes = deployment.fleet.crashes.borrow();
+        let most = crashes.values().copied().max();
+        expect_that!(most, some(le(MAX_STARTS)), "seed {seed}");
+        let violations = deployment.fleet.violations.borrow();
+        expect_that!(*violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Guards against blame for crashes without a cause among the tasks, while the owner is killed.
 #[gtest]
 fn sound_workflows_are_completed_although_workers_crash() {
