Count tasks, not workers, where two have to fit

A long-running task that has waited for 2 s starts where two of it would fit. The check counted workers with room for one. A single worker with room for two counted once, so a task whose label, limit or size leaves one such worker never started beside short tasks that use it in waves.

--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -230,7 +230,7 @@
             Some(Obstacle::RecentPeak)
         } else if rack.is_some_and(|rack| worker.listing.rack().is_none_or(|of| **of != *rack)) {
             Some(Obstacle::Rack)
-        } else if !self.below_limit(worker, key, step) {
+        } else if self.left_below_limit(worker, key, step) == 0 {
             Some(Obstacle::TasksPerWorker)
         } else {
             None
@@ -276,7 +276,7 @@
         let has_crashed = task.suspicion() > 0;
         let now = candidates.now;
         let capacity_rule = candidates.capacity_rule;
-        let mut found = 0;
+        let mut tasks_that_fit = 0;
         let costs = candidates.list.iter_mut().filter_map(|candidate| {
             let worker = &self.workers[candidate.worker];
             let of_pool = *worker.listing.pool == *pool;
@@ -291,25 +291,36 @@
                 penalty += UNSTEADY_PENALTY;
             }
             let cost = self.cost(candidate, key, step)?;
-            found += 1;
+            tasks_that_fit += if self.has_room_for_two(worker, key, step) {
+                2
+            } else {
+                1
+            };
             Some((candidate.worker, penalty + cost))
         });
         let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
         let (worker, _) = best?;
         let enough = capacity_rule != CapacityRule::FitsTwo
-            || found > 1
+            || tasks_that_fit > 1
             || self.workers[worker].fits_outside_recent_peak(step.demand.cpu_milli);
         enough.then_some(worker)
     }
 
-    fn below_limit(&self, worker: &Worker, key: TaskKey, step: &Step) -> bool {
+    /// Number of further tasks of a step that a worker may run by the limit of the step.
+    fn left_below_limit(&self, worker: &Worker, key: TaskKey, step: &Step) -> usize {
         if step.max_per_worker == 0 {
-            return true;
+            return usize::MAX;
         }
         let same = worker.tasks.keys().filter(|other| {
             other.job == key.job && other.occurrence == key.occurrence && other.step == key.step
         });
-        same.count() < step.max_per_worker as usize
+        (step.max_per_worker as usize).saturating_sub(same.count())
+    }
+
+    /// Whether a worker that takes a task of a step has room for another one.
+    fn has_room_for_two(&self, worker: &Worker, key: TaskKey, step: &Step) -> bool {
+        (step.demand + step.demand).fits_in(&worker.free())
+            && self.left_below_limit(worker, key, step) > 1
     }
 
     /// Cost of a task on a worker; `None` if it must not run there.
