Give interrupted long-running tasks a place before waiting short ones

The log of what waiting tasks wait for (event 55) shows 'overtaken' for all of them: 200 to 350 tasks were started on their pool while they waited, 270 to 470 cores were free in pieces of one or two, and no worker had room for one; start budget (500), suspended workers (0 to 7 of 350) and silent ones (0) play no part.

Cause: starvation. A plan serves short tasks first, however long a long-running one has waited, so while short tasks wait all the time they take each piece that becomes free, including the place that the interrupted task had.

After 5 s, interrupted tasks are served first and may use any capacity; where no piece is large enough, one worker in 128 is held until its short tasks end. Tasks that never ran are served first rarely. Both rates are per worker. That a task has run is durable for failed runs, so a successor knows it.

--- a/hemlocksaddle-policy/src/workflow/capacity.rs
+++ b/hemlocksaddle-policy/src/workflow/capacity.rs
@@ -5,7 +5,8 @@
 //! wave delays the next wave, whose work is worth several times as much per
 //! processor, but only if it completes in time. Long-running tasks are therefore
 //! limited to capacity outside the recent peak of short tasks. After a long wait
-//! they may start anyway, provided that two of them would fit.
+//! they may start anyway, provided that two of them would fit. The `overdue` module
+//! serves them before short tasks where these wait without a pause.
 
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -21,7 +22,7 @@
 ///
 /// One second below the platform's limit of 3 s on the wait of a task while two such tasks would
 /// fit.
-const RELAX_AFTER_MS: Millis = Millis(2_000);
+pub(super) const RELAX_AFTER_MS: Millis = Millis(2_000);
 
 /// Maximum over a sliding window of about [`PEAK_WINDOW_MS`], kept in two buckets of half a window.
 #[derive(Clone, Copy, Debug, Default)]
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -83,6 +83,8 @@
     restarted_before: Option<Run>,
     /// Latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
+    /// Whether a run of the task is known to have started.
+    pub(super) has_run: bool,
     /// Time since which the task has waited; `None` before its first start.
     ///
     /// A start that is refused does not change it.
@@ -123,6 +125,7 @@
             restarted: None,
             restarted_before: None,
             checkpoint: None,
+            has_run: false,
             waiting_since: None,
             not_before: MonoMs(0),
             failed_on: None,
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -340,6 +340,7 @@
         {
             task.failed.push(run);
             task.run = task.run.max(run);
+            task.has_run = true;
         }
     }
     for (index, crashed) in &saved.crashed {
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -20,6 +20,7 @@
 mod interference;
 mod job;
 mod lifecycle;
+mod overdue;
 mod pacing;
 mod placement;
 mod plan;
@@ -141,6 +142,7 @@
     consolidated_at: MonoMs,
     /// Number of start orders that the next plan may give.
     start_budget: u32,
+    overdue_starts: overdue::OverdueStarts,
     /// Time of the latest plan or report.
     updated_at: MonoMs,
     /// Tasks whose crashes have not been weighed yet.
@@ -178,6 +180,7 @@
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
             start_budget: u32::MAX,
+            overdue_starts: overdue::OverdueStarts::default(),
             updated_at: MonoMs(0),
             suspects: Vec::new(),
             crashed_at: HashMap::new(),
--- /dev/null
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -0,0 +1,168 @@
+//! Long-running tasks that have waited for long, which are served before short tasks.
+//!
+//! Short tasks take what becomes free as soon as they wait without a pause, however
+//! long a long-running task has waited. Two groups of long-running tasks are therefore
+//! served before them after a long wait:
+//!
+//! - Tasks that ran before and were interrupted. Their own capacity went to short tasks
+//!   when they ended, so they get any capacity back. If none has a large enough piece,
+//!   a few workers are held until enough of their short tasks have ended.
+//! - Tasks that never ran, where two of them would fit. They are started rarely, since
+//!   each takes capacity for minutes from short tasks whose work is worth more.
+//!
+//! The rates are proportional to the number of workers. They bound what short tasks
+//! lose if many long-running tasks are interrupted at once.
+
+use std::cmp::Reverse;
+
+use hemlocksaddle_types::clock::{Millis, MonoMs};
+
+use super::{
+    Scheduler, TaskKey,
+    capacity::{CapacityRule, RELAX_AFTER_MS},
+    placement::Candidates,
+    plan::ReadyStep,
+};
+
+/// Waiting time after which an interrupted task is served before short ones.
+///
+/// The platform expects such a task to run again within 9 s. A held worker takes up to two seconds
+/// to become free, and reports and orders take up to one while the owner is slow.
+const INTERRUPTED_AFTER_MS: Millis = Millis(5_000);
+
+/// Time for which a worker gets at most one interrupted task before short ones, on average.
+///
+/// A long-running task stays for a minute or more, so a fleet without other work is filled within
+/// one stay.
+const RESTART_PERIOD_MS: Millis = Millis(8_000);
+
+/// Time for which a worker gets at most one task that never ran before short ones, on average.
+///
+/// Some ten times as long as such a task stays, so that a small part of the fleet is filled this way.
+const FIRST_START_PERIOD_MS: Millis = Millis(600_000);
+
+/// Number of workers of which one may be held for an interrupted task.
+const WORKERS_PER_HELD: usize = 128;
+
+/// Maximum number of tasks of each group for which all workers are compared in one plan.
+const MAX_EXAMINED_TASKS: usize = 16;
+
+/// Times from which long-running tasks may be started before short ones.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct OverdueStarts {
+    next_restart_at: MonoMs,
+    next_first_at: MonoMs,
+}
+
+/// Long-running task that has waited for long.
+struct Overdue {
+    key: TaskKey,
+    waiting_since: MonoMs,
+    /// Index of its step among the ready ones.
+    step: usize,
+}
+
+impl Scheduler {
+    /// Starts tasks that have waited for long, and holds workers for those that fit nowhere.
+    pub(super) fn place_overdue(
+        &mut self,
+        ready: &[ReadyStep],
+        candidates: &mut Candidates,
+        now: MonoMs,
+    ) {
+        let workers = candidates.keys().count();
+        if workers == 0 {
+            return;
+        }
+        let (interrupted, new) = self.overdue(ready, now);
+        let max_held = workers.div_ceil(WORKERS_PER_HELD);
+        let mut held = 0;
+        candidates.capacity_rule = CapacityRule::Any;
+        for task in interrupted.iter().take(MAX_EXAMINED_TASKS) {
+            let pool = &ready[task.step].queue.pool;
+            let may_start = self.start_budget > 0 && now >= self.overdue_starts.next_restart_at;
+            match self.choose(candidates, task.key, pool, None) {
+                Some(worker) if may_start => {
+                    self.start_next(task.key, worker, candidates, now);
+                    let pause = Millis(RESTART_PERIOD_MS.0 / workers as u64);
+                    self.overdue_starts.next_restart_at = now + pause;
+                }
+                Some(_) => break,
+                None if held < max_held => {
+                    held += usize::from(self.hold_worker(task.key, pool, candidates));
+                }
+                None => break,
+            }
+        }
+        candidates.capacity_rule = CapacityRule::FitsTwo;
+        for task in new.iter().take(MAX_EXAMINED_TASKS) {
+            if self.start_budget == 0 || now < self.overdue_starts.next_first_at {
+                break;
+            }
+            let pool = &ready[task.step].queue.pool;
+            if let Some(worker) = self.choose(candidates, task.key, pool, None) {
+                self.start_next(task.key, worker, candidates, now);
+                let pause = Millis(FIRST_START_PERIOD_MS.0 / workers as u64);
+                self.overdue_starts.next_first_at = now + pause;
+            }
+        }
+    }
+
+    /// Interrupted tasks and the first new task of each step that have waited for long, longest
+    /// wait first.
+    fn overdue(&self, ready: &[ReadyStep], now: MonoMs) -> (Vec<Overdue>, Vec<Overdue>) {
+        let (mut interrupted, mut new) = (Vec::new(), Vec::new());
+        for (number, step) in ready.iter().enumerate() {
+            let job = &self.jobs[step.job];
+            let spec = &job.spec.steps[usize::from(step.step)];
+            if !spec.long_running || spec.gang {
+                continue;
+            }
+            let mut has_new = false;
+            for key in (0..spec.tasks).map(|index| step.key(index)) {
+                let Some(task) = job.task(key).filter(|task| task.may_start(now)) else {
+                    continue;
+                };
+                let is_new = !task.has_run;
+                let waiting_since = job.waiting_since(key);
+                let served_after = if is_new {
+                    RELAX_AFTER_MS
+                } else {
+                    INTERRUPTED_AFTER_MS
+                };
+                if (is_new && has_new) || now.since(waiting_since) < served_after {
+                    continue;
+                }
+                has_new |= is_new;
+                let group = if is_new { &mut new } else { &mut interrupted };
+                group.push(Overdue {
+                    key,
+                    waiting_since,
+                    step: number,
+                });
+            }
+        }
+        interrupted.sort_by_key(|task| task.waiting_since);
+        new.sort_by_key(|task| task.waiting_since);
+        (interrupted, new)
+    }
+
+    /// Keeps other tasks off the worker that will have room for a task first; returns whether there
+    /// is one.
+    fn hold_worker(&self, key: TaskKey, pool: &str, candidates: &mut Candidates) -> bool {
+        let demand_milli = self.jobs[key.job].step(key).demand.cpu_milli;
+        let workers = candidates.keys().filter(|&worker| {
+            let worker = &self.workers[worker];
+            let without_short = worker.long_running_cpu_milli + demand_milli;
+            *worker.listing.pool == *pool
+                && without_short <= worker.listing.capacity.cpu_milli
+                && self.lacks_only_processors(worker, key)
+        });
+        let free_milli = |&worker: &_| Reverse(self.workers[worker].free().cpu_milli);
+        let Some(worker) = workers.min_by_key(free_milli) else {
+            return false;
+        };
+        candidates.hold(worker);
+        true
+    }
+}
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -152,6 +152,8 @@
 pub(super) struct Candidate {
     pub(super) worker: WorkerKey,
     headroom: Option<Vec<Headroom>>,
+    /// Whether the worker is kept free for a task that fits nowhere yet.
+    held: bool,
 }
 
 /// Workers eligible for new tasks in one plan.
@@ -174,9 +176,18 @@
         }
     }
 
-    /// Keys of the workers.
+    /// Keys of the workers that are not held.
     pub(super) fn keys(&self) -> impl Iterator<Item = WorkerKey> {
-        self.list.iter().map(|candidate| candidate.worker)
+        let open = self.list.iter().filter(|candidate| !candidate.held);
+        open.map(|candidate| candidate.worker)
+    }
+
+    /// Keeps a worker free for a task that fits nowhere yet.
+    pub(super) fn hold(&mut self, worker: WorkerKey) {
+        let mut list = self.list.iter_mut();
+        if let Some(candidate) = list.find(|candidate| candidate.worker == worker) {
+            candidate.held = true;
+        }
     }
 }
 
@@ -188,6 +199,7 @@
         let candidates = usable.map(|(worker, _)| Candidate {
             worker,
             headroom: None,
+            held: false,
         });
         Candidates {
             list: candidates.collect(),
@@ -277,7 +289,11 @@
         let now = candidates.now;
         let capacity_rule = candidates.capacity_rule;
         let mut tasks_that_fit = 0;
-        let costs = candidates.list.iter_mut().filter_map(|candidate| {
+        let open = candidates
+            .list
+            .iter_mut()
+            .filter(|candidate| !candidate.held);
+        let costs = open.filter_map(|candidate| {
             let worker = &self.workers[candidate.worker];
             let of_pool = *worker.listing.pool == *pool;
             if !of_pool || self.obstacle(worker, key, capacity_rule, rack).is_some() {
@@ -323,6 +339,16 @@
             && self.left_below_limit(worker, key, step) > 1
     }
 
+    /// Whether a worker could run a task if it had enough processors free.
+    pub(super) fn lacks_only_processors(&self, worker: &Worker, key: TaskKey) -> bool {
+        let step = self.jobs[key.job].step(key);
+        let free = worker.free();
+        worker.has_label(step)
+            && step.demand.memory_mb <= free.memory_mb
+            && step.demand.accelerators <= free.accelerators
+            && self.left_below_limit(worker, key, step) > 0
+    }
+
     /// Cost of a task on a worker; `None` if it must not run there.
     fn cost(&self, candidate: &mut Candidate, key: TaskKey, step: &Step) -> Option<f64> {
         let worker = &self.workers[candidate.worker];
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -25,17 +25,17 @@
 const MOVE_BEFORE_LEAVING_MS: Millis = Millis(1_500);
 
 /// Step whose waiting tasks may start.
-struct ReadyStep {
-    job: JobKey,
+pub(super) struct ReadyStep {
+    pub(super) job: JobKey,
     occurrence: u32,
-    step: u16,
-    queue: Arc<Queue>,
+    pub(super) step: u16,
+    pub(super) queue: Arc<Queue>,
     accepted_at: MonoMs,
     capacity_rule: CapacityRule,
 }
 
 impl ReadyStep {
-    fn key(&self, index: u32) -> TaskKey {
+    pub(super) fn key(&self, index: u32) -> TaskKey {
         TaskKey {
             job: self.job,
             occurrence: self.occurrence,
@@ -67,6 +67,7 @@
         let ready = self.ready(now, wall);
         let mut candidates = self.candidates(now);
         self.move_halted(&mut candidates, now);
+        self.place_overdue(&ready, &mut candidates, now);
         for step in &ready {
             if self.start_budget == 0 {
                 break;
@@ -143,12 +144,23 @@
                 }
                 return;
             };
-            let run = self.next_run(key);
-            self.start(key, worker, run, now);
-            candidates.invalidate(worker);
+            self.start_next(key, worker, candidates, now);
         }
     }
 
+    /// Starts the next run of a task.
+    pub(super) fn start_next(
+        &mut self,
+        key: TaskKey,
+        worker: WorkerKey,
+        candidates: &mut Candidates,
+        now: MonoMs,
+    ) {
+        let run = self.next_run(key);
+        self.start(key, worker, run, now);
+        candidates.invalidate(worker);
+    }
+
     /// Places all members of a gang, or none of them.
     fn place_gang(
         &mut self,
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -68,6 +68,7 @@
         let gang = job.step(key).gang;
         let task = job.task_mut(key);
         task.run = task.run.max(end.run);
+        task.has_run = true;
         let current = task.phase.worker() == Some(worker) && task.run == end.run;
         // The worker has outlived the run.
         task.crashes.retain(|crash| crash.run != end.run);
@@ -131,9 +132,11 @@
         if task.failed.contains(&run) {
             return;
         }
-        if !long_running {
-            task.failed.push(run);
+        if long_running {
+            // Their attempts are not limited; the latest tells a successor that the task ran.
+            task.failed.clear();
         }
+        task.failed.push(run);
         task.failed_on = Some(worker);
         task.not_before = now + RETRY_PAUSE_MS;
         let failed = task.failed.len();
@@ -200,6 +203,7 @@
             task.started_clock_ms = clock_ms;
         }
         task.run = status.run;
+        task.has_run = true;
         if status.checkpoint.is_some() {
             task.checkpoint.clone_from(&status.checkpoint);
         }
@@ -301,6 +305,7 @@
                 task.phase = Phase::Running { worker, since: now };
                 task.progressed_at = now;
                 task.percent = 0;
+                task.has_run = true;
                 task.started_clock_ms = clock_ms;
                 job.started = true;
             }
--- a/hemlocksaddle-policy/tests/starvation.rs
+++ b/hemlocksaddle-policy/tests/starvation.rs
@@ -8,6 +8,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
+use hemlocksaddle_types::workflow::Step;
 use workflow_support::{Harness, long_running, step};
 
 /// Time within which a task has to start for which two times its demand is free.
@@ -100,3 +101,95 @@
     }
     fail!("never started").and_log_failure();
 }
+
+/// Time within which an interrupted task has to run again: the platform's limits on its wait.
+const RESTART_WITHIN_MS: u64 = 9_000;
+
+/// Fills workers with one long-running task each, on which short tasks leave no room, and fails some of
+/// them. Short tasks wait for all that becomes free.
+fn interrupt(harness: &mut Harness, long_running_milli: u64, interrupted: usize) -> Vec<Start> {
+    let workers = u32::try_from(harness.workers.len()).expect("few workers");
+    let limited = Step {
+        max_per_worker: 1,
+        ..long_running(workers, long_running_milli, "a")
+    };
+    harness.accept(LONG_RUNNING, vec![limited]);
+    let long = harness.starts();
+    harness.answer_all(&long, StartAnswer::Accepted);
+    harness.accept(2, vec![step(4_000, 4_000)]);
+    let (running, _) = start_all(harness);
+    long[..interrupted]
+        .iter()
+        .for_each(|start| harness.end(start, EndKind::Failed));
+    running
+}
+
+/// Ends the short task that started first; returns how many long-running tasks started.
+fn end_one_short(harness: &mut Harness, running: &mut Vec<Start>) -> usize {
+    let ended = running.remove(0);
+    harness.end(&ended, EndKind::Done);
+    harness.save();
+    let starts = harness.starts();
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    let (long, short): (Vec<_>, Vec<_>) = starts
+        .into_iter()
+        .partition(|start| start.name.workflow.0 == LONG_RUNNING);
+    running.extend(short);
+    long.len()
+}
+
+/// Guards against a long-running task that fails and then waits for tens of seconds, because no worker
+/// ever has as much free at once as it had: short tasks take each piece that becomes free.
+#[gtest]
+fn an_interrupted_task_gets_back_a_place_that_short_tasks_have_taken() {
+    let mut harness = Harness::with_workers(8, 16_000);
+    let mut running = interrupt(&mut harness, 8_000, 1);
+    for _ in (0..RESTART_WITHIN_MS).step_by(PAIR_ENDS_MS as usize) {
+        if end_one_short(&mut harness, &mut running) > 0 {
+            return;
+        }
+        harness.advance(PAIR_ENDS_MS);
+    }
+    fail!("never started again").and_log_failure();
+}
+
+/// Guards against an interrupted task that loses its claim to a place with a change of owner.
+#[gtest]
+fn an_interrupted_task_gets_back_its_place_after_a_change_of_owner() {
+    let mut before = Harness::with_workers(8, 16_000);
+    before.accept(LONG_RUNNING, vec![long_running(1, 8_000, "a")]);
+    let first = before.starts().remove(0);
+    before.answer(&first, StartAnswer::Accepted);
+    before.end(&first, EndKind::Failed);
+    let progress = before.save();
+    let mut harness = Harness::unreported(8, 16_000, 0);
+    harness.accept_inherited(LONG_RUNNING, vec![long_running(1, 8_000, "a")]);
+    harness.restore(progress);
+    harness.accept(2, vec![step(4_000, 4_000)]);
+    for number in 0..8 {
+        harness.report_idle(number);
+    }
+    let (mut running, _) = start_all(&mut harness);
+    for _ in (0..RESTART_WITHIN_MS).step_by(PAIR_ENDS_MS as usize) {
+        if end_one_short(&mut harness, &mut running) > 0 {
+            return;
+        }
+        harness.advance(PAIR_ENDS_MS);
+    }
+    fail!("never started again").and_log_failure();
+}
+
+/// Load pattern: many long-running tasks interrupted at once. Guards against short tasks that get
+/// nothing until all of them run again.
+#[gtest]
+fn short_tasks_keep_most_of_what_becomes_free_while_many_tasks_are_interrupted() {
+    let mut harness = Harness::with_workers(64, 16_000);
+    let mut running = interrupt(&mut harness, 4_000, 48);
+    let (mut long_started, mut short_ended) = (0, 0);
+    for _ in 0..400 {
+        long_started += end_one_short(&mut harness, &mut running);
+        short_ended += 1;
+        harness.advance(20);
+    }
+    expect_that!(long_started, all!(gt(16), lt(short_ended / 8)));
+}
