Count the work of plans, measure their time and lateness

The scheduler now counts its work (steps, checked runs, compared workers, headrooms), and the owner reports the counts with the time of each plan and the time by which the pause after it ends late, which grows when the owner is behind.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -26,6 +26,7 @@
 mod plan;
 mod report;
 mod waiting;
+mod work;
 mod worker;
 
 use std::{net::SocketAddr, sync::Arc};
@@ -46,6 +47,7 @@
     job::{Job, Phase, TaskKey},
     lifecycle::Unsaved,
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
+    work::WorkCounts,
     worker::{Listing, Worker},
 };
 
@@ -153,6 +155,8 @@
     losses: Vec<crash::Loss>,
     /// Crashes that are not logged yet.
     crashes: Vec<Crash>,
+    /// Work of the plans that is not reported yet.
+    work: WorkCounts,
 }
 
 impl Scheduler {
@@ -186,6 +190,7 @@
             crashed_at: HashMap::new(),
             losses: Vec::new(),
             crashes: Vec::new(),
+            work: WorkCounts::default(),
         }
     }
 
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -232,6 +232,7 @@
         {
             return;
         }
+        self.work.checked_runs += worker.tasks.len() as u64;
         let long_running = self.long_running(worker, LOAD_MARGIN);
         let runs = self.best_effort_runs(worker);
         let mut paces = self.allocate_paces(&long_running, &runs);
@@ -383,7 +384,9 @@
     /// Stops halted runs that could continue on another worker.
     pub(super) fn move_halted(&mut self, candidates: &mut Candidates, now: MonoMs) {
         let mut halted = Vec::new();
+        let mut checked_runs = 0;
         for (worker_key, worker) in &self.workers {
+            checked_runs += worker.tasks.len() as u64;
             let best_effort = worker
                 .tasks
                 .iter()
@@ -400,6 +403,7 @@
                 (is_due && running).then_some((key, worker_key))
             }));
         }
+        self.work.checked_runs += checked_runs;
         for (key, worker) in halted {
             let Some(queue) = self.queue(&self.jobs[key.job].spec.queue).cloned() else {
                 continue;
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -162,6 +162,10 @@
     /// Capacity that the tasks being placed may use.
     pub(super) capacity_rule: CapacityRule,
     now: MonoMs,
+    /// Workers compared as places for a task.
+    pub(super) compared_workers: u64,
+    /// Workers whose headroom was computed.
+    pub(super) headrooms: u64,
 }
 
 impl Candidates {
@@ -205,6 +209,8 @@
             list: candidates.collect(),
             capacity_rule: CapacityRule::Any,
             now,
+            compared_workers: 0,
+            headrooms: 0,
         }
     }
 
@@ -265,7 +271,11 @@
                 continue;
             }
             let mut obstacle = self.obstacle(worker, key, rule, None);
-            if obstacle.is_none() && self.cost(candidate, key, step).is_none() {
+            if obstacle.is_none()
+                && self
+                    .cost(candidate, key, step, &mut candidates.headrooms)
+                    .is_none()
+            {
                 obstacle = Some(Obstacle::Interference);
             }
             obstacles.push((candidate.worker, obstacle));
@@ -289,6 +299,8 @@
         let now = candidates.now;
         let capacity_rule = candidates.capacity_rule;
         let mut tasks_that_fit = 0;
+        candidates.compared_workers += candidates.list.len() as u64;
+        let headrooms = &mut candidates.headrooms;
         let open = candidates
             .list
             .iter_mut()
@@ -306,7 +318,7 @@
             } else if has_crashed && !worker.is_steady(now) {
                 penalty += UNSTEADY_PENALTY;
             }
-            let cost = self.cost(candidate, key, step)?;
+            let cost = self.cost(candidate, key, step, headrooms)?;
             tasks_that_fit += if self.has_room_for_two(worker, key, step) {
                 2
             } else {
@@ -350,7 +362,13 @@
     }
 
     /// Cost of a task on a worker; `None` if it must not run there.
-    fn cost(&self, candidate: &mut Candidate, key: TaskKey, step: &Step) -> Option<f64> {
+    fn cost(
+        &self,
+        candidate: &mut Candidate,
+        key: TaskKey,
+        step: &Step,
+        headrooms: &mut u64,
+    ) -> Option<f64> {
         let worker = &self.workers[candidate.worker];
         let remote = step
             .data_rack
@@ -359,7 +377,7 @@
         let remote = if remote { REMOTE_RACK_PENALTY } else { 0.0 };
         if step.best_effort {
             let idle = cpu_share(worker.idle_cpu_milli(), worker);
-            return Some(remote - idle + self.interference_cost(candidate, key, step)?);
+            return Some(remote - idle + self.interference_cost(candidate, key, step, headrooms)?);
         }
         let used = cpu_share(worker.committed.cpu_milli + step.demand.cpu_milli, worker);
         if !step.long_running {
@@ -383,14 +401,16 @@
         candidate: &mut Candidate,
         key: TaskKey,
         step: &Step,
+        headrooms: &mut u64,
     ) -> Option<f64> {
         let worker = &self.workers[candidate.worker];
         if worker.long_running_cpu_milli == 0 {
             return Some(NO_LONG_RUNNING_COST);
         }
-        let headroom = candidate
-            .headroom
-            .get_or_insert_with(|| self.headroom(worker));
+        let headroom = candidate.headroom.get_or_insert_with(|| {
+            *headrooms += 1;
+            self.headroom(worker)
+        });
         let image = self.jobs[key.job].image(key);
         let fraction =
             self.usable_fraction(headroom, image, cpu_share(step.demand.cpu_milli, worker));
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -72,9 +72,13 @@
             if self.start_budget == 0 {
                 break;
             }
+            self.work.steps += 1;
             self.place_step(step, &mut candidates, now);
         }
         self.consolidate(&candidates, now);
+        self.work.plans += 1;
+        self.work.compared_workers += candidates.compared_workers;
+        self.work.headrooms += candidates.headrooms;
         std::mem::take(&mut self.orders)
     }
 
@@ -294,10 +298,12 @@
     /// Stops runs that make no progress, so that they restart elsewhere.
     fn move_stalled(&mut self, now: MonoMs) {
         let mut stalled = Vec::new();
+        let mut checked_runs = 0;
         for (worker_key, worker) in &self.workers {
             let Some(reported_at) = worker.reported_at else {
                 continue;
             };
+            checked_runs += worker.tasks.len() as u64;
             for &key in worker.tasks.keys() {
                 let job = &self.jobs[key.job];
                 let Some(task) = job.task(key) else { continue };
@@ -316,6 +322,7 @@
                 }
             }
         }
+        self.work.checked_runs += checked_runs;
         for (key, worker) in stalled {
             self.jobs[key.job].task_mut(key).failed_on = Some(worker);
             if let Some(worker) = self.workers.get_mut(worker) {
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of a node.
 
+use hemlocksaddle_policy::workflow::WorkCounts;
+use hemlocksaddle_types::clock::Millis;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder,
@@ -8,6 +10,11 @@
 /// Bucket bounds of the latency histograms, from one store append to a caller's time limit.
 const LATENCY_BOUNDS_S: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
+/// Bucket bounds of the times of a plan, from the resolution of the clock to a wait that callers notice.
+const PLAN_BOUNDS_S: &[f64] = &[
+    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.5, 2.0,
+];
+
 /// Metrics of a node.
 pub struct Metrics {
     registry: Registry,
@@ -27,6 +34,12 @@
     pub accept_s: Histogram,
     /// Time to save progress.
     pub save_s: Histogram,
+    /// Work of plans by kind.
+    pub plan_work: IntCounterVec,
+    /// Time that a plan takes.
+    pub plan_s: Histogram,
+    /// Time by which the pause after a plan ends late, because the owner was busy.
+    pub plan_late_s: Histogram,
     /// Number of shards that the node owns.
     pub owned_shards: IntGauge,
     /// Number of nodes that carry out the owner's calls to workers.
@@ -52,8 +65,8 @@
             registry.register(Box::new(vector.clone()))?;
             Ok::<_, prometheus::Error>(vector)
         };
-        let histogram = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_S.to_vec());
+        let histogram = |name: &str, help: &str, bounds_s: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(bounds_s.to_vec());
             let histogram = Histogram::with_opts(options)?;
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
@@ -112,13 +125,43 @@
                 &["call", "outcome"],
             )?,
             ends: counter("shard_run_ends_total", "Ends of runs by kind.", &["kind"])?,
-            accept_s: histogram("shard_accept_seconds", "Time to accept a submission.")?,
-            save_s: histogram("shard_save_seconds", "Time to make progress durable.")?,
+            accept_s: histogram(
+                "shard_accept_seconds",
+                "Time to accept a submission.",
+                LATENCY_BOUNDS_S,
+            )?,
+            save_s: histogram(
+                "shard_save_seconds",
+                "Time to make progress durable.",
+                LATENCY_BOUNDS_S,
+            )?,
+            plan_work: counter("shard_plan_work_total", "Work of plans by kind.", &["kind"])?,
+            plan_s: histogram("shard_plan_seconds", "Time of a plan.", PLAN_BOUNDS_S)?,
+            plan_late_s: histogram(
+                "shard_plan_late_seconds",
+                "Time by which the pause after a plan ends late.",
+                PLAN_BOUNDS_S,
+            )?,
             owned_shards,
             registry,
         })
     }
 
+    /// Records the time and the work of a plan.
+    pub(crate) fn record_plan(&self, took: Millis, work: &WorkCounts) {
+        self.plan_s.observe(took.0 as f64 / 1_000.0);
+        let kinds = [
+            ("plans", work.plans),
+            ("steps", work.steps),
+            ("checked runs", work.checked_runs),
+            ("compared workers", work.compared_workers),
+            ("headrooms", work.headrooms),
+        ];
+        for (kind, count) in kinds {
+            self.plan_work.with_label_values(&[kind]).inc_by(count);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -375,18 +375,27 @@
     async fn plan(self: Rc<Self>) {
         while !self.ended.get() {
             let seen = self.changed.count();
-            let orders = {
+            let planned_at = self.env.now();
+            let (orders, work) = {
                 let mut scheduler = self.scheduler.borrow_mut();
                 scheduler.set_start_budget(self.start_window.get().available());
-                scheduler.plan(self.env.now(), self.env.wall())
+                let orders = scheduler.plan(planned_at, self.env.wall());
+                (orders, scheduler.take_work_counts())
             };
+            let took = self.env.now().since(planned_at);
+            self.env.metrics.record_plan(took, &work);
             for order in orders {
                 self.dispatch(order);
             }
             self.report_waiting();
             let waiting = self.changed.wait_past(seen);
             let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
+            let paused_at = self.env.now();
             self.env.sleep(MIN_PLAN_INTERVAL_MS).await;
+            let pause = self.env.now().since(paused_at);
+            let late_ms = pause.0.saturating_sub(MIN_PLAN_INTERVAL_MS.0);
+            let late_s = &self.env.metrics.plan_late_s;
+            late_s.observe(late_ms as f64 / 1_000.0);
         }
         self.clear_waiting();
     }
