Compare all workers once for the tasks of a step

For best-effort tasks it also computed the headroom of every worker that the task fits on, again in each plan.

Workers are now ranked once for a step, and after a start only its worker is ranked again. The ranking is by a lower bound of the cost, which leaves out interference; that is added to the first in order until the first one's cost is complete. Since interference only adds to a cost, the choice is the same as with all costs complete, ties included. Tasks that failed or may have crashed a worker have costs of their own and get their own ranking.

the_tasks_of_a_step_are_placed_with_one_comparison_of_all_workers (800 compared workers, at most 60 expected) failed before, and headroom_is_computed_only_for_workers_that_may_be_the_best (11, at most 3).

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -24,6 +24,7 @@
 mod pacing;
 mod placement;
 mod plan;
+mod ranking;
 mod report;
 mod waiting;
 mod work;
--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -81,9 +81,10 @@
         for task in interrupted.iter().take(MAX_EXAMINED_TASKS) {
             let pool = &ready[task.step].queue.pool;
             let may_start = self.start_budget > 0 && now >= self.overdue_starts.next_restart_at;
-            match self.choose(candidates, task.key, pool, None) {
-                Some(worker) if may_start => {
-                    self.start_next(task.key, worker, candidates, now);
+            match self.choose_place(candidates, task.key, pool, None) {
+                Some((place, worker)) if may_start => {
+                    self.start_next(task.key, worker, now);
+                    candidates.invalidate(place);
                     let pause = Millis(RESTART_PERIOD_MS.0 / workers as u64);
                     self.overdue_starts.next_restart_at = now + pause;
                 }
@@ -100,8 +101,9 @@
                 break;
             }
             let pool = &ready[task.step].queue.pool;
-            if let Some(worker) = self.choose(candidates, task.key, pool, None) {
-                self.start_next(task.key, worker, candidates, now);
+            if let Some((place, worker)) = self.choose_place(candidates, task.key, pool, None) {
+                self.start_next(task.key, worker, now);
+                candidates.invalidate(place);
                 let pause = Millis(FIRST_START_PERIOD_MS.0 / workers as u64);
                 self.overdue_starts.next_first_at = now + pause;
             }
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -19,6 +19,7 @@
     Scheduler, TaskKey, Worker, WorkerKey,
     capacity::CapacityRule,
     pacing::{Headroom, cpu_share},
+    ranking::Place,
 };
 
 /// Share of its reservation that a long-running task is expected to use, in percent.
@@ -156,6 +157,25 @@
     held: bool,
 }
 
+/// Task to be placed.
+#[derive(Clone, Copy)]
+pub(super) struct Wanted<'a> {
+    pub(super) key: TaskKey,
+    pub(super) step: &'a Step,
+    pool: &'a str,
+    rack: Option<&'a str>,
+    failed_on: Option<WorkerKey>,
+    is_suspect: bool,
+    has_crashed: bool,
+}
+
+impl Wanted<'_> {
+    /// Whether the task has the same costs as the other tasks of its step.
+    pub(super) fn is_plain(&self) -> bool {
+        self.failed_on.is_none() && !self.is_suspect && !self.has_crashed
+    }
+}
+
 /// Workers eligible for new tasks in one plan.
 pub(super) struct Candidates {
     list: Vec<Candidate>,
@@ -169,15 +189,19 @@
 }
 
 impl Candidates {
+    /// Number of candidates.
+    pub(super) fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Worker at an index of the list.
+    pub(super) fn worker(&self, index: usize) -> WorkerKey {
+        self.list[index].worker
+    }
+
     /// Discards the cached headroom of a worker whose tasks changed.
-    pub(super) fn invalidate(&mut self, worker: WorkerKey) {
-        let candidate = self
-            .list
-            .iter_mut()
-            .find(|candidate| candidate.worker == worker);
-        if let Some(candidate) = candidate {
-            candidate.headroom = None;
-        }
+    pub(super) fn invalidate(&mut self, index: usize) {
+        self.list[index].headroom = None;
     }
 
     /// Keys of the workers that are not held.
@@ -233,11 +257,11 @@
     fn obstacle(
         &self,
         worker: &Worker,
-        key: TaskKey,
+        wanted: &Wanted<'_>,
         rule: CapacityRule,
-        rack: Option<&str>,
     ) -> Option<Obstacle> {
-        let step = self.jobs[key.job].step(key);
+        let step = wanted.step;
+        let is_outside = |rack: &str| worker.listing.rack().is_none_or(|of| **of != *rack);
         if !worker.has_label(step) {
             Some(Obstacle::Label)
         } else if !worker.fits(step) {
@@ -246,9 +270,9 @@
             && !worker.fits_outside_recent_peak(step.demand.cpu_milli)
         {
             Some(Obstacle::RecentPeak)
-        } else if rack.is_some_and(|rack| worker.listing.rack().is_none_or(|of| **of != *rack)) {
+        } else if wanted.rack.is_some_and(is_outside) {
             Some(Obstacle::Rack)
-        } else if self.left_below_limit(worker, key, step) == 0 {
+        } else if self.left_below_limit(worker, wanted.key, step) == 0 {
             Some(Obstacle::TasksPerWorker)
         } else {
             None
@@ -262,76 +286,77 @@
         key: TaskKey,
         pool: &str,
     ) -> Vec<(WorkerKey, Option<Obstacle>)> {
-        let step = self.jobs[key.job].step(key);
-        let rule = candidates.capacity_rule;
         let mut obstacles = Vec::new();
-        for candidate in &mut candidates.list {
-            let worker = &self.workers[candidate.worker];
+        let Some(wanted) = self.wanted(key, pool, None) else {
+            return obstacles;
+        };
+        for index in 0..candidates.len() {
+            let worker_key = candidates.worker(index);
+            let worker = &self.workers[worker_key];
             if *worker.listing.pool != *pool {
                 continue;
             }
-            let mut obstacle = self.obstacle(worker, key, rule, None);
-            if obstacle.is_none()
-                && self
-                    .cost(candidate, key, step, &mut candidates.headrooms)
-                    .is_none()
-            {
-                obstacle = Some(Obstacle::Interference);
+            let mut obstacle = self.obstacle(worker, &wanted, candidates.capacity_rule);
+            if obstacle.is_none() && wanted.step.best_effort {
+                let place = self.place(candidates, index, &wanted);
+                let cost = place.and_then(|p| self.add_interference(candidates, p, &wanted));
+                obstacle = cost.is_none().then_some(Obstacle::Interference);
             }
-            obstacles.push((candidate.worker, obstacle));
+            obstacles.push((worker_key, obstacle));
         }
         obstacles
     }
 
-    /// Cheapest worker for a task, or `None` if it fits nowhere now.
-    pub(super) fn choose(
-        &self,
-        candidates: &mut Candidates,
+    /// What is to be placed; `None` if the task is not known.
+    pub(super) fn wanted<'a>(
+        &'a self,
         key: TaskKey,
-        pool: &str,
-        rack: Option<&str>,
-    ) -> Option<WorkerKey> {
-        let step = self.jobs[key.job].step(key);
-        let task = self.jobs[key.job].task(key)?;
-        let failed_on = task.failed_on;
-        let is_suspect = task.is_suspect();
-        let has_crashed = task.suspicion() > 0;
+        pool: &'a str,
+        rack: Option<&'a str>,
+    ) -> Option<Wanted<'a>> {
+        let job = &self.jobs[key.job];
+        let task = job.task(key)?;
+        Some(Wanted {
+            key,
+            step: job.step(key),
+            pool,
+            rack,
+            failed_on: task.failed_on,
+            is_suspect: task.is_suspect(),
+            has_crashed: task.suspicion() > 0,
+        })
+    }
+
+    /// A candidate as a place for a task; `None` if the task must not run there.
+    pub(super) fn place(
+        &self,
+        candidates: &Candidates,
+        index: usize,
+        wanted: &Wanted<'_>,
+    ) -> Option<Place> {
+        let worker_key = candidates.worker(index);
+        let worker = &self.workers[worker_key];
         let now = candidates.now;
-        let capacity_rule = candidates.capacity_rule;
-        let mut tasks_that_fit = 0;
-        candidates.compared_workers += candidates.list.len() as u64;
-        let headrooms = &mut candidates.headrooms;
-        let open = candidates
-            .list
-            .iter_mut()
-            .filter(|candidate| !candidate.held);
-        let costs = open.filter_map(|candidate| {
-            let worker = &self.workers[candidate.worker];
-            let of_pool = *worker.listing.pool == *pool;
-            if !of_pool || self.obstacle(worker, key, capacity_rule, rack).is_some() {
-                return None;
-            }
-            let failed = failed_on == Some(candidate.worker);
-            let mut penalty = if failed { FAILED_PENALTY } else { 0.0 };
-            if worker.blurs_evidence(is_suspect, now) {
-                penalty += ISOLATION_PENALTY;
-            } else if has_crashed && !worker.is_steady(now) {
-                penalty += UNSTEADY_PENALTY;
-            }
-            let cost = self.cost(candidate, key, step, headrooms)?;
-            tasks_that_fit += if self.has_room_for_two(worker, key, step) {
-                2
-            } else {
-                1
-            };
-            Some((candidate.worker, penalty + cost))
-        });
-        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
-        let (worker, _) = best?;
-        let enough = capacity_rule != CapacityRule::FitsTwo
-            || tasks_that_fit > 1
-            || self.workers[worker].fits_outside_recent_peak(step.demand.cpu_milli);
-        enough.then_some(worker)
+        let allowed = *worker.listing.pool == *wanted.pool
+            && !candidates.list[index].held
+            && self
+                .obstacle(worker, wanted, candidates.capacity_rule)
+                .is_none();
+        if !allowed {
+            return None;
+        }
+        let failed = wanted.failed_on == Some(worker_key);
+        let mut penalty = if failed { FAILED_PENALTY } else { 0.0 };
+        if worker.blurs_evidence(wanted.is_suspect, now) {
+            penalty += ISOLATION_PENALTY;
+        } else if wanted.has_crashed && !worker.is_steady(now) {
+            penalty += UNSTEADY_PENALTY;
+        }
+        Some(Place {
+            index,
+            cost: penalty + self.cost(worker, wanted.key, wanted.step),
+            is_complete: !wanted.step.best_effort,
+        })
     }
 
     /// Number of further tasks of a step that a worker may run by the limit of the step.
@@ -346,7 +371,7 @@
     }
 
     /// Whether a worker that takes a task of a step has room for another one.
-    fn has_room_for_two(&self, worker: &Worker, key: TaskKey, step: &Step) -> bool {
+    pub(super) fn has_room_for_two(&self, worker: &Worker, key: TaskKey, step: &Step) -> bool {
         (step.demand + step.demand).fits_in(&worker.free())
             && self.left_below_limit(worker, key, step) > 1
     }
@@ -361,27 +386,19 @@
             && self.left_below_limit(worker, key, step) > 0
     }
 
-    /// Cost of a task on a worker; `None` if it must not run there.
-    fn cost(
-        &self,
-        candidate: &mut Candidate,
-        key: TaskKey,
-        step: &Step,
-        headrooms: &mut u64,
-    ) -> Option<f64> {
-        let worker = &self.workers[candidate.worker];
+    /// Cost of a task on a worker, without the interference of a best-effort task.
+    fn cost(&self, worker: &Worker, key: TaskKey, step: &Step) -> f64 {
         let remote = step
             .data_rack
             .as_ref()
             .is_some_and(|rack| worker.listing.rack() != Some(rack));
         let remote = if remote { REMOTE_RACK_PENALTY } else { 0.0 };
         if step.best_effort {
-            let idle = cpu_share(worker.idle_cpu_milli(), worker);
-            return Some(remote - idle + self.interference_cost(candidate, key, step, headrooms)?);
+            return remote - cpu_share(worker.idle_cpu_milli(), worker);
         }
         let used = cpu_share(worker.committed.cpu_milli + step.demand.cpu_milli, worker);
         if !step.long_running {
-            return Some(remote + used);
+            return remote + used;
         }
         let image = self.jobs[key.job].image(key);
         let others = worker
@@ -392,28 +409,30 @@
             let other_image = self.jobs[other.job].image(*other);
             self.interference.difference(image, other_image)
         });
-        Some(remote - used + differences.fold(0.0, f64::max) * MIXED_IMAGES_COST)
+        remote - used + differences.fold(0.0, f64::max) * MIXED_IMAGES_COST
     }
 
-    /// Cost of the interference that a best-effort task would cause on a worker.
-    fn interference_cost(
+    /// Adds the cost of the interference that a best-effort task would cause on a worker; `None` if
+    /// it must not run there.
+    pub(super) fn add_interference(
         &self,
-        candidate: &mut Candidate,
-        key: TaskKey,
-        step: &Step,
-        headrooms: &mut u64,
+        candidates: &mut Candidates,
+        place: Place,
+        wanted: &Wanted<'_>,
     ) -> Option<f64> {
-        let worker = &self.workers[candidate.worker];
+        let worker = &self.workers[candidates.worker(place.index)];
         if worker.long_running_cpu_milli == 0 {
-            return Some(NO_LONG_RUNNING_COST);
+            return Some(place.cost + NO_LONG_RUNNING_COST);
         }
+        let candidate = &mut candidates.list[place.index];
         let headroom = candidate.headroom.get_or_insert_with(|| {
-            *headrooms += 1;
+            candidates.headrooms += 1;
             self.headroom(worker)
         });
-        let image = self.jobs[key.job].image(key);
-        let fraction =
-            self.usable_fraction(headroom, image, cpu_share(step.demand.cpu_milli, worker));
-        (fraction >= MIN_USABLE_FRACTION).then_some((1.0 - fraction) * INTERFERENCE_COST)
+        let image = self.jobs[wanted.key.job].image(wanted.key);
+        let share = cpu_share(wanted.step.demand.cpu_milli, worker);
+        let fraction = self.usable_fraction(headroom, image, share);
+        let cost = place.cost + (1.0 - fraction) * INTERFERENCE_COST;
+        (fraction >= MIN_USABLE_FRACTION).then_some(cost)
     }
 }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -9,7 +9,8 @@
 
 use super::{
     JobKey, Order, Phase, Scheduler, Start, TaskKey, WorkerKey, capacity::CapacityRule,
-    consolidation::Blocked, job::FULL_PACE, placement::Candidates, worker::Assigned,
+    consolidation::Blocked, job::FULL_PACE, placement::Candidates, ranking::Ranking,
+    worker::Assigned,
 };
 
 /// Time without progress after which a run is moved.
@@ -128,6 +129,8 @@
             self.place_gang(ready, step, candidates, now);
             return;
         }
+        // Ranking of the previous task, with the place that it took.
+        let mut previous: Option<(Ranking, usize)> = None;
         for index in 0..step.tasks {
             if self.start_budget == 0 {
                 return;
@@ -137,8 +140,19 @@
             if !task.is_some_and(|task| task.may_start(now)) {
                 continue;
             }
+            let Some(wanted) = self.wanted(key, &ready.queue.pool, None) else {
+                continue;
+            };
+            let is_plain = wanted.is_plain();
+            let mut ranking = match previous.take() {
+                Some((mut ranking, place)) if is_plain => {
+                    ranking.put_back(self, candidates, &wanted, place);
+                    ranking
+                }
+                _ => self.rank(candidates, &wanted),
+            };
             // All tasks of a step are equal: if this one fits nowhere, neither do the others.
-            let Some(worker) = self.choose(candidates, key, &ready.queue.pool, None) else {
+            let Some((place, worker)) = ranking.take(self, candidates, &wanted) else {
                 if step.best_effort {
                     self.blocked.push(Blocked {
                         image: self.jobs[ready.job].image(key),
@@ -148,21 +162,16 @@
                 }
                 return;
             };
-            self.start_next(key, worker, candidates, now);
+            self.start_next(key, worker, now);
+            candidates.invalidate(place);
+            previous = is_plain.then_some((ranking, place));
         }
     }
 
     /// Starts the next run of a task.
-    pub(super) fn start_next(
-        &mut self,
-        key: TaskKey,
-        worker: WorkerKey,
-        candidates: &mut Candidates,
-        now: MonoMs,
-    ) {
+    pub(super) fn start_next(&mut self, key: TaskKey, worker: WorkerKey, now: MonoMs) {
         let run = self.next_run(key);
         self.start(key, worker, run, now);
-        candidates.invalidate(worker);
     }
 
     /// Places all members of a gang, or none of them.
--- a/hemlocksaddle-policy/tests/plan_work.rs
+++ b/hemlocksaddle-policy/tests/plan_work.rs
@@ -58,6 +58,27 @@
     expect_that!(checked, all![ge(runs), le(2 * runs)]);
 }
 
+/// Guards against work per start that grows with the number of tasks times the number of workers.
+#[gtest]
+fn the_tasks_of_a_step_are_placed_with_one_comparison_of_all_workers() {
+    let mut harness = Harness::with_workers(WORKERS, 16_000);
+    harness.scheduler.take_work_counts();
+    harness.accept(1, vec![step(40, 2_000)]);
+    expect_that!(harness.starts().len(), eq(40));
+    let compared = harness.scheduler.take_work_counts().compared_workers;
+    expect_that!(compared, le(WORKERS as u64 + 40));
+}
+
+/// Guards against headroom computed for every worker in each plan that places a best-effort task.
+#[gtest]
+fn headroom_is_computed_only_for_workers_that_may_be_the_best() {
+    let mut harness = busy_cluster();
+    harness.accept(100, vec![best_effort(1, 100, "batch-0")]);
+    expect_that!(harness.starts().len(), eq(1));
+    let headrooms = harness.scheduler.take_work_counts().headrooms;
+    expect_that!(headrooms, all![ge(1), le(3)]);
+}
+
 /// Guards against an owner whose load cannot be told apart by its cause.
 #[gtest]
 fn plans_count_their_work_and_give_it_once() {
