Examine each waiting step when a line is due for it

Up to eight more steps are examined in the look in which their wait reaches the threshold or doubles.

--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -29,7 +29,8 @@
 /// Twice the time within which 95 of 100 first starts came on the day of incident 26.
 const THRESHOLD_MS: Millis = Millis(10_000);
 
-/// Maximum number of steps that are examined at once.
+/// Maximum number of the longest-waiting steps that are examined at once, and of the others whose
+/// wait has doubled: each examination visits all tasks of the pool.
 const MAX_EXAMINED_STEPS: usize = 8;
 
 macro_rules! reasons {
@@ -139,8 +140,8 @@
     pub task: TaskName,
     /// Time for which it has waited.
     pub waited: Millis,
-    /// Wait from which tasks of its kind are reported.
-    pub threshold: Millis,
+    /// Whether the wait has reached its threshold, or a doubling of it, since the last look.
+    pub has_doubled: bool,
     /// Number of waiting tasks of the step.
     pub tasks: u32,
     /// What the task waits for.
@@ -151,19 +152,11 @@
     pub capacity: PoolCapacity,
 }
 
-impl WaitingStep {
-    /// Whether the wait has reached its threshold, or a doubling of it, within the last `interval`.
-    #[must_use]
-    pub fn has_doubled(&self, interval: Millis) -> bool {
-        let level = |waited: u64| (waited / self.threshold.0).checked_ilog2();
-        level(self.waited.0) != level(self.waited.0.saturating_sub(interval.0))
-    }
-}
-
 /// Tasks that have waited beyond their threshold.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Waiting {
-    /// Steps that have waited longest relative to their threshold, in this order.
+    /// Steps that have waited longest relative to their threshold, in this order, then steps whose
+    /// wait has doubled since the last look.
     pub steps: Vec<WaitingStep>,
     /// Number of waiting tasks of the other steps.
     pub unexamined_tasks: u32,
@@ -187,6 +180,12 @@
     fn urgency(&self) -> u64 {
         self.waited.0 * 1_000 / self.threshold.0
     }
+
+    /// Whether the wait has reached its threshold, or a doubling of it, within the last `interval`.
+    fn has_doubled(&self, interval: Millis) -> bool {
+        let level = |waited: u64| (waited / self.threshold.0).checked_ilog2();
+        level(self.waited.0) != level(self.waited.0.saturating_sub(interval.0))
+    }
 }
 
 fn threshold(step: &Step) -> Millis {
@@ -199,8 +198,10 @@
 
 impl Scheduler {
     /// Tasks that have waited beyond their threshold, and what they wait for.
+    ///
+    /// The last look was `interval` ago.
     #[must_use]
-    pub fn waiting(&self, now: MonoMs) -> Waiting {
+    pub fn waiting(&self, now: MonoMs, interval: Millis) -> Waiting {
         let mut overdue = self.overdue_steps(now);
         overdue.extend(self.unanswered_starts(now));
         if overdue.is_empty() {
@@ -210,20 +211,24 @@
             };
         }
         overdue.sort_by_key(|step| Reverse(step.urgency()));
-        let examined = overdue.len().min(MAX_EXAMINED_STEPS);
+        let longest = overdue.iter().map(|step| step.waited).max();
+        let others = overdue.split_off(overdue.len().min(MAX_EXAMINED_STEPS));
+        let (doubled, mut rest): (Vec<_>, Vec<_>) = others
+            .into_iter()
+            .partition(|step| step.has_doubled(interval));
+        overdue.extend(doubled);
+        rest.extend(overdue.split_off(overdue.len().min(2 * MAX_EXAMINED_STEPS)));
         let mut candidates = self.candidates(now);
-        let steps = overdue[..examined].iter();
+        let mut steps = Vec::new();
+        for step in &overdue {
+            let has_doubled = step.has_doubled(interval);
+            steps.push(self.examine(step, has_doubled, &mut candidates, now));
+        }
         Waiting {
-            steps: steps
-                .map(|step| self.examine(step, &mut candidates, now))
-                .collect(),
-            unexamined_tasks: overdue[examined..].iter().map(|step| step.tasks).sum(),
+            steps,
+            unexamined_tasks: rest.iter().map(|step| step.tasks).sum(),
+            longest: longest.unwrap_or_default(),
             start_budget: self.start_budget,
-            longest: overdue
-                .iter()
-                .map(|step| step.waited)
-                .max()
-                .unwrap_or_default(),
         }
     }
 
@@ -313,7 +318,13 @@
         steps.into_values()
     }
 
-    fn examine(&self, overdue: &Overdue, candidates: &mut Candidates, now: MonoMs) -> WaitingStep {
+    fn examine(
+        &self,
+        overdue: &Overdue,
+        has_doubled: bool,
+        candidates: &mut Candidates,
+        now: MonoMs,
+    ) -> WaitingStep {
         let key = overdue.key;
         let job = &self.jobs[key.job];
         let step = job.step(key);
@@ -329,7 +340,7 @@
         WaitingStep {
             task: self.name(key),
             waited: overdue.waited,
-            threshold: overdue.threshold,
+            has_doubled,
             tasks: overdue.tasks,
             reason,
             demand: step.demand,
--- a/hemlocksaddle-policy/tests/waiting.rs
+++ b/hemlocksaddle-policy/tests/waiting.rs
@@ -88,11 +88,7 @@
     for second in 1..=50 {
         wait(&mut harness, 1_000);
         let waiting = harness.waiting();
-        if waiting
-            .steps
-            .iter()
-            .any(|step| step.has_doubled(Millis(1_000)))
-        {
+        if waiting.steps.iter().any(|step| step.has_doubled) {
             lines_at.push(second);
         }
     }
@@ -111,17 +107,34 @@
         harness.accept(id, vec![long_running(3, 5_000, "image")]);
         wait(&mut harness, 10);
     }
-    wait(&mut harness, LONG_RUNNING_MS);
+    wait(&mut harness, LONG_RUNNING_MS + 1_000);
     let waiting = harness.waiting();
-    let ids: Vec<u64> = waiting
-        .steps
-        .iter()
-        .map(|step| step.task.workflow.0)
-        .collect();
-    expect_that!(ids, eq(&(1..=8).collect::<Vec<u64>>()));
+    let ids = waiting.steps.iter().map(|step| step.task.workflow.0);
+    expect_that!(
+        ids.collect::<Vec<u64>>(),
+        eq(&(1..=8).collect::<Vec<u64>>())
+    );
     expect_that!(waiting.unexamined_tasks, eq(6));
 }
 
+/// Guards against a task without any line in the log because others have waited longer.
+#[gtest]
+fn a_step_is_examined_at_its_threshold_although_many_wait_longer() {
+    let mut harness = Harness::with_workers(1, 4_000);
+    for id in 1..=10 {
+        harness.accept(id, vec![long_running(1, 5_000, "image")]);
+    }
+    wait(&mut harness, 4_000);
+    harness.accept(11, vec![long_running(1, 5_000, "image")]);
+    wait(&mut harness, LONG_RUNNING_MS);
+    let waiting = harness.waiting();
+    expect_that!(waiting.steps.len(), eq(9));
+    let due = waiting.steps.iter().filter(|step| step.has_doubled);
+    let due: Vec<u64> = due.map(|step| step.task.workflow.0).collect();
+    expect_that!(due, elements_are![eq(&11)]);
+    expect_that!(waiting.unexamined_tasks, eq(2));
+}
+
 /// Guards against a wait that looks short because the task was in between ordered to a worker that
 /// refused it, and against a start whose line does not tell how long the task had waited.
 #[gtest]
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -307,9 +307,9 @@
         std::mem::take(&mut self.starts)
     }
 
-    /// Tasks that have waited long.
+    /// Tasks that have waited long; the last look was a second ago.
     pub(crate) fn waiting(&self) -> Waiting {
-        self.scheduler.waiting(self.now)
+        self.scheduler.waiting(self.now, Millis(1_000))
     }
 
     /// Stop orders since the last call.
--- a/hemlocksaddle-shard/src/waiting.rs
+++ b/hemlocksaddle-shard/src/waiting.rs
@@ -24,10 +24,10 @@
             return;
         }
         self.waiting_reported_at.set(now);
-        let waiting = self.scheduler.borrow().waiting(now);
+        let waiting = self.scheduler.borrow().waiting(now, interval);
         self.count_waiting(&waiting);
         // Logged at the threshold and at each doubling of it, which bounds the lines of a step.
-        for step in waiting.steps.iter().filter(|s| s.has_doubled(interval)) {
+        for step in waiting.steps.iter().filter(|step| step.has_doubled) {
             self.log_waiting(step, waiting.start_budget);
         }
     }
