Pass over steps that need as much as one that fits nowhere

Within a plan the free capacity only shrinks. So a step is passed over if one before it in the same plan fits nowhere, needs at most as much of each resource, and is restricted at most as much: the same pool, the same or no label, the same or no rule on capacity, and for best-effort steps the same image. Steps limited per worker and gangs rule out nothing, as their own limits may be the cause. Best-effort steps that are passed over still count as blocked work.

--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -19,7 +19,7 @@
     Scheduler, TaskKey, Worker, WorkerKey,
     capacity::CapacityRule,
     pacing::{Headroom, cpu_share},
-    ranking::Place,
+    ranking::{Place, Unplaced},
 };
 
 /// Share of its reservation that a long-running task is expected to use, in percent.
@@ -182,6 +182,8 @@
     /// Capacity that the tasks being placed may use.
     pub(super) capacity_rule: CapacityRule,
     now: MonoMs,
+    /// Steps that fit nowhere.
+    pub(super) unplaced: Vec<Unplaced>,
     /// Workers compared as places for a task.
     pub(super) compared_workers: u64,
     /// Workers whose headroom was computed.
@@ -233,6 +235,7 @@
             list: candidates.collect(),
             capacity_rule: CapacityRule::Any,
             now,
+            unplaced: Vec::new(),
             compared_workers: 0,
             headrooms: 0,
         }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -8,8 +8,12 @@
 };
 
 use super::{
-    JobKey, Order, Phase, Scheduler, Start, TaskKey, WorkerKey, capacity::CapacityRule,
-    consolidation::Blocked, job::FULL_PACE, placement::Candidates, ranking::Ranking,
+    JobKey, Order, Phase, Scheduler, Start, TaskKey, WorkerKey,
+    capacity::CapacityRule,
+    consolidation::Blocked,
+    job::FULL_PACE,
+    placement::Candidates,
+    ranking::{Ranking, Unplaced},
     worker::Assigned,
 };
 
@@ -129,6 +133,10 @@
             self.place_gang(ready, step, candidates, now);
             return;
         }
+        let (pool, rule) = (&ready.queue.pool, ready.capacity_rule);
+        let image = job.images[usize::from(ready.step)];
+        let mut unplaced = candidates.unplaced.iter();
+        let is_ruled_out = unplaced.any(|other| other.rules_out(step, image, pool, rule));
         // Ranking of the previous task, with the place that it took.
         let mut previous: Option<(Ranking, usize)> = None;
         for index in 0..step.tasks {
@@ -140,22 +148,31 @@
             if !task.is_some_and(|task| task.may_start(now)) {
                 continue;
             }
-            let Some(wanted) = self.wanted(key, &ready.queue.pool, None) else {
+            let Some(wanted) = self.wanted(key, pool, None) else {
                 continue;
             };
             let is_plain = wanted.is_plain();
-            let mut ranking = match previous.take() {
+            let ranking = match previous.take() {
                 Some((mut ranking, place)) if is_plain => {
                     ranking.put_back(self, candidates, &wanted, place);
-                    ranking
+                    Some(ranking)
                 }
-                _ => self.rank(candidates, &wanted),
+                _ if is_ruled_out => None,
+                _ => Some(self.rank(candidates, &wanted)),
             };
+            let taken = ranking.and_then(|mut ranking| {
+                let taken = ranking.take(self, candidates, &wanted)?;
+                Some((ranking, taken))
+            });
             // All tasks of a step are equal: if this one fits nowhere, neither do the others.
-            let Some((place, worker)) = ranking.take(self, candidates, &wanted) else {
+            let Some((ranking, (place, worker))) = taken else {
+                if !is_ruled_out {
+                    let unplaced = Unplaced::new(step, image, pool, rule);
+                    candidates.unplaced.extend(unplaced);
+                }
                 if step.best_effort {
                     self.blocked.push(Blocked {
-                        image: self.jobs[ready.job].image(key),
+                        image,
                         demand: step.demand,
                         tasks: step.tasks - index,
                     });
--- a/hemlocksaddle-policy/src/workflow/ranking.rs
+++ b/hemlocksaddle-policy/src/workflow/ranking.rs
@@ -6,11 +6,14 @@
 //! as with complete costs of all workers. A start changes the cost of its own worker alone,
 //! so the equal tasks of a step share one ranking.
 
-use std::{cmp::Ordering, collections::BinaryHeap};
+use std::{cmp::Ordering, collections::BinaryHeap, sync::Arc};
+
+use hemlocksaddle_types::{resources::Resources, workflow::Step};
 
 use super::{
     Scheduler, TaskKey, WorkerKey,
     capacity::CapacityRule,
+    interference::ImageId,
     placement::{Candidates, Wanted},
 };
 
@@ -105,6 +108,54 @@
     }
 }
 
+/// Step of which no further task fits on any candidate in this plan.
+///
+/// Within a plan, the free capacity only shrinks.
+#[derive(Debug)]
+pub(super) struct Unplaced {
+    pool: Arc<str>,
+    required_label: Option<Arc<str>>,
+    capacity_rule: CapacityRule,
+    demand: Resources,
+    /// Image of a best-effort step; the others need no headroom.
+    image: Option<ImageId>,
+}
+
+impl Unplaced {
+    /// `None` if the step has limits of its own, so that its failure says nothing about others.
+    pub(super) fn new(
+        step: &Step,
+        image: ImageId,
+        pool: &Arc<str>,
+        capacity_rule: CapacityRule,
+    ) -> Option<Unplaced> {
+        (step.max_per_worker == 0).then(|| Unplaced {
+            pool: pool.clone(),
+            required_label: step.required_label.clone(),
+            capacity_rule,
+            demand: step.demand,
+            image: step.best_effort.then_some(image),
+        })
+    }
+
+    /// Whether a step fits nowhere either, since it needs at least as much in the same place.
+    pub(super) fn rules_out(
+        &self,
+        step: &Step,
+        image: ImageId,
+        pool: &str,
+        capacity_rule: CapacityRule,
+    ) -> bool {
+        let same_rule =
+            self.capacity_rule == CapacityRule::Any || self.capacity_rule == capacity_rule;
+        same_rule
+            && self.image == step.best_effort.then_some(image)
+            && self.demand.fits_in(&step.demand)
+            && *self.pool == *pool
+            && (self.required_label.is_none() || self.required_label == step.required_label)
+    }
+}
+
 impl Scheduler {
     /// Ranks all candidates for a task.
     pub(super) fn rank(&self, candidates: &mut Candidates, wanted: &Wanted<'_>) -> Ranking {
--- a/hemlocksaddle-policy/tests/plan_work.rs
+++ b/hemlocksaddle-policy/tests/plan_work.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{StartAnswer, WorkCounts};
+use hemlocksaddle_types::workflow::Step;
 use workflow_support::{Harness, best_effort, long_running, step};
 
 const WORKERS: usize = 20;
@@ -69,6 +70,22 @@
     expect_that!(compared, le(WORKERS as u64 + 40));
 }
 
+/// Guards against a cluster that is full of work and has each plan compare all workers for each of
+/// the waiting steps, although a step of smaller tasks has just fit nowhere.
+#[gtest]
+fn steps_that_need_more_than_one_that_does_not_fit_are_not_compared() {
+    let mut harness = Harness::with_workers(WORKERS, 16_000);
+    harness.accept(1, vec![step(WORKERS as u32, 15_000)]);
+    harness.starts();
+    for id in 2..52 {
+        harness.accept(id, vec![step(3, 2_000 + id)]);
+    }
+    harness.scheduler.take_work_counts();
+    expect_that!(harness.starts(), is_empty());
+    let compared = harness.scheduler.take_work_counts().compared_workers;
+    expect_that!(compared, le(WORKERS as u64));
+}
+
 /// Guards against headroom computed for every worker in each plan that places a best-effort task.
 #[gtest]
 fn headroom_is_computed_only_for_workers_that_may_be_the_best() {
@@ -98,3 +115,22 @@
         eq(WorkCounts::default())
     );
 }
+
+/// Guards against a step that is passed over in the belief that it needs more than one that does not
+/// fit, although it needs less of some resource or is limited differently.
+#[gtest]
+fn a_step_that_needs_less_than_one_that_does_not_fit_is_started() {
+    let mut harness = Harness::with_workers(2, 16_000);
+    harness.accept(1, vec![step(2, 15_000)]);
+    harness.starts();
+    let limited = Step {
+        max_per_worker: 1,
+        ..step(3, 500)
+    };
+    harness.accept(2, vec![step(1, 2_000)]);
+    harness.accept(3, vec![limited]);
+    harness.accept(4, vec![step(1, 500)]);
+    harness.accept(5, vec![best_effort(1, 500, "batch")]);
+    let started: Vec<u64> = harness.starts().iter().map(|s| s.name.workflow.0).collect();
+    expect_that!(started, elements_are![eq(&3), eq(&3), eq(&4), eq(&5)]);
+}
