Serve interrupted tasks behind others that fit nowhere

Callers see a long-running task that has failed and does not run again, while short tasks take each piece of capacity that becomes free and is large enough for it (LOST). It happens while other interrupted tasks wait longer and fit nowhere.

Cause: the starts before short tasks stop at the first task that fits nowhere once the workers that may be held are held, and after 16 tasks, whether these can ever be placed or not. Tasks that are larger than every worker since one has shrunk, need a label that no worker has, or belong to a pool without workers wait longest and are always the first 16.

Tasks that need as much as one that fits nowhere are now passed over and not counted, and the others behind them are examined. That also saves the comparison of all workers for each of up to 16 equal tasks in each plan. Still limited: 16 steps with different demands, or with a limit of tasks per worker, that fit nowhere.

Evidence: both tests of blocked_behind.rs failed before (no start within 9 s). Found by review.

--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -13,7 +13,7 @@
 //! The rates are proportional to the number of workers. They bound what short tasks
 //! lose if many long-running tasks are interrupted at once.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, sync::Arc};
 
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 
@@ -22,6 +22,7 @@
     capacity::{CapacityRule, RELAX_AFTER_MS},
     placement::Candidates,
     plan::ReadyStep,
+    ranking::Unplaced,
 };
 
 /// Waiting time after which an interrupted task is served before short ones.
@@ -45,6 +46,8 @@
 const WORKERS_PER_HELD: usize = 128;
 
 /// Maximum number of tasks of each group for which all workers are compared in one plan.
+///
+/// Tasks that need as much as one that fits nowhere are not compared and do not count.
 const MAX_EXAMINED_TASKS: usize = 16;
 
 /// Times from which long-running tasks may be started before short ones.
@@ -75,11 +78,54 @@
             return;
         }
         let (interrupted, new) = self.overdue(ready, now);
+        self.place_interrupted(ready, &interrupted, candidates, workers, now);
+        candidates.capacity_rule = CapacityRule::FitsTwo;
+        let mut examined = 0;
+        for task in &new {
+            if self.start_budget == 0
+                || now < self.overdue_starts.next_first_at
+                || examined == MAX_EXAMINED_TASKS
+            {
+                break;
+            }
+            let pool = &ready[task.step].queue.pool;
+            if self.is_ruled_out(task.key, pool, candidates) {
+                continue;
+            }
+            examined += 1;
+            if let Some((place, worker)) = self.choose_place(candidates, task.key, pool, None) {
+                self.start_next(task.key, worker, now);
+                candidates.invalidate(place);
+                let pause = Millis(FIRST_START_PERIOD_MS.0 / workers as u64);
+                self.overdue_starts.next_first_at = now + pause;
+            } else {
+                self.rule_out(task.key, pool, candidates);
+            }
+        }
+    }
+
+    fn place_interrupted(
+        &mut self,
+        ready: &[ReadyStep],
+        interrupted: &[Overdue],
+        candidates: &mut Candidates,
+        workers: usize,
+        now: MonoMs,
+    ) {
         let max_held = workers.div_ceil(WORKERS_PER_HELD);
-        let mut held = 0;
+        let (mut held, mut examined) = (0, 0);
+        // Steps whose tasks fit nowhere, and for which no worker can be held.
+        let mut passed_over = Vec::new();
         candidates.capacity_rule = CapacityRule::Any;
-        for task in interrupted.iter().take(MAX_EXAMINED_TASKS) {
+        for task in interrupted {
             let pool = &ready[task.step].queue.pool;
+            if examined == MAX_EXAMINED_TASKS {
+                break;
+            }
+            if passed_over.contains(&task.step) || self.is_ruled_out(task.key, pool, candidates) {
+                continue;
+            }
+            examined += 1;
             let may_start = self.start_budget > 0 && now >= self.overdue_starts.next_restart_at;
             match self.choose_place(candidates, task.key, pool, None) {
                 Some((place, worker)) if may_start => {
@@ -89,27 +135,33 @@
                     self.overdue_starts.next_restart_at = now + pause;
                 }
                 Some(_) => break,
-                None if held < max_held => {
-                    held += usize::from(self.hold_worker(task.key, pool, candidates));
+                None if held < max_held && self.hold_worker(task.key, pool, candidates) => {
+                    held += 1;
+                }
+                None => {
+                    passed_over.push(task.step);
+                    self.rule_out(task.key, pool, candidates);
                 }
-                None => break,
-            }
-        }
-        candidates.capacity_rule = CapacityRule::FitsTwo;
-        for task in new.iter().take(MAX_EXAMINED_TASKS) {
-            if self.start_budget == 0 || now < self.overdue_starts.next_first_at {
-                break;
-            }
-            let pool = &ready[task.step].queue.pool;
-            if let Some((place, worker)) = self.choose_place(candidates, task.key, pool, None) {
-                self.start_next(task.key, worker, now);
-                candidates.invalidate(place);
-                let pause = Millis(FIRST_START_PERIOD_MS.0 / workers as u64);
-                self.overdue_starts.next_first_at = now + pause;
             }
         }
     }
 
+    /// Records that a task fits nowhere in this plan.
+    fn rule_out(&self, key: TaskKey, pool: &Arc<str>, candidates: &mut Candidates) {
+        let job = &self.jobs[key.job];
+        let rule = candidates.capacity_rule;
+        let unplaced = Unplaced::new(job.step(key), job.image(key), pool, rule);
+        candidates.unplaced.extend(unplaced);
+    }
+
+    /// Whether a task needs as much as one that fits nowhere.
+    fn is_ruled_out(&self, key: TaskKey, pool: &str, candidates: &Candidates) -> bool {
+        let job = &self.jobs[key.job];
+        let rule = candidates.capacity_rule;
+        let mut unplaced = candidates.unplaced.iter();
+        unplaced.any(|other| other.rules_out(job.step(key), job.image(key), pool, rule))
+    }
+
     /// Interrupted tasks and the first new task of each step that have waited for long, longest
     /// wait first.
     fn overdue(&self, ready: &[ReadyStep], now: MonoMs) -> (Vec<Overdue>, Vec<Overdue>) {
--- /dev/null
+++ b/hemlocksaddle-policy/tests/blocked_behind.rs
@@ -0,0 +1,92 @@
+//! Tasks that wait behind others that cannot be started.
+
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod workflow_support;
+
+use googletest::prelude::*;
+use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
+use workflow_support::{Harness, long_running, step};
+
+/// Interval at which short tasks end.
+const END_INTERVAL_MS: u64 = 100;
+
+/// Time within which an interrupted task has to run again: the platform's limits on its wait.
+const RESTART_WITHIN_MS: u64 = 9_000;
+
+/// Id of the workflow whose start is awaited.
+const AWAITED: u64 = 1;
+
+/// Id of the workflow of short tasks.
+const SHORT: u64 = 2;
+
+/// Id of the workflow of the tasks that wait longest.
+const AHEAD: u64 = 3;
+
+/// Plans and accepts the starts.
+fn start_all(harness: &mut Harness) -> Vec<Start> {
+    let starts = harness.starts();
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    starts
+}
+
+/// Ends one short task at each interval; returns the time until the awaited workflow starts.
+fn wait_for_start(harness: &mut Harness, limit_ms: u64) -> Option<u64> {
+    let mut running: Vec<Start> = Vec::new();
+    for waited_ms in (0..=limit_ms).step_by(END_INTERVAL_MS as usize) {
+        let starts = start_all(harness);
+        if starts.iter().any(|start| start.name.workflow.0 == AWAITED) {
+            return Some(waited_ms);
+        }
+        let is_short = |start: &Start| start.name.workflow.0 == SHORT;
+        running.extend(starts.into_iter().filter(is_short));
+        for start in running.drain(..1.min(running.len())) {
+            harness.end(&start, EndKind::Done);
+        }
+        harness.save();
+        harness.advance(END_INTERVAL_MS);
+    }
+    None
+}
+
+/// Load pattern: many long-running tasks are interrupted by a worker that shrinks for good. Guards
+/// against other interrupted tasks that are never looked at, because those fit nowhere.
+#[gtest]
+fn an_interrupted_task_is_served_although_many_before_it_can_never_be_placed() {
+    let mut harness = Harness::with_workers(8, 16_000);
+    harness.set_capacity(0, 600_000);
+    harness.accept(AHEAD, vec![long_running(16, 30_000, "a")]);
+    let ahead = start_all(&mut harness);
+    expect_that!(ahead.len(), eq(16));
+    harness.accept(AWAITED, vec![long_running(1, 4_000, "a")]);
+    let awaited = start_all(&mut harness);
+    ahead
+        .iter()
+        .for_each(|start| harness.end(start, EndKind::Failed));
+    harness.set_capacity(0, 16_000);
+    harness.advance(10);
+    harness.end(&awaited[0], EndKind::Failed);
+    harness.accept(SHORT, vec![step(4_000, 4_000)]);
+    let waited = wait_for_start(&mut harness, RESTART_WITHIN_MS);
+    expect_that!(waited, some(anything()));
+}
+
+/// Load pattern: several large long-running tasks and a small one are interrupted on full workers.
+/// Guards against a small one that gets none of the pieces that become free, because a worker is
+/// already held for a large one and the next large one fits nowhere.
+#[gtest]
+fn an_interrupted_task_that_fits_is_served_while_larger_ones_wait_for_a_held_worker() {
+    let mut harness = Harness::with_workers(8, 16_000);
+    harness.accept(AHEAD, vec![long_running(7, 16_000, "a")]);
+    let ahead = start_all(&mut harness);
+    expect_that!(ahead.len(), eq(7));
+    harness.accept(AWAITED, vec![long_running(1, 4_000, "a")]);
+    let awaited = start_all(&mut harness);
+    harness.accept(SHORT, vec![step(4_000, 4_000)]);
+    ahead
+        .iter()
+        .for_each(|start| harness.end(start, EndKind::Failed));
+    harness.advance(10);
+    harness.end(&awaited[0], EndKind::Failed);
+    let waited = wait_for_start(&mut harness, RESTART_WITHIN_MS);
+    expect_that!(waited, some(anything()));
+}
