Undo attempts to place a gang with their starts and run numbers

Callers see short tasks that do not start beside free capacity while a gang waits for room, and a successor that orders run numbers its predecessor has used.

Cause: an attempt to place a gang starts its tasks one by one and, if one fits nowhere, unassigns them. The start budget and the run numbers that it used were not given back: each plan took the number of tasks that fit from the budget, for each rack that was tried, and one run number. A gang that waits for 4,096 plans, some 16 s, reached the numbers of the next term.

Found by review.

--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -11,7 +11,7 @@
     JobKey, Order, Phase, Scheduler, Start, TaskKey, WorkerKey,
     capacity::CapacityRule,
     consolidation::Blocked,
-    job::FULL_PACE,
+    job::{FULL_PACE, Task},
     placement::Candidates,
     ranking::{Ranking, Unplaced},
     worker::Assigned,
@@ -209,6 +209,12 @@
         }
         let run = members.iter().map(|&key| self.next_run(key)).max();
         let run = run.unwrap_or(self.first_run());
+        // The attempt is undone as a whole, with the run numbers and the start budget that it used.
+        let tasks = members
+            .iter()
+            .filter_map(|&key| self.jobs[key.job].task(key).cloned());
+        let tasks: Vec<Task> = tasks.collect();
+        let start_budget = self.start_budget;
         for rack in self.racks_to_try(step, candidates) {
             let before = self.orders.len();
             let placed = members.iter().all(|&key| {
@@ -225,8 +231,10 @@
                 return;
             }
             self.orders.truncate(before);
-            for &key in &members {
+            self.start_budget = start_budget;
+            for (&key, task) in members.iter().zip(&tasks) {
                 self.unassign(key);
+                self.jobs[key.job].task_mut(key).clone_from(task);
             }
         }
     }
--- a/hemlocksaddle-policy/tests/blocked_behind.rs
+++ b/hemlocksaddle-policy/tests/blocked_behind.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
+use hemlocksaddle_types::workflow::Step;
 use workflow_support::{Harness, long_running, step};
 
 /// Interval at which short tasks end.
@@ -90,3 +91,45 @@
     let waited = wait_for_start(&mut harness, RESTART_WITHIN_MS);
     expect_that!(waited, some(anything()));
 }
+
+/// Gang of which all but one task fit, and a short task behind it.
+fn gang_that_does_not_fit() -> Harness {
+    let mut harness = Harness::with_workers(4, 16_000);
+    harness.accept(SHORT, vec![step(1, 8_000)]);
+    start_all(&mut harness);
+    let gang = Step {
+        gang: true,
+        ..step(4, 12_000)
+    };
+    harness.accept(AHEAD, vec![gang]);
+    harness
+}
+
+/// Load pattern: a gang waits for room while the start orders in flight are near their limit. Guards
+/// against short tasks behind it that never start, because each attempt to place the gang uses up the
+/// limit.
+#[gtest]
+fn a_gang_that_fits_nowhere_leaves_the_start_budget_to_others() {
+    let mut harness = gang_that_does_not_fit();
+    harness.accept(AWAITED, vec![step(1, 2_000)]);
+    harness.scheduler.set_start_budget(3);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
+/// Load pattern: a gang waits for room for the time of a few thousand plans. Guards against run numbers
+/// of a later term, which a successor uses again.
+#[gtest]
+fn a_gang_that_fits_nowhere_uses_no_run_numbers() {
+    let mut harness = gang_that_does_not_fit();
+    harness.starts();
+    for _ in 0..50 {
+        harness.advance(4);
+        expect_that!(harness.starts(), is_empty());
+    }
+    harness.set_capacity(0, 24_000);
+    harness.set_capacity(1, 24_000);
+    harness.set_capacity(2, 24_000);
+    harness.set_capacity(3, 24_000);
+    let runs: Vec<u64> = harness.starts().iter().map(|start| start.run.0).collect();
+    expect_that!(runs, all![len(eq(4)), each(eq(&4_097))]);
+}
