Make durable that interrupted long-running tasks have run

Callers see a long-running task that does not run again for minutes after its worker crashed, fell silent or had its lease lapse, if the owner changes before its restart (LOST).

Cause: only failed runs told a successor that a task had run. One that was interrupted in another way counted as one that never ran, which is served before short tasks once in 600 s per worker and holds no worker.

The progress of a step now tells which long-running tasks have run, as index ranges. It is saved when a run is interrupted. Records without the field are read as before.

Not covered: a run that ends while no owner is there, on a worker that doesn't report it. Found by review.

--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -8,7 +8,7 @@
 use super::{
     JobKey, Order, Phase, Scheduler, TaskKey, WorkerKey,
     interference::ImageId,
-    job::{Job, StepState},
+    job::{Job, StepState, Task},
 };
 
 /// Progress that is to be made durable.
@@ -287,6 +287,7 @@
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
+        let long_running = job.step(key).long_running;
         let state = job.step_state(key);
         let task = &mut state.tasks[key.index as usize];
         let Some(worker) = task.phase.worker() else {
@@ -295,6 +296,9 @@
         // A start that was refused or taken back continues the wait.
         if !matches!(task.phase, Phase::Starting { .. }) {
             task.waiting_since = Some(self.updated_at);
+            if task.has_run && long_running {
+                self.unsaved.insert(key.job);
+            }
         }
         task.phase = Phase::Waiting;
         state.waiting += 1;
@@ -343,6 +347,11 @@
             task.has_run = true;
         }
     }
+    for &(from, to) in &saved.begun {
+        for task in &mut step.tasks[(from as usize).min(tasks)..(to as usize).min(tasks)] {
+            task.has_run = true;
+        }
+    }
     for (index, crashed) in &saved.crashed {
         if let Some(task) = step.tasks.get_mut(*index as usize)
             && !task.crashes.contains(crashed)
@@ -374,10 +383,13 @@
             let saved = StepProgress {
                 occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
                 step: u16::try_from(number).unwrap_or(u16::MAX),
-                done: done_ranges(step),
+                done: ranges(step, |task| task.phase == Phase::Done),
                 failed: failed_runs(step),
                 restarted: restarted_runs(step),
                 crashed: crashed_runs(step),
+                begun: ranges(step, |task| {
+                    job.spec.steps[number].long_running && task.has_run
+                }),
             };
             if !saved.is_empty() {
                 steps.push(saved);
@@ -392,10 +404,11 @@
     }
 }
 
-fn done_ranges(step: &StepState) -> Vec<(u32, u32)> {
+/// Tasks with a property, as half-open index ranges.
+fn ranges(step: &StepState, has_property: impl Fn(&Task) -> bool) -> Vec<(u32, u32)> {
     let mut ranges: Vec<(u32, u32)> = Vec::new();
     for (index, task) in (0u32..).zip(&step.tasks) {
-        if task.phase != Phase::Done {
+        if !has_property(task) {
             continue;
         }
         match ranges.last_mut() {
--- a/hemlocksaddle-policy/tests/blocked_behind.rs
+++ b/hemlocksaddle-policy/tests/blocked_behind.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
 use hemlocksaddle_types::workflow::Step;
-use workflow_support::{Harness, long_running, step};
+use workflow_support::{Harness, LEASE_MS, long_running, step};
 
 /// Interval at which short tasks end.
 const END_INTERVAL_MS: u64 = 100;
@@ -133,3 +133,53 @@
     let runs: Vec<u64> = harness.starts().iter().map(|start| start.run.0).collect();
     expect_that!(runs, all![len(eq(4)), each(eq(&4_097))]);
 }
+
+/// Fills the workers of a new owner with short tasks and waits for the inherited long-running task.
+fn wait_after_a_change_of_owner(mut before: Harness) -> Option<u64> {
+    let progress = before.save();
+    let mut harness = Harness::unreported(8, 16_000, 0);
+    harness.accept_inherited(AWAITED, vec![long_running(1, 8_000, "a")]);
+    harness.restore(progress);
+    harness.accept(SHORT, vec![step(4_000, 4_000)]);
+    for number in 0..8 {
+        harness.report_idle(number);
+    }
+    wait_for_start(&mut harness, RESTART_WITHIN_MS)
+}
+
+/// Scheduler with the awaited task at work, and its start.
+fn running_before() -> (Harness, Start) {
+    let mut before = Harness::with_workers(8, 16_000);
+    before.accept(AWAITED, vec![long_running(1, 8_000, "a")]);
+    let first = start_all(&mut before).remove(0);
+    (before, first)
+}
+
+/// Load pattern: a worker crashes, then the owner changes, on a fleet full of short tasks. Guards
+/// against an interrupted task that counts as one that never ran.
+#[gtest]
+fn a_task_interrupted_by_a_crash_gets_back_a_place_after_a_change_of_owner() {
+    let (mut before, first) = running_before();
+    before.crash(&first, 500);
+    expect_that!(wait_after_a_change_of_owner(before), some(anything()));
+}
+
+/// Load pattern: a lease lapses, then the owner changes, on a fleet full of short tasks. Guards
+/// against an interrupted task that counts as one that never ran.
+#[gtest]
+fn a_task_interrupted_by_a_lapsed_lease_gets_back_a_place_after_a_change_of_owner() {
+    let (mut before, first) = running_before();
+    before.end(&first, EndKind::Lapsed);
+    expect_that!(wait_after_a_change_of_owner(before), some(anything()));
+}
+
+/// Load pattern: a worker stays silent until its lease has expired, then the owner changes, on a fleet
+/// full of short tasks. Guards against an interrupted task that counts as one that never ran.
+#[gtest]
+fn a_task_interrupted_by_a_silent_worker_gets_back_a_place_after_a_change_of_owner() {
+    let (mut before, first) = running_before();
+    before.silence(first.worker);
+    before.advance(LEASE_MS + 100);
+    before.starts();
+    expect_that!(wait_after_a_change_of_owner(before), some(anything()));
+}
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -313,7 +313,7 @@
     pub age: Millis,
 }
 
-/// Done tasks, failed and crashed runs, and restarted tasks of one step.
+/// Done and begun tasks, failed and crashed runs, and restarted tasks of one step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
     /// Occurrence of the workflow.
@@ -331,6 +331,9 @@
     /// Runs that were lost in crashes which their tasks may have caused, by task index.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashed: Vec<(u32, CrashedRun)>,
+    /// Long-running tasks that have run, as half-open index ranges.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub begun: Vec<(u32, u32)>,
 }
 
 impl StepProgress {
@@ -341,6 +344,7 @@
             && self.failed.is_empty()
             && self.restarted.is_empty()
             && self.crashed.is_empty()
+            && self.begun.is_empty()
     }
 }
 
