Hold as many workers as many interrupted tasks need

At 19.4 s 35 of 350 workers are drained, which interrupts about a hundred tasks of 5 to 10 cores. Event 55 says 'overtaken' for all of them: 330 to 570 cores are free, at most 3.2 to 8 on one worker.

Cause: one worker in 128 was held, so three at a time, each of which takes a second or two to become free; a hundred tasks took tens of seconds. Holds also lapsed in each plan in which the first task that fits had to wait for the rate of restarts, and short tasks took what had gathered on the held workers.

One worker in 16 may be held now, and only as many as tasks fit nowhere; the place of a task that waits for the rate is held too. A task is compared with all workers only if none that needs as little has failed to fit.

--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -42,8 +42,10 @@
 /// Some ten times as long as such a task stays, so that a small part of the fleet is filled this way.
 const FIRST_START_PERIOD_MS: Millis = Millis(600_000);
 
-/// Number of workers of which one may be held for an interrupted task.
-const WORKERS_PER_HELD: usize = 128;
+/// Number of workers of which one may be held for interrupted tasks.
+///
+/// Bounds the capacity that short tasks lose to 6%.
+const WORKERS_PER_HELD: usize = 16;
 
 /// Maximum number of tasks of each group for which all workers are compared in one plan.
 ///
@@ -114,33 +116,47 @@
     ) {
         let max_held = workers.div_ceil(WORKERS_PER_HELD);
         let (mut held, mut examined) = (0, 0);
-        // Steps whose tasks fit nowhere, and for which no worker can be held.
-        let mut passed_over = Vec::new();
+        // Steps whose tasks fit nowhere, and those for which no worker can be held either.
+        let (mut unplaced, mut hopeless) = (Vec::new(), Vec::new());
         candidates.capacity_rule = CapacityRule::Any;
         for task in interrupted {
             let pool = &ready[task.step].queue.pool;
             if examined == MAX_EXAMINED_TASKS {
                 break;
             }
-            if passed_over.contains(&task.step) || self.is_ruled_out(task.key, pool, candidates) {
-                continue;
+            let fits_nowhere =
+                unplaced.contains(&task.step) || self.is_ruled_out(task.key, pool, candidates);
+            let mut choice = None;
+            if !fits_nowhere {
+                examined += 1;
+                choice = self.choose_place(candidates, task.key, pool, None);
             }
-            examined += 1;
             let may_start = self.start_budget > 0 && now >= self.overdue_starts.next_restart_at;
-            match self.choose_place(candidates, task.key, pool, None) {
+            match choice {
                 Some((place, worker)) if may_start => {
                     self.start_next(task.key, worker, now);
                     candidates.invalidate(place);
                     let pause = Millis(RESTART_PERIOD_MS.0 / workers as u64);
                     self.overdue_starts.next_restart_at = now + pause;
                 }
-                Some(_) => break,
-                None if held < max_held && self.hold_worker(task.key, pool, candidates) => {
+                Some((_, worker)) if held < max_held => {
+                    candidates.hold(worker);
                     held += 1;
                 }
+                Some(_) => break,
                 None => {
-                    passed_over.push(task.step);
-                    self.rule_out(task.key, pool, candidates);
+                    if !fits_nowhere {
+                        unplaced.push(task.step);
+                        self.rule_out(task.key, pool, candidates);
+                    }
+                    if held == max_held || hopeless.contains(&task.step) {
+                        continue;
+                    }
+                    if self.hold_worker(task.key, pool, candidates) {
+                        held += 1;
+                    } else {
+                        hopeless.push(task.step);
+                    }
                 }
             }
         }
--- a/hemlocksaddle-policy/tests/starvation.rs
+++ b/hemlocksaddle-policy/tests/starvation.rs
@@ -193,3 +193,19 @@
     }
     expect_that!(long_started, all!(gt(16), lt(short_ended / 8)));
 }
+
+/// Load pattern: a tenth of the fleet leaves, so that many long-running tasks are interrupted at once,
+/// and every piece that becomes free is too small for them. Guards against tasks that get their places
+/// one after the other, the last after tens of seconds.
+#[gtest]
+fn many_interrupted_tasks_get_places_at_once_where_no_piece_is_large_enough() {
+    const INTERRUPTED: usize = 12;
+    let mut harness = Harness::with_workers(64, 16_000);
+    let mut running = interrupt(&mut harness, 8_000, INTERRUPTED);
+    let mut long_started = 0;
+    for _ in (0..RESTART_WITHIN_MS).step_by(10) {
+        long_started += end_one_short(&mut harness, &mut running);
+        harness.advance(10);
+    }
+    expect_that!(long_started, eq(INTERRUPTED));
+}
