Start the first task of each long-running step sooner

Callers saw accepted long-running workflows that started one after the other, 12.5 s apart on 48 workers, while short tasks queued up and room for two of their tasks became free all the time.

Cause: tasks that never ran are started before short ones once in 600 s per worker. The rate bounds what short tasks lose to workflows that run already, but it also held back those of which nothing runs. The first task of each step has a rate of its own now, once in 20 s per worker.

several_new_long_running_workflows_start_although_short_tasks_keep_waiting failed before (one of three started within 6 s).

--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -7,8 +7,9 @@
 //! - Tasks that ran before and were interrupted. Their own capacity went to short tasks
 //!   when they ended, so they get any capacity back. If none has a large enough piece,
 //!   a few workers are held until enough of their short tasks have ended.
-//! - Tasks that never ran, where two of them would fit. They are started rarely, since
-//!   each takes capacity for minutes from short tasks whose work is worth more.
+//! - Tasks that never ran, where two of them would fit. They are started
+//!   rarely, since each takes capacity for minutes from short tasks whose work is worth
+//!   more; the first task of each step is started sooner.
 //!
 //! The rates are proportional to the number of workers. They bound what short tasks
 //! lose if many long-running tasks are interrupted at once.
@@ -42,6 +43,12 @@
 /// Some ten times as long as such a task stays, so that a small part of the fleet is filled this way.
 const FIRST_START_PERIOD_MS: Millis = Millis(600_000);
 
+/// The same for the first task of a step of which nothing runs.
+///
+/// A workflow of which nothing runs is lost to its caller, and there are far fewer workflows than
+/// tasks. Three that arrive together on 48 workers start within the platform's limit of 3 s.
+const FIRST_OF_STEP_PERIOD_MS: Millis = Millis(20_000);
+
 /// Number of workers of which one may be held for interrupted tasks.
 ///
 /// Bounds the capacity that short tasks lose to 6%.
@@ -57,12 +64,25 @@
 pub(super) struct OverdueStarts {
     next_restart_at: MonoMs,
     next_first_at: MonoMs,
+    next_first_of_step_at: MonoMs,
+}
+
+impl OverdueStarts {
+    fn next_new_at(&mut self, is_first_of_step: bool) -> &mut MonoMs {
+        if is_first_of_step {
+            &mut self.next_first_of_step_at
+        } else {
+            &mut self.next_first_at
+        }
+    }
 }
 
 /// Long-running task that has waited for long.
 struct Overdue {
     key: TaskKey,
     waiting_since: MonoMs,
+    /// Whether no task of its step has been started.
+    is_first_of_step: bool,
     /// Index of its step among the ready ones.
     step: usize,
 }
@@ -81,31 +101,59 @@
         }
         let (interrupted, new) = self.overdue(ready, now);
         self.place_interrupted(ready, &interrupted, candidates, workers, now);
-        candidates.capacity_rule = CapacityRule::FitsTwo;
+        self.place_new(ready, &new, candidates, workers, now);
+    }
+
+    fn place_new(
+        &mut self,
+        ready: &[ReadyStep],
+        new: &[Overdue],
+        candidates: &mut Candidates,
+        workers: usize,
+        now: MonoMs,
+    ) {
         let mut examined = 0;
-        for task in &new {
-            if self.start_budget == 0
-                || now < self.overdue_starts.next_first_at
-                || examined == MAX_EXAMINED_TASKS
-            {
+        for task in new {
+            if self.start_budget == 0 || examined == MAX_EXAMINED_TASKS {
                 break;
             }
-            let pool = &ready[task.step].queue.pool;
-            if self.is_ruled_out(task.key, pool, candidates) {
+            candidates.capacity_rule = CapacityRule::FitsTwo;
+            let step = &ready[task.step];
+            let is_early = now < *self.overdue_starts.next_new_at(task.is_first_of_step);
+            if is_early || self.is_ruled_out(task.key, &step.queue.pool, candidates) {
                 continue;
             }
             examined += 1;
-            if let Some((place, worker)) = self.choose_place(candidates, task.key, pool, None) {
-                self.start_next(task.key, worker, now);
-                candidates.invalidate(place);
-                let pause = Millis(FIRST_START_PERIOD_MS.0 / workers as u64);
-                self.overdue_starts.next_first_at = now + pause;
-            } else {
-                self.rule_out(task.key, pool, candidates);
+            if self.start_overdue(step, task.key, candidates, now) {
+                let period = if task.is_first_of_step {
+                    FIRST_OF_STEP_PERIOD_MS
+                } else {
+                    FIRST_START_PERIOD_MS
+                };
+                let next_at = self.overdue_starts.next_new_at(task.is_first_of_step);
+                *next_at = now + Millis(period.0 / workers as u64);
             }
         }
     }
 
+    /// Starts a task; returns whether it fit.
+    fn start_overdue(
+        &mut self,
+        ready: &ReadyStep,
+        key: TaskKey,
+        candidates: &mut Candidates,
+        now: MonoMs,
+    ) -> bool {
+        let pool = &ready.queue.pool;
+        let Some((place, worker)) = self.choose_place(candidates, key, pool, None) else {
+            self.rule_out(key, pool, candidates);
+            return false;
+        };
+        self.start_next(key, worker, now);
+        candidates.invalidate(place);
+        true
+    }
+
     fn place_interrupted(
         &mut self,
         ready: &[ReadyStep],
@@ -188,6 +236,9 @@
             if !spec.long_running || spec.gang {
                 continue;
             }
+            let first = step.key(0);
+            let state = &job.occurrences[first.occurrence as usize].steps[usize::from(first.step)];
+            let is_first_of_step = state.waiting == spec.tasks;
             let mut has_new = false;
             for key in (0..spec.tasks).map(|index| step.key(index)) {
                 let Some(task) = job.task(key).filter(|task| task.may_start(now)) else {
@@ -211,6 +262,7 @@
                 group.push(Overdue {
                     key,
                     waiting_since,
+                    is_first_of_step,
                     step: number,
                 });
             }
--- a/hemlocksaddle-policy/tests/blocked_behind.rs
+++ b/hemlocksaddle-policy/tests/blocked_behind.rs
@@ -187,6 +187,47 @@
 /// Time within which a task has to start for which two times its demand is free.
 const START_WITHIN_MS: u64 = 3_000;
 
+/// Queues up short tasks on 48 full workers, of which pairs end all the time.
+fn full_fleet() -> (Harness, Vec<Start>) {
+    let mut harness = Harness::with_workers(48, 16_000);
+    harness.accept(SHORT, vec![step(4_000, 8_000)]);
+    let running = start_all(&mut harness);
+    (harness, running)
+}
+
+/// Replaces pairs of short tasks for a time; returns when tasks of other workflows start.
+fn replace_pairs(harness: &mut Harness, running: &mut Vec<Start>, limit_ms: u64) -> Vec<u64> {
+    let mut started_ms = Vec::new();
+    for waited_ms in (0..=limit_ms).step_by(END_INTERVAL_MS as usize) {
+        for start in running.drain(..2) {
+            harness.end(&start, EndKind::Done);
+        }
+        harness.save();
+        for start in start_all(harness) {
+            if start.name.workflow.0 == SHORT {
+                running.push(start);
+            } else {
+                started_ms.push(waited_ms);
+            }
+        }
+        harness.advance(END_INTERVAL_MS);
+    }
+    started_ms
+}
+
+/// Load pattern: short tasks queue up without a pause on a small fleet, and several long-running
+/// workflows arrive. Guards against all but the first that wait for 12.5 s each, while room for two of
+/// their tasks becomes free all the time.
+#[gtest]
+fn several_new_long_running_workflows_start_although_short_tasks_keep_waiting() {
+    let (mut harness, mut running) = full_fleet();
+    for id in 10..13 {
+        harness.accept(id, vec![long_running(1, 8_000, "a")]);
+    }
+    let started_ms = replace_pairs(&mut harness, &mut running, 2 * START_WITHIN_MS);
+    expect_that!(started_ms, all![len(eq(3)), each(le(&START_WITHIN_MS))]);
+}
+
 /// Load pattern: the owner changes again and again on a fleet full of short tasks. Guards against an
 /// interrupted task whose wait begins anew with each owner.
 #[gtest]
