Start long-running gangs that have waited long before short tasks

Callers saw a gang of long-running tasks that did not start while short tasks queued up, although two times its demand became free again and again.

Cause: the starts before short tasks left gangs out. They are placed as a whole there now, at the rate of the first tasks of steps.

a_long_running_gang_starts_although_short_tasks_keep_waiting failed before (no start within 6 s).

--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -7,7 +7,7 @@
 //! - Tasks that ran before and were interrupted. Their own capacity went to short tasks
 //!   when they ended, so they get any capacity back. If none has a large enough piece,
 //!   a few workers are held until enough of their short tasks have ended.
-//! - Tasks that never ran, where two of them would fit. They are started
+//! - Tasks that never ran, and gangs, where two of them would fit. They are started
 //!   rarely, since each takes capacity for minutes from short tasks whose work is worth
 //!   more; the first task of each step is started sooner.
 //!
@@ -43,7 +43,7 @@
 /// Some ten times as long as such a task stays, so that a small part of the fleet is filled this way.
 const FIRST_START_PERIOD_MS: Millis = Millis(600_000);
 
-/// The same for the first task of a step of which nothing runs.
+/// The same for the first task of a step of which nothing runs, or for a gang.
 ///
 /// A workflow of which nothing runs is lost to its caller, and there are far fewer workflows than
 /// tasks. Three that arrive together on 48 workers start within the platform's limit of 3 s.
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Starts a task; returns whether it fit.
+    /// Starts a task, or the whole gang if it belongs to one; returns whether it fit.
     fn start_overdue(
         &mut self,
         ready: &ReadyStep,
@@ -144,7 +144,12 @@
         candidates: &mut Candidates,
         now: MonoMs,
     ) -> bool {
+        let spec = self.jobs[key.job].spec.clone();
+        let step = &spec.steps[usize::from(key.step)];
         let pool = &ready.queue.pool;
+        if step.gang {
+            return self.place_gang(ready, step, candidates, now);
+        }
         let Some((place, worker)) = self.choose_place(candidates, key, pool, None) else {
             self.rule_out(key, pool, candidates);
             return false;
@@ -233,7 +238,7 @@
         for (number, step) in ready.iter().enumerate() {
             let job = &self.jobs[step.job];
             let spec = &job.spec.steps[usize::from(step.step)];
-            if !spec.long_running || spec.gang {
+            if !spec.long_running {
                 continue;
             }
             let first = step.key(0);
@@ -244,7 +249,7 @@
                 let Some(task) = job.task(key).filter(|task| task.may_start(now)) else {
                     continue;
                 };
-                let is_new = !task.has_run;
+                let is_new = !task.has_run || spec.gang;
                 let (served_after, waiting_since) = if is_new {
                     (RELAX_AFTER_MS, job.waiting_since(key))
                 } else {
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -191,21 +191,21 @@
         self.start(key, worker, run, now);
     }
 
-    /// Places all members of a gang, or none of them.
-    fn place_gang(
+    /// Places all members of a gang, or none of them; returns whether they were placed.
+    pub(super) fn place_gang(
         &mut self,
         ready: &ReadyStep,
         step: &Step,
         candidates: &mut Candidates,
         now: MonoMs,
-    ) {
+    ) -> bool {
         let members: Vec<TaskKey> = (0..step.tasks).map(|index| ready.key(index)).collect();
         let all_wait = members.iter().all(|&key| {
             let task = self.jobs[ready.job].task(key);
             task.is_some_and(|task| task.may_start(now))
         });
         if !all_wait {
-            return;
+            return false;
         }
         let run = members.iter().map(|&key| self.next_run(key)).max();
         let run = run.unwrap_or(self.first_run());
@@ -228,7 +228,7 @@
             });
             if placed {
                 self.share_checkpoint(&members, before);
-                return;
+                return true;
             }
             self.orders.truncate(before);
             self.start_budget = start_budget;
@@ -237,6 +237,7 @@
                 self.jobs[key.job].task_mut(key).clone_from(task);
             }
         }
+        false
     }
 
     /// Racks to try for a step: each single rack if its tasks should share one, then all (`None`).
--- a/hemlocksaddle-policy/tests/blocked_behind.rs
+++ b/hemlocksaddle-policy/tests/blocked_behind.rs
@@ -228,6 +228,20 @@
     expect_that!(started_ms, all![len(eq(3)), each(le(&START_WITHIN_MS))]);
 }
 
+/// Load pattern: short tasks queue up without a pause, and a gang of long-running tasks arrives. Guards
+/// against a gang that never starts, although two times its demand becomes free again and again.
+#[gtest]
+fn a_long_running_gang_starts_although_short_tasks_keep_waiting() {
+    let (mut harness, mut running) = full_fleet();
+    let gang = Step {
+        gang: true,
+        ..long_running(2, 4_000, "a")
+    };
+    harness.accept(10, vec![gang]);
+    let started_ms = replace_pairs(&mut harness, &mut running, 2 * START_WITHIN_MS);
+    expect_that!(started_ms, all![len(eq(2)), each(le(&START_WITHIN_MS))]);
+}
+
 /// Load pattern: the owner changes again and again on a fleet full of short tasks. Guards against an
 /// interrupted task whose wait begins anew with each owner.
 #[gtest]
