--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -24,9 +24,7 @@
 /// would fit.
 const LONG_RUNNING_THRESHOLD_MS: Millis = Millis(3_000);
 
-/// Wait from which any other task is reported.
-///
-/// Twice the time within which 95 of 100 first starts came on the day of incident 26.
+/// Wait from which any other task is reported: longer than a burst of short tasks takes to drain.
 const THRESHOLD_MS: Millis = Millis(10_000);
 
 /// Maximum number of the longest-waiting steps that are examined at once, and of the others whose
