Remove workers that have left from the durable roster

Cause: records of the roster were never removed.

The owner now removes a worker from the roster once its lease has certainly expired and the platform doesn't list it, or its incarnation has certainly ended. A worker may come back after that, with the end of a run that nobody saw. So the tasks whose ends are unknown become durable together with the removal, and for a worker that never reported to this owner all inherited tasks that wait: their next start keeps such an end back, as it did within one term.

Ruled out: a rule that takes an unlisted worker of the roster as gone (the platform also drops entries of workers that are only silent).

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -366,6 +366,19 @@
         self.inherited && !failover_complete && !step.speculative
     }
 
+    /// Records that waiting tasks may have run in a way that is not known; returns whether any was
+    /// not marked before.
+    pub(super) fn mark_waiting_unknown(&mut self) -> bool {
+        let steps = self.occurrences.iter_mut().flat_map(|o| &mut o.steps);
+        let mut has_changed = false;
+        for task in steps.flat_map(|step| &mut step.tasks) {
+            if task.phase == Phase::Waiting {
+                has_changed |= !std::mem::replace(&mut task.end_unknown, true);
+            }
+        }
+        has_changed
+    }
+
     /// Time since which a task has waited or, if it does not wait, had waited before its start.
     pub(super) fn waiting_since(&self, key: TaskKey) -> MonoMs {
         let state = &self.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -1,5 +1,7 @@
 //! Life cycle of workflows: acceptance, cancellation, completion and recovery.
 
+use std::sync::Arc;
+
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
     workflow::{CrashedRun, Failure, Progress, State, StepProgress, Workflow, WorkflowId},
@@ -16,6 +18,8 @@
 pub struct Unsaved {
     /// Progress of each changed workflow.
     pub progress: Vec<(WorkflowId, Progress)>,
+    /// Workers to remove from the roster, after the progress is durable or together with it.
+    pub departed: Vec<Arc<str>>,
     keys: Vec<JobKey>,
     ends: Vec<(WorkerKey, u64)>,
     crashes: Vec<TaskKey>,
@@ -25,7 +29,7 @@
     /// Whether there is nothing to save.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.progress.is_empty() && self.ends.is_empty()
+        self.progress.is_empty() && self.ends.is_empty() && self.departed.is_empty()
     }
 }
 
@@ -93,7 +97,7 @@
                 continue;
             };
             restore_step(step, saved);
-            job.started = true;
+            job.started |= saved.has_started();
             let suspects = saved.crashed.iter().map(|&(index, _)| TaskKey {
                 job: key,
                 occurrence: saved.occurrence,
@@ -124,12 +128,14 @@
         let crashes = with_crashes
             .flat_map(|key| std::mem::take(&mut self.jobs[key].unsaved_crashes))
             .collect();
+        let departed = self.take_departed();
         let ends = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.has_unsaved_ends());
         Unsaved {
             progress,
+            departed,
             crashes,
             ends: ends
                 .map(|(key, worker)| (key, worker.acknowledgeable_ends()))
@@ -165,6 +171,7 @@
     /// Puts back progress that could not be saved.
     pub fn mark_unsaved(&mut self, unsaved: Unsaved) {
         self.unsaved.extend(unsaved.keys);
+        self.put_back_departed(unsaved.departed);
         for key in unsaved.crashes {
             if let Some(job) = self.jobs.get_mut(key.job) {
                 job.unsaved_crashes.push(key);
@@ -367,6 +374,11 @@
             task.run = task.run.max(run);
         }
     }
+    for &(from, to) in &saved.end_unknown {
+        for task in &mut step.tasks[(from as usize).min(tasks)..(to as usize).min(tasks)] {
+            task.end_unknown = true;
+        }
+    }
 }
 
 fn crashed_runs(step: &StepState) -> Vec<(u32, CrashedRun)> {
@@ -390,6 +402,7 @@
                 begun: ranges(step, |task| {
                     job.spec.steps[number].long_running && task.has_run
                 }),
+                end_unknown: ranges(step, |task| task.end_unknown && task.phase != Phase::Done),
             };
             if !saved.is_empty() {
                 steps.push(saved);
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -131,6 +131,8 @@
     workers: SlotMap<WorkerKey, Worker>,
     by_name: HashMap<Arc<str>, WorkerKey>,
     unsaved: HashSet<JobKey>,
+    /// Workers that are gone and are to be removed from the durable roster.
+    departed: HashSet<Arc<str>>,
     orders: Vec<Order>,
     /// Cancellations that were read before the submission of their workflow.
     pending_cancels: HashMap<WorkflowId, MonoMs>,
@@ -176,6 +178,7 @@
             workers: SlotMap::with_key(),
             by_name: HashMap::new(),
             unsaved: HashSet::default(),
+            departed: HashSet::default(),
             orders: Vec::new(),
             pending_cancels: HashMap::new(),
             failover_complete_at,
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -395,9 +395,11 @@
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
-        if self.by_name.get(&worker.listing.name) == Some(&key) {
-            self.by_name.remove(&worker.listing.name);
+        let name = worker.listing.name;
+        if self.by_name.get(&name) == Some(&key) {
+            self.by_name.remove(&name);
         }
+        self.departed.insert(name);
     }
 
     /// Records that the platform's list of workers was read and has not changed.
@@ -447,19 +449,61 @@
                 self.remove_worker(key);
             }
         }
+        let workers = self.workers.values();
+        let left = workers.filter(|worker| worker.rostered && !worker.listed && expired(worker));
+        self.departed
+            .extend(left.map(|worker| worker.listing.name.clone()));
     }
 
     /// Records that the runs on a worker have ended in a way that is not known.
+    ///
+    /// A successor has to know too, since it does not wait for the worker once it has left.
     fn mark_ends_unknown(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        self.missing_reports |= worker.reported_at.is_none();
         for &task in worker.tasks.keys() {
             if let Some(job) = self.jobs.get_mut(task.job) {
                 job.task_mut(task).end_unknown = true;
+                self.unsaved.insert(task.job);
             }
         }
+        if worker.reported_at.is_none() {
+            self.missing_reports = true;
+            self.mark_inherited_unknown();
+        }
+    }
+
+    /// Records that inherited tasks that wait may have run on a worker that never reported.
+    fn mark_inherited_unknown(&mut self) {
+        for &key in &self.open_jobs {
+            let job = &mut self.jobs[key];
+            if job.inherited && job.mark_waiting_unknown() {
+                self.unsaved.insert(key);
+            }
+        }
+    }
+
+    /// Takes the names of workers to remove from the roster; one that is listed again stays.
+    pub(super) fn take_departed(&mut self) -> Vec<Arc<str>> {
+        let mut names = Vec::new();
+        for name in self.departed.drain() {
+            let known = self.by_name.get(&name);
+            match known.and_then(|&key| self.workers.get_mut(key)) {
+                Some(worker) if worker.listed => {}
+                Some(worker) => {
+                    worker.rostered = false;
+                    names.push(name);
+                }
+                None => names.push(name),
+            }
+        }
+        names
+    }
+
+    /// Puts back names whose removal from the roster could not be saved.
+    pub(super) fn put_back_departed(&mut self, names: Vec<Arc<str>>) {
+        self.departed.extend(names);
     }
 
     fn unassign_all(&mut self, key: WorkerKey) {
--- /dev/null
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -0,0 +1,152 @@
+//! Workers that leave or are lost for good, and owners that follow each other afterwards.
+//!
+//! Load pattern: the fleet is scaled in, or workers are lost, and the owner changes later. A
+//! successor must not wait for reports that cannot come, and must know of runs whose end nobody saw.
+
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod workflow_support;
+
+use googletest::prelude::*;
+use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
+use hemlocksaddle_types::workflow::{Run, State};
+use workflow_support::{Harness, LEASE_MS, step};
+
+/// Saves, and returns the names of the workers that left the roster.
+fn departed(harness: &mut Harness) -> Vec<String> {
+    harness.starts_again_later();
+    let unsaved = harness.scheduler.take_unsaved();
+    let names = unsaved.departed.iter().map(ToString::to_string).collect();
+    harness.scheduler.mark_saved(unsaved);
+    names
+}
+
+/// Runs a task on a worker of two that is lost for good; the other has no room to start it again.
+fn lost_with_its_worker() -> (Harness, Start) {
+    let mut harness = Harness::with_workers(2, 16_000);
+    harness.accept(1, vec![step(1, 1_000)]);
+    let first = harness.starts().remove(0);
+    harness.answer(&first, StartAnswer::Accepted);
+    let number = harness.number_of(&first);
+    harness.set_capacity(1 - number, 100);
+    harness.leave(number);
+    harness.silence(first.worker);
+    harness.advance(LEASE_MS + 100);
+    (harness, first)
+}
+
+/// Guards against a successor that waits for workers of which the owner knew that they were gone.
+#[gtest]
+fn a_worker_that_left_is_removed_from_the_roster_once_its_lease_has_expired() {
+    let mut harness = Harness::with_workers(2, 16_000);
+    harness.accept(1, vec![step(1, 1_000)]);
+    let first = harness.starts().remove(0);
+    harness.answer(&first, StartAnswer::Accepted);
+    harness.leave(harness.number_of(&first));
+    harness.silence(first.worker);
+    harness.advance(LEASE_MS - 100);
+    expect_that!(departed(&mut harness), is_empty());
+    harness.advance(200);
+    let name = format!("w{}", harness.number_of(&first));
+    expect_that!(departed(&mut harness), elements_are![eq(&name)]);
+    expect_that!(departed(&mut harness), is_empty());
+}
+
+/// Guards against a worker in use that is missing from the roster.
+#[gtest]
+fn a_worker_that_is_listed_again_before_the_save_stays_in_the_roster() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    let roster = harness.roster();
+    harness.leave(0);
+    harness.silence(harness.workers[0]);
+    harness.advance(LEASE_MS + 100);
+    harness.starts_again_later();
+    expect_that!(harness.scheduler.worker(harness.workers[0]), none());
+    harness.list_again(roster);
+    expect_that!(departed(&mut harness), is_empty());
+    expect_that!(harness.scheduler.unrostered().len(), eq(1));
+}
+
+/// Guards against departures that a failed save forgets.
+#[gtest]
+fn a_departure_that_could_not_be_saved_is_saved_later() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    harness.leave(0);
+    harness.silence(harness.workers[0]);
+    harness.advance(LEASE_MS + 100);
+    harness.starts_again_later();
+    let unsaved = harness.scheduler.take_unsaved();
+    harness.scheduler.mark_unsaved(unsaved);
+    expect_that!(departed(&mut harness), elements_are![eq("w0")]);
+}
+
+/// Guards against a run that completed unseen and is acknowledged by a later owner, although its
+/// task was started again: the worker is not in the roster any more, but comes back.
+#[gtest]
+fn a_successor_knows_of_runs_on_workers_that_left_the_roster() {
+    let (mut before, first) = lost_with_its_worker();
+    expect_that!(before.starts(), is_empty());
+    let progress = before.save();
+    let mut successor = Harness::with_workers(2, 16_000);
+    successor.accept_inherited(1, vec![step(1, 1_000)]);
+    successor.restore(progress);
+    let second = successor.starts().remove(0);
+    successor.answer(&second, StartAnswer::Accepted);
+    let earlier = Start {
+        run: Run(1),
+        ..first
+    };
+    successor.end(&earlier, EndKind::Done);
+    successor.save();
+    let worker = successor.scheduler.worker(earlier.worker);
+    let worker = worker.expect("worker");
+    expect_that!(worker.saved_ends, eq(0));
+    expect_that!(successor.state(1), some(eq(State::Running)));
+}
+
+/// Returns a successor that may give up a worker which never reported.
+fn after_a_worker_without_a_report() -> Harness {
+    let mut harness = Harness::unreported(2, 16_000, 10_000);
+    harness.accept_inherited(1, vec![step(1, 1_000)]);
+    harness.report_idle(0);
+    harness.leave(1);
+    harness.silence(harness.workers[1]);
+    harness.advance(10_100);
+    harness
+}
+
+/// Guards against the same run if the owner between never heard of the worker.
+#[gtest]
+fn a_later_successor_knows_of_runs_on_workers_that_never_reported() {
+    let mut between = after_a_worker_without_a_report();
+    let second = between.starts().remove(0);
+    between.answer(&second, StartAnswer::NotSent);
+    let progress = between.save();
+    let mut last = Harness::with_workers(2, 16_000);
+    last.accept_inherited(1, vec![step(1, 1_000)]);
+    last.restore(progress);
+    let third = last.starts().remove(0);
+    last.answer(&third, StartAnswer::Accepted);
+    let first = Start {
+        worker: last.workers[1 - last.number_of(&third)],
+        run: Run(1),
+        ..third.clone()
+    };
+    last.end(&first, EndKind::Done);
+    last.save();
+    let worker = last.scheduler.worker(first.worker).expect("worker");
+    expect_that!(worker.saved_ends, eq(0));
+}
+
+/// Guards against a workflow that is shown as running although nothing of it has started.
+#[gtest]
+fn a_workflow_that_never_ran_stays_queued_over_two_changes_of_owner() {
+    let mut between = after_a_worker_without_a_report();
+    let second = between.starts().remove(0);
+    between.answer(&second, StartAnswer::NotSent);
+    let progress = between.save();
+    let mut last = Harness::unreported(1, 16_000, 10_000);
+    last.accept_inherited(1, vec![step(1, 1_000)]);
+    last.restore(progress);
+    expect_that!(last.state(1), some(eq(State::Queued)));
+    expect_that!(last.scheduler.count_waiting("queue"), eq(1));
+}
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -154,6 +154,11 @@
         self.scheduler.list_workers(listed, self.now);
     }
 
+    /// Lists workers again that were removed; they become the harness's workers.
+    pub(crate) fn list_again(&mut self, listings: Vec<Listing>) {
+        self.workers = self.scheduler.list_workers(listings, self.now);
+    }
+
     /// Restores a roster; its workers become the harness's workers.
     pub(crate) fn restore_roster(&mut self, roster: Vec<Listing>) {
         self.workers = self.scheduler.restore_roster(roster);
--- a/hemlocksaddle-shard/src/saving.rs
+++ b/hemlocksaddle-shard/src/saving.rs
@@ -111,22 +111,28 @@
         let roster = roster
             .iter()
             .map(|(_, listing)| record::encode(Key::Roster(listing.name.clone()).text(), listing));
+        let departed = unsaved.departed.iter().map(|name| {
+            Ok(Record {
+                key: Key::Roster(name.clone()).text(),
+                value: None,
+            })
+        });
         let interference = self.interference_due.take().then(|| {
             let interference = self.scheduler.borrow().interference_snapshot();
             record::encode(Key::Interference.text(), &interference)
         });
-        let encoded =
-            progress
-                .chain(roster)
-                .chain(interference)
-                .filter_map(|record| match record {
-                    Ok(record) => Some(record),
-                    Err(cause) => {
-                        let inputs = json!({ "cause": cause.to_string() });
-                        self.env.event(Event::InvariantViolated, &inputs);
-                        None
-                    }
-                });
+        let encoded = progress
+            .chain(departed)
+            .chain(roster)
+            .chain(interference)
+            .filter_map(|record| match record {
+                Ok(record) => Some(record),
+                Err(cause) => {
+                    let inputs = json!({ "cause": cause.to_string() });
+                    self.env.event(Event::InvariantViolated, &inputs);
+                    None
+                }
+            });
         encoded.collect()
     }
 
--- /dev/null
+++ b/hemlocksaddle-shard/tests/departures.rs
@@ -0,0 +1,74 @@
+//! End-to-end tests of workers that leave before the owner of their shard changes.
+
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod support;
+
+use googletest::prelude::*;
+use hemlocksaddle_shard::frontend::Submitted;
+use hemlocksaddle_types::{clock::Millis, workflow::State};
+use support::{Deployment, LEASE_MS, step};
+
+/// Time within which tasks that wait are started by a successor that has nobody to wait for: the
+/// failover target of 1.5 s, three rounds of tasks of a second, and a second to spare.
+const COMPLETED_WITHIN: Millis = Millis(5_500);
+
+/// Lets a worker leave, waits, and submits more tasks than fit at once.
+fn after_a_departure(seed: u64, wait: Millis) -> (Deployment, usize) {
+    let deployment = Deployment::new(seed, 3, 2);
+    deployment.wait_for_owner();
+    deployment.fleet.set_unreachable(1, true);
+    deployment.store.remove_worker(1);
+    deployment.sim.run_for(wait);
+    let owner = deployment.owner().expect("owner");
+    let accepted = deployment.submit((owner + 1) % 3, 1, vec![step(20)]);
+    assert_that!(accepted, eq(Submitted::Accepted), "seed {seed}");
+    deployment.sim.run_for(Millis(500));
+    (deployment, owner)
+}
+
+/// Load pattern: workers leave, later the owner is killed. Guards against inherited work that waits
+/// for reports of workers that left long before.
+#[gtest]
+fn work_goes_on_at_once_after_an_owner_is_killed_although_a_worker_has_left() {
+    for seed in 1..=10 {
+        let (deployment, owner) = after_a_departure(seed, Millis(LEASE_MS + 2_000));
+        deployment.kill(owner);
+        let ended = deployment.wait_for_end((owner + 1) % 3, 1, COMPLETED_WITHIN);
+        expect_that!(ended, some(eq(State::Completed)), "seed {seed}");
+        expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+    }
+}
+
+/// Load pattern: workers leave, later the owner stops as planned. Guards against inherited work that
+/// waits for reports of workers that left long before.
+#[gtest]
+fn work_goes_on_at_once_after_a_planned_stop_although_a_worker_has_left() {
+    for seed in 1..=10 {
+        let (deployment, owner) = after_a_departure(seed, Millis(LEASE_MS + 2_000));
+        deployment.node(owner).expect("node").release();
+        let ended = deployment.wait_for_end((owner + 1) % 3, 1, COMPLETED_WITHIN);
+        expect_that!(ended, some(eq(State::Completed)), "seed {seed}");
+        expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+    }
+}
+
+/// Guards against a worker that is not waited for after it was listed again, and so against two runs
+/// of a task.
+#[gtest]
+fn a_worker_that_is_listed_again_is_waited_for() {
+    for seed in 1..=10 {
+        let (deployment, owner) = after_a_departure(seed, Millis(LEASE_MS + 2_000));
+        deployment.fleet.set_unreachable(1, false);
+        deployment.store.put_worker(1);
+        deployment.sim.run_for(Millis(1_500));
+        deployment.submit((owner + 1) % 3, 2, vec![step(12)]);
+        deployment.sim.run_for(Millis(300));
+        deployment.fleet.set_unreachable(1, true);
+        deployment.kill(owner);
+        for id in 1..=2 {
+            let ended = deployment.wait_for_end((owner + 1) % 3, id, Millis(30_000));
+            expect_that!(ended, some(eq(State::Completed)), "seed {seed}, {id}");
+        }
+        expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+    }
+}
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -81,10 +81,19 @@
         self.put(Stream::Workers, &number.to_string());
     }
 
+    /// Removes a worker's record, as the platform does when the worker has left.
+    pub(crate) fn remove_worker(&self, number: usize) {
+        self.put_value(Stream::Workers, &number.to_string(), None);
+    }
+
     fn put(&self, stream: Stream, key: &str) {
+        self.put_value(stream, key, Some(Bytes::from_static(b"-")));
+    }
+
+    fn put_value(&self, stream: Stream, key: &str, value: Option<Bytes>) {
         let record = Record {
             key: key.into(),
-            value: Some(Bytes::from_static(b"-")),
+            value,
         };
         let mut partitions = self.partitions.borrow_mut();
         partitions
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -334,17 +334,27 @@
     /// Long-running tasks that have run, as half-open index ranges.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub begun: Vec<(u32, u32)>,
+    /// Tasks of which a run may have ended in a way that is not known, on a worker that is gone, as
+    /// half-open index ranges.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub end_unknown: Vec<(u32, u32)>,
 }
 
 impl StepProgress {
     /// Whether there is nothing to store.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.done.is_empty()
+        !self.has_started() && self.end_unknown.is_empty()
+    }
+
+    /// Whether a task of the step is known to have started.
+    #[must_use]
+    pub fn has_started(&self) -> bool {
+        !(self.done.is_empty()
             && self.failed.is_empty()
             && self.restarted.is_empty()
             && self.crashed.is_empty()
-            && self.begun.is_empty()
+            && self.begun.is_empty())
     }
 }
 
