Do not wait for workers that were idle when they left

Callers would see accepted work stand still for 9 s if the owner is lost within 6 s after a planned scale-in: the drained workers ran nothing any more, but their leases had not expired.

Cause: the owner removed a worker that had left from the roster only after its lease. A worker that is not listed, does not answer, has reported in this term, and has no assigned task and no leftover run, runs nothing that any owner has told it to start: earlier terms are fenced there since the report, and a start without an answer keeps its task assigned. It leaves the roster at once.

--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -227,6 +227,12 @@
         self.withheld_end.is_some()
     }
 
+    /// Whether the worker does not answer, and certainly runs nothing that it was told to start.
+    fn is_vacant(&self) -> bool {
+        let may_run = !self.tasks.is_empty() || !self.leftovers.is_empty();
+        self.is_silent() && self.reported_at.is_some() && !may_run
+    }
+
     /// Number of applied ends that the worker still lists.
     pub(super) fn listed_ends(&self) -> u64 {
         self.applied_ends.saturating_sub(self.saved_ends)
@@ -450,7 +456,9 @@
             }
         }
         let workers = self.workers.values();
-        let left = workers.filter(|worker| worker.rostered && !worker.listed && expired(worker));
+        let left = workers.filter(|worker| {
+            worker.rostered && !worker.listed && (expired(worker) || worker.is_vacant())
+        });
         self.departed
             .extend(left.map(|worker| worker.listing.name.clone()));
     }
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -51,6 +51,43 @@
     expect_that!(departed(&mut harness), is_empty());
 }
 
+/// Guards against a successor that waits for workers which were idle when they left.
+#[gtest]
+fn an_idle_worker_that_left_is_removed_from_the_roster_at_once() {
+    let mut harness = Harness::with_workers(2, 16_000);
+    harness.leave(0);
+    // It may only be missing from the list while it answers.
+    expect_that!(departed(&mut harness), is_empty());
+    harness.silence(harness.workers[0]);
+    expect_that!(departed(&mut harness), elements_are![eq("w0")]);
+    expect_that!(departed(&mut harness), is_empty());
+}
+
+/// Guards against a run that a successor does not wait for: its start was not answered.
+#[gtest]
+fn a_worker_that_may_have_started_a_task_stays_in_the_roster() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    harness.accept(1, vec![step(1, 1_000)]);
+    let start = harness.starts().remove(0);
+    harness.answer(&start, StartAnswer::Unknown);
+    harness.leave(0);
+    harness.silence(start.worker);
+    expect_that!(departed(&mut harness), is_empty());
+    harness.scheduler.abandon_start(&start);
+    harness.advance(LEASE_MS - 200);
+    expect_that!(departed(&mut harness), is_empty());
+}
+
+/// Guards against runs that a successor does not wait for: the predecessor's, on a worker that has
+/// not reported.
+#[gtest]
+fn a_worker_without_a_report_stays_in_the_roster() {
+    let mut harness = Harness::unreported(2, 16_000, 10_000);
+    harness.leave(0);
+    harness.silence(harness.workers[0]);
+    expect_that!(departed(&mut harness), is_empty());
+}
+
 /// Guards against a worker in use that is missing from the roster.
 #[gtest]
 fn a_worker_that_is_listed_again_before_the_save_stays_in_the_roster() {
--- a/hemlocksaddle-shard/tests/departures.rs
+++ b/hemlocksaddle-shard/tests/departures.rs
@@ -39,6 +39,19 @@
     }
 }
 
+/// Load pattern: idle workers leave, and the owner is killed right after. Guards against inherited work
+/// that waits for the leases of workers on which nothing ran.
+#[gtest]
+fn work_goes_on_at_once_after_an_owner_is_killed_although_an_idle_worker_has_just_left() {
+    for seed in 1..=10 {
+        let (deployment, owner) = after_a_departure(seed, Millis(LEASE_MS / 2));
+        deployment.kill(owner);
+        let ended = deployment.wait_for_end((owner + 1) % 3, 1, COMPLETED_WITHIN);
+        expect_that!(ended, some(eq(State::Completed)), "seed {seed}");
+        expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+    }
+}
+
 /// Load pattern: workers leave, later the owner stops as planned. Guards against inherited work that
 /// waits for reports of workers that left long before.
 #[gtest]
