Keep a worker in the roster that is listed again

A successor would not have waited for it and would have run the task twice.

Cause: the note was checked against the list at the save only. It is dropped now when the worker is listed; it is made again only while the worker runs nothing or its lease has expired.

a_worker_that_got_a_task_since_it_was_gone_stays_in_the_roster failed before.

--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -369,6 +369,7 @@
             worker.listed = false;
         }
         for listing in listings {
+            self.departed.remove(&listing.name);
             let known = self.by_name.get(&listing.name).copied();
             if let Some(key) = known
                 && let Some(worker) = self.workers.get_mut(key)
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -103,6 +103,35 @@
     expect_that!(harness.scheduler.unrostered().len(), eq(1));
 }
 
+/// Load pattern: a worker disappears from the platform's list twice within one save. Guards against a
+/// worker that leaves the roster while it runs a task.
+#[gtest]
+fn a_worker_that_got_a_task_since_it_was_gone_stays_in_the_roster() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    let roster = harness.roster();
+    harness.scheduler.list_workers(Vec::new(), harness.now());
+    harness.silence(harness.workers[0]);
+    harness.starts_again_later();
+    harness.scheduler.list_workers(roster, harness.now());
+    harness.report_idle(0);
+    harness.accept(1, vec![step(1, 1_000)]);
+    let start = harness.starts().remove(0);
+    harness.answer(&start, StartAnswer::Accepted);
+    harness.scheduler.list_workers(Vec::new(), harness.now());
+    expect_that!(departed(&mut harness), is_empty());
+}
+
+/// Guards against a run that a successor does not wait for: a late order carried it out, and it was
+/// told to stop.
+#[gtest]
+fn a_worker_with_a_run_that_is_being_stopped_stays_in_the_roster() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    harness.report_running(0, 7, Run(1));
+    harness.leave(0);
+    harness.silence(harness.workers[0]);
+    expect_that!(departed(&mut harness), is_empty());
+}
+
 /// Guards against departures that a failed save forgets.
 #[gtest]
 fn a_departure_that_could_not_be_saved_is_saved_later() {
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -170,6 +170,10 @@
         self.scheduler.list_workers(listed, self.now);
     }
 
+    pub(crate) fn now(&self) -> MonoMs {
+        self.now
+    }
+
     pub(crate) fn advance(&mut self, ms: u64) {
         self.now = self.now + Millis(ms);
     }
