Wait only for workers that a predecessor may have used

Callers would see inherited work stand still for up to 9 s after a change of owner if one worker that was added or restarted then does not answer.

Cause: the wait of a successor counted all known workers. A predecessor places tasks only on workers that are in the durable roster, so only those that the successor reads from it can hold a run of an earlier term; workers that are listed later run nothing of it. A worker of this kind that was lost before its first report also made the ends of all inherited tasks unknown, which saved every open workflow at once.

The roster may hold a later incarnation than an outdated list. The successor used to drop it and wait for the listed one; it is taken from the roster now (a_successor_waits_for_the_incarnation_in_the_roster).

inherited_work_does_not_wait_for_a_worker_that_is_new and a_new_worker_that_dies_before_its_first_report_leaves_inherited_workflows_unchanged failed before.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -274,16 +274,16 @@
         Run((self.term.saturating_sub(1)) * RUNS_PER_TERM + 1)
     }
 
-    /// Whether every worker has reported in this term or all earlier leases have expired.
+    /// Whether every worker that a predecessor may have used has reported in this term, or all
+    /// earlier leases have expired.
     #[must_use]
     pub fn is_failover_complete(&self, now: MonoMs) -> bool {
         now >= self.failover_complete_at || self.all_reported()
     }
 
     fn all_reported(&self) -> bool {
-        self.workers
-            .values()
-            .all(|worker| worker.reported_at.is_some())
+        let mut workers = self.workers.values();
+        workers.all(|worker| !worker.inherited || worker.reported_at.is_some())
     }
 
     fn task_key(&self, name: TaskName) -> Option<TaskKey> {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -101,6 +101,8 @@
     /// Whether the worker is in the durable roster, from which a successor learns which workers
     /// to poll.
     pub rostered: bool,
+    /// Whether a predecessor may have used this incarnation.
+    pub(super) inherited: bool,
     /// Time at which the latest report was requested.
     pub reported_at: Option<MonoMs>,
     /// Local time by which the lease has certainly expired, and all runs on the worker with it.
@@ -155,6 +157,7 @@
             listing,
             listed: true,
             rostered: false,
+            inherited: false,
             reported_at: None,
             lease_until: MonoMs(0),
             applied_ends: 0,
@@ -321,19 +324,29 @@
 impl Scheduler {
     /// Adds the workers that the predecessor used.
     ///
-    /// They get no new tasks until the platform lists them.
+    /// They get no new tasks until the platform lists them. Returns those that were not known before.
     pub fn restore_roster(&mut self, roster: Vec<Listing>) -> Vec<WorkerKey> {
         let mut new = Vec::new();
         for listing in roster {
             let known = self.by_name.get(&listing.name).copied();
-            if let Some(worker) = known.and_then(|key| self.workers.get_mut(key)) {
-                worker.rostered = worker.listing.born_ms == listing.born_ms;
-                continue;
+            if let Some(key) = known
+                && let Some(worker) = self.workers.get_mut(key)
+            {
+                if worker.listing.born_ms >= listing.born_ms {
+                    let is_same = worker.listing.born_ms == listing.born_ms;
+                    worker.rostered = is_same;
+                    worker.inherited = is_same;
+                    continue;
+                }
+                // The platform's list is out of date.
+                self.remove_worker(key);
+                self.departed.remove(&listing.name);
             }
             let name = listing.name.clone();
             let mut worker = Worker::new(listing);
             worker.listed = false;
             worker.rostered = true;
+            worker.inherited = true;
             let key = self.workers.insert(worker);
             self.by_name.insert(name, key);
             new.push(key);
@@ -477,7 +490,7 @@
                 self.unsaved.insert(task.job);
             }
         }
-        if worker.reported_at.is_none() {
+        if worker.inherited && worker.reported_at.is_none() {
             self.missing_reports = true;
             self.mark_inherited_unknown();
         }
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -88,6 +88,50 @@
     expect_that!(departed(&mut harness), is_empty());
 }
 
+/// Load pattern: workers are added just after a change of owner, one does not answer. Guards against
+/// inherited work that waits for workers which no predecessor used.
+#[gtest]
+fn inherited_work_does_not_wait_for_a_worker_that_is_new() {
+    let mut harness = Harness::unreported(1, 16_000, 10_000);
+    harness.accept_inherited(1, vec![step(1, 1_000)]);
+    harness.list_another(16_000);
+    harness.report_idle(0);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
+/// Guards against a second run of a task on a worker that was restarted, and used by a predecessor,
+/// before the platform's list shows it.
+#[gtest]
+fn a_successor_waits_for_the_incarnation_in_the_roster() {
+    let mut harness = Harness::unreported(2, 16_000, 10_000);
+    harness.accept_inherited(1, vec![step(1, 1_000)]);
+    let mut restarted = harness.roster().remove(1);
+    restarted.born_ms += 1;
+    let new = harness.scheduler.restore_roster(vec![restarted]);
+    expect_that!(new.len(), eq(1));
+    harness.workers[1] = new[0];
+    expect_that!(departed(&mut harness), is_empty());
+    harness.report_idle(0);
+    expect_that!(harness.starts(), is_empty());
+    harness.report_idle(1);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
+/// Guards against workflows whose ends are taken as unknown because of a worker that no predecessor
+/// used: each of them would be saved at once, and shown as changed.
+#[gtest]
+fn a_new_worker_that_dies_before_its_first_report_leaves_inherited_workflows_unchanged() {
+    let mut harness = Harness::unreported(1, 16_000, 0);
+    harness.accept_inherited(1, vec![step(1, 20_000)]);
+    let number = harness.list_another(16_000);
+    harness.report_idle(0);
+    harness.leave(number);
+    harness.silence(harness.workers[number]);
+    harness.advance(100);
+    expect_that!(harness.starts(), is_empty());
+    expect_that!(harness.save(), is_empty());
+}
+
 /// Guards against a worker in use that is missing from the roster.
 #[gtest]
 fn a_worker_that_is_listed_again_before_the_save_stays_in_the_roster() {
