Save that a refused start has not run

A workflow of which nothing had run was shown as running, and left out of the number of waiting ones, after a start that was refused and a change of owner, if its task may have run on a worker that is gone.

Cause: the mark of the start was saved with the order, and taken back in memory only.

a_workflow_whose_start_was_refused_stays_queued_after_a_change_of_owner failed before (Running).

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -157,12 +157,15 @@
         self.end_unknown = false;
     }
 
-    /// Takes [`Task::mark_restarted`] back after the start of the run was refused.
-    pub(super) fn undo_restarted(&mut self, run: Run) {
-        if self.restarted == Some(run) {
+    /// Takes [`Task::mark_restarted`] back after the start of the run was refused; returns whether
+    /// there was anything to take back.
+    pub(super) fn undo_restarted(&mut self, run: Run) -> bool {
+        let was_marked = self.restarted == Some(run);
+        if was_marked {
             self.restarted = self.restarted_before;
             self.end_unknown = true;
         }
+        was_marked
     }
 }
 
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -346,7 +346,9 @@
     fn unassign_refused(&mut self, start: &Start) {
         self.unassign(start.task);
         let task = self.jobs[start.task.job].task_mut(start.task);
-        task.undo_restarted(start.run);
+        if task.undo_restarted(start.run) {
+            self.unsaved.insert(start.task.job);
+        }
     }
 
     /// Whether a start is still unconfirmed, so that its order may be sent again.
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -8,7 +8,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
-use hemlocksaddle_types::workflow::{Run, State};
+use hemlocksaddle_types::workflow::{Run, State, WorkflowId};
 use workflow_support::{Harness, LEASE_MS, step};
 
 /// Saves, and returns the names of the workers that left the roster.
@@ -247,6 +247,21 @@
     expect_that!(worker.saved_ends, eq(0));
 }
 
+/// Guards against a workflow that is shown as running after its only start was refused.
+#[gtest]
+fn a_workflow_whose_start_was_refused_stays_queued_after_a_change_of_owner() {
+    let mut between = after_a_worker_without_a_report();
+    let second = between.starts().remove(0);
+    let mut progress = between.save();
+    between.answer(&second, StartAnswer::NotSent);
+    progress.extend(between.save());
+    let mut last = Harness::unreported(1, 16_000, 10_000);
+    last.accept_inherited(1, vec![step(1, 1_000)]);
+    let (_, latest) = progress.pop().expect("progress");
+    last.restore(vec![(WorkflowId(1), latest)]);
+    expect_that!(last.state(1), some(eq(State::Queued)));
+}
+
 /// Guards against a workflow that is shown as running although nothing of it has started.
 #[gtest]
 fn a_workflow_that_never_ran_stays_queued_over_two_changes_of_owner() {
