Test that only the roster tells a successor of a worker

a_worker_that_is_listed_again_is_waited_for left the worker listed at the kill of the owner, so that its successor would have waited for it in any case (found by review). The platform's list loses it now, it runs tasks as long as a lease, and the test checks that it does.

--- a/hemlocksaddle-shard/tests/departures.rs
+++ b/hemlocksaddle-shard/tests/departures.rs
@@ -74,12 +74,16 @@
         deployment.fleet.set_unreachable(1, false);
         deployment.store.put_worker(1);
         deployment.sim.run_for(Millis(1_500));
+        deployment.fleet.run_ms.set(LEASE_MS);
         deployment.submit((owner + 1) % 3, 2, vec![step(12)]);
         deployment.sim.run_for(Millis(300));
+        // Only the roster tells the successor of this worker.
         deployment.fleet.set_unreachable(1, true);
+        deployment.store.remove_worker(1);
         deployment.kill(owner);
+        expect_that!(deployment.fleet.running_on(1), gt(0), "seed {seed}");
         for id in 1..=2 {
-            let ended = deployment.wait_for_end((owner + 1) % 3, id, Millis(30_000));
+            let ended = deployment.wait_for_end((owner + 1) % 3, id, Millis(60_000));
             expect_that!(ended, some(eq(State::Completed)), "seed {seed}, {id}");
         }
         expect_that!(*deployment.fleet.violations.borrow(), is_empty());
