Save the progress of many workflows in parts

A save of thousands of changed workflows can take longer than a call to the store may on a slow link, and is then repeated without an end: no end is acknowledged and no final state shown.

A part has 1,000 workflows at most; the acknowledgement of ends and the removal of workers from the roster, which depend on the progress, go with the last part.

many_changed_workflows_are_saved_in_parts and ends_are_acknowledged_after_the_last_part_of_a_save failed with a limit that is never reached (3,000 workflows in one save; ends acknowledged in the first).

--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -13,6 +13,11 @@
     job::{Job, StepState, Task},
 };
 
+/// Maximum number of workflows whose progress is saved at once.
+///
+/// Their records take half a second on a link of 2 Mbit/s, less than a call to the store may.
+pub const MAX_SAVED_WORKFLOWS: usize = 1_000;
+
 /// Progress that is to be made durable.
 #[derive(Clone, Debug, Default)]
 pub struct Unsaved {
@@ -115,10 +120,17 @@
         }
     }
 
-    /// Takes the progress that is not durable yet.
+    /// Takes progress that is not durable yet, of [`MAX_SAVED_WORKFLOWS`] workflows at most.
+    ///
+    /// Ends and departures are taken with the last part, since they depend on the progress.
     #[must_use]
     pub fn take_unsaved(&mut self) -> Unsaved {
-        let keys: Vec<JobKey> = self.unsaved.drain().collect();
+        let keys = self.unsaved.iter().take(MAX_SAVED_WORKFLOWS);
+        let keys: Vec<JobKey> = keys.copied().collect();
+        for key in &keys {
+            self.unsaved.remove(key);
+        }
+        let is_last = self.unsaved.is_empty();
         let progress = keys.iter().map(|&key| {
             let job = &self.jobs[key];
             (job.id, progress(job))
@@ -128,11 +140,15 @@
         let crashes = with_crashes
             .flat_map(|key| std::mem::take(&mut self.jobs[key].unsaved_crashes))
             .collect();
-        let departed = self.take_departed();
+        let departed = if is_last {
+            self.take_departed()
+        } else {
+            Vec::new()
+        };
         let ends = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.has_unsaved_ends());
+            .filter(|(_, worker)| is_last && worker.has_unsaved_ends());
         Unsaved {
             progress,
             departed,
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -46,7 +46,7 @@
     crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
-    lifecycle::Unsaved,
+    lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
     worker::{Listing, Worker},
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -7,7 +7,7 @@
 mod workflow_support;
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
+use hemlocksaddle_policy::workflow::{EndKind, MAX_SAVED_WORKFLOWS, Start, StartAnswer};
 use hemlocksaddle_types::workflow::{Run, State, WorkflowId};
 use workflow_support::{Harness, LEASE_MS, step};
 
@@ -247,6 +247,55 @@
     expect_that!(worker.saved_ends, eq(0));
 }
 
+/// Load pattern: a worker is lost for good while thousands of workflows wait, and the owner changes. Guards
+/// against a save that takes longer than a call to the store may, and is repeated without an end.
+#[gtest]
+fn many_changed_workflows_are_saved_in_parts() {
+    let mut harness = Harness::unreported(2, 100, 10_000);
+    let workflows = 3_000;
+    (1..=workflows).for_each(|id| harness.accept_inherited(id, vec![step(1, 1_000)]));
+    harness.report_idle(0);
+    harness.leave(1);
+    harness.silence(harness.workers[1]);
+    harness.advance(10_100);
+    let mut saved = 0;
+    loop {
+        harness.starts_again_later();
+        let unsaved = harness.scheduler.take_unsaved();
+        expect_that!(unsaved.progress.len(), le(MAX_SAVED_WORKFLOWS));
+        saved += unsaved.progress.len();
+        let is_last = saved == workflows as usize;
+        // The worker leaves the roster once all that depends on it is durable.
+        expect_that!(unsaved.departed.len(), eq(usize::from(is_last)));
+        if is_last || unsaved.is_empty() {
+            break;
+        }
+        harness.scheduler.mark_saved(unsaved);
+    }
+    expect_that!(saved, eq(workflows as usize));
+}
+
+/// Guards against ends that are acknowledged before the progress of their workflows is durable.
+#[gtest]
+fn ends_are_acknowledged_after_the_last_part_of_a_save() {
+    let mut harness = Harness::with_workers(1, 100_000_000);
+    let workflows = 2 * MAX_SAVED_WORKFLOWS as u64;
+    (1..=workflows).for_each(|id| harness.accept(id, vec![step(1, 1_000)]));
+    let starts = harness.starts();
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    for start in &starts {
+        harness.end(start, EndKind::Done);
+    }
+    let acknowledged = |harness: &Harness| {
+        let worker = harness.scheduler.worker(harness.workers[0]);
+        worker.expect("worker").saved_ends
+    };
+    harness.save();
+    expect_that!(acknowledged(&harness), eq(0));
+    harness.save();
+    expect_that!(acknowledged(&harness), eq(workflows));
+}
+
 /// Guards against a workflow that is shown as running after its only start was refused.
 #[gtest]
 fn a_workflow_whose_start_was_refused_stays_queued_after_a_change_of_owner() {
