--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -1,5 +1,7 @@
 //! Life cycle of workflows: acceptance, cancellation, completion and recovery.
 
+use std::sync::Arc;
+
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
     workflow::{CrashedRun, Failure, Progress, State, StepProgress, Workflow, WorkflowId},
@@ -11,11 +13,18 @@
     job::{Job, StepState, Task},
 };
 
+/// Maximum number of workflows whose progress is saved at once.
+///
+/// Their records take half a second on a link of 2 Mbit/s, less than a call to the store may.
+pub const MAX_SAVED_WORKFLOWS: usize = 1_000;
+
 /// Progress that is to be made durable.
 #[derive(Clone, Debug, Default)]
 pub struct Unsaved {
     /// Progress of each changed workflow.
     pub progress: Vec<(WorkflowId, Progress)>,
+    /// Workers to remove from the roster, after the progress is durable or together with it.
+    pub departed: Vec<Arc<str>>,
     keys: Vec<JobKey>,
     ends: Vec<(WorkerKey, u64)>,
     crashes: Vec<TaskKey>,
@@ -25,7 +34,7 @@
     /// Whether there is nothing to save.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.progress.is_empty() && self.ends.is_empty()
+        self.progress.is_empty() && self.ends.is_empty() && self.departed.is_empty()
     }
 }
 
@@ -93,7 +102,7 @@
                 continue;
             };
             restore_step(step, saved);
-            job.started = true;
+            job.started |= saved.has_started();
             let suspects = saved.crashed.iter().map(|&(index, _)| TaskKey {
                 job: key,
                 occurrence: saved.occurrence,
@@ -111,10 +120,17 @@
         }
     }
 
-    /// Takes the progress that is not durable yet.
+    /// Takes progress that is not durable yet, of [`MAX_SAVED_WORKFLOWS`] workflows at most.
+    ///
+    /// Ends and departures are taken with the last part, since they depend on the progress.
     #[must_use]
     pub fn take_unsaved(&mut self) -> Unsaved {
-        let keys: Vec<JobKey> = self.unsaved.drain().collect();
+        let keys = self.unsaved.iter().take(MAX_SAVED_WORKFLOWS);
+        let keys: Vec<JobKey> = keys.copied().collect();
+        for key in &keys {
+            self.unsaved.remove(key);
+        }
+        let is_last = self.unsaved.is_empty();
         let progress = keys.iter().map(|&key| {
             let job = &self.jobs[key];
             (job.id, progress(job))
@@ -124,12 +140,18 @@
         let crashes = with_crashes
             .flat_map(|key| std::mem::take(&mut self.jobs[key].unsaved_crashes))
             .collect();
+        let departed = if is_last {
+            self.take_departed()
+        } else {
+            Vec::new()
+        };
         let ends = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.has_unsaved_ends());
+            .filter(|(_, worker)| is_last && worker.has_unsaved_ends());
         Unsaved {
             progress,
+            departed,
             crashes,
             ends: ends
                 .map(|(key, worker)| (key, worker.acknowledgeable_ends()))
@@ -165,6 +187,7 @@
     /// Puts back progress that could not be saved.
     pub fn mark_unsaved(&mut self, unsaved: Unsaved) {
         self.unsaved.extend(unsaved.keys);
+        self.put_back_departed(unsaved.departed);
         for key in unsaved.crashes {
             if let Some(job) = self.jobs.get_mut(key.job) {
                 job.unsaved_crashes.push(key);
@@ -367,6 +390,11 @@
             task.run = task.run.max(run);
         }
     }
+    for &(from, to) in &saved.end_unknown {
+        for task in &mut step.tasks[(from as usize).min(tasks)..(to as usize).min(tasks)] {
+            task.end_unknown = true;
+        }
+    }
 }
 
 fn crashed_runs(step: &StepState) -> Vec<(u32, CrashedRun)> {
@@ -390,6 +418,7 @@
                 begun: ranges(step, |task| {
                     job.spec.steps[number].long_running && task.has_run
                 }),
+                end_unknown: ranges(step, |task| task.end_unknown && task.phase != Phase::Done),
             };
             if !saved.is_empty() {
                 steps.push(saved);
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -46,7 +46,7 @@
     crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
-    lifecycle::Unsaved,
+    lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
     worker::{Listing, Worker},
@@ -131,6 +131,8 @@
     workers: SlotMap<WorkerKey, Worker>,
     by_name: HashMap<Arc<str>, WorkerKey>,
     unsaved: HashSet<JobKey>,
+    /// Workers that are gone and are to be removed from the durable roster.
+    departed: HashSet<Arc<str>>,
     orders: Vec<Order>,
     /// Cancellations that were read before the submission of their workflow.
     pending_cancels: HashMap<WorkflowId, MonoMs>,
@@ -176,6 +178,7 @@
             workers: SlotMap::with_key(),
             by_name: HashMap::new(),
             unsaved: HashSet::default(),
+            departed: HashSet::default(),
             orders: Vec::new(),
             pending_cancels: HashMap::new(),
             failover_complete_at,
@@ -271,16 +274,16 @@
         Run((self.term.saturating_sub(1)) * RUNS_PER_TERM + 1)
     }
 
-    /// Whether every worker has reported in this term or all earlier leases have expired.
+    /// Whether every worker that a predecessor may have used has reported in this term, or all
+    /// earlier leases have expired.
     #[must_use]
     pub fn is_failover_complete(&self, now: MonoMs) -> bool {
         now >= self.failover_complete_at || self.all_reported()
     }
 
     fn all_reported(&self) -> bool {
-        self.workers
-            .values()
-            .all(|worker| worker.reported_at.is_some())
+        let mut workers = self.workers.values();
+        workers.all(|worker| !worker.inherited || worker.reported_at.is_some())
     }
 
     fn task_key(&self, name: TaskName) -> Option<TaskKey> {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -101,6 +101,8 @@
     /// Whether the worker is in the durable roster, from which a successor learns which workers
     /// to poll.
     pub rostered: bool,
+    /// Whether a predecessor may have used this incarnation.
+    pub(super) inherited: bool,
     /// Time at which the latest report was requested.
     pub reported_at: Option<MonoMs>,
     /// Local time by which the lease has certainly expired, and all runs on the worker with it.
@@ -155,6 +157,7 @@
             listing,
             listed: true,
             rostered: false,
+            inherited: false,
             reported_at: None,
             lease_until: MonoMs(0),
             applied_ends: 0,
@@ -227,6 +230,12 @@
         self.withheld_end.is_some()
     }
 
+    /// Whether the worker does not answer, and certainly runs nothing that it was told to start.
+    fn is_vacant(&self) -> bool {
+        let may_run = !self.tasks.is_empty() || !self.leftovers.is_empty();
+        self.is_silent() && self.reported_at.is_some() && !may_run
+    }
+
     /// Number of applied ends that the worker still lists.
     pub(super) fn listed_ends(&self) -> u64 {
         self.applied_ends.saturating_sub(self.saved_ends)
@@ -315,19 +324,29 @@
 impl Scheduler {
     /// Adds the workers that the predecessor used.
     ///
-    /// They get no new tasks until the platform lists them.
+    /// They get no new tasks until the platform lists them. Returns those that were not known before.
     pub fn restore_roster(&mut self, roster: Vec<Listing>) -> Vec<WorkerKey> {
         let mut new = Vec::new();
         for listing in roster {
             let known = self.by_name.get(&listing.name).copied();
-            if let Some(worker) = known.and_then(|key| self.workers.get_mut(key)) {
-                worker.rostered = worker.listing.born_ms == listing.born_ms;
-                continue;
+            if let Some(key) = known
+                && let Some(worker) = self.workers.get_mut(key)
+            {
+                if worker.listing.born_ms >= listing.born_ms {
+                    let is_same = worker.listing.born_ms == listing.born_ms;
+                    worker.rostered = is_same;
+                    worker.inherited = is_same;
+                    continue;
+                }
+                // The platform's list is out of date.
+                self.remove_worker(key);
+                self.departed.remove(&listing.name);
             }
             let name = listing.name.clone();
             let mut worker = Worker::new(listing);
             worker.listed = false;
             worker.rostered = true;
+            worker.inherited = true;
             let key = self.workers.insert(worker);
             self.by_name.insert(name, key);
             new.push(key);
@@ -363,6 +382,7 @@
             worker.listed = false;
         }
         for listing in listings {
+            self.departed.remove(&listing.name);
             let known = self.by_name.get(&listing.name).copied();
             if let Some(key) = known
                 && let Some(worker) = self.workers.get_mut(key)
@@ -395,9 +415,11 @@
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
-        if self.by_name.get(&worker.listing.name) == Some(&key) {
-            self.by_name.remove(&worker.listing.name);
+        let name = worker.listing.name;
+        if self.by_name.get(&name) == Some(&key) {
+            self.by_name.remove(&name);
         }
+        self.departed.insert(name);
     }
 
     /// Records that the platform's list of workers was read and has not changed.
@@ -447,19 +469,63 @@
                 self.remove_worker(key);
             }
         }
+        let workers = self.workers.values();
+        let left = workers.filter(|worker| {
+            worker.rostered && !worker.listed && (expired(worker) || worker.is_vacant())
+        });
+        self.departed
+            .extend(left.map(|worker| worker.listing.name.clone()));
     }
 
     /// Records that the runs on a worker have ended in a way that is not known.
+    ///
+    /// A successor has to know too, since it does not wait for the worker once it has left.
     fn mark_ends_unknown(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        self.missing_reports |= worker.reported_at.is_none();
         for &task in worker.tasks.keys() {
             if let Some(job) = self.jobs.get_mut(task.job) {
                 job.task_mut(task).end_unknown = true;
+                self.unsaved.insert(task.job);
             }
         }
+        if worker.inherited && worker.reported_at.is_none() {
+            self.missing_reports = true;
+            self.mark_inherited_unknown();
+        }
+    }
+
+    /// Records that inherited tasks that wait may have run on a worker that never reported.
+    fn mark_inherited_unknown(&mut self) {
+        for &key in &self.open_jobs {
+            let job = &mut self.jobs[key];
+            if job.inherited && job.mark_waiting_unknown() {
+                self.unsaved.insert(key);
+            }
+        }
+    }
+
+    /// Takes the names of workers to remove from the roster; one that is listed again stays.
+    pub(super) fn take_departed(&mut self) -> Vec<Arc<str>> {
+        let mut names = Vec::new();
+        for name in self.departed.drain() {
+            let known = self.by_name.get(&name);
+            match known.and_then(|&key| self.workers.get_mut(key)) {
+                Some(worker) if worker.listed => {}
+                Some(worker) => {
+                    worker.rostered = false;
+                    names.push(name);
+                }
+                None => names.push(name),
+            }
+        }
+        names
+    }
+
+    /// Puts back names whose removal from the roster could not be saved.
+    pub(super) fn put_back_departed(&mut self, names: Vec<Arc<str>>) {
+        self.departed.extend(names);
     }
 
     fn unassign_all(&mut self, key: WorkerKey) {
