Count the ownership lease from the first attempt of a renewal

Callers can see a task run twice: an owner goes on renewing its workers' leases for seconds after the last record of its claim, and a successor that counts from that record takes them for expired. No such run was seen; found by reading.

Cause: a renewal without an answer is repeated under its sequence number, and the store answers the repeat like the original without a new record. The lease ran from the sending of the repeat. The same held for a claim, whose time of sending was also shared by all shards.

A lease now runs from the first attempt that may have taken effect. An attempt that certainly had no effect doesn't count, so that the lease is whole after an outage. After a repeat the next renewal is sent at once.

The repeat of a claim is covered by the unit tests of AppendAttempts only: the fake store refuses it with a conflict.

Ruled out: a lease from the sending of any failed attempt, which costs an owner its lease after each outage that the store answers with a refusal.

--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -85,6 +85,34 @@
     pub owner: Option<OwnerView>,
 }
 
+/// Sending of an append whose sequence number stays the same until it is answered.
+///
+/// The store may answer a repeat like an attempt that took effect before, without a new
+/// record, so a lease granted by the answer runs from the first attempt.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AppendAttempts {
+    first_sent_at: Option<MonoMs>,
+}
+
+impl AppendAttempts {
+    /// Records an attempt sent at `now`; returns the time from which its lease runs.
+    pub fn send(&mut self, now: MonoMs) -> MonoMs {
+        *self.first_sent_at.get_or_insert(now)
+    }
+
+    /// Records that the attempt sent at `sent_at` certainly had no effect.
+    pub fn rejected(&mut self, sent_at: MonoMs) {
+        // An earlier attempt without an answer may still have taken effect.
+        self.first_sent_at = self.first_sent_at.filter(|&first| first != sent_at);
+    }
+
+    /// Time from which the lease runs; `None` if no attempt can have taken effect.
+    #[must_use]
+    pub fn first_sent_at(&self) -> Option<MonoMs> {
+        self.first_sent_at
+    }
+}
+
 impl Candidate {
     /// Whether the candidate has a full share of a core and should therefore
     /// monitor the owner closely, for a fast failover.
--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -1,7 +1,9 @@
 //! When a node claims a shard, one case for each kind of failure.
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::take_over::{Candidate, OwnerView, RENEW_INTERVAL_MS, ShardView};
+use hemlocksaddle_policy::take_over::{
+    AppendAttempts, Candidate, OwnerView, RENEW_INTERVAL_MS, ShardView,
+};
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 
 const NOW: MonoMs = MonoMs(100_000);
@@ -167,3 +169,26 @@
     let renewed = NOW + RENEW_INTERVAL_MS + Millis(150);
     expect_that!(candidate(0.25).should_claim(&shard, renewed), eq(false));
 }
+
+/// Load pattern: lost answers of the store. Guards against a lease that runs from a repeat, which
+/// the store has answered like the first attempt.
+#[gtest]
+fn the_lease_of_a_repeated_append_runs_from_its_first_attempt() {
+    let mut attempts = AppendAttempts::default();
+    expect_that!(attempts.send(before(1_500)), eq(before(1_500)));
+    expect_that!(attempts.send(before(800)), eq(before(1_500)));
+    // A rejected repeat does not tell whether the first attempt took effect.
+    attempts.rejected(before(800));
+    expect_that!(attempts.send(NOW), eq(before(1_500)));
+}
+
+/// Load pattern: outage of the store. Guards against a lease that has expired when the store
+/// returns, because it runs from an attempt that certainly had no effect.
+#[gtest]
+fn a_rejected_append_does_not_shorten_the_lease_of_the_next() {
+    let mut attempts = AppendAttempts::default();
+    attempts.send(before(4_000));
+    attempts.rejected(before(4_000));
+    expect_that!(attempts.first_sent_at(), none());
+    expect_that!(attempts.send(NOW), eq(NOW));
+}
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -14,7 +14,7 @@
 };
 
 use hemlocksaddle_node::wait::Signal;
-use hemlocksaddle_policy::take_over::{Candidate, OwnerView, ShardView};
+use hemlocksaddle_policy::take_over::{AppendAttempts, Candidate, OwnerView, ShardView};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
@@ -83,8 +83,8 @@
     /// Signals a change of an owner or of the layout.
     pub(crate) changed: Signal,
     claiming: Cell<bool>,
-    /// Time at which this node's latest claim was sent.
-    claim_sent_at: Cell<MonoMs>,
+    /// Term and attempts of this node's latest claim, by shard.
+    claim_attempts: RefCell<BTreeMap<u32, (u64, AppendAttempts)>>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) owned: Cell<u64>,
 }
@@ -99,7 +99,7 @@
             partitions: (0..MAX_SHARDS).map(|_| PartitionState::default()).collect(),
             changed: Signal::default(),
             claiming: Cell::new(false),
-            claim_sent_at: Cell::new(MonoMs(0)),
+            claim_attempts: RefCell::default(),
             stopping: Cell::new(false),
             owned: Cell::new(0),
         })
@@ -334,9 +334,15 @@
         );
         let claim = self.own_claim(term, false);
         let first = self.first_sequence();
-        self.claim_sent_at.set(self.env.now());
+        let sent_at = self.env.now();
+        self.update_claim_attempts(shard, term, |attempts| {
+            attempts.send(sent_at);
+        });
         let made = self.append_claim(shard, &claim, first, Some(end)).await;
         self.claiming.set(false);
+        if made.as_ref().is_err_and(|error| error.is_certain()) {
+            self.update_claim_attempts(shard, term, |attempts| attempts.rejected(sent_at));
+        }
         if made.is_ok() {
             // Applied at once: reading it back takes a third of a second while the store is slow.
             self.observe(shard, claim);
@@ -352,12 +358,31 @@
         }
     }
 
-    /// Returns the time from which the ownership lease of this node's latest claim runs.
+    /// Updates the attempts of a claim; those of another term are dropped.
+    fn update_claim_attempts(
+        &self,
+        shard: u32,
+        term: u64,
+        update: impl FnOnce(&mut AppendAttempts),
+    ) {
+        let mut claim_attempts = self.claim_attempts.borrow_mut();
+        let latest = claim_attempts.entry(shard).or_default();
+        if latest.0 != term {
+            *latest = (term, AppendAttempts::default());
+        }
+        update(&mut latest.1);
+    }
+
+    /// Returns the time from which the ownership lease of this node's claim runs.
     ///
     /// It is the time of sending, because the process may be suspended for seconds before
     /// it sees the answer.
-    pub(crate) fn claim_sent_at(&self) -> MonoMs {
-        self.claim_sent_at.get()
+    pub(crate) fn claim_sent_at(&self, shard: u32, term: u64) -> Option<MonoMs> {
+        let claim_attempts = self.claim_attempts.borrow();
+        let (_, attempts) = claim_attempts
+            .get(&shard)
+            .filter(|latest| latest.0 == term)?;
+        attempts.first_sent_at()
     }
 
     /// Returns the sequence number of a term's first append.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -13,7 +13,7 @@
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
     congestion::{LatencyEstimate, StartWindow},
-    take_over::RENEW_INTERVAL_MS,
+    take_over::{AppendAttempts, RENEW_INTERVAL_MS},
     workflow::{Limits, Listing, Scheduler, WorkerKey},
 };
 use hemlocksaddle_types::{
@@ -118,7 +118,7 @@
     ) -> Rc<Owner> {
         let now = env.now();
         let claim_sequence = Cell::new(claims.first_sequence() + 1);
-        let ownership_lease_from = claims.claim_sent_at();
+        let ownership_lease_from = claims.claim_sent_at(shard, term).unwrap_or_default();
         let shards = claims.layout().map_or(1, |layout| layout.shards);
         let lease_ms = env.settings.lease_ms;
         let lease_bound = Millis(lease_ms.0 + lease_ms.0 * CLOCK_ERROR_PERCENT / 100 + 100);
@@ -222,8 +222,10 @@
     }
 
     async fn renew(self: Rc<Self>) {
+        let mut attempts = AppendAttempts::default();
         while !self.ended.get() {
             let sent_at = self.env.now();
+            let lease_from = attempts.send(sent_at);
             match self
                 .claims
                 .renew(
@@ -234,10 +236,24 @@
                 )
                 .await
             {
-                Ok(()) => self.ownership_lease_until.set(sent_at + OWNERSHIP_LEASE_MS),
+                Ok(()) => {
+                    self.ownership_lease_until
+                        .set(lease_from + OWNERSHIP_LEASE_MS);
+                    attempts = AppendAttempts::default();
+                    if lease_from != sent_at {
+                        // Part of the lease has passed already.
+                        continue;
+                    }
+                }
                 Err(StoreError::Fenced) => return self.step_down("claim is fenced"),
-                Err(StoreError::OutOfSequence(_)) => continue,
-                Err(_) => {
+                Err(StoreError::OutOfSequence(_)) => {
+                    attempts = AppendAttempts::default();
+                    continue;
+                }
+                Err(error) => {
+                    if error.is_certain() {
+                        attempts.rejected(sent_at);
+                    }
                     self.env.sleep(RETRY_MS).await;
                     continue;
                 }
--- a/hemlocksaddle-shard/src/ports.rs
+++ b/hemlocksaddle-shard/src/ports.rs
@@ -36,6 +36,14 @@
     Unreadable,
 }
 
+impl StoreError {
+    /// Whether the call certainly had no effect.
+    #[must_use]
+    pub fn is_certain(&self) -> bool {
+        !matches!(self, StoreError::Unknown | StoreError::Unreadable)
+    }
+}
+
 /// Streams of a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Stream {
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -216,6 +216,11 @@
             .sum()
     }
 
+    /// Returns the time until which a worker's lease lasts, on its own clock.
+    pub(crate) fn lease_until(&self, number: usize) -> Millis {
+        Millis(self.workers.borrow()[number].lease_until_ms)
+    }
+
     /// Partitions a worker from all nodes, or ends the partition.
     pub(crate) fn set_unreachable(&self, number: usize, unreachable: bool) {
         self.workers.borrow_mut()[number].unreachable = unreachable;
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -42,6 +42,8 @@
     pub(crate) reset: Cell<bool>,
     /// Carries out appends but loses their answers.
     pub(crate) lose_answers: Cell<bool>,
+    /// Rejects new records; repeated appends are answered.
+    pub(crate) full: Cell<bool>,
     /// Factor applied to the latency of calls; above 1, appends also occupy their partition.
     pub(crate) latency_factor: Cell<u64>,
     /// Delay of reads of the newest worker records; widens races between the nodes that read them.
@@ -56,6 +58,7 @@
             down: Cell::new(false),
             reset: Cell::new(false),
             lose_answers: Cell::new(false),
+            full: Cell::new(false),
             latency_factor: Cell::new(1),
             worker_read_delay_ms: Cell::new(0),
         })
@@ -152,6 +155,7 @@
         if conditions.end.is_some_and(|expected| expected != end) {
             return Err(StoreError::Conflict);
         }
+        let is_rejected = self.full.get() && !records.is_empty();
         if let Some(writer) = &conditions.writer {
             let known = part.writers.get(&writer.name).copied();
             match known {
@@ -166,11 +170,17 @@
                 }
                 _ => {}
             }
+            if is_rejected {
+                return Err(StoreError::NotDone);
+            }
             let last = (!records.is_empty()).then_some(writer.sequence);
             let new_end = end + records.len() as u64;
             part.writers
                 .insert(writer.name.clone(), (writer.epoch, last, new_end));
         }
+        if is_rejected {
+            return Err(StoreError::NotDone);
+        }
         part.records.extend(records);
         Ok(part.records.len() as u64)
     }
