Let the ownership lease expire by the wall clock too

Callers can see a task run twice after a machine was suspended for seconds: its node goes on as the owner, and extends the leases of workers that its successor cannot reach. No such run was seen; found by reading.

Cause: the monotonic clock does not count a suspension, so the ownership lease seemed valid on waking although it had expired for all others.

The lease is now valid only while the wall clock too has advanced by less than its duration since the sending of the renewal, and not backwards. A step of the wall clock costs the lease until the next renewal, which takes its reference anew. The virtual-time runtime can suspend a machine: its pause is one that both clocks count.

Ruled out: CLOCK_BOOTTIME for all monotonic times, which timers would not follow. Not covered: a suspension between the check and the sending of an order, whose deadline on the worker's clock bounds it as before.

--- a/hemlocksaddle-fakes/src/runtime.rs
+++ b/hemlocksaddle-fakes/src/runtime.rs
@@ -73,12 +73,32 @@
     dead: bool,
     paused_until_us: u64,
     deferred: Vec<u64>,
+    /// Start and end of the latest suspension of its machine.
+    suspension_us: (u64, u64),
+    /// Duration of earlier suspensions.
+    suspended_us: u64,
 }
 
 impl Process {
     fn rate(&self) -> u64 {
         (1_000_000 + self.rate_ppm).unsigned_abs()
     }
+
+    /// True time until `now_us` that its machine was suspended.
+    fn suspended_us(&self, now_us: u64) -> u64 {
+        let (from_us, until_us) = self.suspension_us;
+        self.suspended_us + now_us.min(until_us).saturating_sub(from_us)
+    }
+
+    /// Microseconds that its monotonic clock has counted since the start of the run.
+    fn counted_us(&self, now_us: u64) -> u64 {
+        (now_us - self.suspended_us(now_us)) * self.rate() / 1_000_000
+    }
+
+    /// Converts counted microseconds to true time, if no suspension follows `now_us`.
+    fn true_us(&self, counted_us: u64, now_us: u64) -> u64 {
+        counted_us * 1_000_000 / self.rate() + self.suspended_us(now_us)
+    }
 }
 
 struct State {
@@ -152,9 +172,10 @@
     /// Converts a time of a process's monotonic clock to true time in microseconds.
     #[must_use]
     pub fn true_us(&self, process: ProcessId, local: MonoMs) -> u64 {
+        let now_us = self.now_us();
         let process = &self.state().processes[process];
-        let local_us = local.0.saturating_sub(process.offset_ms) * 1_000;
-        local_us * 1_000_000 / process.rate()
+        let counted_us = local.0.saturating_sub(process.offset_ms) * 1_000;
+        process.true_us(counted_us, now_us)
     }
 
     /// Uniform random number below a bound; 0 if the bound is 0.
@@ -215,6 +236,18 @@
         });
     }
 
+    /// Suspends a node's machine for a duration, which only its wall clock counts.
+    pub fn suspend(&self, node: &NodeName, duration: Millis) {
+        let process = self.node_process(node);
+        let now_us = self.now_us();
+        {
+            let process = &mut self.state_mut().processes[process];
+            process.suspended_us = process.suspended_us(now_us);
+            process.suspension_us = (now_us, now_us + duration.0 * 1_000);
+        }
+        self.pause(node, duration);
+    }
+
     /// Kills a node's process and drops its tasks.
     pub fn kill(&self, node: &NodeName) {
         let process = self.node_process(node);
@@ -401,11 +434,25 @@
     process: ProcessId,
 }
 
+impl ProcessRuntime {
+    fn counted_us(&self) -> u64 {
+        let state = self.sim.state();
+        state.processes[self.process].counted_us(state.now_us)
+    }
+
+    /// Timer that fires when the monotonic clock has counted `wake_us`, unless it is suspended before.
+    fn timer(&self, wake_us: u64) -> impl Future<Output = ()> + Unpin + 'static {
+        let now_us = self.sim.now_us();
+        let true_us = self.sim.state().processes[self.process].true_us(wake_us, now_us);
+        self.sim.sleep_until(true_us + 1)
+    }
+}
+
 impl Runtime for ProcessRuntime {
     fn now(&self) -> MonoMs {
         let state = self.sim.state();
         let process = &state.processes[self.process];
-        MonoMs(process.offset_ms + state.now_us * process.rate() / 1_000_000_000)
+        MonoMs(process.offset_ms + process.counted_us(state.now_us) / 1_000)
     }
 
     fn wall_now(&self) -> WallMs {
@@ -414,10 +461,17 @@
     }
 
     fn sleep(&self, duration: Millis) -> PortFuture<'static, ()> {
-        let rate = self.sim.state().processes[self.process].rate();
-        let local_us = self.sim.now_us() * rate / 1_000_000;
-        let wake_us = local_us + duration.0.saturating_mul(1_000).min(MAX_SLEEP_US);
-        Box::pin(self.sim.sleep_until(wake_us * 1_000_000 / rate + 1))
+        let duration_us = duration.0.saturating_mul(1_000).min(MAX_SLEEP_US);
+        let wake_us = self.counted_us() + duration_us;
+        let (sim, process) = (self.sim.clone(), self.process);
+        let first = self.timer(wake_us);
+        let runtime = ProcessRuntime { sim, process };
+        Box::pin(async move {
+            first.await;
+            while runtime.counted_us() < wake_us {
+                runtime.timer(wake_us).await;
+            }
+        })
     }
 
     fn spawn(&self, future: PortFuture<'static, ()>) {
--- a/hemlocksaddle-fakes/tests/runtime.rs
+++ b/hemlocksaddle-fakes/tests/runtime.rs
@@ -58,6 +58,31 @@
     expect_that!(local.0, ge(495));
 }
 
+/// Guards against a suspension that the monotonic clock counts, timers included, or the wall clock
+/// does not.
+#[gtest]
+fn only_the_wall_clock_counts_a_suspension() {
+    let sim = SimRuntime::new(3);
+    let runtime = sim.node_runtime(&node("a"));
+    let woke_at = Rc::new(RefCell::new(None));
+    let (task, seen) = (runtime.clone(), woke_at.clone());
+    runtime.spawn(Box::pin(async move {
+        let (mono, wall) = (task.now(), task.wall_now());
+        task.sleep(Millis(1_000)).await;
+        *seen.borrow_mut() = Some((task.now().since(mono), task.wall_now().since(wall)));
+    }));
+    sim.run_for(Millis(100));
+    sim.suspend(&node("a"), Millis(200));
+    sim.run_for(Millis(300));
+    sim.suspend(&node("a"), Millis(5_000));
+    sim.run_for(Millis(5_500));
+    expect_that!(*woke_at.borrow(), none());
+    sim.run_for(Millis(500));
+    let (mono, wall) = woke_at.borrow().expect("woken after the suspensions");
+    expect_that!(mono.0, ge(1_000).and(le(1_002)));
+    expect_that!(wall.0, ge(6_180).and(le(6_220)));
+}
+
 /// Guards against tasks that outlive their killed process, and a restart that reuses it.
 #[gtest]
 fn a_killed_node_runs_nothing_and_can_be_started_again() {
--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -8,11 +8,17 @@
 //! partitioned from the owner gets no response although all others do. Concurrent
 //! claims are safe, because the store accepts only one of them.
 
-use hemlocksaddle_types::clock::{Millis, MonoMs};
+use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
 /// Interval at which an owner renews its claim.
 pub const RENEW_INTERVAL_MS: Millis = Millis(700);
 
+/// Duration of the ownership lease, counted from the sending of the latest renewal.
+///
+/// It covers two missed renewals and a slow answer. A longer lease would make a
+/// successor wait longer for workers that it cannot reach.
+pub const OWNERSHIP_LEASE_MS: Millis = Millis(3_000);
+
 /// Time without a renewal after which a shard is claimed: two renewals plus the
 /// latency of a slow store.
 pub const OWNER_TIMEOUT_MS: Millis = Millis(1_900);
@@ -85,30 +91,48 @@
     pub owner: Option<OwnerView>,
 }
 
+/// Both clocks of a node at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// Monotonic clock, which does not count a suspension of the machine; read first.
+    pub mono: MonoMs,
+    /// Wall clock, which counts it but may be set.
+    pub wall: WallMs,
+}
+
+impl ClockReading {
+    /// Whether the ownership lease of a renewal sent at `self` is valid at `now`, by both clocks.
+    #[must_use]
+    pub fn lease_is_valid(self, now: ClockReading) -> bool {
+        let wall_is_valid = now.wall >= self.wall && now.wall.since(self.wall) < OWNERSHIP_LEASE_MS;
+        now.mono < self.mono + OWNERSHIP_LEASE_MS && wall_is_valid
+    }
+}
+
 /// Sending of an append whose sequence number stays the same until it is answered.
 ///
 /// The store may answer a repeat like an attempt that took effect before, without a new
 /// record, so a lease granted by the answer runs from the first attempt.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AppendAttempts {
-    first_sent_at: Option<MonoMs>,
+    first_sent_at: Option<ClockReading>,
 }
 
 impl AppendAttempts {
     /// Records an attempt sent at `now`; returns the time from which its lease runs.
-    pub fn send(&mut self, now: MonoMs) -> MonoMs {
+    pub fn send(&mut self, now: ClockReading) -> ClockReading {
         *self.first_sent_at.get_or_insert(now)
     }
 
     /// Records that the attempt sent at `sent_at` certainly had no effect.
-    pub fn rejected(&mut self, sent_at: MonoMs) {
+    pub fn rejected(&mut self, sent_at: ClockReading) {
         // An earlier attempt without an answer may still have taken effect.
         self.first_sent_at = self.first_sent_at.filter(|&first| first != sent_at);
     }
 
     /// Time from which the lease runs; `None` if no attempt can have taken effect.
     #[must_use]
-    pub fn first_sent_at(&self) -> Option<MonoMs> {
+    pub fn first_sent_at(&self) -> Option<ClockReading> {
         self.first_sent_at
     }
 }
--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -2,9 +2,9 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::take_over::{
-    AppendAttempts, Candidate, OwnerView, RENEW_INTERVAL_MS, ShardView,
+    AppendAttempts, Candidate, ClockReading, OwnerView, RENEW_INTERVAL_MS, ShardView,
 };
-use hemlocksaddle_types::clock::{Millis, MonoMs};
+use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
 const NOW: MonoMs = MonoMs(100_000);
 
@@ -20,6 +20,14 @@
     }
 }
 
+/// Clocks that were read a time before now.
+fn clocks(before_ms: u64) -> ClockReading {
+    ClockReading {
+        mono: before(before_ms),
+        wall: WallMs(900_000 - before_ms),
+    }
+}
+
 /// Owner that renewed its claim recently and responds.
 fn healthy() -> OwnerView {
     OwnerView {
@@ -175,11 +183,11 @@
 #[gtest]
 fn the_lease_of_a_repeated_append_runs_from_its_first_attempt() {
     let mut attempts = AppendAttempts::default();
-    expect_that!(attempts.send(before(1_500)), eq(before(1_500)));
-    expect_that!(attempts.send(before(800)), eq(before(1_500)));
+    expect_that!(attempts.send(clocks(1_500)), eq(clocks(1_500)));
+    expect_that!(attempts.send(clocks(800)), eq(clocks(1_500)));
     // A rejected repeat does not tell whether the first attempt took effect.
-    attempts.rejected(before(800));
-    expect_that!(attempts.send(NOW), eq(before(1_500)));
+    attempts.rejected(clocks(800));
+    expect_that!(attempts.send(clocks(0)), eq(clocks(1_500)));
 }
 
 /// Load pattern: outage of the store. Guards against a lease that has expired when the store
@@ -187,8 +195,31 @@
 #[gtest]
 fn a_rejected_append_does_not_shorten_the_lease_of_the_next() {
     let mut attempts = AppendAttempts::default();
-    attempts.send(before(4_000));
-    attempts.rejected(before(4_000));
+    attempts.send(clocks(4_000));
+    attempts.rejected(clocks(4_000));
     expect_that!(attempts.first_sent_at(), none());
-    expect_that!(attempts.send(NOW), eq(NOW));
+    expect_that!(attempts.send(clocks(0)), eq(clocks(0)));
+}
+
+/// Load pattern: suspended machines and clocks that are set. Guards against orders of an owner whose
+/// lease has expired while its monotonic clock stood still.
+#[gtest]
+fn the_ownership_lease_is_valid_by_both_clocks() {
+    let read = |mono_ms: u64, wall_ms: i64| ClockReading {
+        mono: before(mono_ms),
+        wall: WallMs(900_000_u64.saturating_add_signed(-wall_ms)),
+    };
+    let cases = [
+        ("renewed just now", read(0, 0), true),
+        ("one missed renewal", read(1_400, 1_400), true),
+        ("almost expired", read(2_999, 2_999), true),
+        ("expired", read(3_000, 3_000), false),
+        ("suspended for 2 s", read(400, 2_400), true),
+        ("suspended for 5 s", read(400, 5_400), false),
+        ("wall clock set forward", read(700, 60_700), false),
+        ("wall clock set back", read(700, -59_300), false),
+    ];
+    for (case, from, expected) in cases {
+        expect_that!(from.lease_is_valid(clocks(0)), eq(expected), "{case}");
+    }
 }
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -14,7 +14,9 @@
 };
 
 use hemlocksaddle_node::wait::Signal;
-use hemlocksaddle_policy::take_over::{AppendAttempts, Candidate, OwnerView, ShardView};
+use hemlocksaddle_policy::take_over::{
+    AppendAttempts, Candidate, ClockReading, OwnerView, ShardView,
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
@@ -334,7 +336,7 @@
         );
         let claim = self.own_claim(term, false);
         let first = self.first_sequence();
-        let sent_at = self.env.now();
+        let sent_at = self.env.clocks();
         self.update_claim_attempts(shard, term, |attempts| {
             attempts.send(sent_at);
         });
@@ -377,7 +379,7 @@
     ///
     /// It is the time of sending, because the process may be suspended for seconds before
     /// it sees the answer.
-    pub(crate) fn claim_sent_at(&self, shard: u32, term: u64) -> Option<MonoMs> {
+    pub(crate) fn claim_sent_at(&self, shard: u32, term: u64) -> Option<ClockReading> {
         let claim_attempts = self.claim_attempts.borrow();
         let (_, attempts) = claim_attempts
             .get(&shard)
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -9,6 +9,7 @@
 
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::ports::{PeerLink, Peers, PortFuture, Runtime};
+use hemlocksaddle_policy::take_over::ClockReading;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::{DataCentre, NodeName},
@@ -102,6 +103,13 @@
         self.ports.runtime.wall_now()
     }
 
+    pub(crate) fn clocks(&self) -> ClockReading {
+        ClockReading {
+            mono: self.now(),
+            wall: self.wall(),
+        }
+    }
+
     pub(crate) async fn sleep(&self, duration: Millis) {
         self.ports.runtime.sleep(duration).await;
     }
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -13,7 +13,7 @@
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
     congestion::{LatencyEstimate, StartWindow},
-    take_over::{AppendAttempts, RENEW_INTERVAL_MS},
+    take_over::{AppendAttempts, ClockReading, OWNERSHIP_LEASE_MS, RENEW_INTERVAL_MS},
     workflow::{Limits, Listing, Scheduler, WorkerKey},
 };
 use hemlocksaddle_types::{
@@ -37,12 +37,6 @@
     worker_poll::WorkerClock,
 };
 
-/// Duration of the ownership lease, counted from the sending of the latest renewal.
-///
-/// It covers two missed renewals and a slow answer. A longer lease would make a
-/// successor wait longer for workers that it cannot reach.
-pub(crate) const OWNERSHIP_LEASE_MS: Millis = Millis(3_000);
-
 /// Pause after a failed call to the store.
 pub(crate) const RETRY_MS: Millis = Millis(100);
 
@@ -94,7 +88,8 @@
     pub(crate) saved: Signal,
     pub(crate) ended: Cell<bool>,
     ready: Cell<bool>,
-    ownership_lease_until: Cell<MonoMs>,
+    /// Sending from which the ownership lease runs.
+    ownership_lease_from: Cell<Option<ClockReading>>,
     claim_sequence: Cell<u64>,
     pub(crate) progress_sequence: Cell<u64>,
     submissions_read_at: Cell<MonoMs>,
@@ -118,7 +113,7 @@
     ) -> Rc<Owner> {
         let now = env.now();
         let claim_sequence = Cell::new(claims.first_sequence() + 1);
-        let ownership_lease_from = claims.claim_sent_at(shard, term).unwrap_or_default();
+        let ownership_lease_from = Cell::new(claims.claim_sent_at(shard, term));
         let shards = claims.layout().map_or(1, |layout| layout.shards);
         let lease_ms = env.settings.lease_ms;
         let lease_bound = Millis(lease_ms.0 + lease_ms.0 * CLOCK_ERROR_PERCENT / 100 + 100);
@@ -144,7 +139,7 @@
             saved: Signal::default(),
             ended: Cell::new(false),
             ready: Cell::new(false),
-            ownership_lease_until: Cell::new(ownership_lease_from + OWNERSHIP_LEASE_MS),
+            ownership_lease_from,
             claim_sequence,
             progress_sequence: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
@@ -159,7 +154,8 @@
 
     /// Returns whether the ownership lease is valid, so that orders may be sent.
     pub(crate) fn holds_lease(&self) -> bool {
-        !self.ended.get() && self.env.now() < self.ownership_lease_until.get()
+        let from = self.ownership_lease_from.get();
+        !self.ended.get() && from.is_some_and(|from| from.lease_is_valid(self.env.clocks()))
     }
 
     /// Records the latency of a worker's answer to a call that was sent at `sent_at`.
@@ -224,7 +220,7 @@
     async fn renew(self: Rc<Self>) {
         let mut attempts = AppendAttempts::default();
         while !self.ended.get() {
-            let sent_at = self.env.now();
+            let sent_at = self.env.clocks();
             let lease_from = attempts.send(sent_at);
             match self
                 .claims
@@ -237,8 +233,7 @@
                 .await
             {
                 Ok(()) => {
-                    self.ownership_lease_until
-                        .set(lease_from + OWNERSHIP_LEASE_MS);
+                    self.ownership_lease_from.set(Some(lease_from));
                     attempts = AppendAttempts::default();
                     if lease_from != sent_at {
                         // Part of the lease has passed already.
--- a/hemlocksaddle-shard/tests/ownership.rs
+++ b/hemlocksaddle-shard/tests/ownership.rs
@@ -51,3 +51,22 @@
         expect_that!(lease_until, le(granted_until(renewed_at)), "seed {seed}");
     }
 }
+
+/// Load pattern: machines that are suspended for seconds. Guards against an owner that extends the
+/// leases of its workers after a suspension in which its own lease has expired.
+#[gtest]
+fn a_suspended_owner_has_no_lease_when_it_resumes() {
+    for seed in 1..=10 {
+        let deployment = Deployment::new(seed, 3, 1);
+        deployment.wait_for_owner();
+        let owner = deployment.owner().expect("owner");
+        deployment.fleet.set_reachable_by_term(0, 1);
+        let renewed_at = wait_for_renewal(&deployment);
+        deployment.sim.run_for(Millis(30 * seed));
+        deployment.reject_store_calls(owner);
+        deployment.suspend(owner, Millis(5_000));
+        deployment.sim.run_for(Millis(14_000));
+        let lease_until = deployment.fleet.lease_until(0);
+        expect_that!(lease_until, le(granted_until(renewed_at)), "seed {seed}");
+    }
+}
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -211,6 +211,11 @@
         self.sim.pause(&node_name(number), duration);
     }
 
+    /// Suspends the machine of a node, which only its wall clock counts.
+    pub(crate) fn suspend(&self, number: usize, duration: Millis) {
+        self.sim.suspend(&node_name(number), duration);
+    }
+
     pub(crate) fn node(&self, number: usize) -> Option<Rc<Node>> {
         self.nodes.borrow().get(&address(number)).cloned()
     }
