Count the wait for earlier leases from the last record before the claim

Callers see inherited work stand still for more than 9 s after a change of owner beside a worker that has just left, and with it long-running tasks that do not run although there is capacity (LOST).

Cause: a new owner waited for the ownership lease of its predecessor and for the leases of its workers from the time at which it was created, although the predecessor had not renewed since a record that was read before.

The wait now runs from the reading of the last record before the claim. The claim is appended on the condition that the stream ends there, so no later renewal of any earlier term exists, and a renewal is sent before it is read. This bounds the leases of all earlier terms, whose records precede that one. Records that cannot be decoded count too. The time is kept with the claim when it is sent, so renewals by this process never count. The ownership lease, too, gets the allowance for clock errors (3%), which the time until the claim covered before. A worker's lease is computed from a time read before the check of the ownership lease, because the process may be stopped in between; no test covers that.

Ruled out: the time of the predecessor's latest renewal alone, which misses a renewal that cannot be decoded.

--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -7,6 +7,11 @@
 //! causes: renewals are late while the store is slow, and a node that is
 //! partitioned from the owner gets no response although all others do. Concurrent
 //! claims are safe, because the store accepts only one of them.
+//!
+//! A claim succeeds only if its node has read all earlier records of the shard, and it is fenced
+//! against later ones. A renewal is sent before it is read, so no ownership lease of any earlier
+//! term lasts longer than one lease from the time at which the last of these records was read:
+//! the records of all earlier terms precede it, however short-lived the owners in between were.
 
 use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
@@ -91,6 +96,29 @@
     pub owner: Option<OwnerView>,
 }
 
+/// Largest rate error of another process's clock that the wait for earlier leases allows for, in
+/// percent.
+const CLOCK_ERROR_PERCENT: u64 = 3;
+
+/// Margin for the delay between a check of a lease and its effect.
+const LEASE_MARGIN_MS: u64 = 100;
+
+/// Time by which all workers' leases granted in earlier terms have expired.
+///
+/// `earlier_read_at` is the time at which the last record before the claim was read; `None` if no
+/// earlier claim is known. The last lease is granted at the end of the predecessor's ownership
+/// lease.
+#[must_use]
+pub fn failover_complete_at(
+    earlier_read_at: Option<MonoMs>,
+    now: MonoMs,
+    worker_lease: Millis,
+) -> MonoMs {
+    let leases_ms = OWNERSHIP_LEASE_MS.0 + worker_lease.0;
+    let wait_ms = leases_ms + leases_ms * CLOCK_ERROR_PERCENT / 100 + LEASE_MARGIN_MS;
+    earlier_read_at.unwrap_or(now) + Millis(wait_ms)
+}
+
 /// Both clocks of a node at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::take_over::{
-    AppendAttempts, Candidate, ClockReading, OwnerView, RENEW_INTERVAL_MS, ShardView,
+    AppendAttempts, Candidate, ClockReading, OWNERSHIP_LEASE_MS, OwnerView, RENEW_INTERVAL_MS,
+    ShardView, failover_complete_at,
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
@@ -223,3 +224,22 @@
         expect_that!(from.lease_is_valid(clocks(0)), eq(expected), "{case}");
     }
 }
+
+/// Load pattern: an owner killed beside a worker that does not report. Guards against a wait for the
+/// leases that the owner granted which is too short for the last of them, and against one that
+/// begins at the claim although the owner has not renewed since.
+#[gtest]
+fn earlier_leases_are_counted_from_the_last_record_before_the_claim() {
+    let lease = Millis(6_000);
+    let wait = |read_at| failover_complete_at(read_at, NOW, lease).since(NOW);
+    // The owner's clock and the worker's are both 2% slow.
+    let longest = Millis((OWNERSHIP_LEASE_MS.0 + lease.0) * 102 / 100);
+    for read_ms in [0, 900, 1_900, 4_000] {
+        let remaining = Millis(longest.0 - read_ms);
+        let waited = wait(Some(before(read_ms)));
+        expect_that!(waited, ge(remaining), "{read_ms}");
+        expect_that!(waited, le(remaining + Millis(200)), "{read_ms}");
+    }
+    expect_that!(wait(Some(before(60_000))), eq(Millis(0)));
+    expect_that!(wait(None), ge(longest));
+}
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -8,7 +8,7 @@
 //! renewals by the previous owner.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::BTreeMap,
     rc::Rc,
 };
@@ -70,10 +70,21 @@
 #[derive(Default)]
 struct PartitionState {
     end: Cell<u64>,
+    /// Time at which the latest record was read.
+    record_read_at: Cell<Option<MonoMs>>,
     /// Start of the period in which all reads succeeded.
     read_since: Cell<Option<MonoMs>>,
 }
 
+/// This node's latest claim of a shard.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnClaim {
+    term: u64,
+    attempts: AppendAttempts,
+    /// Time at which the last record before the claim was read.
+    earlier_read_at: Option<MonoMs>,
+}
+
 /// This node's view of the claims.
 pub(crate) struct Claims {
     env: Rc<Env>,
@@ -85,8 +96,7 @@
     /// Signals a change of an owner or of the layout.
     pub(crate) changed: Signal,
     claiming: Cell<bool>,
-    /// Term and attempts of this node's latest claim, by shard.
-    claim_attempts: RefCell<BTreeMap<u32, (u64, AppendAttempts)>>,
+    own_claims: RefCell<BTreeMap<u32, OwnClaim>>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) owned: Cell<u64>,
 }
@@ -101,7 +111,7 @@
             partitions: (0..MAX_SHARDS).map(|_| PartitionState::default()).collect(),
             changed: Signal::default(),
             claiming: Cell::new(false),
-            claim_attempts: RefCell::default(),
+            own_claims: RefCell::default(),
             stopping: Cell::new(false),
             owned: Cell::new(0),
         })
@@ -155,6 +165,9 @@
     async fn read_newest(&self, partition: u32) -> Result<()> {
         let (records, end) = self.env.read_all(Stream::Claims, partition).await?;
         self.partition(partition).end.set(end);
+        self.partition(partition)
+            .record_read_at
+            .set(Some(self.env.now()));
         for record in &records {
             self.apply(record);
         }
@@ -172,7 +185,9 @@
             .read(Stream::Claims, partition, state.end.get(), READ_WAIT_MS);
         match read.await {
             Ok(tail) => {
-                state.end.set(tail.next);
+                if tail.next != state.end.replace(tail.next) {
+                    state.record_read_at.set(Some(self.env.now()));
+                }
                 for record in tail.records.iter().flatten() {
                     self.apply(record);
                 }
@@ -329,21 +344,25 @@
         if self.claiming.replace(true) {
             return;
         }
-        // Both are read without an await in between, so that they are consistent.
-        let (term, end) = (
-            self.claim(shard).map_or(1, |claim| claim.term + 1),
-            self.partition(shard).end.get(),
-        );
+        // All are read without an await in between, so that they are consistent.
+        let earlier = self.claim(shard);
+        let term = earlier.as_ref().map_or(1, |claim| claim.term + 1);
+        let partition = self.partition(shard);
+        let end = partition.end.get();
+        let earlier_read_at = earlier.and(partition.record_read_at.get());
         let claim = self.own_claim(term, false);
         let first = self.first_sequence();
         let sent_at = self.env.clocks();
-        self.update_claim_attempts(shard, term, |attempts| {
-            attempts.send(sent_at);
-        });
+        {
+            let mut own_claim = self.own_claim_record(shard, term);
+            own_claim.attempts.send(sent_at);
+            own_claim.earlier_read_at = earlier_read_at;
+        }
         let made = self.append_claim(shard, &claim, first, Some(end)).await;
         self.claiming.set(false);
         if made.as_ref().is_err_and(|error| error.is_certain()) {
-            self.update_claim_attempts(shard, term, |attempts| attempts.rejected(sent_at));
+            let mut own_claim = self.own_claim_record(shard, term);
+            own_claim.attempts.rejected(sent_at);
         }
         if made.is_ok() {
             // Applied at once: reading it back takes a third of a second while the store is slow.
@@ -360,19 +379,23 @@
         }
     }
 
-    /// Updates the attempts of a claim; those of another term are dropped.
-    fn update_claim_attempts(
-        &self,
-        shard: u32,
-        term: u64,
-        update: impl FnOnce(&mut AppendAttempts),
-    ) {
-        let mut claim_attempts = self.claim_attempts.borrow_mut();
-        let latest = claim_attempts.entry(shard).or_default();
-        if latest.0 != term {
-            *latest = (term, AppendAttempts::default());
+    /// Returns the record of an own claim, which replaces that of another term.
+    fn own_claim_record(&self, shard: u32, term: u64) -> RefMut<'_, OwnClaim> {
+        let own_claims = self.own_claims.borrow_mut();
+        let mut latest = RefMut::map(own_claims, |claims| claims.entry(shard).or_default());
+        if latest.term != term {
+            *latest = OwnClaim {
+                term,
+                ..OwnClaim::default()
+            };
         }
-        update(&mut latest.1);
+        latest
+    }
+
+    fn latest_own_claim(&self, shard: u32, term: u64) -> Option<OwnClaim> {
+        let own_claims = self.own_claims.borrow();
+        let latest = own_claims.get(&shard).copied();
+        latest.filter(|latest| latest.term == term)
     }
 
     /// Returns the time from which the ownership lease of this node's claim runs.
@@ -380,11 +403,14 @@
     /// It is the time of sending, because the process may be suspended for seconds before
     /// it sees the answer.
     pub(crate) fn claim_sent_at(&self, shard: u32, term: u64) -> Option<ClockReading> {
-        let claim_attempts = self.claim_attempts.borrow();
-        let (_, attempts) = claim_attempts
-            .get(&shard)
-            .filter(|latest| latest.0 == term)?;
-        attempts.first_sent_at()
+        let claim = self.latest_own_claim(shard, term)?;
+        claim.attempts.first_sent_at()
+    }
+
+    /// Returns the time at which the last record before this node's claim was read; `None` if no
+    /// earlier claim was known.
+    pub(crate) fn earlier_read_at(&self, shard: u32, term: u64) -> Option<MonoMs> {
+        self.latest_own_claim(shard, term)?.earlier_read_at
     }
 
     /// Returns the sequence number of a term's first append.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -13,7 +13,7 @@
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
     congestion::{LatencyEstimate, StartWindow},
-    take_over::{AppendAttempts, ClockReading, OWNERSHIP_LEASE_MS, RENEW_INTERVAL_MS},
+    take_over::{AppendAttempts, ClockReading, RENEW_INTERVAL_MS, failover_complete_at},
     workflow::{Limits, Listing, Scheduler, WorkerKey},
 };
 use hemlocksaddle_types::{
@@ -62,10 +62,6 @@
 /// Interval at which expired workflows are deleted.
 const DELETE_ENDED_INTERVAL_MS: Millis = Millis(10_000);
 
-/// Largest rate error of a worker's clock that the bound on the predecessor's leases allows for, in
-/// percent; above the 2% of `MIN_CLOCK_RATE`.
-const CLOCK_ERROR_PERCENT: u64 = 3;
-
 /// Owner of a shard in one term.
 pub(crate) struct Owner {
     pub(crate) env: Rc<Env>,
@@ -115,9 +111,9 @@
         let claim_sequence = Cell::new(claims.first_sequence() + 1);
         let ownership_lease_from = Cell::new(claims.claim_sent_at(shard, term));
         let shards = claims.layout().map_or(1, |layout| layout.shards);
-        let lease_ms = env.settings.lease_ms;
-        let lease_bound = Millis(lease_ms.0 + lease_ms.0 * CLOCK_ERROR_PERCENT / 100 + 100);
-        let failover_complete_at = now + OWNERSHIP_LEASE_MS + lease_bound;
+        let earlier_read_at = claims.earlier_read_at(shard, term);
+        let failover_complete_at =
+            failover_complete_at(earlier_read_at, now, env.settings.lease_ms);
         let limits = Limits {
             keep_ended_ms: env.settings.keep_ended_ms,
         };
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -268,12 +268,14 @@
 
     /// Returns the lease for the next call, after recording it in the scheduler.
     pub(crate) fn renewed_lease(&self, key: WorkerKey) -> Option<u64> {
+        // Read before the check, because the process may be stopped after it.
+        let now = self.env.now();
         // Without the ownership lease, a successor may already be waiting for this lease to expire.
         if !self.holds_lease() {
             return None;
         }
         let clock = *self.clocks.borrow().get(&key)?;
-        let until_ms = clock.deadline_in(self.env.now(), self.env.settings.lease_ms);
+        let until_ms = clock.deadline_in(now, self.env.settings.lease_ms);
         let passed_by = clock.passed_by(until_ms);
         self.scheduler.borrow_mut().extend_lease(key, passed_by);
         Some(until_ms)
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -221,6 +221,12 @@
         Millis(self.workers.borrow()[number].lease_until_ms)
     }
 
+    /// Returns the number of tasks that run on a worker.
+    pub(crate) fn running_on(&self, number: usize) -> usize {
+        self.advance();
+        self.workers.borrow()[number].running.len()
+    }
+
     /// Partitions a worker from all nodes, or ends the partition.
     pub(crate) fn set_unreachable(&self, number: usize, unreachable: bool) {
         self.workers.borrow_mut()[number].unreachable = unreachable;
