--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -1,8 +1,11 @@
 //! When a node claims a shard, one case for each kind of failure.
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::take_over::{Candidate, OwnerView, RENEW_INTERVAL_MS, ShardView};
-use hemlocksaddle_types::clock::{Millis, MonoMs};
+use hemlocksaddle_policy::take_over::{
+    AppendAttempts, Candidate, ClockReading, OWNERSHIP_LEASE_MS, OwnerView, RENEW_INTERVAL_MS,
+    ShardView, failover_complete_at,
+};
+use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
 const NOW: MonoMs = MonoMs(100_000);
 
@@ -18,6 +21,14 @@
     }
 }
 
+/// Clocks that were read a time before now.
+fn clocks(before_ms: u64) -> ClockReading {
+    ClockReading {
+        mono: before(before_ms),
+        wall: WallMs(900_000 - before_ms),
+    }
+}
+
 /// Owner that renewed its claim recently and responds.
 fn healthy() -> OwnerView {
     OwnerView {
@@ -167,3 +178,68 @@
     let renewed = NOW + RENEW_INTERVAL_MS + Millis(150);
     expect_that!(candidate(0.25).should_claim(&shard, renewed), eq(false));
 }
+
+/// Load pattern: lost answers of the store. Guards against a lease that runs from a repeat, which
+/// the store has answered like the first attempt.
+#[gtest]
+fn the_lease_of_a_repeated_append_runs_from_its_first_attempt() {
+    let mut attempts = AppendAttempts::default();
+    expect_that!(attempts.send(clocks(1_500)), eq(clocks(1_500)));
+    expect_that!(attempts.send(clocks(800)), eq(clocks(1_500)));
+    // A rejected repeat does not tell whether the first attempt took effect.
+    attempts.rejected(clocks(800));
+    expect_that!(attempts.send(clocks(0)), eq(clocks(1_500)));
+}
+
+/// Load pattern: outage of the store. Guards against a lease that has expired when the store
+/// returns, because it runs from an attempt that certainly had no effect.
+#[gtest]
+fn a_rejected_append_does_not_shorten_the_lease_of_the_next() {
+    let mut attempts = AppendAttempts::default();
+    attempts.send(clocks(4_000));
+    attempts.rejected(clocks(4_000));
+    expect_that!(attempts.first_sent_at(), none());
+    expect_that!(attempts.send(clocks(0)), eq(clocks(0)));
+}
+
+/// Load pattern: suspended machines and clocks that are set. Guards against orders of an owner whose
+/// lease has expired while its monotonic clock stood still.
+#[gtest]
+fn the_ownership_lease_is_valid_by_both_clocks() {
+    let read = |mono_ms: u64, wall_ms: i64| ClockReading {
+        mono: before(mono_ms),
+        wall: WallMs(900_000_u64.saturating_add_signed(-wall_ms)),
+    };
+    let cases = [
+        ("renewed just now", read(0, 0), true),
+        ("one missed renewal", read(1_400, 1_400), true),
+        ("almost expired", read(2_999, 2_999), true),
+        ("expired", read(3_000, 3_000), false),
+        ("suspended for 2 s", read(400, 2_400), true),
+        ("suspended for 5 s", read(400, 5_400), false),
+        ("wall clock set forward", read(700, 60_700), false),
+        ("wall clock set back", read(700, -59_300), false),
+    ];
+    for (case, from, expected) in cases {
+        expect_that!(from.lease_is_valid(clocks(0)), eq(expected), "{case}");
+    }
+}
+
+/// Load pattern: an owner killed beside a worker that does not report. Guards against a wait for the
+/// leases that the owner granted which is too short for the last of them, and against one that
+/// begins at the claim although the owner has not renewed since.
+#[gtest]
+fn earlier_leases_are_counted_from_the_last_record_before_the_claim() {
+    let lease = Millis(6_000);
+    let wait = |read_at| failover_complete_at(read_at, NOW, lease).since(NOW);
+    // The owner's clock and the worker's are both 2% slow.
+    let longest = Millis((OWNERSHIP_LEASE_MS.0 + lease.0) * 102 / 100);
+    for read_ms in [0, 900, 1_900, 4_000] {
+        let remaining = Millis(longest.0 - read_ms);
+        let waited = wait(Some(before(read_ms)));
+        expect_that!(waited, ge(remaining), "{read_ms}");
+        expect_that!(waited, le(remaining + Millis(200)), "{read_ms}");
+    }
+    expect_that!(wait(Some(before(60_000))), eq(Millis(0)));
+    expect_that!(wait(None), ge(longest));
+}
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -13,7 +13,7 @@
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
     congestion::{LatencyEstimate, StartWindow},
-    take_over::RENEW_INTERVAL_MS,
+    take_over::{AppendAttempts, ClockReading, RENEW_INTERVAL_MS, failover_complete_at},
     workflow::{Limits, Listing, Scheduler, WorkerKey},
 };
 use hemlocksaddle_types::{
@@ -37,12 +37,6 @@
     worker_poll::WorkerClock,
 };
 
-/// Duration of the ownership lease, counted from the sending of the latest renewal.
-///
-/// It covers two missed renewals and a slow answer. A longer lease would make a
-/// successor wait longer for workers that it cannot reach.
-pub(crate) const OWNERSHIP_LEASE_MS: Millis = Millis(3_000);
-
 /// Pause after a failed call to the store.
 pub(crate) const RETRY_MS: Millis = Millis(100);
 
@@ -68,10 +62,6 @@
 /// Interval at which expired workflows are deleted.
 const DELETE_ENDED_INTERVAL_MS: Millis = Millis(10_000);
 
-/// Largest rate error of a worker's clock that the bound on the predecessor's leases allows for, in
-/// percent; above the 2% of `MIN_CLOCK_RATE`.
-const CLOCK_ERROR_PERCENT: u64 = 3;
-
 /// Owner of a shard in one term.
 pub(crate) struct Owner {
     pub(crate) env: Rc<Env>,
@@ -94,7 +84,8 @@
     pub(crate) saved: Signal,
     pub(crate) ended: Cell<bool>,
     ready: Cell<bool>,
-    ownership_lease_until: Cell<MonoMs>,
+    /// Sending from which the ownership lease runs.
+    ownership_lease_from: Cell<Option<ClockReading>>,
     claim_sequence: Cell<u64>,
     pub(crate) progress_sequence: Cell<u64>,
     submissions_read_at: Cell<MonoMs>,
@@ -118,11 +109,11 @@
     ) -> Rc<Owner> {
         let now = env.now();
         let claim_sequence = Cell::new(claims.first_sequence() + 1);
-        let ownership_lease_from = claims.claim_sent_at();
+        let ownership_lease_from = Cell::new(claims.claim_sent_at(shard, term));
         let shards = claims.layout().map_or(1, |layout| layout.shards);
-        let lease_ms = env.settings.lease_ms;
-        let lease_bound = Millis(lease_ms.0 + lease_ms.0 * CLOCK_ERROR_PERCENT / 100 + 100);
-        let failover_complete_at = now + OWNERSHIP_LEASE_MS + lease_bound;
+        let earlier_read_at = claims.earlier_read_at(shard, term);
+        let failover_complete_at =
+            failover_complete_at(earlier_read_at, now, env.settings.lease_ms);
         let limits = Limits {
             keep_ended_ms: env.settings.keep_ended_ms,
         };
@@ -144,7 +135,7 @@
             saved: Signal::default(),
             ended: Cell::new(false),
             ready: Cell::new(false),
-            ownership_lease_until: Cell::new(ownership_lease_from + OWNERSHIP_LEASE_MS),
+            ownership_lease_from,
             claim_sequence,
             progress_sequence: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
@@ -159,7 +150,8 @@
 
     /// Returns whether the ownership lease is valid, so that orders may be sent.
     pub(crate) fn holds_lease(&self) -> bool {
-        !self.ended.get() && self.env.now() < self.ownership_lease_until.get()
+        let from = self.ownership_lease_from.get();
+        !self.ended.get() && from.is_some_and(|from| from.lease_is_valid(self.env.clocks()))
     }
 
     /// Records the latency of a worker's answer to a call that was sent at `sent_at`.
@@ -222,8 +214,10 @@
     }
 
     async fn renew(self: Rc<Self>) {
+        let mut attempts = AppendAttempts::default();
         while !self.ended.get() {
-            let sent_at = self.env.now();
+            let sent_at = self.env.clocks();
+            let lease_from = attempts.send(sent_at);
             match self
                 .claims
                 .renew(
@@ -234,10 +228,23 @@
                 )
                 .await
             {
-                Ok(()) => self.ownership_lease_until.set(sent_at + OWNERSHIP_LEASE_MS),
+                Ok(()) => {
+                    self.ownership_lease_from.set(Some(lease_from));
+                    attempts = AppendAttempts::default();
+                    if lease_from != sent_at {
+                        // Part of the lease has passed already.
+                        continue;
+                    }
+                }
                 Err(StoreError::Fenced) => return self.step_down("claim is fenced"),
-                Err(StoreError::OutOfSequence(_)) => continue,
-                Err(_) => {
+                Err(StoreError::OutOfSequence(_)) => {
+                    attempts = AppendAttempts::default();
+                    continue;
+                }
+                Err(error) => {
+                    if error.is_certain() {
+                        attempts.rejected(sent_at);
+                    }
                     self.env.sleep(RETRY_MS).await;
                     continue;
                 }
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -216,6 +216,11 @@
             .sum()
     }
 
+    /// Returns the time until which a worker's lease lasts, on its own clock.
+    pub(crate) fn lease_until(&self, number: usize) -> Millis {
+        Millis(self.workers.borrow()[number].lease_until_ms)
+    }
+
     /// Returns the number of tasks that run on a worker.
     pub(crate) fn running_on(&self, number: usize) -> usize {
         self.advance();
