Order a pace again that may not have been carried out

Cause: the new pace was noted with the order, and an unknown outcome was taken back for full pace only, and not at all without a lease. A pace now counts as unknown until the next order, which follows the next report of the worker; so silent workers get no repeats.

a_halt_that_may_not_have_been_carried_out_is_ordered_again failed before (no order).

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -111,6 +111,8 @@
     pub progressed_at: MonoMs,
     /// Share of its processors that the run may use, in percent.
     pub pace: u8,
+    /// Whether the latest order to change the pace may not have been carried out.
+    pub(super) pace_unknown: bool,
     /// Time at which the run was halted; `None` if it is not halted.
     pub halted_at: Option<MonoMs>,
 }
@@ -138,6 +140,7 @@
             percent: 0,
             progressed_at: MonoMs(0),
             pace: FULL_PACE,
+            pace_unknown: false,
             halted_at: None,
         }
     }
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -370,10 +370,12 @@
         let is_negligible = percent.abs_diff(task.pace) < MIN_CHANGE_PERCENT
             && percent != 0
             && percent != FULL_PACE;
-        if !matches!(task.phase, Phase::Running { .. }) || task.pace == percent || is_negligible {
+        let is_in_force = !task.pace_unknown && (task.pace == percent || is_negligible);
+        if !matches!(task.phase, Phase::Running { .. }) || is_in_force {
             return false;
         }
         task.pace = percent;
+        task.pace_unknown = false;
         task.halted_at = (percent == 0).then_some(now);
         let run = task.run;
         if percent == 0 {
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -310,6 +310,7 @@
         let is_suspect = task.is_suspect();
         task.percent = 0;
         task.pace = FULL_PACE;
+        task.pace_unknown = false;
         task.halted_at = None;
         let checkpoint = task.checkpoint.clone();
         job.step_state(key).waiting -= 1;
@@ -347,7 +348,8 @@
             for &key in worker.tasks.keys() {
                 let job = &self.jobs[key.job];
                 let Some(task) = job.task(key) else { continue };
-                if !matches!(task.phase, Phase::Running { .. }) || task.pace < FULL_PACE {
+                let is_limited = task.pace < FULL_PACE || task.pace_unknown;
+                if !matches!(task.phase, Phase::Running { .. }) || is_limited {
                     continue;
                 }
                 let long_running = job.step(key).long_running;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -210,6 +210,7 @@
         }
         if adopted {
             task.pace = FULL_PACE;
+            task.pace_unknown = false;
             task.halted_at = None;
             let state = job.step_state(key);
             state.waiting -= 1;
@@ -377,9 +378,8 @@
     pub fn pace_unknown(&mut self, name: TaskName, run: Run) {
         if let Some(key) = self.task_key(name) {
             let task = self.jobs[key.job].task_mut(key);
-            // Differs from full pace, so that the next plan orders full pace again.
-            if task.run == run && task.pace == FULL_PACE {
-                task.pace = FULL_PACE - 1;
+            if task.run == run {
+                task.pace_unknown = true;
                 let worker = task.phase.worker();
                 if let Some(worker) = worker.and_then(|key| self.workers.get_mut(key)) {
                     worker.pace_due = true;
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -272,6 +272,35 @@
     expect_that!(harness.pace_of(3), eq(100));
 }
 
+/// Load pattern: an order to halt interfering work gets no answer, or is not sent because the owner has no
+/// lease. Guards against work that interferes on, because the order counts as carried out.
+#[gtest]
+fn a_halt_that_may_not_have_been_carried_out_is_ordered_again() {
+    let mut harness = Harness::with_workers(1, 32_000);
+    harness.accept(1, vec![long_running(1, 4_000, "frail")]);
+    harness.accept(2, vec![workflow_support::best_effort(1, 8_000, "loud")]);
+    let starts = harness.starts();
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    for _ in 0..20 {
+        harness.advance(700);
+        harness.report_tails(0, 1_000);
+        harness.starts_again_later();
+    }
+    expect_that!(harness.pace_of(2), eq(0));
+    harness.take_paces();
+    harness.advance(700);
+    harness.report_tails(0, 1_000);
+    harness.starts_again_later();
+    expect_that!(harness.take_paces(), is_empty());
+    let loud = starts.iter().find(|start| start.name.workflow.0 == 2);
+    let loud = loud.expect("start");
+    harness.scheduler.pace_unknown(loud.name, loud.run);
+    harness.advance(700);
+    harness.report_tails(0, 1_000);
+    harness.starts_again_later();
+    expect_that!(harness.take_paces(), elements_are![eq(&(loud.name, 0))]);
+}
+
 /// Guards against workers with a mix of long-running images, after tasks of several images arrive
 /// on empty workers.
 #[gtest]
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -31,6 +31,7 @@
     ends: Vec<(WorkerKey, End)>,
     stops: Vec<(TaskName, Run)>,
     starts: Vec<Start>,
+    paces: Vec<(TaskName, u8)>,
 }
 
 /// Step of tasks that reserve processors.
@@ -139,6 +140,7 @@
             ends: Vec::new(),
             stops: Vec::new(),
             starts: Vec::new(),
+            paces: Vec::new(),
         }
     }
 
@@ -328,7 +330,7 @@
             match order {
                 Order::Start(start) => self.starts.push(start),
                 Order::Stop { task, run, .. } => self.stops.push((task, run)),
-                Order::Pace { .. } => {}
+                Order::Pace { task, percent, .. } => self.paces.push((task, percent)),
             }
         }
         std::mem::take(&mut self.starts)
@@ -537,6 +539,11 @@
         self.report(key, &report);
     }
 
+    /// Orders to change the pace of a run since the last call.
+    pub(crate) fn take_paces(&mut self) -> Vec<(TaskName, u8)> {
+        std::mem::take(&mut self.paces)
+    }
+
     pub(crate) fn pace_of(&self, id: u64) -> u8 {
         let job = self.scheduler.job(WorkflowId(id)).expect("workflow");
         job.task_named(name(id)).expect("task").pace
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -213,7 +213,7 @@
     async fn pace(self: Rc<Self>, worker: WorkerKey, task: TaskName, run: Run, percent: u8) {
         let listing = self.listing(worker);
         let Some(listing) = listing.filter(|_| self.holds_lease()) else {
-            return;
+            return self.scheduler.borrow_mut().pace_unknown(task, run);
         };
         let timeout = self.answer_timeout();
         let paced = self.dispatcher.pace(&listing, task, run, percent, timeout);
