Remove draining workers from the roster once they are empty

Cause: drained workers were removed from the roster when they no longer answered, most of them too late for the change of owner. A draining worker gets no task, so it leaves the roster once it runs nothing, seconds before it leaves. One whose drain is called off is added again before it gets a task.

Ruled out: capacity and order (room for up to 693 of the tasks when they waited last), silent workers that are listed (none).

a_draining_worker_leaves_the_roster_once_it_is_empty failed before.

--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -102,10 +102,10 @@
 impl Worker {
     /// Why no new tasks may be started on the worker; `None` if they may.
     fn unusable(&self, now: MonoMs) -> Option<Unusable> {
-        if !self.listed || !self.rostered || self.reported_at.is_none() {
-            Some(Unusable::Unreported)
-        } else if self.listing.draining {
+        if self.listed && self.listing.draining {
             Some(Unusable::Draining)
+        } else if !self.listed || !self.rostered || self.reported_at.is_none() {
+            Some(Unusable::Unreported)
         } else if self.silent_since.is_some() {
             Some(Unusable::Silent)
         } else if now < self.suspended_until {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -230,10 +230,17 @@
         self.withheld_end.is_some()
     }
 
-    /// Whether the worker does not answer, and certainly runs nothing that it was told to start.
+    /// Whether the worker certainly runs nothing that it was told to start, and gets no new task
+    /// either: it is about to leave, or has left.
     fn is_vacant(&self) -> bool {
         let may_run = !self.tasks.is_empty() || !self.leftovers.is_empty();
-        self.is_silent() && self.reported_at.is_some() && !may_run
+        let leaves = self.listing.draining || (self.is_silent() && !self.listed);
+        leaves && self.reported_at.is_some() && !may_run
+    }
+
+    /// Whether the worker is listed and may get new tasks once it is in the roster.
+    fn is_open(&self) -> bool {
+        self.listed && !self.listing.draining
     }
 
     /// Number of applied ends that the worker still lists.
@@ -354,11 +361,11 @@
         new
     }
 
-    /// Listed workers that are not in the durable roster yet.
+    /// Listed workers that are not in the durable roster yet and are to stay.
     #[must_use]
     pub fn unrostered(&self) -> Vec<(WorkerKey, Listing)> {
         let workers = self.workers.iter();
-        let missing = workers.filter(|(_, worker)| worker.listed && !worker.rostered);
+        let missing = workers.filter(|(_, worker)| worker.is_open() && !worker.rostered);
         missing
             .map(|(key, worker)| (key, worker.listing.clone()))
             .collect()
@@ -408,7 +415,7 @@
         let (by_name, workers) = (&self.by_name, &self.workers);
         self.departed.retain(|name| {
             let known = by_name.get(name).and_then(|&key| workers.get(key));
-            known.is_none_or(|worker| !worker.listed)
+            known.is_none_or(|worker| !worker.is_open())
         });
         new
     }
@@ -475,7 +482,7 @@
         }
         let workers = self.workers.values();
         let left = workers.filter(|worker| {
-            worker.rostered && !worker.listed && (expired(worker) || worker.is_vacant())
+            worker.rostered && (worker.is_vacant() || (!worker.listed && expired(worker)))
         });
         self.departed
             .extend(left.map(|worker| worker.listing.name.clone()));
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -63,6 +63,49 @@
     expect_that!(departed(&mut harness), is_empty());
 }
 
+/// Load pattern: many workers are drained, leave at about the same time, and the owner changes then. Guards
+/// against a successor that waits for workers which had been empty for long before they left.
+#[gtest]
+fn a_draining_worker_leaves_the_roster_once_it_is_empty() {
+    let mut harness = Harness::with_workers(2, 16_000);
+    harness.accept(1, vec![step(1, 1_000)]);
+    let start = harness.starts().remove(0);
+    harness.answer(&start, StartAnswer::Accepted);
+    harness.drain(&start);
+    expect_that!(departed(&mut harness), is_empty());
+    harness.end(&start, EndKind::Done);
+    harness.save();
+    let name = format!("w{}", harness.number_of(&start));
+    expect_that!(departed(&mut harness), elements_are![eq(&name)]);
+    expect_that!(departed(&mut harness), is_empty());
+    expect_that!(harness.scheduler.unrostered(), is_empty());
+}
+
+/// Guards against a worker that gets tasks again after a drain was called off, but is missing from the
+/// roster.
+#[gtest]
+fn a_worker_whose_drain_was_called_off_is_added_to_the_roster_again() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    harness.accept(1, vec![step(1, 1_000)]);
+    let start = harness.starts().remove(0);
+    harness.answer(&start, StartAnswer::Accepted);
+    let ready = harness.roster();
+    harness.drain(&start);
+    harness.end(&start, EndKind::Done);
+    harness.save();
+    harness.scheduler.list_workers(ready, harness.now());
+    harness.accept(2, vec![step(1, 1_000)]);
+    let unrostered = harness.scheduler.unrostered();
+    if unrostered.is_empty() {
+        expect_that!(harness.starts().len(), eq(1));
+        expect_that!(departed(&mut harness), is_empty());
+    } else {
+        expect_that!(harness.starts(), is_empty());
+        harness.scheduler.mark_rostered(unrostered[0].0);
+        expect_that!(harness.starts().len(), eq(1));
+    }
+}
+
 /// Guards against a run that a successor does not wait for: its start was not answered.
 #[gtest]
 fn a_worker_that_may_have_started_a_task_stays_in_the_roster() {
