Grant leases of 6 s at most, also where the platform allows longer ones

Cause: leases were as long as the platform allows, 10 s there, 6 s elsewhere. The work of a lost worker waits for its lease, and the platform expects it to run again within 9 s. A shorter lease must outlast a change of owner; 6 s do so on the other deployments. The wait for leases of earlier terms keeps counting with the platform's limit, since an owner of another version may have granted such leases.

Ruled out: capacity (room for two of the tasks on 18 to 47 workers), order, silent workers that are listed.

--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -119,6 +119,20 @@
     earlier_read_at.unwrap_or(now) + Millis(wait_ms)
 }
 
+/// Longest lease of a worker that an owner grants.
+///
+/// The work of a lost worker waits for its lease, and has to run again within 9 s. A change of
+/// owner, with the first report of every worker, takes up to half of it.
+const MAX_WORKER_LEASE_MS: Millis = Millis(6_000);
+
+/// Lease that an owner grants to a worker where the platform allows leases up to `limit`.
+///
+/// The wait for leases of earlier terms counts with `limit`, which other versions may have granted.
+#[must_use]
+pub fn worker_lease(limit: Millis) -> Millis {
+    limit.min(MAX_WORKER_LEASE_MS)
+}
+
 /// Both clocks of a node at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use hemlocksaddle_policy::take_over::{
     AppendAttempts, Candidate, ClockReading, OWNERSHIP_LEASE_MS, OwnerView, RENEW_INTERVAL_MS,
-    ShardView, failover_complete_at,
+    ShardView, failover_complete_at, worker_lease,
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
@@ -225,6 +225,19 @@
     }
 }
 
+/// Load pattern: workers lost for good, on platforms with short and with long leases. Guards against work
+/// that cannot run again within 9 s of its last run, and against a lease that the platform shortens.
+#[gtest]
+fn no_lease_is_longer_than_lost_work_may_wait() {
+    let run_again_within = Millis(9_000);
+    for limit_ms in [2_000, 6_000, 10_000, 60_000] {
+        let lease = worker_lease(Millis(limit_ms));
+        expect_that!(lease, le(Millis(limit_ms)));
+        // A worker's clock is up to 2% slow; noticing the loss and the start take two seconds.
+        expect_that!(Millis(lease.0 * 102 / 100 + 2_000), le(run_again_within));
+    }
+}
+
 /// Load pattern: an owner killed beside a worker that does not report. Guards against a wait for the
 /// leases that the owner granted which is too short for the last of them, and against one that
 /// begins at the claim although the owner has not renewed since.
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -5,6 +5,7 @@
 use hemlocksaddle_node::wait::within;
 use hemlocksaddle_policy::{
     congestion::silent_poll_pause,
+    take_over::worker_lease,
     workflow::{Listing, Report, WorkerKey},
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs};
@@ -275,7 +276,8 @@
             return None;
         }
         let clock = *self.clocks.borrow().get(&key)?;
-        let until_ms = clock.deadline_in(now, self.env.settings.lease_ms);
+        let lease = worker_lease(self.env.settings.lease_ms);
+        let until_ms = clock.deadline_in(now, lease);
         let passed_by = clock.passed_by(until_ms);
         self.scheduler.borrow_mut().extend_lease(key, passed_by);
         Some(until_ms)
--- a/hemlocksaddle-shard/tests/departures.rs
+++ b/hemlocksaddle-shard/tests/departures.rs
@@ -65,6 +65,33 @@
     }
 }
 
+/// Time after its last run within which a long-running task has to run again where there is room.
+const RUNS_AGAIN_WITHIN: Millis = Millis(9_000);
+
+/// Load pattern: workers are lost for good, on a platform that allows long leases. Guards against tasks
+/// of a lost worker that wait for a lease longer than the time within which they have to run again.
+#[gtest]
+fn the_work_of_a_lost_worker_runs_again_in_time_although_leases_may_be_long() {
+    for seed in 1..=10 {
+        let deployment = Deployment::without_nodes(seed, 3);
+        deployment.fleet.max_lease_ms.set(10_000);
+        deployment.fleet.run_ms.set(100_000);
+        (0..3).for_each(|number| deployment.start(number));
+        deployment.wait_for_owner();
+        let owner = deployment.owner().expect("owner");
+        let accepted = deployment.submit((owner + 1) % 3, 1, vec![step(12)]);
+        assert_that!(accepted, eq(Submitted::Accepted), "seed {seed}");
+        deployment.sim.run_for(Millis(1_000 + 90 * seed));
+        let lost = deployment.fleet.running_on(1) as u64;
+        assert_that!(lost, gt(0), "seed {seed}");
+        deployment.fleet.set_unreachable(1, true);
+        deployment.store.remove_worker(1);
+        deployment.sim.run_for(RUNS_AGAIN_WITHIN);
+        expect_that!(deployment.fleet.starts(), eq(12 + lost), "seed {seed}");
+        expect_that!(*deployment.fleet.violations.borrow(), is_empty());
+    }
+}
+
 /// Guards against a worker that is not waited for after it was listed again, and so against two runs
 /// of a task.
 #[gtest]
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -110,6 +110,8 @@
     starts: Cell<u64>,
     /// Interval, in starts, at which the answer to a start is lost; 0 loses none.
     pub(crate) lose_answer_every: Cell<u64>,
+    /// Longest lease that workers accept.
+    pub(crate) max_lease_ms: Cell<u64>,
     /// Run time of a task.
     pub(crate) run_ms: Cell<u64>,
     /// Number of calls that each node made.
@@ -192,6 +194,7 @@
             done: RefCell::default(),
             starts: Cell::new(0),
             lose_answer_every: Cell::new(0),
+            max_lease_ms: Cell::new(LEASE_MS),
             run_ms: Cell::new(RUN_MS),
             calls: RefCell::default(),
         })
@@ -335,7 +338,7 @@
             worker.highest_term = call.term;
             worker.lease_until_ms = worker
                 .lease_until_ms
-                .max(call.lease_until_ms.min(now_ms + LEASE_MS));
+                .max(call.lease_until_ms.min(now_ms + self.max_lease_ms.get()));
             if call.lease_until_ms < now_ms {
                 return StartAnswer::Late;
             }
@@ -506,7 +509,7 @@
                 }
                 worker.highest_term = request.term;
                 if let Some(lease_ms) = request.lease_until_ms {
-                    let max_lease_until_ms = self.sim.now().0 + LEASE_MS;
+                    let max_lease_until_ms = self.sim.now().0 + self.max_lease_ms.get();
                     worker.lease_until_ms =
                         worker.lease_until_ms.max(lease_ms.min(max_lease_until_ms));
                 }
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -166,7 +166,7 @@
             peer_address: address(number),
             cpu_share,
             link_kbps,
-            lease_ms: Millis(LEASE_MS),
+            lease_ms: Millis(self.fleet.max_lease_ms.get()),
             keep_ended_ms: Millis(120_000),
         };
         let store = Rc::new(NodeStore {
