--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -230,10 +230,17 @@
         self.withheld_end.is_some()
     }
 
-    /// Whether the worker does not answer, and certainly runs nothing that it was told to start.
+    /// Whether the worker certainly runs nothing that it was told to start, and gets no new task
+    /// either: it is about to leave, or has left.
     fn is_vacant(&self) -> bool {
         let may_run = !self.tasks.is_empty() || !self.leftovers.is_empty();
-        self.is_silent() && self.reported_at.is_some() && !may_run
+        let leaves = self.listing.draining || (self.is_silent() && !self.listed);
+        leaves && self.reported_at.is_some() && !may_run
+    }
+
+    /// Whether the worker is listed and may get new tasks once it is in the roster.
+    fn is_open(&self) -> bool {
+        self.listed && !self.listing.draining
     }
 
     /// Number of applied ends that the worker still lists.
@@ -354,11 +361,11 @@
         new
     }
 
-    /// Listed workers that are not in the durable roster yet.
+    /// Listed workers that are not in the durable roster yet and are to stay.
     #[must_use]
     pub fn unrostered(&self) -> Vec<(WorkerKey, Listing)> {
         let workers = self.workers.iter();
-        let missing = workers.filter(|(_, worker)| worker.listed && !worker.rostered);
+        let missing = workers.filter(|(_, worker)| worker.is_open() && !worker.rostered);
         missing
             .map(|(key, worker)| (key, worker.listing.clone()))
             .collect()
@@ -382,7 +389,6 @@
             worker.listed = false;
         }
         for listing in listings {
-            self.departed.remove(&listing.name);
             let known = self.by_name.get(&listing.name).copied();
             if let Some(key) = known
                 && let Some(worker) = self.workers.get_mut(key)
@@ -406,6 +412,11 @@
             self.by_name.insert(name, key);
             new.push(key);
         }
+        let (by_name, workers) = (&self.by_name, &self.workers);
+        self.departed.retain(|name| {
+            let known = by_name.get(name).and_then(|&key| workers.get(key));
+            known.is_none_or(|worker| !worker.is_open())
+        });
         new
     }
 
@@ -471,7 +482,7 @@
         }
         let workers = self.workers.values();
         let left = workers.filter(|worker| {
-            worker.rostered && !worker.listed && (expired(worker) || worker.is_vacant())
+            worker.rostered && (worker.is_vacant() || (!worker.listed && expired(worker)))
         });
         self.departed
             .extend(left.map(|worker| worker.listing.name.clone()));
@@ -506,18 +517,13 @@
         }
     }
 
-    /// Takes the names of workers to remove from the roster; one that is listed again stays.
+    /// Takes the names of workers to remove from the roster.
     pub(super) fn take_departed(&mut self) -> Vec<Arc<str>> {
-        let mut names = Vec::new();
-        for name in self.departed.drain() {
-            let known = self.by_name.get(&name);
-            match known.and_then(|&key| self.workers.get_mut(key)) {
-                Some(worker) if worker.listed => {}
-                Some(worker) => {
-                    worker.rostered = false;
-                    names.push(name);
-                }
-                None => names.push(name),
+        let names: Vec<Arc<str>> = self.departed.drain().collect();
+        for name in &names {
+            let known = self.by_name.get(name);
+            if let Some(worker) = known.and_then(|&key| self.workers.get_mut(key)) {
+                worker.rostered = false;
             }
         }
         names
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -31,6 +31,7 @@
     ends: Vec<(WorkerKey, End)>,
     stops: Vec<(TaskName, Run)>,
     starts: Vec<Start>,
+    paces: Vec<(TaskName, u8)>,
 }
 
 /// Step of tasks that reserve processors.
@@ -139,6 +140,7 @@
             ends: Vec::new(),
             stops: Vec::new(),
             starts: Vec::new(),
+            paces: Vec::new(),
         }
     }
 
@@ -148,6 +150,12 @@
         self.workers.iter().map(worker).collect()
     }
 
+    /// Listing of one worker.
+    pub(crate) fn roster_of(&self, number: usize) -> Vec<Listing> {
+        let worker = self.scheduler.worker(self.workers[number]);
+        vec![worker.expect("worker").listing.clone()]
+    }
+
     /// Removes a worker from the platform's list.
     pub(crate) fn leave(&mut self, number: usize) {
         let mut listed = self.roster();
@@ -322,7 +330,7 @@
             match order {
                 Order::Start(start) => self.starts.push(start),
                 Order::Stop { task, run, .. } => self.stops.push((task, run)),
-                Order::Pace { .. } => {}
+                Order::Pace { task, percent, .. } => self.paces.push((task, percent)),
             }
         }
         std::mem::take(&mut self.starts)
@@ -531,6 +539,11 @@
         self.report(key, &report);
     }
 
+    /// Orders to change the pace of a run since the last call.
+    pub(crate) fn take_paces(&mut self) -> Vec<(TaskName, u8)> {
+        std::mem::take(&mut self.paces)
+    }
+
     pub(crate) fn pace_of(&self, id: u64) -> u8 {
         let job = self.scheduler.job(WorkflowId(id)).expect("workflow");
         job.task_named(name(id)).expect("task").pace
