Show that a successor starts submissions that its predecessor has started

An owner that is stopping does not see its successor's claim and starts tasks of submissions that the successor's recovery has not read; the successor takes these as new.

--- a/review/stand-in/src/cases.rs
+++ b/review/stand-in/src/cases.rs
@@ -272,13 +272,13 @@
     let step = Step {
         count: 1,
         cpu: 200,
-        estimate_ms: 4_000,
+        estimate_ms: 60_000,
         ..Step::default()
     };
-    let interval = Duration::from_millis(25);
-    let traffic = Traffic::start(&deployment.clients, "/orders/", "ms=4000", step, interval);
-    deployment.wait(12_000);
-    for _ in 0..6 {
+    let interval = Duration::from_millis(16);
+    let traffic = Traffic::start(&deployment.clients, "/orders/", "ms=60000", step, interval);
+    deployment.wait(8_000);
+    for _ in 0..5 {
         let owner = deployment.store.last_conditional().unwrap_or(0);
         let node = &mut deployment.nodes.list[owner];
         if deployment.trouble {
