--- a/review/stand-in/src/cases.rs
+++ b/review/stand-in/src/cases.rs
@@ -27,8 +27,6 @@
     match case {
         "same-id" => same_id(record),
         "removed-route" => removed_route(record),
-        "rolling-crash" => rolling_crash(record),
-        "planned-stop" => planned_stop(record),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
 }
@@ -207,94 +205,3 @@
     }
     Ok(broken)
 }
-
-/// Executors crash one after the other, each for a second.
-fn rolling_crash(record: &Path) -> io::Result<Vec<String>> {
-    const ROUTES: &[Route] = &[("orders", "/orders/", 3), ("watches", "/watches/", 3)];
-    const DOWN: Duration = Duration::from_millis(1_500);
-    let deployment = Deployment::start(record, 3, 8, ROUTES)?;
-    let watch = Step {
-        count: 2,
-        cpu: 6_000,
-        lasts: true,
-        ..Step::default()
-    };
-    let mut ids = Vec::new();
-    for _ in 0..4 {
-        ids.push(
-            deployment
-                .clients
-                .submit("/watches/", "ms=0", std::slice::from_ref(&watch))
-                .0,
-        );
-    }
-    let order = Step {
-        count: 3,
-        cpu: 500,
-        estimate_ms: 800,
-        ..Step::default()
-    };
-    let interval = Duration::from_millis(300);
-    let traffic = Traffic::start(&deployment.clients, "/orders/", "ms=800", order, interval);
-    deployment.wait(4_000);
-    for executor in &deployment.executors {
-        if deployment.trouble {
-            executor.crash(DOWN, false);
-        }
-        deployment.wait(5_000);
-    }
-    traffic.stop();
-    let mut broken = Vec::new();
-    for id in ids {
-        let state = deployment.clients.state("/watches/", &id);
-        let failed = deployment
-            .world
-            .runs()
-            .iter()
-            .filter(|run| run.task.starts_with(&id) && run.end == "failed")
-            .count();
-        if state == "failed" && failed == 0 {
-            broken.push(format!(
-                "{id} is shown as failed, and no run of it has ended `failed`"
-            ));
-        }
-    }
-    for line in &broken {
-        deployment.record.line(&format!("BROKEN: {line}"));
-    }
-    Ok(broken)
-}
-
-/// Open connections of the owner to the store go silent, and the owner is stopped as planned.
-fn planned_stop(record: &Path) -> io::Result<Vec<String>> {
-    const ROUTES: &[Route] = &[("orders", "/orders/", 3)];
-    let mut deployment = Deployment::start(record, 3, 48, ROUTES)?;
-    let step = Step {
-        count: 1,
-        cpu: 200,
-        estimate_ms: 60_000,
-        ..Step::default()
-    };
-    let interval = Duration::from_millis(16);
-    let traffic = Traffic::start(&deployment.clients, "/orders/", "ms=60000", step, interval);
-    deployment.wait(8_000);
-    for _ in 0..5 {
-        let owner = deployment.store.last_conditional().unwrap_or(0);
-        let node = &mut deployment.nodes.list[owner];
-        if deployment.trouble {
-            deployment.record.line(&format!(
-                "{}: open connections to the store go silent",
-                node.name
-            ));
-            node.port.silence_open_connections();
-        }
-        thread::sleep(Duration::from_millis(1_350));
-        let terminated_at = Instant::now();
-        node.terminate();
-        node.await_end_and_restart(terminated_at)?;
-        deployment.wait(5_000);
-    }
-    traffic.stop();
-    deployment.wait(5_000);
-    Ok(run_twice(&deployment))
-}
--- a/review/stand-in/src/http.rs
+++ b/review/stand-in/src/http.rs
@@ -43,11 +43,6 @@
 /// Handles requests of one server.
 pub trait Handler: Send + Sync + 'static {
     fn handle(&self, connection: &Connection, request: Request) -> Answer;
-
-    /// Whether the connection has gone silent: it stays open, and nothing passes on it any more.
-    fn is_silent(&self, _connection: &Connection) -> bool {
-        false
-    }
 }
 
 /// Serves connections until the process ends.
@@ -75,14 +70,7 @@
         // The first call on a connection also waits for the connection.
         thread::sleep(if is_first { ROUND_TRIP * 2 } else { ROUND_TRIP });
         is_first = false;
-        let mut answer = Answer::Silence;
-        if !handler.is_silent(&connection) {
-            answer = handler.handle(&connection, request);
-        }
-        if handler.is_silent(&connection) {
-            answer = Answer::Silence;
-        }
-        match answer {
+        match handler.handle(&connection, request) {
             Answer::Send(status, body) => {
                 let head = format!(
                     "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
--- a/review/stand-in/src/nodes.rs
+++ b/review/stand-in/src/nodes.rs
@@ -8,7 +8,7 @@
     process::{Child, Command, Stdio},
     sync::Arc,
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
@@ -20,15 +20,6 @@
 /// Time after which the platform starts a process again that has ended.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
-/// Time from SIGTERM to SIGKILL.
-const GRACE: Duration = Duration::from_millis(6_000);
-
-const SIGTERM: i32 = 15;
-
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
 /// Node process.
 pub struct Node {
     pub name: String,
@@ -98,20 +89,6 @@
         }
         Ok(Nodes { list })
     }
-
-    /// Restarts processes that have ended.
-    pub fn restart_ended(&mut self) -> io::Result<()> {
-        for node in &mut self.list {
-            let child = node.child.as_mut();
-            if let Some(status) = child.map(|child| child.try_wait()).transpose()?.flatten() {
-                node.record
-                    .line(&format!("{} ended with {status}", node.name));
-                thread::sleep(RESTART_DELAY);
-                node.spawn()?;
-            }
-        }
-        Ok(())
-    }
 }
 
 impl Node {
@@ -140,30 +117,6 @@
         thread::sleep(RESTART_DELAY);
         self.spawn()
     }
-
-    /// Sends SIGTERM.
-    pub fn terminate(&mut self) {
-        self.record.line(&format!("{} gets SIGTERM", self.name));
-        if let Some(child) = &self.child {
-            // SAFETY: `kill` takes two integers; the process is a child that was not waited for.
-            unsafe { kill(child.id() as i32, SIGTERM) };
-        }
-    }
-
-    /// Waits until a process that got SIGTERM ends, kills it after the grace period, and starts it.
-    pub fn await_end_and_restart(&mut self, terminated_at: Instant) -> io::Result<()> {
-        while let Some(child) = self.child.as_mut()
-            && child.try_wait()?.is_none()
-            && terminated_at.elapsed() < GRACE
-        {
-            thread::sleep(Duration::from_millis(20));
-        }
-        self.kill_and_restart()
-    }
-
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Node {
