Keep runs assigned that a restarted worker may have accepted

Cause: an order names the worker and not its process. The owner had a report request open at the old process until it timed out, and went on sending orders, which the new process accepted. When the owner learned of the new process, it took all assigned runs as ended with the old one, also those that the new one held. Event 50 shows `Accepted` from the worker, then event 14 (`has a new life`), then event 50 for the same tasks elsewhere.

Only runs that the old process had reported end with it now. All others are carried over: the report of the new process shows whether it has the run, and one with an unanswered order is stopped first, after which the worker refuses it. A clock that is behind its slowest possible reading excludes the worker until a report names the process. Ends are acknowledged only to a process that is known to be the same, since a new one numbers them anew.

Related paths with the same cause, mended alike: start answers that carry the new start time, the platform's list as first news, orders that arrive after the restart, a successor that knows the old process from the roster, delegated calls.

Ruled out: a shorter timeout of report requests, which would only narrow the window.

The policy harness answers stop orders to a restarted worker now, as a worker does; its checks are unchanged.

--- a/hemlocksaddle-policy/src/workflow/crash.rs
+++ b/hemlocksaddle-policy/src/workflow/crash.rs
@@ -303,8 +303,16 @@
         }
     }
 
-    /// Removes a worker whose process was replaced by a later one, with all its runs.
+    /// Removes a worker whose address belongs to one of another name, with all its runs.
+    ///
+    /// The other one refuses orders that were meant for this one.
     pub fn worker_replaced(&mut self, key: WorkerKey, now: MonoMs) {
+        self.weigh_replacement(key, now);
+        self.remove_worker(key);
+    }
+
+    /// Weighs the crash of a worker whose process was replaced by a later one.
+    pub(super) fn weigh_replacement(&mut self, key: WorkerKey, now: MonoMs) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
@@ -313,7 +321,6 @@
         if !worker.listing.draining && !is_new {
             self.weigh_crash(key, now);
         }
-        self.remove_worker(key);
     }
 
     /// Takes the crashes since the last call, for the log.
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -26,6 +26,7 @@
 mod plan;
 mod ranking;
 mod report;
+mod restart;
 mod waiting;
 mod work;
 mod worker;
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -104,7 +104,7 @@
     fn unusable(&self, now: MonoMs) -> Option<Unusable> {
         if self.listed && self.listing.draining {
             Some(Unusable::Draining)
-        } else if !self.listed || !self.rostered || self.reported_at.is_none() {
+        } else if !self.listed || !self.rostered || self.doubted || self.reported_at.is_none() {
             Some(Unusable::Unreported)
         } else if self.silent_since.is_some() {
             Some(Unusable::Silent)
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -14,6 +14,7 @@
     job::{FULL_PACE, Task},
     placement::Candidates,
     ranking::{Ranking, Unplaced},
+    restart::Presence,
     worker::Assigned,
 };
 
@@ -286,6 +287,8 @@
             best_effort: step.best_effort,
             long_running: step.long_running,
             measurement: 0,
+            presence: Presence::Ordered,
+            unanswered: false,
         };
         // An inherited task may have run on a worker that has not reported.
         let end_unknown = job.inherited && self.missing_reports;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -10,6 +10,7 @@
 use super::{
     Order, Phase, Scheduler, Start, TaskKey, WorkerKey,
     job::FULL_PACE,
+    restart::Presence,
     worker::{Assigned, Leftover},
 };
 
@@ -30,6 +31,7 @@
         };
         self.updated_at = now;
         worker.silent_since = None;
+        worker.doubted = false;
         // Its runs ended with their lease, not by a crash.
         worker.expired.clear();
         worker.reported_at = worker.reported_at.max(Some(report.sent_at));
@@ -64,6 +66,12 @@
         let Some(key) = end.task.and_then(|name| self.task_key(name)) else {
             return;
         };
+        let assigned = self
+            .workers
+            .get(worker)
+            .and_then(|worker| worker.tasks.get(&key));
+        let carried_over =
+            assigned.is_some_and(|assigned| assigned.presence == Presence::CarriedOver);
         let job = &mut self.jobs[key.job];
         job.started = true;
         let gang = job.step(key).gang;
@@ -71,8 +79,11 @@
         task.run = task.run.max(end.run);
         task.has_run = true;
         let current = task.phase.worker() == Some(worker) && task.run == end.run;
-        // The worker has outlived the run.
-        task.crashes.retain(|crash| crash.run != end.run);
+        // A process also answers the order to stop a run that crashed its predecessor.
+        if !(carried_over && end.kind == EndKind::Stopped) {
+            // The worker has outlived the run.
+            task.crashes.retain(|crash| crash.run != end.run);
+        }
         task.unseen_run = false;
         if end.checkpoint.is_some() && end.kind != EndKind::Done {
             task.checkpoint.clone_from(&end.checkpoint);
@@ -177,6 +188,11 @@
             return;
         };
         let clock_ms = self.workers.get(worker).map(|worker| worker.clock_ms);
+        let known = self
+            .workers
+            .get(worker)
+            .and_then(|worker| worker.tasks.get(&key));
+        let unanswered = known.is_some_and(|known| known.run == status.run && known.unanswered);
         let job = &mut self.jobs[key.job];
         job.started = true;
         let wanted = job.is_open();
@@ -187,6 +203,8 @@
             best_effort: step.best_effort,
             long_running: step.long_running,
             measurement: status.measurement,
+            presence: Presence::Reported,
+            unanswered,
         };
         let task = job.task_mut(key);
         let adopted = task.phase == Phase::Waiting && status.run >= task.run;
@@ -200,6 +218,8 @@
             task.progressed_at = now;
         }
         task.percent = status.percent;
+        // The worker has not ended with the run.
+        task.crashes.retain(|crash| crash.run != status.run);
         if adopted || task.run != status.run || task.started_clock_ms.is_none() {
             task.started_clock_ms = clock_ms;
         }
@@ -319,6 +339,11 @@
                     worker,
                     maybe_started: true,
                 };
+                if let Some(worker) = self.workers.get_mut(worker)
+                    && let Some(assigned) = worker.tasks.get_mut(&start.task)
+                {
+                    assigned.unanswered = true;
+                }
                 return true;
             }
             StartAnswer::NotSent if maybe_started => return true,
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -12,7 +12,9 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect};
+use super::{
+    Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect, restart::Presence,
+};
 
 /// Consecutive failures after which a worker is suspended.
 const FAILURES_TO_SUSPEND: u32 = 2;
@@ -78,6 +80,10 @@
     pub(super) long_running: bool,
     /// Tail latency in ms of a long-running task, thousandths of a core in use by any other.
     pub(super) measurement: u64,
+    pub(super) presence: Presence,
+    /// Whether an order to start the run got no answer; it may still be carried out, also by a later process
+    /// of the same name.
+    pub(super) unanswered: bool,
 }
 
 /// Run on a worker that is not assigned to it and was ordered to stop.
@@ -135,6 +141,11 @@
     pub(super) expired: Vec<Suspect>,
     /// Latest reading of the worker's clock.
     pub(super) clock_ms: u64,
+    /// Whether an answer may have come from a later process, which the next report shows.
+    pub(super) doubted: bool,
+    /// Whether the listing describes an earlier process, which may have had other labels and another
+    /// capacity.
+    pub(super) outdated: bool,
     pub(super) paced_at: MonoMs,
     /// Report after which the runs were last checked for stalls.
     pub(super) stalls_checked_at: Option<MonoMs>,
@@ -152,7 +163,7 @@
 }
 
 impl Worker {
-    fn new(listing: Listing) -> Worker {
+    pub(super) fn new(listing: Listing) -> Worker {
         Worker {
             listing,
             listed: true,
@@ -176,6 +187,8 @@
             steady_from: MonoMs(0),
             expired: Vec::new(),
             clock_ms: 0,
+            doubted: false,
+            outdated: false,
             paced_at: MonoMs(0),
             stalls_checked_at: None,
             pace_due: false,
@@ -396,14 +409,16 @@
                 if listing.born_ms == worker.listing.born_ms {
                     worker.listing = listing;
                     worker.listed = true;
+                    worker.outdated = false;
                     continue;
                 }
                 if listing.born_ms < worker.listing.born_ms {
                     // A late record of an earlier incarnation.
-                    worker.listed = true;
+                    worker.listed = !worker.outdated;
                     continue;
                 }
-                self.worker_replaced(key, now);
+                new.push(self.replace_process(key, listing, now));
+                continue;
             }
             let name = listing.name.clone();
             let mut worker = Worker::new(listing);
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -1,5 +1,7 @@
 //! Test harness: a scheduler with workers whose reports the test makes up.
 
+mod crashes;
+
 use std::{net::SocketAddr, ops::RangeInclusive};
 
 use hemlocksaddle_policy::workflow::{
@@ -209,34 +211,12 @@
         index.expect("worker")
     }
 
-    /// Crashes the worker of a start; it is back as a new process, idle, after `away_ms`.
-    pub(crate) fn crash(&mut self, start: &Start, away_ms: u64) {
-        self.crash_worker(self.number_of(start), away_ms);
-    }
-
-    /// Crashes a worker; it is back as a new process, idle, after `away_ms`.
-    pub(crate) fn crash_worker(&mut self, number: usize, away_ms: u64) {
-        self.crash_workers(&[number], away_ms);
-    }
-
-    /// Crashes workers at once; they are back as new processes, idle, after `away_ms`.
-    pub(crate) fn crash_workers(&mut self, numbers: &[usize], away_ms: u64) {
-        for &number in numbers {
-            self.silence(self.workers[number]);
+    fn record_order(&mut self, order: Order) {
+        match order {
+            Order::Start(start) => self.starts.push(start),
+            Order::Stop { task, run, .. } => self.stops.push((task, run)),
+            Order::Pace { task, percent, .. } => self.paces.push((task, percent)),
         }
-        self.advance(away_ms);
-        let mut listed = self.roster();
-        for &number in numbers {
-            listed[number].born_ms += 1;
-            listed[number].draining = false;
-        }
-        let new = self.scheduler.list_workers(listed, self.now);
-        for (&number, key) in numbers.iter().zip(new) {
-            self.workers[number] = key;
-            self.scheduler.mark_rostered(key);
-            self.report_idle(number);
-        }
-        self.clock_readings();
     }
 
     /// Lists a worker with another capacity, and all others unchanged.
@@ -326,13 +306,9 @@
     /// Start orders that the scheduler gives now; stop orders are kept for [`Harness::stops`].
     pub(crate) fn starts(&mut self) -> Vec<Start> {
         let orders = self.scheduler.plan(self.now, self.wall());
-        for order in orders {
-            match order {
-                Order::Start(start) => self.starts.push(start),
-                Order::Stop { task, run, .. } => self.stops.push((task, run)),
-                Order::Pace { task, percent, .. } => self.paces.push((task, percent)),
-            }
-        }
+        orders
+            .into_iter()
+            .for_each(|order| self.record_order(order));
         std::mem::take(&mut self.starts)
     }
 
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -76,6 +76,8 @@
     WorkerLost = 14, "worker lost";
     /// Worker has crashed: a later process answers in its place.
     WorkerCrashed = 15, "worker crashed";
+    /// Worker has started again under its name, and may hold runs that were ordered before.
+    RunsCarriedOver = 16, "runs carried over";
     /// Configuration was applied.
     Configured = 20, "configured";
     /// Data centre was closed or reopened.
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -16,6 +16,7 @@
     event::Event,
     owner::Owner,
     ports::{StartCall, WorkerError},
+    worker_poll::Process,
 };
 
 /// Shortest timeout of an order; a hundred times the round trip to a worker.
@@ -64,12 +65,22 @@
     async fn start(self: Rc<Self>, start: Start) {
         let mut unanswered = 0;
         loop {
-            let answer = self.send_start(&start).await;
+            let (answer, process) = self.send_start(&start).await;
             self.count_order("start", &format!("{answer:?}"));
             let again = self
                 .scheduler
                 .borrow_mut()
                 .start_answered(&start, answer, self.env.now());
+            match process {
+                Process::Listed => {}
+                Process::Later(born_ms) => {
+                    self.replace_worker(start.worker, born_ms);
+                }
+                Process::Unknown => {
+                    self.scheduler.borrow_mut().doubt_worker(start.worker);
+                    self.fetch_report_now(start.worker);
+                }
+            }
             if answer == StartAnswer::Fenced {
                 return self.step_down("worker has seen a higher term");
             }
@@ -107,13 +118,14 @@
         latency.timeout(MIN_ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS)
     }
 
-    async fn send_start(self: &Rc<Self>, start: &Start) -> StartAnswer {
+    /// Sends an order to start; returns the answer and the process that it came from.
+    async fn send_start(self: &Rc<Self>, start: &Start) -> (StartAnswer, Process) {
         let Some(listing) = self.listing(start.worker) else {
-            return StartAnswer::OtherLife;
+            return (StartAnswer::OtherLife, Process::Listed);
         };
         let clock = self.clocks.borrow().get(&start.worker).copied();
         let Some(clock) = clock.filter(|_| self.holds_lease()) else {
-            return StartAnswer::NotSent;
+            return (StartAnswer::NotSent, Process::Listed);
         };
         let lease_until_ms = clock.deadline_in(self.env.now(), START_EXPIRY_MS);
         let passed_by = clock.passed_by(lease_until_ms);
@@ -139,17 +151,16 @@
         } else {
             self.update_window(|window| window.lost(sent_at, now));
         }
-        let answer = match self.check_answer(start.worker, &listing, &timed) {
-            Ok(()) => timed.value,
-            Err(_) => StartAnswer::OtherLife,
-        };
+        let answer = timed.value;
+        let process = self.check_answer(start.worker, &listing, &timed, sent_at);
         let inputs = json!({
             "task": start.name.to_string(), "run": start.run.0, "worker": &*listing.name,
             "term": self.term, "lease_until_ms": lease_until_ms,
             "waited_ms": start.waited.0, "resumed": start.checkpoint.is_some(), "answer": format!("{answer:?}"),
+            "process": format!("{process:?}"),
         });
         self.env.event(Event::StartAnswered, &inputs);
-        answer
+        (answer, process)
     }
 
     fn update_window(&self, update: impl FnOnce(&mut StartWindow)) {
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -368,9 +368,7 @@
             .scheduler
             .borrow_mut()
             .list_workers(all, self.env.now());
-        self.log_crashes();
-        self.poll_workers(new);
-        self.changed.notify();
+        self.start_polling(new);
     }
 
     /// Returns whether a worker belongs to this shard; racks are assigned to shards whole.
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -136,7 +136,7 @@
             }
         }
         let new = self.scheduler.borrow_mut().restore_roster(roster);
-        self.poll_workers(new);
+        self.start_polling(new);
     }
 
     pub(crate) fn log_unreadable(&self, record: &Record, cause: &str) {
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -75,11 +75,34 @@
         let duration = clock_ms.saturating_sub(self.clock_ms) as f64 / MIN_CLOCK_RATE;
         self.received_at + Millis(duration as u64 + LEASE_MARGIN_MS)
     }
+
+    /// Returns whether a reading in the answer to a call of `sent_at` may be of the same clock.
+    ///
+    /// A later process starts its clock anew.
+    fn may_read(&self, clock_ms: u64, sent_at: MonoMs) -> bool {
+        if sent_at < self.received_at {
+            // The answers may have overtaken each other.
+            return true;
+        }
+        let passed_ms = sent_at.since(self.received_at).0 as f64 * MIN_CLOCK_RATE;
+        clock_ms + LEASE_MARGIN_MS >= self.clock_ms + passed_ms as u64
+    }
+}
+
+/// Process that an answer came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Process {
+    /// The listed one, as far as the answer tells.
+    Listed,
+    /// A later one of the same name, with its start time in milliseconds.
+    Later(u64),
+    /// A later one, of which the answer shows only a clock that started anew.
+    Unknown,
 }
 
 impl Owner {
     /// Starts a polling task for each of the workers.
-    pub(crate) fn poll_workers(self: &Rc<Self>, workers: Vec<WorkerKey>) {
+    fn poll_workers(self: &Rc<Self>, workers: Vec<WorkerKey>) {
         for key in workers {
             let owner = self.clone();
             self.env.spawn(async move { owner.poll_worker(key).await });
@@ -135,6 +158,8 @@
                     self.changed.notify();
                     return;
                 }
+                // Replaced by a later process while the request was open.
+                Err(_) if self.listing(key).is_none() => return,
                 Err(error) => {
                     if !silent {
                         self.worker_event(Event::WorkerLost, &listing, &format!("{error:?}"));
@@ -238,8 +263,8 @@
         let sent_at = self.env.now();
         let (saved_ends, unsaved) = {
             let scheduler = self.scheduler.borrow();
-            let worker = scheduler.worker(key).ok_or(WorkerError::OtherLife)?;
-            (worker.saved_ends, worker.has_unsaved_ends())
+            let worker = scheduler.worker(key).ok_or(WorkerError::Unknown)?;
+            (worker.ends_to_acknowledge(), worker.has_unsaved_ends())
         };
         // The worker answers at once in any case while it has ends to list.
         let wait = if unsaved { Millis(0) } else { wait };
@@ -258,7 +283,19 @@
         if wait == Millis(0) {
             self.record_latency(sent_at);
         }
-        self.check_answer(key, listing, &timed)?;
+        let key = match self.check_answer(key, listing, &timed, sent_at) {
+            Process::Listed => key,
+            Process::Later(born_ms) => self
+                .replace_worker(key, born_ms)
+                .ok_or(WorkerError::Unknown)?,
+            Process::Unknown => {
+                self.scheduler.borrow_mut().doubt_worker(key);
+                return Err(WorkerError::Unknown);
+            }
+        };
+        if let Some(clock_ms) = timed.clock_ms {
+            self.record_clock(key, clock_ms);
+        }
         let report = Report {
             sent_at,
             ..timed.value
@@ -275,6 +312,9 @@
         if !self.holds_lease() {
             return None;
         }
+        if self.scheduler.borrow().worker(key)?.is_doubted() {
+            return None;
+        }
         let clock = *self.clocks.borrow().get(&key)?;
         let lease = worker_lease(self.env.settings.lease_ms);
         let until_ms = clock.deadline_in(now, lease);
@@ -283,39 +323,78 @@
         Some(until_ms)
     }
 
-    /// Records the clock of an answer and checks the worker's incarnation.
-    ///
-    /// # Errors
-    ///
-    /// Fails with `OtherLife` if the worker has restarted.
+    /// Tells which process an answer came from; records its clock if it is the listed one.
     pub(crate) fn check_answer<T>(
         &self,
         key: WorkerKey,
         listing: &Listing,
         timed: &Timed<T>,
-    ) -> Result<(), WorkerError> {
-        if timed
-            .born_ms
-            .is_some_and(|born_ms| born_ms > listing.born_ms)
+        sent_at: MonoMs,
+    ) -> Process {
+        if let Some(born_ms) = timed.born_ms.filter(|born_ms| *born_ms > listing.born_ms) {
+            return Process::Later(born_ms);
+        }
+        let Some(clock_ms) = timed.clock_ms else {
+            return Process::Listed;
+        };
+        let known = self.clocks.borrow().get(&key).copied();
+        if timed.born_ms.is_none() && known.is_some_and(|known| !known.may_read(clock_ms, sent_at))
         {
-            return Err(WorkerError::OtherLife);
+            return Process::Unknown;
         }
-        let now = self.env.now();
-        if let Some(clock_ms) = timed.clock_ms {
-            self.scheduler.borrow_mut().record_clock(key, clock_ms);
-            let first = self
-                .clocks
-                .borrow_mut()
-                .insert(key, WorkerClock::new(clock_ms, now))
-                .is_none();
-            if first {
-                // A predecessor may have renewed the lease just before this term.
-                let until_ms = clock_ms + self.env.settings.lease_ms.0;
-                let passed_by = WorkerClock::new(clock_ms, now).passed_by(until_ms);
-                self.scheduler.borrow_mut().extend_lease(key, passed_by);
+        self.record_clock(key, clock_ms);
+        Process::Listed
+    }
+
+    fn record_clock(&self, key: WorkerKey, clock_ms: u64) {
+        let clock = WorkerClock::new(clock_ms, self.env.now());
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.record_clock(key, clock_ms);
+        if self.clocks.borrow_mut().insert(key, clock).is_none() {
+            // A predecessor may have renewed the lease just before this term.
+            let until_ms = clock_ms + self.env.settings.lease_ms.0;
+            scheduler.extend_lease(key, clock.passed_by(until_ms));
+        }
+    }
+
+    /// Replaces a worker by a later process of the same name; returns its key, if the worker is still known.
+    pub(crate) fn replace_worker(
+        self: &Rc<Self>,
+        key: WorkerKey,
+        born_ms: u64,
+    ) -> Option<WorkerKey> {
+        let listing = self.listing(key)?;
+        let new = self
+            .scheduler
+            .borrow_mut()
+            .worker_reborn(key, born_ms, self.env.now());
+        self.clocks.borrow_mut().remove(&key);
+        self.worker_event(Event::WorkerLost, &listing, "has a new life");
+        self.start_polling(vec![new]);
+        Some(new)
+    }
+
+    /// Starts to poll workers that are new, or that replace an earlier process of the same name.
+    pub(crate) fn start_polling(self: &Rc<Self>, workers: Vec<WorkerKey>) {
+        let lease = WorkerClock::new(0, self.env.now()).passed_by(self.env.settings.lease_ms.0);
+        for &key in &workers {
+            let mut scheduler = self.scheduler.borrow_mut();
+            let runs = scheduler.worker(key).map_or(0, |worker| worker.tasks());
+            if runs > 0 {
+                // Their leases began with orders that were meant for the earlier process.
+                scheduler.extend_lease(key, lease);
+                let inputs = json!({
+                    "worker": scheduler.worker(key).map(|worker| worker.listing.name.to_string()),
+                    "born_ms": scheduler.worker(key).map(|worker| worker.listing.born_ms),
+                    "runs": runs,
+                });
+                drop(scheduler);
+                self.env.event(Event::RunsCarriedOver, &inputs);
             }
         }
-        Ok(())
+        self.log_crashes();
+        self.poll_workers(workers);
+        self.changed.notify();
     }
 
     fn apply_report(&self, key: WorkerKey, listing: &Listing, report: &Report) {
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -37,6 +37,9 @@
 /// Time from the start of a task that crashes its worker to the crash.
 const CRASH_DELAY_MS: Millis = Millis(8);
 
+/// Time for which a connection without answers stays open.
+const HANG_MS: Millis = Millis(10_000);
+
 /// Time for which a crashed worker is away.
 const AWAY_MS: Millis = Millis(3_100);
 
@@ -57,6 +60,8 @@
     born_ms: u64,
     /// Whether the worker has crashed and is not back yet.
     is_down: bool,
+    /// Time at which the worker's clock was 0; it starts anew with each process.
+    clock_from_ms: u64,
     /// Capacity in thousandths of a core since a time in milliseconds, latest last.
     capacities: Vec<(u64, u64)>,
 }
@@ -100,6 +105,12 @@
     pub(crate) deadly: RefCell<BTreeSet<WorkflowId>>,
     /// Number of workers that each task has crashed.
     pub(crate) crashes: RefCell<BTreeMap<TaskName, u64>>,
+    /// Whether connections to a process that is gone stay open without an answer.
+    pub(crate) connections_hang: Cell<bool>,
+    /// Time from the start of a process until it is listed.
+    pub(crate) listed_after: Cell<Millis>,
+    /// Whether answers to start orders lack the start time of the process.
+    pub(crate) plain_start_answers: Cell<bool>,
     /// Whether workers start tasks that do not fit.
     pub(crate) unguarded: Cell<bool>,
     workers: RefCell<Vec<Worker>>,
@@ -188,6 +199,9 @@
             store,
             deadly: RefCell::default(),
             crashes: RefCell::default(),
+            connections_hang: Cell::new(false),
+            listed_after: Cell::new(Millis(0)),
+            plain_start_answers: Cell::new(false),
             unguarded: Cell::new(false),
             workers: RefCell::new((0..count).map(|_| Worker::new()).collect()),
             violations: RefCell::default(),
@@ -252,6 +266,11 @@
 
     /// Crashes a worker; it is back as a new process after a while.
     pub(crate) fn crash(&self, number: usize) {
+        self.restart(number, AWAY_MS);
+    }
+
+    /// Ends the process of a worker; another one of the same name is there after `away`.
+    pub(crate) fn restart(&self, number: usize, away: Millis) {
         {
             let worker = &mut self.workers.borrow_mut()[number];
             *worker = Worker {
@@ -259,15 +278,18 @@
                 capacities: std::mem::take(&mut worker.capacities),
                 unreachable: worker.unreachable,
                 is_down: true,
+                clock_from_ms: (self.sim.now() + away).0,
                 ..Worker::default()
             };
         }
         let fleet = self.this.clone();
-        let back = self.sim.sleep(AWAY_MS);
+        let back = self.sim.sleep(away);
+        let listed_after = self.listed_after.get();
         self.sim.spawn(ENVIRONMENT, async move {
             back.await;
             if let Some(fleet) = fleet.upgrade() {
                 fleet.workers.borrow_mut()[number].is_down = false;
+                fleet.sim.sleep(listed_after).await;
                 fleet.store.put_worker(number);
             }
         });
@@ -336,10 +358,11 @@
                 return StartAnswer::Fenced;
             }
             worker.highest_term = call.term;
+            let lease_until_ms = call.lease_until_ms + worker.clock_from_ms;
             worker.lease_until_ms = worker
                 .lease_until_ms
-                .max(call.lease_until_ms.min(now_ms + self.max_lease_ms.get()));
-            if call.lease_until_ms < now_ms {
+                .max(lease_until_ms.min(now_ms + self.max_lease_ms.get()));
+            if lease_until_ms < now_ms {
                 return StartAnswer::Late;
             }
             if worker
@@ -400,13 +423,21 @@
     }
 
     fn timed<T>(&self, number: usize, value: T) -> Timed<T> {
+        let worker = &self.workers.borrow()[number];
         Timed {
-            clock_ms: Some(self.sim.now().0),
-            born_ms: Some(self.workers.borrow()[number].born_ms),
+            clock_ms: Some(self.sim.now().0 - worker.clock_from_ms),
+            born_ms: Some(worker.born_ms),
             value,
         }
     }
 
+    /// Waits for longer than any caller, if connections to a worker that is down stay open.
+    async fn hang_if_down(&self, number: usize) {
+        if self.connections_hang.get() && self.workers.borrow()[number].is_down {
+            self.sim.sleep(HANG_MS).await;
+        }
+    }
+
     /// Makes a worker reachable only by the owner of a term.
     pub(crate) fn set_reachable_by_term(&self, number: usize, term: u64) {
         self.workers.borrow_mut()[number].reachable_by_term = Some(term);
@@ -431,6 +462,7 @@
                 value: StartAnswer::Unknown,
             };
             if self.is_unreachable(number, call.term) {
+                self.hang_if_down(number).await;
                 return unknown;
             }
             let answer = self.start_now(number, &call);
@@ -438,7 +470,11 @@
             if every > 0 && self.starts.get().is_multiple_of(every) {
                 return unknown;
             }
-            self.timed(number, answer)
+            let mut timed = self.timed(number, answer);
+            if self.plain_start_answers.get() {
+                timed.born_ms = None;
+            }
+            timed
         })
     }
 
@@ -453,6 +489,7 @@
         Box::pin(async move {
             self.sim.sleep(LATENCY_MS).await;
             if self.is_unreachable(number, term) {
+                self.hang_if_down(number).await;
                 return Err(WorkerError::Unknown);
             }
             self.advance();
@@ -494,6 +531,7 @@
             self.sim.sleep(LATENCY_MS).await;
             let until = self.sim.now() + request.wait;
             if self.workers.borrow()[number].is_down {
+                self.hang_if_down(number).await;
                 return Err(WorkerError::NotSent);
             }
             if self.is_unreachable(number, request.term) {
@@ -510,8 +548,10 @@
                 worker.highest_term = request.term;
                 if let Some(lease_ms) = request.lease_until_ms {
                     let max_lease_until_ms = self.sim.now().0 + self.max_lease_ms.get();
-                    worker.lease_until_ms =
-                        worker.lease_until_ms.max(lease_ms.min(max_lease_until_ms));
+                    let lease_until_ms = lease_ms + worker.clock_from_ms;
+                    worker.lease_until_ms = worker
+                        .lease_until_ms
+                        .max(lease_until_ms.min(max_lease_until_ms));
                 }
             }
             self.acknowledge_ends(number, request.saved_ends);
@@ -523,7 +563,10 @@
                 }
                 self.sim.sleep(POLL_MS).await;
                 if self.workers.borrow()[number].born_ms != born_ms {
-                    // The connection ends with the process.
+                    // Without hanging connections, this one ends with the process.
+                    if self.connections_hang.get() {
+                        self.sim.sleep(HANG_MS).await;
+                    }
                     return Err(WorkerError::Unknown);
                 }
             }
