Leave out listings that no worker can have

Other operators reported that one odd entry among the workers ended the machines that read the list, or stopped them.

What can happen: an entry with a name of more than 248 bytes or with 300 kB of labels was taken as a worker. The owner adds each listed worker to its roster; the store cannot take that record, and the owner repeated the append for ever. Nothing behind it was stored any more, and accepted work stayed unfinished, also at each successor.

Listings are now checked against limits far above those of any worker before the owner uses them, those of the platform's list and those of a predecessor's roster. The limit of the capacity also keeps sums over all workers within 64 bits.

Ruled out: skipping records that cannot be stored, which would leave a worker with runs out of the roster.

The fake store refuses records beyond the platform's limits now.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -20,6 +20,7 @@
 mod interference;
 mod job;
 mod lifecycle;
+mod listing;
 mod overdue;
 mod pacing;
 mod placement;
@@ -48,9 +49,10 @@
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
     lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
+    listing::Listing,
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
-    worker::{Listing, Worker},
+    worker::Worker,
 };
 
 new_key_type! {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -1,19 +1,16 @@
 //! Workers, their capacity and the tasks assigned to them.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use foldhash::HashMap;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
-    delegation::Endpoint,
-    name::DataCentre,
     resources::Resources,
     workflow::{Run, TaskName},
 };
-use serde::{Deserialize, Serialize};
 
 use super::{
-    Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect, restart::Presence,
+    Listing, Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect, restart::Presence,
 };
 
 /// Consecutive failures after which a worker is suspended.
@@ -31,46 +28,6 @@
 /// Suspension after a worker refused a task, was unhealthy or could not be reached.
 const REFUSED_PAUSE_MS: Millis = Millis(300);
 
-/// Worker as listed by the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Listing {
-    /// Name of the worker.
-    pub name: Arc<str>,
-    /// Start time of the worker's process, which identifies its incarnation.
-    pub born_ms: u64,
-    /// Address for orders and report requests.
-    pub address: SocketAddr,
-    /// Pool that the worker belongs to.
-    pub pool: Arc<str>,
-    /// Data centre that the worker is in.
-    pub data_centre: DataCentre,
-    /// Labels: the kind, then the rack.
-    pub labels: Vec<Arc<str>>,
-    /// Total capacity.
-    pub capacity: Resources,
-    /// Whether the worker takes no more tasks.
-    pub draining: bool,
-    /// Minimum time until a draining worker leaves.
-    pub remaining_ms: Option<Millis>,
-}
-
-impl Listing {
-    /// What is needed to call the worker.
-    #[must_use]
-    pub fn endpoint(&self) -> Endpoint {
-        Endpoint {
-            name: self.name.clone(),
-            address: self.address,
-        }
-    }
-
-    /// Rack, which is the last label.
-    #[must_use]
-    pub fn rack(&self) -> Option<&Arc<str>> {
-        self.labels.last()
-    }
-}
-
 /// Task assigned to a worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Assigned {
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -351,7 +351,12 @@
                 listings.remove(&record.key);
                 continue;
             }
-            match self.env.ports.formats.listing(&record) {
+            let listing = self.env.ports.formats.listing(&record);
+            let checked = listing.and_then(|listing| {
+                let check = listing.check(self.env.wall());
+                check.map(|()| listing).map_err(|cause| cause.to_string())
+            });
+            match checked {
                 Ok(listing) if self.is_responsible_for(&listing) => {
                     listings.insert(record.key, listing);
                 }
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -128,7 +128,10 @@
                     Err(cause) => self.log_unreadable(record, &cause.to_string()),
                 },
                 Some(Key::Roster(_)) => match record::decode::<Listing>(&record.key, value) {
-                    Ok(listing) => roster.push(listing),
+                    Ok(listing) => match listing.check(self.env.wall()) {
+                        Ok(()) => roster.push(listing),
+                        Err(cause) => self.log_unreadable(record, &cause.to_string()),
+                    },
                     Err(cause) => self.log_unreadable(record, &cause.to_string()),
                 },
                 Some(Key::Interference) => {}
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -17,13 +17,13 @@
     workflow::{Run, TaskName, WorkflowId},
 };
 
-use super::{FakeStore, LEASE_MS, TASK_CPU_MILLI};
+use super::{FakeStore, LEASE_MS, TASK_CPU_MILLI, node_fleet::NodeFleet};
 
 /// Default run time of a task.
 const RUN_MS: u64 = 1_000;
 
 /// Latency of a call.
-const LATENCY_MS: Millis = Millis(1);
+pub(super) const LATENCY_MS: Millis = Millis(1);
 
 /// Interval at which a waiting report request checks for ended runs.
 const POLL_MS: Millis = Millis(10);
@@ -99,7 +99,7 @@
 
 pub(crate) struct FakeFleet {
     this: Weak<FakeFleet>,
-    sim: SimRuntime,
+    pub(super) sim: SimRuntime,
     store: Rc<FakeStore>,
     /// Workflows whose tasks crash each worker that starts them.
     pub(crate) deadly: RefCell<BTreeSet<WorkflowId>>,
@@ -126,65 +126,13 @@
     /// Run time of a task.
     pub(crate) run_ms: Cell<u64>,
     /// Number of calls that each node made.
-    calls: RefCell<BTreeMap<usize, u64>>,
-}
-
-/// The workers as one node reaches them; counts its calls.
-struct NodeFleet {
-    fleet: Rc<FakeFleet>,
-    node: usize,
-}
-
-impl NodeFleet {
-    fn count_call(&self) {
-        *self.fleet.calls.borrow_mut().entry(self.node).or_default() += 1;
-    }
-}
-
-impl Fleet for NodeFleet {
-    fn start(&self, worker: &Endpoint, call: StartCall) -> PortFuture<'_, Timed<StartAnswer>> {
-        self.count_call();
-        self.fleet.start(worker, call)
-    }
-
-    fn stop(
-        &self,
-        worker: &Endpoint,
-        task: TaskName,
-        run: Run,
-        term: u64,
-    ) -> PortFuture<'_, result::Result<(), WorkerError>> {
-        self.count_call();
-        self.fleet.stop(worker, task, run, term)
-    }
-
-    fn pace(
-        &self,
-        worker: &Endpoint,
-        task: TaskName,
-        run: Run,
-        percent: u8,
-        term: u64,
-    ) -> PortFuture<'_, result::Result<(), WorkerError>> {
-        self.count_call();
-        self.fleet.pace(worker, task, run, percent, term)
-    }
-
-    fn fetch_report(
-        &self,
-        worker: &Endpoint,
-        request: ReportRequest,
-    ) -> PortFuture<'_, result::Result<Timed<Report>, WorkerError>> {
-        self.count_call();
-        self.fleet.fetch_report(worker, request)
-    }
+    pub(super) calls: RefCell<BTreeMap<usize, u64>>,
 }
 
 impl FakeFleet {
     /// Returns the workers as a node reaches them.
     pub(crate) fn of_node(self: &Rc<Self>, node: usize) -> Rc<dyn Fleet> {
-        let fleet = self.clone();
-        Rc::new(NodeFleet { fleet, node })
+        Rc::new(NodeFleet::new(self.clone(), node))
     }
 
     /// Returns the number of calls that a node made, and sets it to 0.
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Deployment of nodes on virtual time, with an in-memory store, fake workers and connections.
 
 mod fleet;
+mod node_fleet;
 mod peers;
 mod store;
 
@@ -53,6 +54,9 @@
     catalogue: Catalogue,
 }
 
+/// Longest key of a record that the platform's store takes.
+pub(crate) const LONGEST_KEY_BYTES: usize = 255;
+
 /// Decoder of operator and worker records in the fake store; the key alone identifies them.
 struct FakeFormats {
     catalogue: Catalogue,
@@ -68,6 +72,9 @@
     }
 
     fn listing(&self, record: &Record) -> Result<Listing, String> {
+        if let Some(odd) = odd_listing(&record.key) {
+            return Ok(odd);
+        }
         let number: usize = record.key.parse().map_err(|_| "not a worker")?;
         if number >= self.fleet.count() {
             return Err("not a worker".to_owned());
@@ -80,6 +87,27 @@
     }
 }
 
+/// Listing of another writer, which can be decoded, by the key of its record.
+fn odd_listing(key: &str) -> Option<Listing> {
+    let mut listing = listing(0);
+    listing.name = key.into();
+    match key.split_once(':')?.0 {
+        "long name" => listing.name = "n".repeat(LONGEST_KEY_BYTES).into(),
+        "many labels" => listing.labels = vec!["label".into(); 60_000],
+        "large numbers" => {
+            listing.capacity = Resources {
+                cpu_milli: u64::MAX,
+                memory_mb: u64::MAX,
+                accelerators: u64::MAX,
+            };
+            listing.remaining_ms = Some(Millis(u64::MAX));
+        }
+        "late start" => listing.born_ms = u64::MAX,
+        _ => return None,
+    }
+    Some(listing)
+}
+
 pub(crate) fn listing(number: usize) -> Listing {
     Listing {
         name: number.to_string().into(),
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -15,12 +15,17 @@
 };
 use hemlocksaddle_types::clock::Millis;
 
+use super::LONGEST_KEY_BYTES;
+
 /// Latency of a call.
 const LATENCY_MS: Millis = Millis(4);
 
 /// Interval at which a waiting read checks for new records.
 const POLL_MS: Millis = Millis(5);
 
+/// Largest value of a record that the platform's store takes.
+const LARGEST_VALUE_BYTES: usize = 256 << 10;
+
 /// Longest time that an append is queued; one that would wait longer is rejected.
 const MAX_QUEUE_WAIT_MS: Millis = Millis(2_000);
 
@@ -76,6 +81,11 @@
         }));
     }
 
+    /// Lists a worker under any key.
+    pub(crate) fn put_listing(&self, key: &str) {
+        self.put(Stream::Workers, key);
+    }
+
     pub(crate) fn put_config(&self) {
         self.put(Stream::Operator, "config");
     }
@@ -164,6 +174,13 @@
         if conditions.end.is_some_and(|expected| expected != end) {
             return Err(StoreError::Conflict);
         }
+        let too_large = |record: &Record| {
+            let value_bytes = record.value.as_ref().map_or(0, Bytes::len);
+            record.key.len() > LONGEST_KEY_BYTES || value_bytes > LARGEST_VALUE_BYTES
+        };
+        if records.iter().any(too_large) {
+            return Err(StoreError::NotDone);
+        }
         let is_rejected = self.full.get() && !records.is_empty();
         if let Some(writer) = &conditions.writer {
             let known = part.writers.get(&writer.name).copied();
