Let slow nodes claim a shard that its owner offers

Cause: the owner goes on renewing the claim that it offers, every 0.7 s, and the delay of a candidate counted from the latest renewal. A node with an eighth of a core waits for 1.04 to 1.29 s, so its time never came. It now counts from the first record with the offer.

Ruled out by the log: an offer that was not written (nodes claim after 1.1 s where one renewal is late) and candidates that do not read (all claim within 0.1 s once the renewals end).

--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -79,8 +79,10 @@
     pub renewed_at: MonoMs,
     /// Time at which the first record of the term was read.
     pub claimed_at: MonoMs,
-    /// Whether the owner has released the shard or has certainly terminated.
-    pub released: bool,
+    /// Time since which the owner offers the shard, or has certainly terminated.
+    ///
+    /// An owner that stops goes on renewing its claim until another node has claimed the shard.
+    pub released_since: Option<MonoMs>,
     /// Share of a core that the owner has.
     pub cpu_share: f64,
     /// Time since which the owner has not responded to the candidate.
@@ -199,14 +201,12 @@
         {
             return now.since(shard.read_since) >= delay;
         }
-        let timeout = if owner.released {
-            Millis(0)
-        } else if is_suspect(&owner, now) {
-            SUSPECT_TIMEOUT_MS
-        } else {
-            OWNER_TIMEOUT_MS
+        let (since, timeout) = match owner.released_since {
+            Some(released_since) => (released_since, Millis(0)),
+            None if is_suspect(&owner, now) => (owner.renewed_at, SUSPECT_TIMEOUT_MS),
+            None => (owner.renewed_at, OWNER_TIMEOUT_MS),
         };
-        now.since(owner.renewed_at.max(shard.read_since)) >= timeout + delay
+        now.since(since.max(shard.read_since)) >= timeout + delay
     }
 
     /// Delay before a claim: jitter, plus an amount per owned shard and for a slow node.
--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -34,7 +34,7 @@
     OwnerView {
         renewed_at: before(300),
         claimed_at: before(50_000),
-        released: false,
+        released_since: None,
         cpu_share: 0.25,
         unanswered_since: None,
     }
@@ -91,7 +91,7 @@
         (
             "planned shutdown",
             OwnerView {
-                released: true,
+                released_since: Some(before(300)),
                 ..healthy()
             },
             true,
@@ -102,6 +102,18 @@
     }
 }
 
+/// Load pattern: nodes with an eighth of a core, stopped in turn. Guards against an owner that keeps its successors
+/// from claiming by renewing a claim that it has offered.
+#[gtest]
+fn a_slow_node_claims_an_offered_shard_although_its_owner_renews() {
+    let offered = |since_ms| OwnerView {
+        released_since: Some(before(since_ms)),
+        ..healthy()
+    };
+    expect_that!(claims(candidate(0.12), offered(500)), eq(false));
+    expect_that!(claims(candidate(0.12), offered(1_300)), eq(true));
+}
+
 /// Guards against a slow node that owns a shard although a fast one is available.
 #[gtest]
 fn slow_nodes_leave_shards_to_fast_ones() {
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -62,6 +62,8 @@
     renewed_at: MonoMs,
     /// Time at which the first record of the term was read.
     claimed_at: MonoMs,
+    /// Time at which the first record with the owner's offer of the shard was read.
+    released_at: Option<MonoMs>,
     /// Start of the period in which the owner has answered no call from this node.
     unanswered_since: Option<MonoMs>,
 }
@@ -245,6 +247,9 @@
         let updated = ObservedClaim {
             renewed_at,
             claimed_at: same_term.map_or(renewed_at, |known| known.claimed_at),
+            released_at: same_term
+                .and_then(|known| known.released_at)
+                .or(claim.released.then_some(renewed_at)),
             unanswered_since: same_term.and_then(|known| known.unanswered_since),
             claim,
         };
@@ -297,7 +302,9 @@
         OwnerView {
             renewed_at: observed.renewed_at,
             claimed_at: observed.claimed_at,
-            released: claim.released || ended,
+            released_since: observed
+                .released_at
+                .or(ended.then_some(observed.renewed_at)),
             cpu_share: f64::from(claim.cpu_milli) / 1_000.0,
             unanswered_since: observed.unanswered_since,
         }
--- /dev/null
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -0,0 +1,53 @@
+//! Planned stops of nodes, one after the other.
+//!
+//! Load pattern: a deployment of slow nodes is restarted node by node. An owner that stops goes on until
+//! another node has claimed its shard, and ends with the grace period.
+
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod support;
+
+use googletest::prelude::*;
+use hemlocksaddle_types::clock::Millis;
+use support::Deployment;
+
+/// Share of a core of a slow node.
+const SLOW_SHARE: f64 = 0.12;
+
+/// Time for a deployment of slow nodes to choose an owner.
+const START_MS: Millis = Millis(9_000);
+
+/// Longest time from the start of a stop until another node owns the shard.
+const HAND_OVER_MS: Millis = Millis(1_600);
+
+fn slow_deployment(seed: u64, nodes: usize) -> Deployment {
+    let deployment = Deployment::without_nodes(seed, 4);
+    (0..nodes).for_each(|number| deployment.start_with_share(number, SLOW_SHARE));
+    deployment.sim.run_for(START_MS);
+    deployment
+}
+
+/// Begins the planned stop of a node.
+fn release(deployment: &Deployment, number: usize) {
+    deployment.node(number).expect("node").release();
+}
+
+/// Number of shards that a node owns.
+fn owned(deployment: &Deployment, number: usize) -> usize {
+    deployment.node(number).expect("node").owned()
+}
+
+/// Guards against an owner that finds no successor before its process ends, because its renewals keep slow
+/// nodes from claiming a shard that it offers.
+#[gtest]
+fn slow_nodes_claim_an_offered_shard_beside_renewals() {
+    for seed in 1..=20 {
+        let deployment = slow_deployment(seed, 5);
+        let owner = deployment.owner().expect("owner");
+        deployment.sim.run_for(Millis(37 * seed));
+        release(&deployment, owner);
+        deployment.sim.run_for(HAND_OVER_MS);
+        expect_that!(owned(&deployment, owner), eq(0), "seed {seed}");
+        let owners = (0..5).filter(|&number| owned(&deployment, number) > 0);
+        expect_that!(owners.count(), eq(1), "seed {seed}");
+    }
+}
