Read which workers leave at the end of a recovery

It now applies the changes of the list after all else has been read, before the first plan.

Ruled out: no starts while the list is old, which would stop all work while the store is away.

--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -328,8 +328,7 @@
                 }
                 Err(StoreError::Truncated(_)) => {
                     if let Ok((records, end)) = self.env.read_all(Stream::Workers, 0).await {
-                        self.listings.borrow_mut().clear();
-                        self.apply_listings(records.into_iter().map(Some).collect());
+                        self.replace_listings(records);
                         next = end;
                     }
                 }
@@ -339,6 +338,12 @@
         }
     }
 
+    /// Applies all records of workers in place of the known ones.
+    pub(crate) fn replace_listings(self: &Rc<Self>, records: Vec<Record>) {
+        self.listings.borrow_mut().clear();
+        self.apply_listings(records.into_iter().map(Some).collect());
+    }
+
     /// Applies the workers' records.
     pub(crate) fn apply_listings(self: &Rc<Self>, records: Vec<Option<Record>>) {
         if records.is_empty() {
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -4,7 +4,10 @@
 
 use futures_util::future::join4;
 use hemlocksaddle_policy::workflow::{InterferenceSnapshot, Listing};
-use hemlocksaddle_types::workflow::{Progress, Submission};
+use hemlocksaddle_types::{
+    clock::Millis,
+    workflow::{Progress, Submission},
+};
 use serde_json::json;
 
 use crate::{
@@ -50,6 +53,7 @@
         }
         self.apply_progress(&progress);
         self.apply_listings(workers.into_iter().map(Some).collect());
+        let workers_end = self.update_listings(workers_end).await?;
         let inputs = json!({
             "shard": self.shard, "term": self.term,
             "submissions": submissions.len(), "progress": progress.len(),
@@ -61,6 +65,29 @@
         })
     }
 
+    /// Applies the listings that have changed since `next`; returns the offset after them.
+    ///
+    /// The other streams may have taken seconds on a slow link, in which workers announce that they leave.
+    async fn update_listings(self: &Rc<Self>, mut next: u64) -> Result<u64> {
+        loop {
+            let read = self.env.read(Stream::Workers, 0, next, Millis(0)).await;
+            match read {
+                Ok(tail) if tail.next == next => return Ok(next),
+                Ok(tail) => {
+                    next = tail.next;
+                    self.apply_listings(tail.records);
+                }
+                Err(StoreError::Truncated(_)) => {
+                    let (workers, end) = self.read_stream(Stream::Workers, 0).await?;
+                    next = end;
+                    self.replace_listings(workers);
+                }
+                Err(error) if !self.ended.get() => self.recovery_failed(error).await,
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
     /// Reads a stream completely; retries until ownership ends.
     async fn read_stream(&self, stream: Stream, partition: u32) -> Result<(Vec<Record>, u64)> {
         loop {
--- a/hemlocksaddle-shard/tests/rolling_stops.rs
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -8,7 +8,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_types::clock::Millis;
-use support::Deployment;
+use support::{Deployment, step};
 
 /// Share of a core of a slow node.
 const SLOW_SHARE: f64 = 0.12;
@@ -51,3 +51,38 @@
         expect_that!(owners.count(), eq(1), "seed {seed}");
     }
 }
+
+/// Bandwidth of a slow link.
+const SLOW_LINK_KBPS: u32 = 2_000;
+
+/// Time that a page of the store takes on the links of all nodes.
+const PAGE_MS: Millis = Millis(3_500);
+
+/// Load pattern: workers are replaced in turn while the owner changes, over links on which the successor reads
+/// its state for seconds. Guards against tasks that it starts on workers that have announced meanwhile that
+/// they leave.
+#[gtest]
+fn a_successor_knows_which_workers_leave_when_it_has_read_its_state() {
+    for seed in 1..=10 {
+        let deployment = Deployment::without_nodes(seed, 6);
+        (0..3).for_each(|number| deployment.start_with(number, 0.25, SLOW_LINK_KBPS));
+        deployment.wait_for_owner();
+        let owner = deployment.owner().expect("owner");
+        (0..3).for_each(|number| deployment.set_page_time(number, PAGE_MS));
+        let other = (owner + 1) % 3;
+        deployment.kill(owner);
+        let successor = (0..500).find_map(|_| {
+            deployment.sim.run_for(Millis(10));
+            deployment.owner()
+        });
+        expect_that!(successor, some(anything()), "seed {seed}");
+        for id in 1..=5 {
+            deployment.submit(other, id, vec![step(4)]);
+        }
+        (0..3).for_each(|number| deployment.fleet.drain(number));
+        deployment.sim.run_for(Millis(20_000));
+        let violations = deployment.fleet.violations.borrow();
+        expect_that!(*violations, is_empty(), "seed {seed}");
+        expect_that!(deployment.fleet.starts(), ge(20), "seed {seed}");
+    }
+}
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -34,6 +34,9 @@
 /// Time after which a capacity that has shrunk counts: the platform's contact time and a heartbeat.
 const SHRINK_GRACE_MS: u64 = 4_100;
 
+/// Time after a worker's announcement that it leaves, from which no task may start on it.
+const DRAIN_LIMIT_MS: u64 = 3_000;
+
 /// Time from the start of a task that crashes its worker to the crash.
 const CRASH_DELAY_MS: Millis = Millis(8);
 
@@ -58,6 +61,8 @@
     reachable_by_term: Option<u64>,
     /// Start time, which identifies the incarnation.
     born_ms: u64,
+    /// Time in milliseconds at which the store had the worker's announcement that it leaves.
+    drains_from_ms: Option<u64>,
     /// Whether the worker has crashed and is not back yet.
     is_down: bool,
     /// Time at which the worker's clock was 0; it starts anew with each process.
@@ -203,6 +208,13 @@
         (worker.born_ms, worker.capacity_milli())
     }
 
+    /// Announces that a worker leaves.
+    pub(crate) fn drain(&self, number: usize) {
+        let now_ms = self.sim.now().0;
+        self.workers.borrow_mut()[number].drains_from_ms = Some(now_ms);
+        self.store.put_draining_worker(number);
+    }
+
     /// Changes the capacity of a worker, which lists it at once.
     pub(crate) fn set_capacity(&self, number: usize, milli: u64) {
         let now_ms = self.sim.now().0;
@@ -328,6 +340,10 @@
             if !self.unguarded.get() && used_milli > worker.capacity_milli() {
                 return StartAnswer::NoRoom;
             }
+            let drains_from_ms = worker.drains_from_ms.unwrap_or(now_ms);
+            if drains_from_ms + DRAIN_LIMIT_MS < now_ms {
+                self.violation(format!("{} starts on draining worker {number}", call.task));
+            }
             let allowed_milli = worker.allowed_milli(now_ms);
             if used_milli > allowed_milli {
                 self.violation(format!(
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -83,6 +83,7 @@
         let mut listing = listing(number);
         listing.born_ms = born_ms;
         listing.capacity.cpu_milli = cpu_milli;
+        listing.draining = record.value.as_deref() == Some(store::DRAINING);
         Ok(listing)
     }
 }
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -23,6 +23,9 @@
 /// Interval at which a waiting read checks for new records.
 const POLL_MS: Millis = Millis(5);
 
+/// Value of the record of a worker that is about to leave.
+pub(super) const DRAINING: &[u8] = b"draining";
+
 /// Largest value of a record that the platform's store takes.
 const LARGEST_VALUE_BYTES: usize = 256 << 10;
 
@@ -94,6 +97,12 @@
         self.put(Stream::Workers, &number.to_string());
     }
 
+    /// Lists a worker as one that is about to leave.
+    pub(crate) fn put_draining_worker(&self, number: usize) {
+        let value = Some(Bytes::from_static(DRAINING));
+        self.put_value(Stream::Workers, &number.to_string(), value);
+    }
+
     /// Removes a worker's record, as the platform does when the worker has left.
     pub(crate) fn remove_worker(&self, number: usize) {
         self.put_value(Stream::Workers, &number.to_string(), None);
