Give up no workflow while its limit of attempts is unknown

Cause: the limit of a queue that the owner did not know was taken as 1.

A task that fails while the limit is unknown is remembered now, is not started, and is checked once the queue is known.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -155,6 +155,8 @@
     updated_at: MonoMs,
     /// Tasks whose crashes have not been weighed yet.
     suspects: Vec<TaskKey>,
+    /// Tasks that failed while the limit of their attempts was not known.
+    unchecked_attempts: Vec<TaskKey>,
     /// Latest crash at each address, for as long as its worker is not taken as steady.
     crashed_at: HashMap<SocketAddr, MonoMs>,
     /// Latest losses of workers by crashes.
@@ -194,6 +196,7 @@
             overdue_starts: overdue::OverdueStarts::default(),
             updated_at: MonoMs(0),
             suspects: Vec::new(),
+            unchecked_attempts: Vec::new(),
             crashed_at: HashMap::new(),
             losses: Vec::new(),
             crashes: Vec::new(),
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -66,6 +66,7 @@
         self.updated_at = now;
         self.expire(now);
         self.give_up_suspects(wall);
+        self.check_remembered_attempts(wall);
         self.move_stalled(now);
         self.move_off_draining();
         self.adjust_paces(now);
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -139,7 +139,6 @@
     fn run_failed(&mut self, worker: WorkerKey, key: TaskKey, run: Run, now: MonoMs, wall: WallMs) {
         let job = &mut self.jobs[key.job];
         let long_running = job.step(key).long_running;
-        let queue = job.spec.queue.clone();
         let task = job.task_mut(key);
         if task.failed.contains(&run) {
             return;
@@ -151,19 +150,41 @@
         task.failed.push(run);
         task.failed_on = Some(worker);
         task.not_before = now + RETRY_PAUSE_MS;
-        let failed = task.failed.len();
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.record_failure(now);
         }
         self.unsaved.insert(key.job);
-        let max_attempts = self.queue(&queue).map_or(1, |queue| queue.max_attempts);
-        if !long_running && failed >= max_attempts as usize {
+        if !long_running {
+            self.check_attempts(key, wall);
+        }
+    }
+
+    /// Ends the workflow of a task that has used up its attempts.
+    ///
+    /// Until the configuration tells their limit, the task is remembered and not started.
+    fn check_attempts(&mut self, key: TaskKey, wall: WallMs) {
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let Some(max_attempts) = self.queue(&job.spec.queue).map(|queue| queue.max_attempts) else {
+            self.unchecked_attempts.push(key);
+            return;
+        };
+        let failed = job.task(key).map_or(0, |task| task.failed.len());
+        if failed >= max_attempts as usize {
             let attempts = u32::try_from(failed).unwrap_or(u32::MAX);
             let task = self.name(key);
             self.fail_job(key.job, Failure::Attempts { task, attempts }, wall);
         }
     }
 
+    /// Checks the attempts of tasks that failed while the limit was not known.
+    pub(super) fn check_remembered_attempts(&mut self, wall: WallMs) {
+        for key in std::mem::take(&mut self.unchecked_attempts) {
+            self.check_attempts(key, wall);
+        }
+    }
+
     fn complete_gang(&mut self, key: TaskKey) {
         for member in self.members(key) {
             self.complete_task(member);
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -372,6 +372,30 @@
         self.report(start.worker, &report);
     }
 
+    /// Reports ends of runs, and that nothing runs.
+    pub(crate) fn report_ends(&mut self, number: usize, ends: Vec<End>) {
+        let report = Report {
+            sent_at: self.now,
+            running: Vec::new(),
+            ends,
+        };
+        self.report(self.workers[number], &report);
+    }
+
+    /// Configures a further queue with a limit of attempts.
+    pub(crate) fn configure_queue(&mut self, name: &str, max_attempts: u32) {
+        let further = Queue {
+            name: name.into(),
+            max_attempts,
+            ..queue()
+        };
+        self.scheduler.configure(&Catalogue {
+            version: 3,
+            queues: vec![queue(), further],
+            ..Catalogue::default()
+        });
+    }
+
     pub(crate) fn report_idle(&mut self, number: usize) {
         let report = Report {
             sent_at: self.now,
