Know submissions that were stored during a recovery

Cause: it counted its view of the submissions as read at the end of the recovery, although it was requested at the start, which is 3.7 s earlier on a link of 2 Mbit/s. Submissions are stored by the other nodes meanwhile.

The recovery now ends with one more read of what has followed, of the submissions and of the list of workers, and counts its view from the time of that request. It applies all of it without waiting in between, which also takes the read of the list out of the time between the reports of workers and the configuration. Reads without a wait have the timeout of pages, since they may be as large.

Ruled out: refusing states for some time after each recovery, which would leave callers without an answer for longer.

Test: a_successor_knows_submissions_that_were_stored_while_it_read_the_state, failing before.

--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -36,6 +36,7 @@
 mod record;
 mod recovery;
 mod saving;
+mod snapshot;
 mod waiting;
 mod worker_poll;
 
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -160,10 +160,14 @@
         wait: Millis,
     ) -> Result<Tail> {
         let sent_at = self.now();
+        let timeout = if wait == Millis(0) {
+            // May be as large as a page.
+            self.page_timeout()
+        } else {
+            wait + STORE_TIMEOUT_MS
+        };
         let read = self.ports.store.read(stream, partition, from, wait);
-        let read = self
-            .with_timeout("read", wait + STORE_TIMEOUT_MS, read)
-            .await;
+        let read = self.with_timeout("read", timeout, read).await;
         let took = self.now().since(sent_at);
         match took.0.checked_sub(wait.0) {
             _ if matches!(read, Err(StoreError::NotDone)) => {}
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -188,7 +188,7 @@
                 Err(error) => self.recovery_failed(error).await,
             }
         };
-        self.submissions_read_at.set(self.env.now());
+        self.submissions_read_at.set(followed.submissions_read_at);
         self.ready.set(true);
         self.spawn(|owner| owner.follow_configuration());
         self.spawn(move |owner| owner.follow_submissions(followed.submissions));
@@ -328,7 +328,8 @@
                 }
                 Err(StoreError::Truncated(_)) => {
                     if let Ok((records, end)) = self.env.read_all(Stream::Workers, 0).await {
-                        self.replace_listings(records);
+                        self.listings.borrow_mut().clear();
+                        self.apply_listings(records.into_iter().map(Some).collect());
                         next = end;
                     }
                 }
@@ -338,12 +339,6 @@
         }
     }
 
-    /// Applies all records of workers in place of the known ones.
-    pub(crate) fn replace_listings(self: &Rc<Self>, records: Vec<Record>) {
-        self.listings.borrow_mut().clear();
-        self.apply_listings(records.into_iter().map(Some).collect());
-    }
-
     /// Applies the workers' records.
     pub(crate) fn apply_listings(self: &Rc<Self>, records: Vec<Option<Record>>) {
         if records.is_empty() {
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
-use futures_util::future::join4;
+use futures_util::future::{join, join4};
 use hemlocksaddle_policy::workflow::{InterferenceSnapshot, Listing};
 use hemlocksaddle_types::{
-    clock::Millis,
+    clock::MonoMs,
     workflow::{Progress, Submission},
 };
 use serde_json::json;
@@ -15,11 +15,14 @@
     owner::{Owner, RETRY_MS},
     ports::{Conditions, Record, Result, StoreError, Stream},
     record::{self, Key},
+    snapshot::Snapshot,
 };
 
 /// Offsets from which streams are followed after recovery.
 pub(crate) struct FollowOffsets {
     pub(crate) submissions: u64,
+    /// Time at which the submissions were requested last.
+    pub(crate) submissions_read_at: MonoMs,
     pub(crate) workers: u64,
 }
 
@@ -34,64 +37,69 @@
         let fence = self
             .env
             .append(Stream::Progress, self.shard, Vec::new(), fence);
-        let submissions = self.read_stream(Stream::Submissions, self.shard);
-        let progress = self.read_stream(Stream::Progress, self.shard);
-        let workers = self.read_stream(Stream::Workers, 0);
+        let submissions = self.read_stream(Stream::Submissions, self.shard, None);
+        let progress = self.read_stream(Stream::Progress, self.shard, None);
+        let workers = self.read_stream(Stream::Workers, 0, None);
         let (fenced_at, submissions, progress, workers) =
             join4(fence, submissions, progress, workers).await;
-        let fenced_at = fenced_at?;
-        let (submissions, submissions_end) = submissions?;
-        let (mut progress, progress_end) = progress?;
-        let (workers, workers_end) = workers?;
-        if progress_end < fenced_at {
+        let (fenced_at, submissions, mut progress, workers) =
+            (fenced_at?, submissions?, progress?, workers?);
+        if progress.end < fenced_at {
             // The predecessor appended between the read and the fence; it cannot append any more.
-            progress = self.read_stream(Stream::Progress, self.shard).await?.0;
+            progress = self
+                .read_stream(Stream::Progress, self.shard, Some(progress))
+                .await?;
         }
+        // On a slow link all this takes seconds, in which submissions arrive and workers announce that they
+        // leave. From here on nothing waits until the state is complete.
+        let submissions_read_at = self.env.now();
+        let (submissions, workers) = join(
+            self.read_stream(Stream::Submissions, self.shard, Some(submissions)),
+            self.read_stream(Stream::Workers, 0, Some(workers)),
+        )
+        .await;
+        let (submissions, workers) = (submissions?, workers?);
         self.apply_interference(&progress);
-        for record in &submissions {
+        for record in submissions.records() {
             self.apply_submission(record, true);
         }
         self.apply_progress(&progress);
-        self.apply_listings(workers.into_iter().map(Some).collect());
-        let workers_end = self.update_listings(workers_end).await?;
+        self.apply_listings(workers.records().cloned().map(Some).collect());
         let inputs = json!({
             "shard": self.shard, "term": self.term,
             "submissions": submissions.len(), "progress": progress.len(),
         });
         self.env.event(Event::Recovered, &inputs);
         Ok(FollowOffsets {
-            submissions: submissions_end,
-            workers: workers_end,
+            submissions: submissions.end,
+            submissions_read_at,
+            workers: workers.end,
         })
     }
 
-    /// Applies the listings that have changed since `next`; returns the offset after them.
-    ///
-    /// The other streams may have taken seconds on a slow link, in which workers announce that they leave.
-    async fn update_listings(self: &Rc<Self>, mut next: u64) -> Result<u64> {
+    /// Reads what has followed a snapshot, or a stream completely; retries until ownership ends.
+    async fn read_stream(
+        &self,
+        stream: Stream,
+        partition: u32,
+        mut known: Option<Snapshot>,
+    ) -> Result<Snapshot> {
         loop {
-            let read = self.env.read(Stream::Workers, 0, next, Millis(0)).await;
-            match read {
-                Ok(tail) if tail.next == next => return Ok(next),
-                Ok(tail) => {
-                    next = tail.next;
-                    self.apply_listings(tail.records);
-                }
-                Err(StoreError::Truncated(_)) => {
-                    let (workers, end) = self.read_stream(Stream::Workers, 0).await?;
-                    next = end;
-                    self.replace_listings(workers);
+            let read = match known.take() {
+                None => Snapshot::read(&self.env, stream, partition).await,
+                Some(mut snapshot) => {
+                    let updated = snapshot.update(&self.env, stream, partition).await;
+                    match updated {
+                        Ok(()) => Ok(snapshot),
+                        Err(StoreError::Truncated(_)) => continue,
+                        Err(error) => {
+                            known = Some(snapshot);
+                            Err(error)
+                        }
+                    }
                 }
-                Err(error) if !self.ended.get() => self.recovery_failed(error).await,
-                Err(error) => return Err(error),
-            }
-        }
-    }
-
-    /// Reads a stream completely; retries until ownership ends.
-    async fn read_stream(&self, stream: Stream, partition: u32) -> Result<(Vec<Record>, u64)> {
-        loop {
-            match self.env.read_all(stream, partition).await {
+            };
+            match read {
                 Err(error) if !self.ended.get() => self.recovery_failed(error).await,
                 read => return read,
             }
@@ -127,9 +135,9 @@
     }
 
     /// Restores the predecessor's interference estimates, before any workflow is added.
-    fn apply_interference(&self, records: &[Record]) {
-        let interference = records
-            .iter()
+    fn apply_interference(&self, progress: &Snapshot) {
+        let interference = progress
+            .records()
             .find(|record| Key::parse(&record.key) == Some(Key::Interference));
         let Some((record, value)) =
             interference.and_then(|record| Some((record, record.value.as_ref()?)))
@@ -145,9 +153,9 @@
         }
     }
 
-    fn apply_progress(self: &Rc<Self>, records: &[Record]) {
+    fn apply_progress(self: &Rc<Self>, progress: &Snapshot) {
         let mut roster = Vec::new();
-        for record in records {
+        for record in progress.records() {
             let Some(value) = &record.value else { continue };
             match Key::parse(&record.key) {
                 Some(Key::Progress(id)) => match record::decode::<Progress>(&record.key, value) {
--- a/hemlocksaddle-shard/tests/rolling_stops.rs
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -7,6 +7,7 @@
 mod support;
 
 use googletest::prelude::*;
+use hemlocksaddle_shard::frontend::{StateLookup, Submitted};
 use hemlocksaddle_types::clock::Millis;
 use support::{Deployment, step};
 
@@ -86,3 +87,30 @@
         expect_that!(deployment.fleet.starts(), ge(20), "seed {seed}");
     }
 }
+
+/// Guards against a submission that a successor does not know right after its recovery, since it was stored
+/// while the state was read.
+#[gtest]
+fn a_successor_knows_submissions_that_were_stored_while_it_read_the_state() {
+    for seed in 1..=10 {
+        let deployment = Deployment::without_nodes(seed, 6);
+        (0..3).for_each(|number| deployment.start_with(number, 0.25, SLOW_LINK_KBPS));
+        deployment.wait_for_owner();
+        let owner = deployment.owner().expect("owner");
+        (0..3).for_each(|number| deployment.set_page_time(number, PAGE_MS));
+        let other = (owner + 1) % 3;
+        deployment.kill(owner);
+        let mut stored = Vec::new();
+        for id in 1..=80 {
+            if deployment.submit(other, id, vec![step(1)]) == Submitted::Accepted {
+                stored.push(id);
+            }
+            deployment.sim.run_for(Millis(100));
+            for id in &stored {
+                let state = deployment.state(other, *id);
+                let unknown = matches!(state, StateLookup::NotFound);
+                expect_that!(unknown, eq(false), "seed {seed}: workflow {id}");
+            }
+        }
+    }
+}
