Name a successor that reads the state before it claims

A stopping owner now names its successor in the claim: a fast node first, then one that has been restarted since the owner's process started, then the widest link, all by their latest offers. The named node reads the state while the owner goes on, claims, and reads only what has followed. Other nodes claim after 5 s, so that a successor that is gone costs no more than before. Older versions ignore the name and claim after their delay.

Letting all candidates read ahead was ruled out: it would fill the links of all nodes.

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -29,6 +29,9 @@
 /// of an owner whose link is congested, which needs them most.
 const HEARD_TTL_MS: Millis = Millis(10_000);
 
+/// Time without an offer or an answer after which a node may be gone: three offers.
+const ALIVE_TTL_MS: Millis = Millis(3_000);
+
 /// Time for which a delegate that did not answer is not used.
 const FAILED_PAUSE_MS: Millis = Millis(3_000);
 
@@ -43,6 +46,11 @@
 /// Capacity of the delegates relative to the number of workers, so that one may be lost.
 const SPARE: f64 = 1.5;
 
+/// Time by which a process started after the owner's if its node has been restarted since.
+///
+/// Above the differences at the start of a deployment, and those of clocks.
+const RESTARTED_AFTER_MS: Millis = Millis(15_000);
+
 /// Share of a core in thousandths at or above which a node is preferred.
 const FULL_SHARE_MILLI: u32 = 250;
 
@@ -185,6 +193,26 @@
         ranked.into_iter().map(|(_, candidate)| candidate).collect()
     }
 
+    /// Node that should own the shard after the owner, a process that started at `started_ms`.
+    ///
+    /// A fast node comes first. Of these, one that has been restarted since: nodes that are stopped in turn
+    /// are stopped once each, so that it stays. Then the one that reads the state soonest.
+    #[must_use]
+    pub fn successor(&self, started_ms: u64, now: MonoMs) -> Option<&NodeName> {
+        let usable = self.candidates.values();
+        // Whether the owner can reach it does not matter: the owner's own link may be full.
+        let usable = usable.filter(|candidate| {
+            candidate.offer.available && now.since(candidate.heard_at) < ALIVE_TTL_MS
+        });
+        let best = usable.max_by_key(|candidate| {
+            let offer = &candidate.offer;
+            let is_fast = offer.cpu_milli >= FULL_SHARE_MILLI;
+            let was_restarted = offer.started_ms >= started_ms + RESTARTED_AFTER_MS.0;
+            (is_fast, was_restarted, offer.link_kbps, offer.cpu_milli)
+        });
+        best.map(|candidate| &candidate.offer.node)
+    }
+
     /// Nodes that calls are delegated to.
     #[must_use]
     pub fn active(&self) -> &[Delegate] {
--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -31,6 +31,12 @@
 /// Time without a renewal after which the shard of a suspect owner is claimed: one missed renewal.
 const SUSPECT_TIMEOUT_MS: Millis = Millis(900);
 
+/// Time after which a shard that was offered to one node is claimed by others.
+///
+/// The node first reads the state, which takes up to 5 s on a full link of 2 Mbit/s, while the owner goes on until
+/// its grace period ends.
+const SUCCESSOR_TIMEOUT_MS: Millis = Millis(5_000);
+
 /// Time without a response after which an owner is suspect.
 const SUSPECT_AFTER_MS: Millis = Millis(200);
 
@@ -72,6 +78,17 @@
     pub jitter_seed: u64,
 }
 
+/// Node to which an owner that stops offers its shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Successor {
+    /// Any node.
+    Any,
+    /// The candidate.
+    Candidate,
+    /// Another node.
+    Other,
+}
+
 /// Claim of the current owner, as seen by the candidate.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnerView {
@@ -83,6 +100,8 @@
     ///
     /// An owner that stops goes on renewing its claim until another node has claimed the shard.
     pub released_since: Option<MonoMs>,
+    /// Node to which the owner offers the shard.
+    pub successor: Successor,
     /// Share of a core that the owner has.
     pub cpu_share: f64,
     /// Time since which the owner has not responded to the candidate.
@@ -202,6 +221,10 @@
             return now.since(shard.read_since) >= delay;
         }
         let (since, timeout) = match owner.released_since {
+            Some(_) if owner.successor == Successor::Candidate => return true,
+            Some(released_since) if owner.successor == Successor::Other => {
+                (released_since, SUCCESSOR_TIMEOUT_MS)
+            }
             Some(released_since) => (released_since, Millis(0)),
             None if is_suspect(&owner, now) => (owner.renewed_at, SUSPECT_TIMEOUT_MS),
             None => (owner.renewed_at, OWNER_TIMEOUT_MS),
--- a/hemlocksaddle-policy/tests/delegation.rs
+++ b/hemlocksaddle-policy/tests/delegation.rs
@@ -32,6 +32,7 @@
         cpu_milli,
         link_kbps,
         available: true,
+        started_ms: 0,
     }
 }
 
@@ -181,9 +182,38 @@
         .expect("node");
     let withdrawn = Offer {
         available: false,
+        started_ms: 0,
         ..offer(number, 5, FAST_MILLI, 200_000)
     };
     delegates.record_offer(withdrawn, START);
     expect_that!(delegates.choose(890, START), eq(true));
     expect_that!(routes(&delegates).contains(&Some(stopping)), eq(false));
 }
+
+/// Load pattern: nodes stopped in turn. Guards against a successor that is stopped next, and against one that
+/// reads the state for longer than others, or is slow.
+#[gtest]
+fn the_successor_is_fast_was_restarted_and_has_the_widest_link() {
+    let owner_started_ms = 1_000_000;
+    let restarted_ms = owner_started_ms + 60_000;
+    let offer = |number, cpu_milli, link_kbps, started_ms| Offer {
+        started_ms,
+        ..offer(number, 1, cpu_milli, link_kbps)
+    };
+    let mut delegates = Delegates::new(FAST_MILLI, 10_000);
+    let mut expect_successor = |added: Offer, expected: usize| {
+        delegates.record_offer(added, START);
+        let successor = delegates.successor(owner_started_ms, START);
+        expect_that!(successor, some(eq(&node(expected))));
+    };
+    expect_successor(offer(1, SLOW_MILLI, 90_000, restarted_ms), 1);
+    expect_successor(offer(2, FAST_MILLI, 10_000, owner_started_ms), 2);
+    expect_successor(offer(3, FAST_MILLI, 20_000, owner_started_ms + 900), 3);
+    expect_successor(offer(4, FAST_MILLI, 10_000, restarted_ms), 4);
+    expect_successor(offer(5, FAST_MILLI, 20_000, restarted_ms), 5);
+    let stopping = Offer {
+        available: false,
+        ..offer(5, FAST_MILLI, 20_000, restarted_ms)
+    };
+    expect_successor(stopping, 4);
+}
--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use hemlocksaddle_policy::take_over::{
     AppendAttempts, Candidate, ClockReading, OWNERSHIP_LEASE_MS, OwnerView, RENEW_INTERVAL_MS,
-    ShardView, failover_complete_at, worker_lease,
+    ShardView, Successor, failover_complete_at, worker_lease,
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
@@ -35,6 +35,7 @@
         renewed_at: before(300),
         claimed_at: before(50_000),
         released_since: None,
+        successor: Successor::Any,
         cpu_share: 0.25,
         unanswered_since: None,
     }
@@ -114,6 +115,22 @@
     expect_that!(claims(candidate(0.12), offered(1_300)), eq(true));
 }
 
+/// Guards against several nodes that read the state of an offered shard at once, and against a shard that waits for
+/// a node that does not claim it.
+#[gtest]
+fn an_offered_shard_is_claimed_by_the_named_node_first() {
+    let offered = |since_ms, successor| OwnerView {
+        released_since: Some(before(since_ms)),
+        successor,
+        ..healthy()
+    };
+    let slow = candidate(0.12);
+    expect_that!(claims(slow, offered(0, Successor::Candidate)), eq(true));
+    let fast = candidate(0.5);
+    expect_that!(claims(fast, offered(4_900, Successor::Other)), eq(false));
+    expect_that!(claims(fast, offered(5_300, Successor::Other)), eq(true));
+}
+
 /// Guards against a slow node that owns a shard although a fast one is available.
 #[gtest]
 fn slow_nodes_leave_shards_to_fast_ones() {
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -15,11 +15,12 @@
 
 use hemlocksaddle_node::wait::Signal;
 use hemlocksaddle_policy::take_over::{
-    AppendAttempts, Candidate, ClockReading, OwnerView, ShardView,
+    AppendAttempts, Candidate, ClockReading, OwnerView, ShardView, Successor,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
+    name::NodeName,
 };
 use serde_json::json;
 
@@ -28,6 +29,7 @@
     node::Env,
     ports::{Conditions, Record, Result, StoreError, Stream, Writer},
     record::{self, Claim, LAYOUT_KEY, Layout},
+    snapshot::Snapshots,
 };
 
 /// Longest time that one read of the claims waits for new records.
@@ -68,6 +70,13 @@
     unanswered_since: Option<MonoMs>,
 }
 
+/// Offer of a shard by an owner that stops.
+#[derive(Clone, Debug)]
+pub(crate) struct Handover {
+    /// Node that should claim the shard first; `None` if the owner knows none.
+    pub(crate) successor: Option<NodeName>,
+}
+
 /// Read position of a partition.
 #[derive(Default)]
 struct PartitionState {
@@ -101,6 +110,8 @@
     own_claims: RefCell<BTreeMap<u32, OwnClaim>>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) owned: Cell<u64>,
+    /// State of a shard that was offered to this node.
+    snapshots: RefCell<Option<(u32, Snapshots)>>,
 }
 
 impl Claims {
@@ -116,6 +127,7 @@
             own_claims: RefCell::default(),
             stopping: Cell::new(false),
             owned: Cell::new(0),
+            snapshots: RefCell::default(),
         })
     }
 
@@ -273,6 +285,10 @@
             };
             for shard in 0..layout.shards {
                 if self.may_claim(shard) {
+                    self.read_ahead(shard).await;
+                }
+                // The view may have changed while the state was read.
+                if !self.stopping.get() && self.may_claim(shard) {
                     self.try_claim(shard).await;
                 }
             }
@@ -305,6 +321,11 @@
             released_since: observed
                 .released_at
                 .or(ended.then_some(observed.renewed_at)),
+            successor: match &claim.successor {
+                None => Successor::Any,
+                Some(node) if *node == self.env.settings.node => Successor::Candidate,
+                Some(_) => Successor::Other,
+            },
             cpu_share: f64::from(claim.cpu_milli) / 1_000.0,
             unanswered_since: observed.unanswered_since,
         }
@@ -347,6 +368,41 @@
         }
     }
 
+    /// Reads the state of a shard that its owner offers to this node, while the owner goes on.
+    async fn read_ahead(&self, shard: u32) {
+        let claim = self.claim(shard);
+        let named = claim.as_ref().and_then(|claim| claim.successor.as_ref());
+        if named != Some(&self.env.settings.node) {
+            return;
+        }
+        let started_at = self.env.now();
+        // A claim may have failed after an earlier read.
+        let known = self.take_snapshots(shard);
+        let is_known = known.is_some();
+        let read = async {
+            let mut snapshots = match known {
+                Some(snapshots) => snapshots,
+                None => Snapshots::read(&self.env, shard).await?,
+            };
+            snapshots.read_following(&self.env, shard).await?;
+            Ok::<_, StoreError>(snapshots)
+        };
+        let read = read.await;
+        let inputs = json!({
+            "shard": shard, "again": is_known, "took_ms": self.env.now().since(started_at).0,
+            "outcome": format!("{:?}", read.as_ref().map(|_| ())),
+        });
+        self.env.event(Event::ReadAhead, &inputs);
+        // Without it, the state is read after the claim.
+        self.snapshots.replace(read.ok().map(|read| (shard, read)));
+    }
+
+    /// Takes the state of a shard that was read before this node claimed it.
+    pub(crate) fn take_snapshots(&self, shard: u32) -> Option<Snapshots> {
+        let (of_shard, snapshots) = self.snapshots.take()?;
+        (of_shard == shard).then_some(snapshots)
+    }
+
     async fn try_claim(&self, shard: u32) {
         if self.claiming.replace(true) {
             return;
@@ -357,7 +413,7 @@
         let partition = self.partition(shard);
         let end = partition.end.get();
         let earlier_read_at = earlier.and(partition.record_read_at.get());
-        let claim = self.own_claim(term, false);
+        let claim = self.own_claim(term, None);
         let first = self.first_sequence();
         let sent_at = self.env.clocks();
         {
@@ -431,14 +487,15 @@
         stable_hash(&[settings.node.as_str().as_bytes(), &started]) >> 32
     }
 
-    fn own_claim(&self, term: u64, released: bool) -> Claim {
+    fn own_claim(&self, term: u64, handover: Option<&Handover>) -> Claim {
         Claim {
             term,
             node: self.env.settings.node.clone(),
             started_ms: self.env.started_ms,
             address: self.env.settings.peer_address,
             cpu_milli: self.env.settings.cpu_milli(),
-            released,
+            released: handover.is_some(),
+            successor: handover.and_then(|handover| handover.successor.clone()),
         }
     }
 
@@ -472,10 +529,10 @@
         &self,
         shard: u32,
         term: u64,
-        released: bool,
+        handover: Option<&Handover>,
         sequence: &Cell<u64>,
     ) -> Result<()> {
-        let claim = self.own_claim(term, released);
+        let claim = self.own_claim(term, handover);
         match self.append_claim(shard, &claim, sequence.get(), None).await {
             Ok(_) => {
                 sequence.set(sequence.get() + 1);
--- a/hemlocksaddle-shard/src/delegate.rs
+++ b/hemlocksaddle-shard/src/delegate.rs
@@ -179,6 +179,7 @@
         cpu_milli,
         link_kbps: settings.link_kbps,
         available: !claims.stopping.get(),
+        started_ms: env.started_ms,
     };
     let request = ShardRequest::Offer(shard, offer);
     let sent = links.call_within(&claim.node, claim.address, request, OFFER_TIMEOUT_MS);
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -97,6 +97,14 @@
         self.env.metrics.delegates.set(count);
     }
 
+    /// Node that should own the shard next, if one is known.
+    pub(crate) fn successor(&self) -> Option<NodeName> {
+        let delegates = self.delegates.borrow();
+        delegates
+            .successor(self.env.started_ms, self.env.now())
+            .cloned()
+    }
+
     fn route(&self, worker: &Listing) -> Option<Delegate> {
         let rack = worker.rack().unwrap_or(&worker.name);
         let delegates = self.delegates.borrow();
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -92,6 +92,10 @@
     Deposed = 32, "deposed";
     /// Shard's state could not be read; the read is retried.
     RecoveryFailed = 33, "recovery failed";
+    /// Owner that stops offers its shard to other nodes.
+    Offered = 34, "offered";
+    /// State of an offered shard was read before the claim.
+    ReadAhead = 35, "read ahead";
     /// Submission was accepted.
     Accepted = 40, "accepted";
     /// Submission was refused.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -25,7 +25,7 @@
 use std::sync::Arc;
 
 use crate::{
-    claims::Claims,
+    claims::{Claims, Handover},
     configuration::Configuration,
     dispatcher::Dispatcher,
     event::Event,
@@ -92,7 +92,7 @@
     pub(crate) interference_due: Cell<bool>,
     /// Time at which tasks that have waited long were last reported.
     pub(crate) waiting_reported_at: Cell<MonoMs>,
-    released: Cell<bool>,
+    handover: RefCell<Option<Handover>>,
     released_changed: Signal,
     pub(crate) pending_submissions: RefCell<Vec<PendingSubmission>>,
     pub(crate) pending_changed: Signal,
@@ -141,7 +141,7 @@
             submissions_read_at: Cell::new(MonoMs(0)),
             interference_due: Cell::new(false),
             waiting_reported_at: Cell::new(now),
-            released: Cell::new(false),
+            handover: RefCell::default(),
             released_changed: Signal::default(),
             pending_submissions: RefCell::default(),
             pending_changed: Signal::default(),
@@ -209,7 +209,13 @@
     /// The owner continues until another node has claimed the shard, which may take
     /// seconds while the store is slow.
     pub(crate) fn release(&self) {
-        self.released.set(true);
+        let successor = self.dispatcher.successor();
+        let inputs = json!({
+            "shard": self.shard, "term": self.term,
+            "successor": successor.as_ref().map(|node| node.as_str()),
+        });
+        self.env.event(Event::Offered, &inputs);
+        self.handover.replace(Some(Handover { successor }));
         self.released_changed.notify();
     }
 
@@ -218,16 +224,14 @@
         while !self.ended.get() {
             let sent_at = self.env.clocks();
             let lease_from = attempts.send(sent_at);
-            match self
-                .claims
-                .renew(
-                    self.shard,
-                    self.term,
-                    self.released.get(),
-                    &self.claim_sequence,
-                )
-                .await
-            {
+            let handover = self.handover.borrow().clone();
+            let renewed = self.claims.renew(
+                self.shard,
+                self.term,
+                handover.as_ref(),
+                &self.claim_sequence,
+            );
+            match renewed.await {
                 Ok(()) => {
                     self.ownership_lease_from.set(Some(lease_from));
                     attempts = AppendAttempts::default();
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -46,6 +46,9 @@
     pub(crate) cpu_milli: u32,
     /// Whether the owner offers the shard to other nodes.
     pub(crate) released: bool,
+    /// Node that should claim the offered shard first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) successor: Option<NodeName>,
 }
 
 /// Key in the submissions or progress stream.
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -37,9 +37,18 @@
         let fence = self
             .env
             .append(Stream::Progress, self.shard, Vec::new(), fence);
-        let submissions = self.read_stream(Stream::Submissions, self.shard, None);
-        let progress = self.read_stream(Stream::Progress, self.shard, None);
-        let workers = self.read_stream(Stream::Workers, 0, None);
+        let (submissions, progress, workers) = match self.claims.take_snapshots(self.shard) {
+            Some(read) => (
+                Some(read.submissions),
+                Some(read.progress),
+                Some(read.workers),
+            ),
+            None => (None, None, None),
+        };
+        let is_read_ahead = progress.is_some();
+        let submissions = self.read_stream(Stream::Submissions, self.shard, submissions);
+        let progress = self.read_stream(Stream::Progress, self.shard, progress);
+        let workers = self.read_stream(Stream::Workers, 0, workers);
         let (fenced_at, submissions, progress, workers) =
             join4(fence, submissions, progress, workers).await;
         let (fenced_at, submissions, mut progress, workers) =
@@ -68,6 +77,7 @@
         let inputs = json!({
             "shard": self.shard, "term": self.term,
             "submissions": submissions.len(), "progress": progress.len(),
+            "read_ahead": is_read_ahead,
         });
         self.env.event(Event::Recovered, &inputs);
         Ok(FollowOffsets {
--- a/hemlocksaddle-shard/src/snapshot.rs
+++ b/hemlocksaddle-shard/src/snapshot.rs
@@ -1,9 +1,12 @@
 //! State of a shard in the store, as of some offset of each stream.
 //!
-//! A snapshot is read page by page and brought up to date from the records that follow.
+//! A snapshot is read page by page and brought up to date from the records that follow. A
+//! node that is to own a shard next reads it while the owner goes on, so that only the
+//! records since then have to be read after the claim.
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use futures_util::future::join3;
 use hemlocksaddle_types::clock::Millis;
 
 use crate::{
@@ -11,6 +14,12 @@
     ports::{Record, Result, Stream},
 };
 
+/// Number of reads of what has followed before a claim; each takes a fraction of the time of the one before.
+const FOLLOWING_READS: usize = 2;
+
+/// Time after which no further read of what has followed begins; the owner's process ends soon.
+const FOLLOWING_LIMIT_MS: Millis = Millis(400);
+
 /// Newest record of each key of a stream.
 #[derive(Debug)]
 pub(crate) struct Snapshot {
@@ -65,3 +74,47 @@
         self.records.values()
     }
 }
+
+/// Snapshots of all streams that a shard's owner recovers from.
+#[derive(Debug)]
+pub(crate) struct Snapshots {
+    pub(crate) submissions: Snapshot,
+    pub(crate) progress: Snapshot,
+    pub(crate) workers: Snapshot,
+}
+
+impl Snapshots {
+    /// Reads what has followed while the shard's owner adds to the streams, so that little is left to read.
+    pub(crate) async fn read_following(&mut self, env: &Env, shard: u32) -> Result<()> {
+        let started_at = env.now();
+        for _ in 0..FOLLOWING_READS {
+            let (submissions, progress, workers) = join3(
+                self.submissions
+                    .read_following(env, Stream::Submissions, shard),
+                self.progress.read_following(env, Stream::Progress, shard),
+                self.workers.read_following(env, Stream::Workers, 0),
+            )
+            .await;
+            let has_grown = [submissions?, progress?, workers?];
+            if !has_grown.contains(&true) || env.now().since(started_at) >= FOLLOWING_LIMIT_MS {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the streams of a shard, at the same time.
+    pub(crate) async fn read(env: &Env, shard: u32) -> Result<Snapshots> {
+        let (submissions, progress, workers) = join3(
+            Snapshot::read(env, Stream::Submissions, shard),
+            Snapshot::read(env, Stream::Progress, shard),
+            Snapshot::read(env, Stream::Workers, 0),
+        )
+        .await;
+        Ok(Snapshots {
+            submissions: submissions?,
+            progress: progress?,
+            workers: workers?,
+        })
+    }
+}
--- a/hemlocksaddle-shard/tests/rolling_stops.rs
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -88,6 +88,41 @@
     }
 }
 
+/// Longest time without a start in a planned change of owner; two intervals of submissions more than the
+/// reading of what has followed the state.
+const MAX_GAP_MS: u64 = 1_000;
+
+/// Guards against a planned change of owner in which nothing starts while the successor reads its state, which
+/// its predecessor could have bridged.
+#[gtest]
+fn an_owner_that_stops_goes_on_until_its_successor_has_read_the_state() {
+    for seed in 1..=10 {
+        let deployment = Deployment::without_nodes(seed, 6);
+        (0..4).for_each(|number| deployment.start_with(number, 0.25, SLOW_LINK_KBPS));
+        deployment.wait_for_owner();
+        let owner = deployment.owner().expect("owner");
+        (0..4).for_each(|number| deployment.set_page_time(number, PAGE_MS));
+        release(&deployment, owner);
+        let mut gap_ms = 0;
+        let mut longest_ms = 0;
+        for id in 1..=70 {
+            let starts = deployment.fleet.starts();
+            deployment.submit((owner + 1) % 4, id, vec![step(1)]);
+            deployment.sim.run_for(Millis(100));
+            gap_ms = if deployment.fleet.starts() > starts {
+                0
+            } else {
+                gap_ms + 100
+            };
+            longest_ms = longest_ms.max(gap_ms);
+        }
+        expect_that!(owned(&deployment, owner), eq(0), "seed {seed}");
+        expect_that!(longest_ms, le(MAX_GAP_MS), "seed {seed}");
+        let violations = deployment.fleet.violations.borrow();
+        expect_that!(*violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Guards against a submission that a successor does not know right after its recovery, since it was stored
 /// while the state was read.
 #[gtest]
--- a/hemlocksaddle-types/src/delegation.rs
+++ b/hemlocksaddle-types/src/delegation.rs
@@ -245,6 +245,9 @@
     pub link_kbps: u32,
     /// Whether the node takes calls; `false` when it is about to stop.
     pub available: bool,
+    /// Start time of the node's process in milliseconds; 0 if its version does not tell.
+    #[serde(default)]
+    pub started_ms: u64,
 }
 
 /// Call to a worker that a delegate carries out.
