Offer a shard to another node when its successor stops as well

The owner now follows the named node's own offer, which the node withdraws when it stops. Within 1.5 s another node is named, which still has time to read; later any node may claim, at once.

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -32,6 +32,9 @@
 /// Time without an offer or an answer after which a node may be gone: three offers.
 const ALIVE_TTL_MS: Millis = Millis(3_000);
 
+/// Time from the offer of a shard within which another successor is named if the first withdraws.
+const RENAME_WITHIN_MS: Millis = Millis(1_500);
+
 /// Time for which a delegate that did not answer is not used.
 const FAILED_PAUSE_MS: Millis = Millis(3_000);
 
@@ -213,6 +216,25 @@
         best.map(|candidate| &candidate.offer.node)
     }
 
+    /// Node that should own the shard instead of one to which it was offered `waited` ago.
+    ///
+    /// Another one is only named early, since it has to read the state; later any node may claim.
+    #[must_use]
+    pub fn next_successor(
+        &self,
+        named: &NodeName,
+        started_ms: u64,
+        waited: Millis,
+        now: MonoMs,
+    ) -> Option<&NodeName> {
+        let known = self.candidates.get_key_value(named);
+        match known {
+            Some((node, candidate)) if candidate.offer.available => Some(node),
+            _ if waited < RENAME_WITHIN_MS => self.successor(started_ms, now),
+            _ => None,
+        }
+    }
+
     /// Nodes that calls are delegated to.
     #[must_use]
     pub fn active(&self) -> &[Delegate] {
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -75,6 +75,8 @@
 pub(crate) struct Handover {
     /// Node that should claim the shard first; `None` if the owner knows none.
     pub(crate) successor: Option<NodeName>,
+    /// Time of the offer.
+    pub(crate) offered_at: MonoMs,
 }
 
 /// Read position of a partition.
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -105,6 +105,15 @@
             .cloned()
     }
 
+    /// Node that should own the shard instead of one to which it was offered `waited` ago.
+    pub(crate) fn next_successor(&self, named: &NodeName, waited: Millis) -> Option<NodeName> {
+        let delegates = self.delegates.borrow();
+        let started_ms = self.env.started_ms;
+        delegates
+            .next_successor(named, started_ms, waited, self.env.now())
+            .cloned()
+    }
+
     fn route(&self, worker: &Listing) -> Option<Delegate> {
         let rack = worker.rack().unwrap_or(&worker.name);
         let delegates = self.delegates.borrow();
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -209,14 +209,38 @@
     /// The owner continues until another node has claimed the shard, which may take
     /// seconds while the store is slow.
     pub(crate) fn release(&self) {
-        let successor = self.dispatcher.successor();
+        self.offer(Handover {
+            successor: self.dispatcher.successor(),
+            offered_at: self.env.now(),
+        });
+        self.released_changed.notify();
+    }
+
+    fn offer(&self, handover: Handover) {
         let inputs = json!({
             "shard": self.shard, "term": self.term,
-            "successor": successor.as_ref().map(|node| node.as_str()),
+            "successor": handover.successor.as_ref().map(|node| node.as_str()),
         });
         self.env.event(Event::Offered, &inputs);
-        self.handover.replace(Some(Handover { successor }));
-        self.released_changed.notify();
+        self.handover.replace(Some(handover));
+    }
+
+    /// Offers the shard to another node if the one that it was offered to is about to stop.
+    fn replace_successor(&self) {
+        let Some(handover) = self.handover.borrow().clone() else {
+            return;
+        };
+        let Some(named) = &handover.successor else {
+            return;
+        };
+        let waited = self.env.now().since(handover.offered_at);
+        let successor = self.dispatcher.next_successor(named, waited);
+        if successor != handover.successor {
+            self.offer(Handover {
+                successor,
+                ..handover
+            });
+        }
     }
 
     async fn renew(self: Rc<Self>) {
@@ -224,6 +248,7 @@
         while !self.ended.get() {
             let sent_at = self.env.clocks();
             let lease_from = attempts.send(sent_at);
+            self.replace_successor();
             let handover = self.handover.borrow().clone();
             let renewed = self.claims.renew(
                 self.shard,
--- a/hemlocksaddle-shard/tests/rolling_stops.rs
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -59,17 +59,23 @@
 /// Time that a page of the store takes on the links of all nodes.
 const PAGE_MS: Millis = Millis(3_500);
 
+/// Deployment whose links take a time for each page, and the number of its owner.
+fn slow_link_deployment(seed: u64, nodes: usize, page: Millis) -> (Deployment, usize) {
+    let deployment = Deployment::without_nodes(seed, 6);
+    (0..nodes).for_each(|number| deployment.start_with(number, 0.25, SLOW_LINK_KBPS));
+    deployment.wait_for_owner();
+    (0..nodes).for_each(|number| deployment.set_page_time(number, page));
+    let owner = deployment.owner().expect("owner");
+    (deployment, owner)
+}
+
 /// Load pattern: workers are replaced in turn while the owner changes, over links on which the successor reads
 /// its state for seconds. Guards against tasks that it starts on workers that have announced meanwhile that
 /// they leave.
 #[gtest]
 fn a_successor_knows_which_workers_leave_when_it_has_read_its_state() {
     for seed in 1..=10 {
-        let deployment = Deployment::without_nodes(seed, 6);
-        (0..3).for_each(|number| deployment.start_with(number, 0.25, SLOW_LINK_KBPS));
-        deployment.wait_for_owner();
-        let owner = deployment.owner().expect("owner");
-        (0..3).for_each(|number| deployment.set_page_time(number, PAGE_MS));
+        let (deployment, owner) = slow_link_deployment(seed, 3, PAGE_MS);
         let other = (owner + 1) % 3;
         deployment.kill(owner);
         let successor = (0..500).find_map(|_| {
@@ -97,11 +103,7 @@
 #[gtest]
 fn an_owner_that_stops_goes_on_until_its_successor_has_read_the_state() {
     for seed in 1..=10 {
-        let deployment = Deployment::without_nodes(seed, 6);
-        (0..4).for_each(|number| deployment.start_with(number, 0.25, SLOW_LINK_KBPS));
-        deployment.wait_for_owner();
-        let owner = deployment.owner().expect("owner");
-        (0..4).for_each(|number| deployment.set_page_time(number, PAGE_MS));
+        let (deployment, owner) = slow_link_deployment(seed, 4, PAGE_MS);
         release(&deployment, owner);
         let mut gap_ms = 0;
         let mut longest_ms = 0;
@@ -123,16 +125,31 @@
     }
 }
 
+/// Time of a page with which a successor still reads when it is stopped as well.
+const SHORT_PAGE_MS: Millis = Millis(1_000);
+
+/// Guards against a shard that waits for its named successor although that one has been stopped meanwhile.
+#[gtest]
+fn a_shard_is_offered_to_another_node_when_its_successor_stops() {
+    for seed in 1..=20 {
+        let (deployment, owner) = slow_link_deployment(seed, 3, SHORT_PAGE_MS);
+        release(&deployment, owner);
+        deployment.sim.run_for(Millis(300));
+        // Of equal nodes the last one is named.
+        let others: Vec<usize> = (0..3).filter(|&number| number != owner).collect();
+        release(&deployment, others[1]);
+        deployment.sim.run_for(Millis(3_500));
+        expect_that!(owned(&deployment, owner), eq(0), "seed {seed}");
+        expect_that!(owned(&deployment, others[0]), eq(1), "seed {seed}");
+    }
+}
+
 /// Guards against a submission that a successor does not know right after its recovery, since it was stored
 /// while the state was read.
 #[gtest]
 fn a_successor_knows_submissions_that_were_stored_while_it_read_the_state() {
     for seed in 1..=10 {
-        let deployment = Deployment::without_nodes(seed, 6);
-        (0..3).for_each(|number| deployment.start_with(number, 0.25, SLOW_LINK_KBPS));
-        deployment.wait_for_owner();
-        let owner = deployment.owner().expect("owner");
-        (0..3).for_each(|number| deployment.set_page_time(number, PAGE_MS));
+        let (deployment, owner) = slow_link_deployment(seed, 3, PAGE_MS);
         let other = (owner + 1) % 3;
         deployment.kill(owner);
         let mut stored = Vec::new();
