Name a successor as soon as an offer of one is known

Within 1.5 s of its stop an owner now also names a node whose offer arrives later. Nodes repeat their offers every second.

Test: another_successor_is_named_early_or_not_at_all.

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -32,7 +32,7 @@
 /// Time without an offer or an answer after which a node may be gone: three offers.
 const ALIVE_TTL_MS: Millis = Millis(3_000);
 
-/// Time from the offer of a shard within which another successor is named if the first withdraws.
+/// Time from the offer of a shard within which a successor is still named.
 const RENAME_WITHIN_MS: Millis = Millis(1_500);
 
 /// Time for which a delegate that did not answer is not used.
@@ -216,18 +216,19 @@
         best.map(|candidate| &candidate.offer.node)
     }
 
-    /// Node that should own the shard instead of one to which it was offered `waited` ago.
+    /// Node that should own the shard after the owner has offered it to `named` for `waited`.
     ///
-    /// Another one is only named early, since it has to read the state; later any node may claim.
+    /// An owner that has just recovered knows no offers at first, and the named node may be about to stop. Another
+    /// one is only named early, since it has to read the state; later any node may claim.
     #[must_use]
     pub fn next_successor(
         &self,
-        named: &NodeName,
+        named: Option<&NodeName>,
         started_ms: u64,
         waited: Millis,
         now: MonoMs,
     ) -> Option<&NodeName> {
-        let known = self.candidates.get_key_value(named);
+        let known = named.and_then(|named| self.candidates.get_key_value(named));
         match known {
             Some((node, candidate)) if candidate.offer.available => Some(node),
             _ if waited < RENAME_WITHIN_MS => self.successor(started_ms, now),
--- a/hemlocksaddle-policy/tests/delegation.rs
+++ b/hemlocksaddle-policy/tests/delegation.rs
@@ -217,3 +217,29 @@
     };
     expect_successor(stopping, 4);
 }
+
+/// Load pattern: nodes stopped in turn, the successor of an owner among them. Guards against a shard that waits for a
+/// node that is about to stop, and against a successor that is named too late to read the state.
+#[gtest]
+fn another_successor_is_named_early_or_not_at_all() {
+    let next = |delegates: &Delegates, named: Option<usize>, waited_ms| {
+        let named = named.map(node);
+        let next = delegates.next_successor(named.as_ref(), 0, Millis(waited_ms), START);
+        next.cloned()
+    };
+    let mut delegates = Delegates::new(FAST_MILLI, 10_000);
+    // An owner that has just recovered knows no offers yet.
+    expect_that!(next(&delegates, None, 0), none());
+    delegates.record_offer(offer(1, 1, FAST_MILLI, 10_000), START);
+    delegates.record_offer(offer(2, 1, FAST_MILLI, 20_000), START);
+    expect_that!(next(&delegates, None, 700), some(eq(&node(2))));
+    expect_that!(next(&delegates, None, 2_000), none());
+    expect_that!(next(&delegates, Some(1), 4_000), some(eq(&node(1))));
+    let stopping = Offer {
+        available: false,
+        ..offer(1, 1, FAST_MILLI, 10_000)
+    };
+    delegates.record_offer(stopping, START);
+    expect_that!(next(&delegates, Some(1), 700), some(eq(&node(2))));
+    expect_that!(next(&delegates, Some(1), 4_000), none());
+}
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -105,8 +105,12 @@
             .cloned()
     }
 
-    /// Node that should own the shard instead of one to which it was offered `waited` ago.
-    pub(crate) fn next_successor(&self, named: &NodeName, waited: Millis) -> Option<NodeName> {
+    /// Node that should own the shard after it was offered to `named` for `waited`.
+    pub(crate) fn next_successor(
+        &self,
+        named: Option<&NodeName>,
+        waited: Millis,
+    ) -> Option<NodeName> {
         let delegates = self.delegates.borrow();
         let started_ms = self.env.started_ms;
         delegates
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -225,16 +225,15 @@
         self.handover.replace(Some(handover));
     }
 
-    /// Offers the shard to another node if the one that it was offered to is about to stop.
+    /// Offers the shard to another node if none was known or the named one is about to stop.
     fn replace_successor(&self) {
         let Some(handover) = self.handover.borrow().clone() else {
             return;
         };
-        let Some(named) = &handover.successor else {
-            return;
-        };
         let waited = self.env.now().since(handover.offered_at);
-        let successor = self.dispatcher.next_successor(named, waited);
+        let successor = self
+            .dispatcher
+            .next_successor(handover.successor.as_ref(), waited);
         if successor != handover.successor {
             self.offer(Handover {
                 successor,
