Bound reads of the list of workers again as before

Found on reading the change: reads without a wait got the timeout of a page, 13 s on a link of 2 Mbit/s, also the one that follows the list of workers every 0.4 s. An answer of the store that is lost would have kept an owner from the list for as long.

Also: the clock of a report is recorded once, and a node that cannot read the state ahead pauses before it claims, as after other failed calls to the store.

--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -395,7 +395,10 @@
             "outcome": format!("{:?}", read.as_ref().map(|_| ())),
         });
         self.env.event(Event::ReadAhead, &inputs);
-        // Without it, the state is read after the claim.
+        if read.is_err() {
+            // Without it, the state is read after the claim.
+            self.env.sleep(RETRY_MS).await;
+        }
         self.snapshots.replace(read.ok().map(|read| (shard, read)));
     }
 
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -158,14 +158,33 @@
         partition: u32,
         from: u64,
         wait: Millis,
+    ) -> Result<Tail> {
+        let timeout = wait + STORE_TIMEOUT_MS;
+        self.read_within(stream, partition, from, wait, timeout)
+            .await
+    }
+
+    /// Reads records that may be as many as the store returns at once; does not wait for new ones.
+    pub(crate) async fn read_following(
+        &self,
+        stream: Stream,
+        partition: u32,
+        from: u64,
+    ) -> Result<Tail> {
+        let timeout = self.page_timeout();
+        self.read_within(stream, partition, from, Millis(0), timeout)
+            .await
+    }
+
+    async fn read_within(
+        &self,
+        stream: Stream,
+        partition: u32,
+        from: u64,
+        wait: Millis,
+        timeout: Millis,
     ) -> Result<Tail> {
         let sent_at = self.now();
-        let timeout = if wait == Millis(0) {
-            // May be as large as a page.
-            self.page_timeout()
-        } else {
-            wait + STORE_TIMEOUT_MS
-        };
         let read = self.ports.store.read(stream, partition, from, wait);
         let read = self.with_timeout("read", timeout, read).await;
         let took = self.now().since(sent_at);
--- a/hemlocksaddle-shard/src/snapshot.rs
+++ b/hemlocksaddle-shard/src/snapshot.rs
@@ -51,7 +51,7 @@
 
     /// Adds records that have followed, of one call; returns whether there were any.
     async fn read_following(&mut self, env: &Env, stream: Stream, partition: u32) -> Result<bool> {
-        let tail = env.read(stream, partition, self.end, Millis(0)).await?;
+        let tail = env.read_following(stream, partition, self.end).await?;
         let has_grown = tail.next != self.end;
         self.end = tail.next;
         for record in tail.records.into_iter().flatten() {
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -285,17 +285,19 @@
         }
         let key = match self.check_answer(key, listing, &timed, sent_at) {
             Process::Listed => key,
-            Process::Later(born_ms) => self
-                .replace_worker(key, born_ms)
-                .ok_or(WorkerError::Unknown)?,
+            Process::Later(born_ms) => {
+                let key = self.replace_worker(key, born_ms);
+                let key = key.ok_or(WorkerError::Unknown)?;
+                if let Some(clock_ms) = timed.clock_ms {
+                    self.record_clock(key, clock_ms);
+                }
+                key
+            }
             Process::Unknown => {
                 self.scheduler.borrow_mut().doubt_worker(key);
                 return Err(WorkerError::Unknown);
             }
         };
-        if let Some(clock_ms) = timed.clock_ms {
-            self.record_clock(key, clock_ms);
-        }
         let report = Report {
             sent_at,
             ..timed.value
