Check the attempts of restored tasks

Cause, in: an owner that does not know the limit stores the failed runs and leaves the decision for later. When it is replaced before, its successor restored the failed runs and never compared them with the limit. It now checks each restored task with failed runs once the queue is known, before the first start.

Test: the_limit_of_attempts_holds_for_a_successor_of_an_owner_that_did_not_know_it, failing before.

--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -111,6 +111,14 @@
                 index,
             });
             self.suspects.extend(suspects);
+            // The predecessor may not have known the limit of attempts.
+            let failed = saved.failed.iter().map(|&(index, _)| TaskKey {
+                job: key,
+                occurrence: saved.occurrence,
+                step: saved.step,
+                index,
+            });
+            self.unchecked_attempts.extend(failed);
         }
         if let Some(state) = progress.ended {
             let at_ms = progress.ended_ms.unwrap_or(job.spec.received_ms);
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -154,23 +154,26 @@
             worker.record_failure(now);
         }
         self.unsaved.insert(key.job);
-        if !long_running {
-            self.check_attempts(key, wall);
-        }
+        self.check_attempts(key, wall);
     }
 
     /// Ends the workflow of a task that has used up its attempts.
     ///
-    /// Until the configuration tells their limit, the task is remembered and not started.
+    /// Until the configuration tells their limit, the task is remembered and not started. Long-running tasks
+    /// have no limit.
     fn check_attempts(&mut self, key: TaskKey, wall: WallMs) {
         let Some(job) = self.jobs.get(key.job) else {
             return;
         };
+        if job.step(key).long_running {
+            return;
+        }
         let Some(max_attempts) = self.queue(&job.spec.queue).map(|queue| queue.max_attempts) else {
             self.unchecked_attempts.push(key);
             return;
         };
-        let failed = job.task(key).map_or(0, |task| task.failed.len());
+        let task = job.task(key).filter(|task| task.phase != Phase::Done);
+        let failed = task.map_or(0, |task| task.failed.len());
         if failed >= max_attempts as usize {
             let attempts = u32::try_from(failed).unwrap_or(u32::MAX);
             let task = self.name(key);
--- a/hemlocksaddle-policy/tests/unread_configuration.rs
+++ b/hemlocksaddle-policy/tests/unread_configuration.rs
@@ -64,3 +64,21 @@
     harness.save();
     expect_that!(harness.state(1), some(eq(State::Failed)));
 }
+
+/// Guards against a third run of a task whose two failed runs ended at an owner that did not know the limit.
+#[gtest]
+fn the_limit_of_attempts_holds_for_a_successor_of_an_owner_that_did_not_know_it() {
+    let mut predecessor = unconfigured();
+    fail(&mut predecessor, 1);
+    fail(&mut predecessor, 2);
+    expect_that!(predecessor.starts(), is_empty());
+    let progress = predecessor.save();
+    let mut harness = unconfigured();
+    for (id, progress) in &progress {
+        harness.scheduler.restore(*id, progress);
+    }
+    harness.configure_queue("new", 2);
+    expect_that!(harness.starts(), is_empty());
+    harness.save();
+    expect_that!(harness.state(1), some(eq(State::Failed)));
+}
