--- a/hemlocksaddle-shard/tests/restarts.rs
+++ b/hemlocksaddle-shard/tests/restarts.rs
@@ -43,12 +43,21 @@
 
 /// Submits at a fixed rate while workers restart in turn; `meanwhile` is called at each restart.
 fn submit_beside_restarts(deployment: &Deployment, meanwhile: impl Fn(u64)) {
+    submit_beside_restarts_every(deployment, RESTART_INTERVAL_MS, meanwhile);
+}
+
+/// Like [`submit_beside_restarts`], with the interval of restarts in milliseconds.
+fn submit_beside_restarts_every(
+    deployment: &Deployment,
+    interval_ms: u64,
+    meanwhile: impl Fn(u64),
+) {
     for id in 1..=SUBMISSIONS {
         let accepted = deployment.submit(0, id, vec![step(4)]);
         assert_that!(accepted, eq(Submitted::Accepted));
         deployment.sim.run_for(Millis(SUBMIT_INTERVAL_MS));
-        if (id * SUBMIT_INTERVAL_MS).is_multiple_of(RESTART_INTERVAL_MS) {
-            let restart = id * SUBMIT_INTERVAL_MS / RESTART_INTERVAL_MS;
+        if (id * SUBMIT_INTERVAL_MS).is_multiple_of(interval_ms) {
+            let restart = id * SUBMIT_INTERVAL_MS / interval_ms;
             let number = restart as usize % deployment.fleet.count();
             deployment.fleet.restart(number, AWAY_MS);
             meanwhile(restart);
@@ -115,3 +124,14 @@
         expect_once(&deployment, &format!("seed {seed}"));
     }
 }
+
+/// Load pattern: one of eight workers restarts every 2 s. Guards against a sound workflow that is given up because
+/// its tasks had just started on two of them.
+#[gtest]
+fn sound_workflows_are_not_given_up_beside_frequent_restarts() {
+    for seed in 1..=20 {
+        let deployment = deployment(seed, 3);
+        submit_beside_restarts_every(&deployment, 2_000, |_| {});
+        expect_once(&deployment, &format!("seed {seed}"));
+    }
+}
