Fence submissions at a change of owner

Cause: an owner that does not see its successor's claim goes on storing and starting submissions until a worker, the claims or its progress refuses it. Its successor took a submission that it read after its recovery as one that nobody can have started.

Change: a new owner appends a fence with its term to the submissions and reads them afterwards. What comes before the fence waits for the reports of the workers; behind it the predecessor starts nothing, since it meets the fence first. What an owner stored itself it starts only if nothing unread precedes it.

Ruled out: one more read at the end of the recovery only makes the window shorter. Treating every submission after a take-over as maybe started would be correct too, but new work would wait up to 9 s for a worker that is gone.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -229,6 +229,10 @@
     pub accepted_at: MonoMs,
     /// Whether a predecessor may have started tasks of the workflow.
     pub inherited: bool,
+    /// Whether the owner has stored the submission but not read it back yet.
+    ///
+    /// Tasks are not started meanwhile: a successor may take it as not started.
+    pub(super) unconfirmed: bool,
     /// Whether any task has started.
     pub started: bool,
     /// Whether the caller cancelled the workflow.
@@ -266,6 +270,7 @@
             spec: Rc::new(spec),
             accepted_at: now,
             inherited,
+            unconfirmed: false,
             started: false,
             cancelled: false,
             ended: None,
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -40,11 +40,28 @@
 }
 
 impl Scheduler {
-    /// Adds an accepted workflow; returns `false` if its id is already known.
+    /// Adds an accepted workflow, or confirms a known one; returns whether it was added.
     pub fn accept(&mut self, id: WorkflowId, spec: Workflow, now: MonoMs, inherited: bool) -> bool {
+        if let Some(&key) = self.by_id.get(&id) {
+            self.jobs[key].unconfirmed = false;
+            return false;
+        }
+        self.add(id, spec, now, inherited);
+        true
+    }
+
+    /// Adds an accepted workflow that is not started until [`Scheduler::accept`] confirms it;
+    /// returns whether it was added.
+    pub fn accept_unconfirmed(&mut self, id: WorkflowId, spec: Workflow, now: MonoMs) -> bool {
         if self.by_id.contains_key(&id) {
             return false;
         }
+        let key = self.add(id, spec, now, false);
+        self.jobs[key].unconfirmed = true;
+        true
+    }
+
+    fn add(&mut self, id: WorkflowId, spec: Workflow, now: MonoMs, inherited: bool) -> JobKey {
         let steps = spec.steps.iter();
         let images: Vec<_> = steps
             .map(|step| self.interference.image_id(step.image.as_ref()))
@@ -56,7 +73,7 @@
         if self.pending_cancels.remove(&id).is_some() {
             self.cancel_job(key);
         }
-        true
+        key
     }
 
     fn record_demand(&mut self, spec: &Workflow, images: &[ImageId]) {
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -103,7 +103,7 @@
             let spec: Rc<_> = job.spec.clone();
             for occurrence in 0..job.occurrences.len() {
                 for (number, spec) in spec.steps.iter().enumerate() {
-                    let must_wait = job.awaits_reports(spec, failover_complete);
+                    let must_wait = job.unconfirmed || job.awaits_reports(spec, failover_complete);
                     let due = !must_wait && job.step_is_due(occurrence, number);
                     let step = &mut job.occurrences[occurrence].steps[number];
                     if step.waiting == 0 || !due {
--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -53,6 +53,8 @@
 }
 
 reasons! {
+    /// The submission is stored but not read back, and a successor may take it as not started.
+    UnconfirmedSubmission = "unconfirmed submission",
     /// Some workers have not reported in this term, and the predecessor may have started the task.
     UnreportedWorkers = "unreported workers",
     /// A crash that the task may have caused is not durable yet.
@@ -239,9 +241,9 @@
             for (occurrence, states) in (0u32..).zip(&job.occurrences) {
                 for (number, state) in (0u16..).zip(&states.steps) {
                     let step = &job.spec.steps[usize::from(number)];
-                    let awaits_reports = job.awaits_reports(step, failover_complete)
+                    let is_held = (job.unconfirmed || job.awaits_reports(step, failover_complete))
                         && job.step_is_due(occurrence as usize, usize::from(number));
-                    let is_ready = state.waiting_since.is_some() || awaits_reports;
+                    let is_ready = state.waiting_since.is_some() || is_held;
                     if state.waiting == 0 || !is_ready {
                         continue;
                     }
@@ -354,6 +356,8 @@
         let member_waits = |member| job.task(member).is_some_and(|task| task.may_start(now));
         if matches!(task.phase, Phase::Starting { .. }) {
             Some(WaitReason::StartUnanswered)
+        } else if job.unconfirmed {
+            Some(WaitReason::UnconfirmedSubmission)
         } else if job.awaits_reports(step, self.is_failover_complete(now)) {
             Some(WaitReason::UnreportedWorkers)
         } else if task.crash_unsaved {
--- a/hemlocksaddle-policy/tests/waiting.rs
+++ b/hemlocksaddle-policy/tests/waiting.rs
@@ -174,6 +174,14 @@
     expect_that!(workers.unreported, eq(1));
 }
 
+#[gtest]
+fn a_task_of_a_stored_submission_waits_until_it_is_read_back() {
+    let mut harness = Harness::with_workers(1, 4_000);
+    harness.accept_unconfirmed(1, vec![long_running(1, 1_000, "image")]);
+    wait(&mut harness, LONG_RUNNING_MS);
+    expect_reason(&harness, WaitReason::UnconfirmedSubmission);
+}
+
 #[gtest]
 fn a_task_that_crashed_its_worker_waits_while_the_crash_cannot_be_saved() {
     let mut harness = Harness::with_workers(2, 4_000);
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -120,6 +120,22 @@
     expect_that!(harness.starts().len(), eq(1));
 }
 
+/// Load pattern: submissions through an owner that has not seen its successor's claim. Guards against
+/// an owner that starts what it stored behind its successor's fence.
+#[gtest]
+fn a_stored_submission_is_started_once_it_is_confirmed() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    harness.accept_unconfirmed(1, vec![step(1, 1_000)]);
+    harness.accept(2, vec![step(1, 1_000)]);
+    expect_that!(harness.starts().len(), eq(1), "the other one need not wait");
+    expect_that!(harness.state(1), some(eq(State::Queued)));
+    harness.accept(1, vec![step(1, 1_000)]);
+    expect_that!(harness.starts().len(), eq(1));
+    harness.accept_unconfirmed(1, vec![step(1, 1_000)]);
+    harness.accept_unconfirmed(2, vec![step(1, 1_000)]);
+    expect_that!(harness.phase(2, 0), not(eq(Phase::Waiting)));
+}
+
 /// Guards against a new owner that waits forever for a dead worker.
 #[gtest]
 fn inherited_tasks_start_once_the_predecessors_leases_have_expired() {
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -286,7 +286,14 @@
         self.add(id, queue, steps, false);
     }
 
-    fn add(&mut self, id: u64, queue: &str, steps: Vec<Step>, inherited: bool) {
+    /// Accepts a workflow that the owner has stored and not read back.
+    pub(crate) fn accept_unconfirmed(&mut self, id: u64, steps: Vec<Step>) {
+        let workflow = self.workflow("queue", steps);
+        self.scheduler
+            .accept_unconfirmed(WorkflowId(id), workflow, self.now);
+    }
+
+    fn workflow(&self, queue: &str, steps: Vec<Step>) -> Workflow {
         let workflow = Workflow {
             queue: queue.into(),
             text: "text".into(),
@@ -295,6 +302,11 @@
             received_ms: self.wall(),
         };
         workflow.check().expect("valid workflow");
+        workflow
+    }
+
+    fn add(&mut self, id: u64, queue: &str, steps: Vec<Step>, inherited: bool) {
+        let workflow = self.workflow(queue, steps);
         self.scheduler
             .accept(WorkflowId(id), workflow, self.now, inherited);
     }
--- a/hemlocksaddle-shard/src/group_commit.rs
+++ b/hemlocksaddle-shard/src/group_commit.rs
@@ -5,6 +5,11 @@
 //! submissions that all nodes accept and stores all pending ones in one append. A
 //! node that cannot reach the owner appends directly; a submission that is stored
 //! twice is deduplicated by its id.
+//!
+//! An owner that has not noticed its successor may store submissions as well. Whoever
+//! reads a submission behind the successor's fence takes it as not started, so the owner
+//! starts it only if no fence can precede it: at once if its records follow those that were
+//! read without a gap, otherwise when the stream has been read up to them.
 
 use futures_channel::oneshot;
 use hemlocksaddle_policy::intake::STORE_UNAVAILABLE_MS;
@@ -19,6 +24,7 @@
     owner::Owner,
     ports::{Conditions, Record, StoreError, Stream},
     record::{self, Key},
+    recovery::Origin,
 };
 
 /// Largest number of submissions in one append.
@@ -90,7 +96,7 @@
                 .env
                 .append(Stream::Submissions, self.shard, records, conditions);
             match append.await {
-                Ok(_) => self.acknowledge(batch),
+                Ok(end) => self.acknowledge(batch, end),
                 Err(error) => {
                     if error == StoreError::Unknown {
                         batch.iter_mut().for_each(|item| item.maybe_stored = true);
@@ -112,9 +118,18 @@
         }
     }
 
-    fn acknowledge(&self, batch: Vec<PendingSubmission>) {
+    /// Applies and acknowledges submissions whose records end at an offset of the stream.
+    fn acknowledge(&self, batch: Vec<PendingSubmission>, end: u64) {
+        let read_to = &self.submissions_read_to;
+        let is_next = end.checked_sub(batch.len() as u64) == Some(read_to.get());
+        let origin = if is_next {
+            read_to.set(end);
+            Origin::Stream
+        } else {
+            Origin::Unconfirmed
+        };
         for item in batch {
-            self.apply_submission(&item.record, false);
+            self.apply_submission(&item.record, origin);
             let _ = item.reply.send(ShardResponse::Stored);
         }
         self.changed.notify();
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -34,6 +34,7 @@
     node::Env,
     ports::{Conditions, Record, StoreError, Stream},
     record::Key,
+    recovery::Origin,
     worker_poll::WorkerClock,
 };
 
@@ -89,6 +90,8 @@
     claim_sequence: Cell<u64>,
     pub(crate) progress_sequence: Cell<u64>,
     submissions_read_at: Cell<MonoMs>,
+    /// Offset of the submissions up to which no fence of a later term was met.
+    pub(crate) submissions_read_to: Cell<u64>,
     pub(crate) interference_due: Cell<bool>,
     /// Time at which tasks that have waited long were last reported.
     pub(crate) waiting_reported_at: Cell<MonoMs>,
@@ -139,6 +142,7 @@
             claim_sequence,
             progress_sequence: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
+            submissions_read_to: Cell::new(0),
             interference_due: Cell::new(false),
             waiting_reported_at: Cell::new(now),
             handover: RefCell::default(),
@@ -189,6 +193,7 @@
             }
         };
         self.submissions_read_at.set(followed.submissions_read_at);
+        self.submissions_read_to.set(followed.submissions);
         self.ready.set(true);
         self.spawn(|owner| owner.follow_configuration());
         self.spawn(move |owner| owner.follow_submissions(followed.submissions));
@@ -327,17 +332,17 @@
                 Ok(tail) => {
                     next = tail.next;
                     self.submissions_read_at.set(sent_at);
-                    let records = tail.records.iter().flatten();
-                    records.for_each(|record| self.apply_submission(record, false));
-                    self.changed.notify();
+                    self.follow_records(tail.records.iter().flatten(), next);
                 }
                 Err(StoreError::Truncated(_)) => {
                     if let Ok((records, end)) =
                         self.env.read_all(Stream::Submissions, self.shard).await
                     {
-                        records
-                            .iter()
-                            .for_each(|record| self.apply_submission(record, false));
+                        // Pages are ordered by key, so a fence may come after what was stored behind it.
+                        if records.iter().any(|record| self.is_fenced_by(record)) {
+                            return self.step_down("submissions are fenced");
+                        }
+                        self.follow_records(records.iter(), end);
                         next = end;
                     }
                 }
@@ -346,6 +351,19 @@
         }
     }
 
+    /// Applies records of the submissions stream in its order, up to the fence of a later term.
+    fn follow_records<'a>(&self, records: impl Iterator<Item = &'a Record>, end: u64) {
+        for record in records {
+            if self.is_fenced_by(record) {
+                return self.step_down("submissions are fenced");
+            }
+            self.apply_submission(record, Origin::Stream);
+        }
+        let read_to = self.submissions_read_to.get();
+        self.submissions_read_to.set(read_to.max(end));
+        self.changed.notify();
+    }
+
     async fn follow_workers(self: Rc<Self>, mut next: u64) {
         while !self.ended.get() {
             self.env.sleep(WORKERS_INTERVAL_MS).await;
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -22,6 +22,12 @@
 const ROSTER_PREFIX: &str = "worker/";
 const INTERFERENCE_KEY: &str = "learned";
 
+/// Key of the fence in the submissions stream.
+///
+/// Sorts after the keys of submissions, so that a reader of all pages that meets a submission
+/// stored after a fence meets the fence as well.
+const FENCE_KEY: &str = "fence";
+
 /// Parameters of a deployment, fixed at its first start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Layout {
@@ -51,11 +57,21 @@
     pub(crate) successor: Option<NodeName>,
 }
 
+/// Start of an owner's term in the submissions stream.
+///
+/// Owners of earlier terms start no task of a submission that is stored after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Fence {
+    /// Term of the owner.
+    pub(crate) term: u64,
+}
+
 /// Key in the submissions or progress stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Key {
     Accepted(WorkflowId),
     Cancelled(WorkflowId),
+    Fence,
     Progress(WorkflowId),
     Roster(Arc<str>),
     Interference,
@@ -66,6 +82,7 @@
         match self {
             Key::Accepted(id) => format!("{ACCEPTED_PREFIX}{id}"),
             Key::Cancelled(id) => format!("{CANCELLED_PREFIX}{id}"),
+            Key::Fence => FENCE_KEY.to_owned(),
             Key::Progress(id) => format!("{PROGRESS_PREFIX}{id}"),
             Key::Roster(name) => format!("{ROSTER_PREFIX}{name}"),
             Key::Interference => INTERFERENCE_KEY.to_owned(),
@@ -77,6 +94,9 @@
         if text == INTERFERENCE_KEY {
             return Some(Key::Interference);
         }
+        if text == FENCE_KEY {
+            return Some(Key::Fence);
+        }
         if let Some(id) = text.strip_prefix(ACCEPTED_PREFIX) {
             return id.parse().ok().map(Key::Accepted);
         }
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -1,8 +1,14 @@
 //! Recovery of a shard's state after a claim.
+//!
+//! The predecessor may go on starting tasks until it notices the claim. Two fences bound what it
+//! can have started without the successor knowing: its progress is no longer stored, and it starts
+//! no task of a submission that the stream holds after the fence of the new term, because it meets
+//! that fence first. All submissions before the fence are read during recovery; their tasks wait
+//! until the workers have reported in the new term and thereby refuse orders of earlier ones.
 
 use std::rc::Rc;
 
-use futures_util::future::{join, join4};
+use futures_util::future::{join, join5};
 use hemlocksaddle_policy::workflow::{InterferenceSnapshot, Listing};
 use hemlocksaddle_types::{
     clock::MonoMs,
@@ -13,11 +19,22 @@
 use crate::{
     event::Event,
     owner::{Owner, RETRY_MS},
-    ports::{Conditions, Record, Result, StoreError, Stream},
-    record::{self, Key},
+    ports::{Conditions, Record, Result, StoreError, Stream, Writer},
+    record::{self, Fence, Key},
     snapshot::Snapshot,
 };
 
+/// How an owner came to know a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// Read during recovery; a predecessor may have started its tasks.
+    Recovery,
+    /// Read from the stream after recovery, or known to follow what has been read.
+    Stream,
+    /// Stored by this owner, maybe behind the fence of a successor.
+    Unconfirmed,
+}
+
 /// Offsets from which streams are followed after recovery.
 pub(crate) struct FollowOffsets {
     pub(crate) submissions: u64,
@@ -27,7 +44,7 @@
 }
 
 impl Owner {
-    /// Fences off the predecessor's progress writer and reads the live state.
+    /// Fences off the predecessor and reads the live state.
     pub(crate) async fn recover(self: &Rc<Self>) -> Result<FollowOffsets> {
         let fence = Conditions {
             end: None,
@@ -49,10 +66,16 @@
         let submissions = self.read_stream(Stream::Submissions, self.shard, submissions);
         let progress = self.read_stream(Stream::Progress, self.shard, progress);
         let workers = self.read_stream(Stream::Workers, 0, workers);
-        let (fenced_at, submissions, progress, workers) =
-            join4(fence, submissions, progress, workers).await;
-        let (fenced_at, submissions, mut progress, workers) =
-            (fenced_at?, submissions?, progress?, workers?);
+        let fence_submissions = self.fence_submissions();
+        let (fenced_at, submissions_fenced, submissions, progress, workers) =
+            join5(fence, fence_submissions, submissions, progress, workers).await;
+        let (fenced_at, _, submissions, mut progress, workers) = (
+            fenced_at?,
+            submissions_fenced?,
+            submissions?,
+            progress?,
+            workers?,
+        );
         if progress.end < fenced_at {
             // The predecessor appended between the read and the fence; it cannot append any more.
             progress = self
@@ -60,7 +83,7 @@
                 .await?;
         }
         // On a slow link all this takes seconds, in which submissions arrive and workers announce that they
-        // leave. From here on nothing waits until the state is complete.
+        // leave. Both fences are in place, so that the state is complete after this read.
         let submissions_read_at = self.env.now();
         let (submissions, workers) = join(
             self.read_stream(Stream::Submissions, self.shard, Some(submissions)),
@@ -68,9 +91,15 @@
         )
         .await;
         let (submissions, workers) = (submissions?, workers?);
+        if submissions
+            .records()
+            .any(|record| self.is_fenced_by(record))
+        {
+            return Err(StoreError::Fenced);
+        }
         self.apply_interference(&progress);
         for record in submissions.records() {
-            self.apply_submission(record, true);
+            self.apply_submission(record, Origin::Recovery);
         }
         self.apply_progress(&progress);
         self.apply_listings(workers.records().cloned().map(Some).collect());
@@ -87,6 +116,45 @@
         })
     }
 
+    /// Appends the fence of this term to the submissions.
+    async fn fence_submissions(&self) -> Result<u64> {
+        let fence = Fence { term: self.term };
+        let fence = record::encode(Key::Fence.text(), &fence).map_err(|cause| {
+            let inputs = json!({ "cause": cause.to_string() });
+            self.env.event(Event::InvariantViolated, &inputs);
+            StoreError::NotDone
+        })?;
+        let conditions = Conditions {
+            end: None,
+            // The epoch keeps a delayed append of an earlier term from replacing a later fence.
+            writer: Some(Writer {
+                name: "owner".into(),
+                epoch: self.term,
+                sequence: 0,
+            }),
+        };
+        self.env
+            .append(Stream::Submissions, self.shard, vec![fence], conditions)
+            .await
+    }
+
+    /// Whether a record of the submissions stream is the fence of a later term.
+    pub(crate) fn is_fenced_by(&self, record: &Record) -> bool {
+        if Key::parse(&record.key) != Some(Key::Fence) {
+            return false;
+        }
+        let Some(value) = &record.value else {
+            return false;
+        };
+        match record::decode::<Fence>(&record.key, value) {
+            Ok(fence) => fence.term > self.term,
+            Err(cause) => {
+                self.log_unreadable(record, &cause.to_string());
+                false
+            }
+        }
+    }
+
     /// Reads what has followed a snapshot, or a stream completely; retries until ownership ends.
     async fn read_stream(
         &self,
@@ -125,16 +193,22 @@
         self.env.sleep(RETRY_MS).await;
     }
 
-    /// Applies a record of the submissions stream; `inherited` if it was read during recovery.
-    pub(crate) fn apply_submission(&self, record: &Record, inherited: bool) {
+    /// Applies a record of the submissions stream.
+    pub(crate) fn apply_submission(&self, record: &Record, origin: Origin) {
         let Some(value) = &record.value else { return };
         let now = self.env.now();
         let key = Key::parse(&record.key);
+        if key == Some(Key::Fence) {
+            return;
+        }
         match (key, record::decode::<Submission>(&record.key, value)) {
             (Some(Key::Accepted(id)), Ok(Submission::Accepted(spec))) => {
-                self.scheduler
-                    .borrow_mut()
-                    .accept(id, *spec, now, inherited);
+                let mut scheduler = self.scheduler.borrow_mut();
+                match origin {
+                    Origin::Recovery => scheduler.accept(id, *spec, now, true),
+                    Origin::Stream => scheduler.accept(id, *spec, now, false),
+                    Origin::Unconfirmed => scheduler.accept_unconfirmed(id, *spec, now),
+                };
             }
             (Some(Key::Cancelled(id)), Ok(Submission::Cancelled)) => {
                 self.scheduler.borrow_mut().cancel(id, now);
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -130,6 +130,8 @@
     pub(crate) max_lease_ms: Cell<u64>,
     /// Run time of a task.
     pub(crate) run_ms: Cell<u64>,
+    /// Time for which a run goes on after the order to stop it.
+    pub(crate) stop_ms: Cell<u64>,
     /// Number of calls that each node made.
     pub(super) calls: RefCell<BTreeMap<usize, u64>>,
 }
@@ -163,6 +165,7 @@
             lose_answer_every: Cell::new(0),
             max_lease_ms: Cell::new(LEASE_MS),
             run_ms: Cell::new(RUN_MS),
+            stop_ms: Cell::new(0),
             calls: RefCell::default(),
         })
     }
@@ -375,6 +378,23 @@
         StartAnswer::Accepted
     }
 
+    /// Ends a run that was ordered to stop.
+    fn end_stopped(&self, number: usize, task: TaskName, run: Run) {
+        let worker = &mut self.workers.borrow_mut()[number];
+        if worker.running.get(&task).is_some_and(|(at, _)| *at > run) {
+            return;
+        }
+        worker.running.remove(&task);
+        worker.ended += 1;
+        worker.ends.push(End {
+            number: worker.ended,
+            task: Some(task),
+            run,
+            kind: EndKind::Stopped,
+            checkpoint: None,
+        });
+    }
+
     /// Drops the ends up to a number, which the owner has stored.
     fn acknowledge_ends(&self, number: usize, upto: u64) {
         let worker = &mut self.workers.borrow_mut()[number];
@@ -457,18 +477,20 @@
                 return Err(WorkerError::Unknown);
             }
             self.advance();
-            let worker = &mut self.workers.borrow_mut()[number];
-            if term < worker.highest_term {
+            if term < self.workers.borrow()[number].highest_term {
                 return Err(WorkerError::Fenced);
             }
-            worker.running.remove(&task);
-            worker.ended += 1;
-            worker.ends.push(End {
-                number: worker.ended,
-                task: Some(task),
-                run,
-                kind: EndKind::Stopped,
-                checkpoint: None,
+            let stop_ms = self.stop_ms.get();
+            if stop_ms == 0 {
+                self.end_stopped(number, task, run);
+                return Ok(());
+            }
+            let (fleet, stopped) = (self.this.clone(), self.sim.sleep(Millis(stop_ms)));
+            self.sim.spawn(ENVIRONMENT, async move {
+                stopped.await;
+                if let Some(fleet) = fleet.upgrade() {
+                    fleet.end_stopped(number, task, run);
+                }
             });
             Ok(())
         })
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -12,13 +12,13 @@
     rc::Rc,
 };
 
-use hemlocksaddle_fakes::runtime::SimRuntime;
+use hemlocksaddle_fakes::runtime::{ENVIRONMENT, SimRuntime};
 use hemlocksaddle_policy::workflow::Listing;
 use hemlocksaddle_shard::{
     Node, Settings,
     frontend::{StateLookup, Submitted},
     node::Ports,
-    ports::{Formats, OperatorRecord, Record},
+    ports::{Formats, OperatorRecord, Record, Stream},
 };
 use hemlocksaddle_types::{
     clock::{Millis, WallMs},
@@ -42,6 +42,9 @@
 /// Processors that each task needs, in thousandths of a core.
 pub(crate) const TASK_CPU_MILLI: u64 = 1_000;
 
+/// Outcome of a submission; `None` while there is none.
+pub(crate) type Outcome = Rc<Cell<Option<Submitted>>>;
+
 /// Nodes by peer address.
 type Registry = Rc<RefCell<BTreeMap<SocketAddr, Rc<Node>>>>;
 
@@ -202,6 +205,9 @@
             store: self.store.clone(),
             rejects_calls: Cell::new(false),
             page_ms: Cell::new(0),
+            is_silent: Cell::new(false),
+            silent_stream: Cell::new(None),
+            answer_ms: Cell::new(0),
         });
         self.stores.borrow_mut().insert(number, store.clone());
         let ports = Ports {
@@ -230,6 +236,21 @@
         self.stores.borrow()[&number].rejects_calls.set(true);
     }
 
+    /// Makes the store lose all calls of a node and their answers, or ends this.
+    pub(crate) fn set_store_silent(&self, number: usize, is_silent: bool) {
+        self.stores.borrow()[&number].is_silent.set(is_silent);
+    }
+
+    /// Loses the answers to a node's reads of a stream; `None` ends this.
+    pub(crate) fn set_stream_silent(&self, number: usize, stream: Option<Stream>) {
+        self.stores.borrow()[&number].silent_stream.set(stream);
+    }
+
+    /// Sets the time that an answer of the store takes to a node.
+    pub(crate) fn set_answer_time(&self, number: usize, answer: Millis) {
+        self.stores.borrow()[&number].answer_ms.set(answer.0);
+    }
+
     /// Sets the time that a page of newest records takes on a node's link.
     pub(crate) fn set_page_time(&self, number: usize, page: Millis) {
         self.stores.borrow()[&number].page_ms.set(page.0);
@@ -268,6 +289,19 @@
             .block_on(node.frontend.submit(WorkflowId(id), workflow(steps)))
     }
 
+    /// Submits a workflow at a node, without waiting for the outcome.
+    pub(crate) fn submit_in_background(&self, at: usize, id: u64, steps: Vec<Step>) -> Outcome {
+        let outcome = Outcome::default();
+        if let Some(node) = self.node(at) {
+            let outcome = outcome.clone();
+            self.sim.spawn(ENVIRONMENT, async move {
+                let submitted = node.frontend.submit(WorkflowId(id), workflow(steps)).await;
+                outcome.set(Some(submitted));
+            });
+        }
+        outcome
+    }
+
     pub(crate) fn cancel(&self, at: usize, id: u64) -> Submitted {
         let node = self.node(at).expect("node");
         self.sim.block_on(node.frontend.cancel(WorkflowId(id)))
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -29,6 +29,9 @@
 /// Largest value of a record that the platform's store takes.
 const LARGEST_VALUE_BYTES: usize = 256 << 10;
 
+/// Time after which a connection without an answer is given up; longer than any caller waits.
+const SILENCE_MS: Millis = Millis(60_000);
+
 /// Longest time that an append is queued; one that would wait longer is rejected.
 const MAX_QUEUE_WAIT_MS: Millis = Millis(2_000);
 
@@ -228,6 +231,33 @@
     pub(crate) rejects_calls: Cell<bool>,
     /// Time that a page of newest records takes on this node's link.
     pub(crate) page_ms: Cell<u64>,
+    /// Loses calls and answers of this node; later calls are not affected.
+    pub(crate) is_silent: Cell<bool>,
+    /// Loses the answers to reads of this stream.
+    pub(crate) silent_stream: Cell<Option<Stream>>,
+    /// Time that an answer takes to this node.
+    pub(crate) answer_ms: Cell<u64>,
+}
+
+impl NodeStore {
+    /// Carries out a call, unless it or its answer is lost.
+    async fn call<T>(&self, call: impl Future<Output = Result<T>>) -> Result<T> {
+        if self.rejects_calls.get() {
+            return Err(StoreError::NotDone);
+        }
+        if !self.is_silent.get() {
+            let answer = call.await;
+            let answer_ms = self.answer_ms.get();
+            if answer_ms > 0 {
+                self.store.sim.sleep(Millis(answer_ms)).await;
+            }
+            if !self.is_silent.get() {
+                return answer;
+            }
+        }
+        self.store.sim.sleep(SILENCE_MS).await;
+        Err(StoreError::Unknown)
+    }
 }
 
 impl Store for NodeStore {
@@ -237,15 +267,12 @@
         partition: u32,
         after: Option<Arc<str>>,
     ) -> PortFuture<'_, Result<Newest>> {
-        if self.rejects_calls.get() {
-            return Box::pin(async { Err(StoreError::NotDone) });
-        }
         let page = self.store.newest(stream, partition, after);
-        Box::pin(async {
+        Box::pin(self.call(async {
             let page = page.await;
             self.store.sim.sleep(Millis(self.page_ms.get())).await;
             page
-        })
+        }))
     }
 
     fn read(
@@ -255,10 +282,14 @@
         from: u64,
         wait: Millis,
     ) -> PortFuture<'_, Result<Tail>> {
-        if self.rejects_calls.get() {
-            return Box::pin(async { Err(StoreError::NotDone) });
-        }
-        self.store.read(stream, partition, from, wait)
+        let read = self.call(self.store.read(stream, partition, from, wait));
+        Box::pin(async move {
+            let answer = read.await;
+            if self.silent_stream.get() == Some(stream) {
+                self.store.sim.sleep(SILENCE_MS).await;
+            }
+            answer
+        })
     }
 
     fn append(
@@ -268,10 +299,8 @@
         records: Vec<Record>,
         conditions: Conditions,
     ) -> PortFuture<'_, Result<u64>> {
-        if self.rejects_calls.get() {
-            return Box::pin(async { Err(StoreError::NotDone) });
-        }
-        self.store.append(stream, partition, records, conditions)
+        let append = self.store.append(stream, partition, records, conditions);
+        Box::pin(self.call(append))
     }
 }
 
