Answer every request before a node exits

Cause: a node accepted requests until it exited, 0.7 s before the end of its grace period, although a request may wait for the store or an owner for up to 2.6 s. Nothing answered those that were left.

Change: policy::shutdown sets the times of a graceful shutdown. The listener is closed before the last connections are written, so that nothing is read that cannot be answered.

Related paths: state queries, counts and cancellations wait for an owner in the same way and are bounded alike. A second SIGTERM or a SIGHUP during the stop has no effect, as before.

--- a/hemlocksaddle-daemon/src/shards.rs
+++ b/hemlocksaddle-daemon/src/shards.rs
@@ -3,7 +3,7 @@
 use std::{
     path::{Path, PathBuf},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use compio::net::TcpListener;
@@ -22,6 +22,7 @@
     store::LogStore,
 };
 use hemlocksaddle_shard::{Node, node::Ports};
+use hemlocksaddle_types::clock::Millis;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::program::{bind, end_process_on_panic, signals};
@@ -34,8 +35,8 @@
 /// Interval at which a planned stop checks whether requests, connections or shards are left.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(700);
+/// Longest wait for the last answers to be written after the listener was closed.
+const WRITE_LIMIT: Duration = Duration::from_millis(200);
 
 /// Runs a node until SIGTERM or SIGINT; `path` is the settings file that SIGHUP validates again.
 ///
@@ -71,7 +72,7 @@
     compio::runtime::spawn(probe_server.serve(metrics, Service::Metrics)).detach();
     compio::runtime::spawn(serve_peers(node.clone(), peers_listener)).detach();
     wait_for_stop(&path, &node, &mut signals).await;
-    stop(&node, &server, Duration::from_millis(file.grace_ms.0)).await;
+    stop(&node, &server, file.grace_ms).await;
     Ok(())
 }
 
@@ -101,14 +102,23 @@
 
 /// Planned stop: releases the shards, waits until the load balancer has removed the node, then
 /// drains requests and connections within the grace period.
-async fn stop(node: &Node, server: &Server, grace: Duration) {
-    let deadline = std::time::Instant::now() + grace.saturating_sub(EXIT_RESERVE);
-    node.release();
-    compio::time::sleep(DRAIN_DELAY).await;
+///
+/// Further signals have no effect: the process ends as soon as possible anyway.
+async fn stop(node: &Node, server: &Server, grace: Millis) {
+    let shutdown = node.shut_down(grace);
+    let is_open = || node.frontend.open_requests() > 0 || server.connections() > 0;
+    compio::time::sleep(DRAIN_DELAY.min(Duration::from_millis(grace.0 / 2))).await;
     server.stop();
-    while (node.frontend.open_requests() > 0 || server.connections() > 0 || node.owned() > 0)
-        && std::time::Instant::now() < deadline
-    {
+    while (is_open() || node.owned() > 0) && !shutdown.is_over(node.now()) {
+        compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    // What has been read is answered; what arrives later is not read any more.
+    server.close();
+    let closed_at = Instant::now();
+    loop {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        if !is_open() || closed_at.elapsed() >= WRITE_LIMIT {
+            return;
+        }
     }
 }
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod placement;
 pub mod retry;
 pub mod routing;
+pub mod shutdown;
 pub mod take_over;
 pub mod workflow;
--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -1,11 +1,13 @@
 //! Interface for callers: submitting, querying and cancelling workflows.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, pin::pin, rc::Rc};
 
 use foldhash::{HashMap, HashMapExt};
-use hemlocksaddle_node::wait::within;
-use hemlocksaddle_policy::intake::{
-    Action, STORE_UNAVAILABLE_MS, SUBMISSION_TIMEOUT_MS, SubmissionState,
+use futures_util::future::{Either, select};
+use hemlocksaddle_node::wait::{Signal, within};
+use hemlocksaddle_policy::{
+    intake::{Action, STORE_UNAVAILABLE_MS, SUBMISSION_TIMEOUT_MS, SubmissionState},
+    shutdown::Shutdown,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -74,6 +76,9 @@
     owners: Rc<Owners>,
     waiting_cache: RefCell<HashMap<Arc<str>, (MonoMs, u32)>>,
     open_requests: Cell<u32>,
+    /// Times of the graceful shutdown, once it has begun.
+    shutdown: Cell<Option<Shutdown>>,
+    shutdown_begun: Signal,
 }
 
 impl Frontend {
@@ -92,6 +97,8 @@
             owners,
             waiting_cache: RefCell::new(HashMap::new()),
             open_requests: Cell::new(0),
+            shutdown: Cell::new(None),
+            shutdown_begun: Signal::default(),
         })
     }
 
@@ -120,6 +127,31 @@
         RequestGuard(self.clone())
     }
 
+    /// Bounds the time of requests in progress and of new ones by that of a graceful shutdown.
+    pub(crate) fn begin_shutdown(&self, shutdown: Shutdown) {
+        self.shutdown.set(Some(shutdown));
+        self.shutdown_begun.notify();
+    }
+
+    fn refuses(&self) -> bool {
+        let shutdown = self.shutdown.get();
+        shutdown.is_some_and(|shutdown| shutdown.refuses(self.env.now()))
+    }
+
+    /// Runs a part of a request; `None` if a graceful shutdown leaves no time for its end.
+    async fn until_shutdown<T>(&self, part: impl Future<Output = T>) -> Option<T> {
+        let mut part = pin!(part);
+        if self.shutdown.get().is_none() {
+            let begun = pin!(self.shutdown_begun.wait_past(0));
+            if let Either::Left((value, _)) = select(part.as_mut(), begun).await {
+                return Some(value);
+            }
+        }
+        let shutdown = self.shutdown.get()?;
+        let left = shutdown.time_to_answer(self.env.now());
+        within(&*self.env.ports.runtime, left, part).await
+    }
+
     fn shard(&self, id: WorkflowId) -> Option<u32> {
         let shards = self.claims.layout()?.shards.max(1);
         let hash = stable_hash(&[&id.0.to_be_bytes()]);
@@ -157,10 +189,27 @@
     }
 
     async fn store(&self, id: WorkflowId, key: Key, submission: &Submission) -> Submitted {
-        let started_at = self.env.now();
-        let Some(shard) = self.shard(id) else {
+        let Some(shard) = self.shard(id).filter(|_| !self.refuses()) else {
             return Submitted::Unavailable;
         };
+        let attempts = RefCell::new(SubmissionAttempts::default());
+        let stored = self.try_to_store(shard, id, key, submission, &attempts);
+        match self.until_shutdown(stored).await {
+            Some(outcome) => outcome,
+            None if attempts.borrow().may_be_stored() => Submitted::Unknown,
+            None => Submitted::Unavailable,
+        }
+    }
+
+    async fn try_to_store(
+        &self,
+        shard: u32,
+        id: WorkflowId,
+        key: Key,
+        submission: &Submission,
+        attempts: &RefCell<SubmissionAttempts>,
+    ) -> Submitted {
+        let started_at = self.env.now();
         let record = match record::encode(key.text(), submission) {
             Ok(record) => record,
             Err(cause) => {
@@ -169,22 +218,23 @@
                 return Submitted::Unavailable;
             }
         };
-        let mut attempts = SubmissionAttempts::default();
         loop {
-            if self.is_isolated(shard) && !attempts.maybe_stored {
+            if self.is_isolated(shard) && !attempts.borrow().maybe_stored {
                 return Submitted::Unavailable;
             }
-            match self
-                .submission_state(shard, started_at, &attempts)
-                .next_action()
-            {
+            let state = self.submission_state(shard, started_at, &attempts.borrow());
+            match state.next_action() {
                 Action::AskOwner => {
                     // The owner may have failed or lost the store; storing twice is harmless.
                     let request = ShardRequest::Store(shard, id, submission.clone());
                     let waited = self.env.now().since(started_at);
                     let left = Millis(SUBMISSION_TIMEOUT_MS.0.saturating_sub(waited.0));
                     let call = self.call_owner_once(shard, request);
-                    match within(&*self.env.ports.runtime, left, call).await {
+                    attempts.borrow_mut().in_flight = true;
+                    let answer = within(&*self.env.ports.runtime, left, call).await;
+                    let mut attempts = attempts.borrow_mut();
+                    attempts.in_flight = false;
+                    match answer {
                         Some(CallOutcome::Answered(ShardResponse::Stored)) => {
                             return Submitted::Accepted;
                         }
@@ -206,16 +256,22 @@
                         self.env
                             .append(Stream::Submissions, shard, records, Conditions::default());
                     let sent_at = self.env.now();
-                    match append.await {
-                        Ok(_) => return Submitted::Accepted,
-                        Err(StoreError::Unknown) => attempts.maybe_stored = true,
-                        Err(_) => {}
+                    attempts.borrow_mut().in_flight = true;
+                    let appended = append.await;
+                    {
+                        let mut attempts = attempts.borrow_mut();
+                        attempts.in_flight = false;
+                        match appended {
+                            Ok(_) => return Submitted::Accepted,
+                            Err(StoreError::Unknown) => attempts.maybe_stored = true,
+                            Err(_) => {}
+                        }
+                        attempts.append_failing_since.get_or_insert(sent_at);
                     }
-                    attempts.append_failing_since.get_or_insert(sent_at);
                     self.env.sleep(RETRY_MS).await;
                 }
                 Action::Wait => self.env.sleep(RETRY_MS).await,
-                Action::GiveUp if attempts.maybe_stored => return Submitted::Unknown,
+                Action::GiveUp if attempts.borrow().maybe_stored => return Submitted::Unknown,
                 Action::GiveUp => return Submitted::Unavailable,
             }
         }
@@ -300,9 +356,18 @@
 
     /// Calls the owner of a shard and retries for as long as a failover usually takes.
     async fn call_owner(&self, shard: u32, request: ShardRequest) -> Option<ShardResponse> {
-        if self.is_isolated(shard) {
+        if self.is_isolated(shard) || self.refuses() {
             return None;
         }
+        let answer = self.call_owner_until_answered(shard, request);
+        self.until_shutdown(answer).await?
+    }
+
+    async fn call_owner_until_answered(
+        &self,
+        shard: u32,
+        request: ShardRequest,
+    ) -> Option<ShardResponse> {
         let started_at = self.env.now();
         loop {
             match self.call_owner_once(shard, request.clone()).await {
@@ -345,12 +410,20 @@
 struct SubmissionAttempts {
     /// Whether an attempt without an answer may have stored it.
     maybe_stored: bool,
+    /// Whether an attempt waits for its answer.
+    in_flight: bool,
     /// Term of the owner that failed to store it, and the time of the failure.
     last_asked: Option<(Option<u64>, MonoMs)>,
     /// Time at which the first failed append was sent.
     append_failing_since: Option<MonoMs>,
 }
 
+impl SubmissionAttempts {
+    fn may_be_stored(&self) -> bool {
+        self.maybe_stored || self.in_flight
+    }
+}
+
 /// Counts a request as in progress until it is dropped.
 pub struct RequestGuard(Rc<Frontend>);
 
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -9,7 +9,7 @@
 
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::ports::{PeerLink, Peers, PortFuture, Runtime};
-use hemlocksaddle_policy::take_over::ClockReading;
+use hemlocksaddle_policy::{shutdown::Shutdown, take_over::ClockReading};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::{DataCentre, NodeName},
@@ -418,6 +418,20 @@
             .event(Event::Reloaded, &json!({ "outcome": outcome }));
     }
 
+    /// Begins a graceful shutdown of a process that is killed after `grace`; returns its times.
+    pub fn shut_down(&self, grace: Millis) -> Shutdown {
+        let shutdown = Shutdown::new(self.env.now(), grace);
+        self.frontend.begin_shutdown(shutdown);
+        self.release();
+        shutdown
+    }
+
+    /// Current time of the clock that a shutdown is measured by.
+    #[must_use]
+    pub fn now(&self) -> MonoMs {
+        self.env.now()
+    }
+
     /// Offers all owned shards to other nodes; callers are still served.
     pub fn release(&self) {
         self.claims.stopping.set(true);
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -124,6 +124,7 @@
     /// Completed tasks whose end the owner has acknowledged.
     done: RefCell<BTreeMap<TaskName, u64>>,
     starts: Cell<u64>,
+    started: RefCell<BTreeSet<WorkflowId>>,
     /// Interval, in starts, at which the answer to a start is lost; 0 loses none.
     pub(crate) lose_answer_every: Cell<u64>,
     /// Longest lease that workers accept.
@@ -162,6 +163,7 @@
             violations: RefCell::default(),
             done: RefCell::default(),
             starts: Cell::new(0),
+            started: RefCell::default(),
             lose_answer_every: Cell::new(0),
             max_lease_ms: Cell::new(LEASE_MS),
             run_ms: Cell::new(RUN_MS),
@@ -179,6 +181,11 @@
         self.starts.get()
     }
 
+    /// Returns whether any task of a workflow was started.
+    pub(crate) fn has_started(&self, id: u64) -> bool {
+        self.started.borrow().contains(&WorkflowId(id))
+    }
+
     /// Returns the number of running tasks.
     pub(crate) fn running(&self) -> usize {
         self.advance();
@@ -370,6 +377,7 @@
             ));
         }
         self.starts.set(self.starts.get() + 1);
+        self.started.borrow_mut().insert(call.task.workflow);
         let worker = &mut self.workers.borrow_mut()[number];
         worker
             .running
