Drop the waker of a wait that has ended

Cause: a wait for an event left its waker behind when it was abandoned, and the waker keeps its task in memory until the event comes. Each poll also compared the waker with all others.

Change: a wait has a number under which its waker is kept; dropping the wait removes it.

Evidence: a_wait_that_ends_or_is_abandoned_leaves_nothing_behind; the list grew by one waker for each wait before.

--- a/hemlocksaddle-node/src/wait.rs
+++ b/hemlocksaddle-node/src/wait.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     future::{Future, poll_fn},
     pin::pin,
     task::{Poll, Waker},
@@ -16,7 +17,21 @@
 #[derive(Default)]
 pub struct Signal {
     count: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    /// Wakers by number of the wait; each is removed when its wait ends.
+    wakers: RefCell<BTreeMap<u64, Waker>>,
+    next_wait: Cell<u64>,
+}
+
+/// Removes the waker of a wait that ends or is abandoned, which would keep its task in memory.
+struct Wait<'a> {
+    signal: &'a Signal,
+    number: u64,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.signal.wakers.borrow_mut().remove(&self.number);
+    }
 }
 
 impl Signal {
@@ -30,19 +45,30 @@
     pub fn notify(&self) {
         self.count.set(self.count.get() + 1);
         let wakers = self.wakers.take();
-        wakers.into_iter().for_each(Waker::wake);
+        // In the order of the waits, so that runs on virtual time repeat.
+        wakers.into_values().for_each(Waker::wake);
+    }
+
+    /// Number of tasks that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.wakers.borrow().len()
     }
 
     /// Waits until the number of events exceeds `seen`.
     pub async fn wait_past(&self, seen: u64) {
+        let number = self.next_wait.get();
+        self.next_wait.set(number + 1);
+        let wait = Wait {
+            signal: self,
+            number,
+        };
         poll_fn(|context| {
-            if self.count.get() > seen {
+            if wait.signal.count.get() > seen {
                 return Poll::Ready(());
             }
-            let mut wakers = self.wakers.borrow_mut();
-            // Replaces the waker that an earlier poll of the same task left behind.
-            wakers.retain(|waker| !waker.will_wake(context.waker()));
-            wakers.push(context.waker().clone());
+            let waker = context.waker().clone();
+            wait.signal.wakers.borrow_mut().insert(wait.number, waker);
             Poll::Pending
         })
         .await;
