Suspend no worker for failures that are common in its pool

Callers saw accepted work that did not run for more than a minute while most workers were idle.

Cause: two failed runs in a row suspend a worker for up to 8 s.

Change: a failure does not suspend a worker while half of the other workers of its pool are failing too.

Evidence: half_of_a_pool_is_used_although_tasks_fail_on_every_worker fails before (no start of 48).

Not changed: each failed run doubles the suspension, also several of one report.

--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -371,9 +371,7 @@
         self.work.checked_runs += checked_runs;
         for (key, worker) in stalled {
             self.jobs[key.job].task_mut(key).failed_on = Some(worker);
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.record_failure(now);
-            }
+            self.record_worker_failure(worker, now);
             self.stop(key);
         }
     }
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -150,9 +150,7 @@
         task.failed.push(run);
         task.failed_on = Some(worker);
         task.not_before = now + RETRY_PAUSE_MS;
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.record_failure(now);
-        }
+        self.record_worker_failure(worker, now);
         self.unsaved.insert(key.job);
         self.check_attempts(key, wall);
     }
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -280,9 +280,15 @@
         }
     }
 
-    pub(super) fn record_failure(&mut self, now: MonoMs) {
+    /// Whether the latest runs on the worker failed.
+    fn is_failing(&self) -> bool {
+        self.failures_in_row >= FAILURES_TO_SUSPEND
+    }
+
+    /// Records a failed run; one that is common in the pool does not count against the worker.
+    fn record_failure(&mut self, now: MonoMs, is_common: bool) {
         self.failures_in_row += 1;
-        if self.failures_in_row >= FAILURES_TO_SUSPEND {
+        if self.is_failing() && !is_common {
             self.suspended_until = now + self.suspend_ms;
             self.suspend_ms = Millis((self.suspend_ms.0 * 2).min(MAX_SUSPEND_MS.0));
         }
@@ -299,6 +305,31 @@
 }
 
 impl Scheduler {
+    /// Records a run that failed on a worker.
+    ///
+    /// Where half of the other workers of the pool fail as well, the cause is not the worker, and
+    /// suspensions would leave no one to run the next attempts.
+    pub(super) fn record_worker_failure(&mut self, key: WorkerKey, now: MonoMs) {
+        let Some(pool) = self
+            .workers
+            .get(key)
+            .map(|worker| worker.listing.pool.clone())
+        else {
+            return;
+        };
+        let others = self
+            .workers
+            .iter()
+            .filter(|(other, worker)| *other != key && worker.listing.pool == pool);
+        let (mut failing, mut all) = (0, 0);
+        for (_, worker) in others {
+            all += 1;
+            failing += usize::from(worker.is_failing());
+        }
+        let is_common = all > 0 && failing * 2 >= all;
+        self.workers[key].record_failure(now, is_common);
+    }
+
     /// Adds the workers that the predecessor used.
     ///
     /// They get no new tasks until the platform lists them. Returns those that were not known before.
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -236,6 +236,22 @@
     );
 }
 
+/// Load pattern: the first run of every task fails, on every worker. Guards against a pool in which
+/// all workers are suspended, so that no one runs the next attempts.
+#[gtest]
+fn half_of_a_pool_is_used_although_tasks_fail_on_every_worker() {
+    let mut harness = Harness::with_workers(6, 8_000);
+    harness.accept(1, vec![step(48, 1_000)]);
+    let starts = harness.starts();
+    expect_that!(starts.len(), eq(48));
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    for start in &starts {
+        harness.end(start, EndKind::Failed);
+    }
+    harness.advance(100);
+    expect_that!(harness.starts().len(), ge(24));
+}
+
 /// Guards against a faulty worker that uses up the attempts of many workflows.
 #[gtest]
 fn a_worker_whose_tasks_fail_is_suspended() {
