--- a/hemlocksaddle-adapters/src/http.rs
+++ b/hemlocksaddle-adapters/src/http.rs
@@ -49,11 +49,11 @@
 pub struct Call {
     /// Method.
     pub method: Method,
-    /// Address of the server, also sent as the `Host` header.
+    /// Address of the server, which the `Host` header names as well.
     pub address: SocketAddr,
     /// Path and query.
     pub path: String,
-    /// Headers except `Host`.
+    /// Headers; one for `Host` replaces the address there.
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Body.
     pub body: Bytes,
@@ -209,10 +209,10 @@
 }
 
 fn build_request(call: Call) -> http::Result<Request<Full<Bytes>>> {
-    let mut request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header(header::HOST, call.address.to_string());
+    let mut request = Request::builder().method(call.method).uri(call.path);
+    if call.headers.iter().all(|(name, _)| name != header::HOST) {
+        request = request.header(header::HOST, call.address.to_string());
+    }
     for (name, value) in call.headers {
         request = request.header(name, value);
     }
