Let a stopping successor own the shard it has read

Cause: the named successor was stopped as well. It claimed nothing then, although it had read the state and had more than 5 s left, and the owner dropped its name.

Change: the named node claims once it has read the state with 2.5 s or more left, and offers the shard on as soon as it knows a successor, which reads meanwhile.

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -219,7 +219,7 @@
     /// Node that should own the shard after the owner has offered it to `named` for `waited`.
     ///
     /// An owner that has just recovered knows no offers at first, and the named node may be about to stop. Another
-    /// one is only named early, since it has to read the state; later any node may claim.
+    /// one is only named early, since it has to read the state; later the named one is kept as long as it is known.
     #[must_use]
     pub fn next_successor(
         &self,
@@ -232,7 +232,9 @@
         match known {
             Some((node, candidate)) if candidate.offer.available => Some(node),
             _ if waited < RENAME_WITHIN_MS => self.successor(started_ms, now),
-            _ => None,
+            // It has read most of the state by now, and may claim before it stops.
+            Some((node, _)) => Some(node),
+            None => None,
         }
     }
 
--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -37,6 +37,23 @@
 /// its grace period ends.
 const SUCCESSOR_TIMEOUT_MS: Millis = Millis(5_000);
 
+/// Shortest time for which a node that is about to stop claims a shard.
+///
+/// Its successor reads most of the state in that time over a link of 2 Mbit/s. Any other node would
+/// read all of it after its claim, while the shard has no owner.
+const MIN_LAST_TERM_MS: Millis = Millis(2_500);
+
+/// Whether a node that has read the state of a shard which was offered to it should claim it
+/// although its process ends after `left`.
+#[must_use]
+pub fn should_claim_before_stop(left: Millis) -> bool {
+    left >= MIN_LAST_TERM_MS
+}
+
+/// Longest time for which an owner that claimed while it was about to stop waits for the offer of a
+/// successor; each node offers itself once a second.
+pub const MAX_WAIT_FOR_SUCCESSOR_MS: Millis = Millis(1_500);
+
 /// Time without a response after which an owner is suspect.
 const SUSPECT_AFTER_MS: Millis = Millis(200);
 
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -16,6 +16,7 @@
 use hemlocksaddle_node::wait::Signal;
 use hemlocksaddle_policy::take_over::{
     AppendAttempts, Candidate, ClockReading, OwnerView, ShardView, Successor,
+    should_claim_before_stop,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -111,6 +112,8 @@
     claiming: Cell<bool>,
     own_claims: RefCell<BTreeMap<u32, OwnClaim>>,
     pub(crate) stopping: Cell<bool>,
+    /// Time at which the process ends at the latest, once it is about to stop.
+    pub(crate) exit_by: Cell<Option<MonoMs>>,
     pub(crate) owned: Cell<u64>,
     /// State of a shard that was offered to this node.
     snapshots: RefCell<Option<(u32, Snapshots)>>,
@@ -128,6 +131,7 @@
             claiming: Cell::new(false),
             own_claims: RefCell::default(),
             stopping: Cell::new(false),
+            exit_by: Cell::new(None),
             owned: Cell::new(0),
             snapshots: RefCell::default(),
         })
@@ -290,7 +294,7 @@
                     self.read_ahead(shard).await;
                 }
                 // The view may have changed while the state was read.
-                if !self.stopping.get() && self.may_claim(shard) {
+                if self.may_claim(shard) && (!self.stopping.get() || self.may_claim_last(shard)) {
                     self.try_claim(shard).await;
                 }
             }
@@ -313,6 +317,14 @@
             .should_claim(&view, self.env.now())
     }
 
+    /// Whether this node, which is about to stop, has read the state of a shard and time to own it.
+    fn may_claim_last(&self, shard: u32) -> bool {
+        let snapshots = self.snapshots.borrow();
+        let has_state = snapshots.as_ref().is_some_and(|(of, _)| *of == shard);
+        let left = self.exit_by.get().map(|at| at.since(self.env.now()));
+        has_state && left.is_some_and(should_claim_before_stop)
+    }
+
     fn owner_view(&self, observed: &ObservedClaim) -> OwnerView {
         let claim = &observed.claim;
         // A claim by an earlier incarnation of this node has no owner any more.
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -422,6 +422,7 @@
     pub fn shut_down(&self, grace: Millis) -> Shutdown {
         let shutdown = Shutdown::new(self.env.now(), grace);
         self.frontend.begin_shutdown(shutdown);
+        self.claims.exit_by.set(Some(shutdown.exit_by));
         self.release();
         shutdown
     }
@@ -478,7 +479,7 @@
         let running = owners.get(&shard).map(|owner| owner.term);
         match own {
             Some(claim) if running == Some(claim.term) => {}
-            Some(claim) if !claim.released && !self.claims.stopping.get() => {
+            Some(claim) if !claim.released => {
                 let owner = Owner::new(
                     self.env.clone(),
                     self.claims.clone(),
@@ -488,6 +489,9 @@
                     claim.term,
                 );
                 owners.insert(shard, owner.clone());
+                if self.claims.stopping.get() {
+                    self.env.spawn(owner.clone().release_to_successor());
+                }
                 self.env.spawn(owner.run());
             }
             _ => {
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -13,7 +13,10 @@
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
     congestion::{LatencyEstimate, StartWindow},
-    take_over::{AppendAttempts, ClockReading, RENEW_INTERVAL_MS, failover_complete_at},
+    take_over::{
+        AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, RENEW_INTERVAL_MS,
+        failover_complete_at,
+    },
     workflow::{Limits, Listing, Scheduler, WorkerKey},
 };
 use hemlocksaddle_types::{
@@ -221,6 +224,21 @@
         self.released_changed.notify();
     }
 
+    /// Offers the shard as soon as a successor is known, for an owner that is about to stop from the
+    /// beginning.
+    pub(crate) async fn release_to_successor(self: Rc<Self>) {
+        let claimed_at = self.env.now();
+        while !self.ended.get()
+            && self.dispatcher.successor().is_none()
+            && self.env.now().since(claimed_at) < MAX_WAIT_FOR_SUCCESSOR_MS
+        {
+            self.env.sleep(RETRY_MS).await;
+        }
+        if !self.ended.get() {
+            self.release();
+        }
+    }
+
     fn offer(&self, handover: Handover) {
         let inputs = json!({
             "shard": self.shard, "term": self.term,
--- a/hemlocksaddle-shard/tests/rolling_stops.rs
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -125,6 +125,12 @@
     }
 }
 
+/// Time from the signal to the kill.
+const GRACE_MS: Millis = Millis(6_000);
+
+/// Time from the signal to the exit.
+const EXIT_MS: u64 = 5_300;
+
 /// Time of a page with which a successor still reads when it is stopped as well.
 const SHORT_PAGE_MS: Millis = Millis(1_000);
 
@@ -144,6 +150,48 @@
     }
 }
 
+/// Load pattern: nodes are stopped one after the other, also the named successor when it has just read the
+/// state. Guards against a shard that is left to nodes which have read nothing of it.
+#[gtest]
+fn a_successor_that_is_stopped_as_well_owns_the_shard_until_another_has_read_the_state() {
+    for seed in 1..=10 {
+        let (deployment, owner) = slow_link_deployment(seed, 4, PAGE_MS);
+        deployment.node(owner).expect("node").shut_down(GRACE_MS);
+        deployment.sim.run_for(Millis(3_000));
+        // Of equal nodes the last one is named.
+        let named = (0..4)
+            .filter(|&number| number != owner)
+            .max()
+            .expect("node");
+        deployment.node(named).expect("node").shut_down(GRACE_MS);
+        let begun_at = deployment.sim.now();
+        let mut gap_ms = 0;
+        let mut longest_ms = 0;
+        for id in 1..=100 {
+            let elapsed = Millis(deployment.sim.now().0 - begun_at.0);
+            if elapsed.0 + 3_000 >= EXIT_MS && deployment.node(owner).is_some() {
+                deployment.kill(owner);
+            }
+            if elapsed.0 >= EXIT_MS && deployment.node(named).is_some() {
+                deployment.kill(named);
+            }
+            let starts = deployment.fleet.starts();
+            let at = (0..4).find(|&number| number != owner && number != named);
+            deployment.submit(at.expect("node"), id, vec![step(1)]);
+            deployment.sim.run_for(Millis(100));
+            gap_ms = if deployment.fleet.starts() > starts {
+                0
+            } else {
+                gap_ms + 100
+            };
+            longest_ms = longest_ms.max(gap_ms);
+        }
+        expect_that!(longest_ms, le(MAX_GAP_MS), "seed {seed}");
+        let violations = deployment.fleet.violations.borrow();
+        expect_that!(*violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Guards against a submission that a successor does not know right after its recovery, since it was stored
 /// while the state was read.
 #[gtest]
