--- a/hemlocksaddle-shard/tests/take_overs.rs
+++ b/hemlocksaddle-shard/tests/take_overs.rs
@@ -15,6 +15,15 @@
 const NODES: usize = 5;
 const WORKERS: usize = 12;
 
+/// Number of seeds of each trouble.
+const SEEDS: u64 = 16;
+
+/// Bandwidth of a link that carries the calls to all workers.
+const FAST_LINK_KBPS: u32 = 1_000_000;
+
+/// Bandwidth for the calls to two workers, so that the owner has delegates.
+const DELEGATING_LINK_KBPS: u32 = 200;
+
 /// Time for an owner to be elected and to choose delegates.
 const SETTLE_MS: Millis = Millis(9_000);
 
@@ -217,15 +226,6 @@
     }
 }
 
-/// Number of seeds of each trouble.
-const SEEDS: u64 = 16;
-
-/// Bandwidth of a link that carries the calls to all workers.
-const FAST_LINK_KBPS: u32 = 1_000_000;
-
-/// Bandwidth for the calls to two workers, so that the owner has delegates.
-const DELEGATING_LINK_KBPS: u32 = 200;
-
 /// Number of submissions during one change of owner.
 const SUBMISSIONS: u64 = 12;
 
