Keep ports of the process tests free of forked copies

free_addresses_do_not_collide_with_other_listeners failed once, beside load: a free port was "already in use" when it was bound again.

Cause: the tests of the file run in parallel and start processes. A forked process has copies of all sockets until it executes its program, so a listener that is closed meanwhile stays open for that time.

Change: no process is started while a listener is open whose port is to be free afterwards. The checks are unchanged.

--- a/hemlocksaddle-daemon/tests/process.rs
+++ b/hemlocksaddle-daemon/tests/process.rs
@@ -11,6 +11,7 @@
     process::{Child, Command, Stdio},
     rc::Rc,
     sync::{
+        Mutex, PoisonError,
         atomic::{AtomicU8, Ordering},
         mpsc::{Receiver, TryRecvError, channel},
     },
@@ -40,6 +41,18 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_hemlocksaddled");
 
+/// Held while a process is forked, and while a listener is open whose port is to be free afterwards.
+///
+/// A forked process has copies of all sockets until it executes its program, and keeps their ports
+/// in use for that time.
+static FORK: Mutex<()> = Mutex::new(());
+
+/// Runs a function while no other one that is run so forks a process.
+fn without_fork<T>(function: impl FnOnce() -> T) -> T {
+    let _guard = FORK.lock().unwrap_or_else(PoisonError::into_inner);
+    function()
+}
+
 /// Returns an address with a free port on a loopback IP address of its own.
 ///
 /// The port is unbound between this call and the start of the node. On 127.0.0.1 another test or an
@@ -50,8 +63,10 @@
     let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
     let [.., high, low] = std::process::id().to_be_bytes();
     let host = Ipv4Addr::new(127, 1 + high % 254, low, number);
-    let listener = TcpListener::bind((host, 0)).expect("bind");
-    listener.local_addr().expect("address")
+    without_fork(|| {
+        let listener = TcpListener::bind((host, 0)).expect("bind");
+        listener.local_addr().expect("address")
+    })
 }
 
 /// Writes the settings file of a deployment with a single node and returns its path.
@@ -83,7 +98,7 @@
         command
             .args(["--settings", settings])
             .stderr(Stdio::piped());
-        let mut child = command.spawn().expect("starts");
+        let mut child = without_fork(|| command.spawn()).expect("starts");
         let stderr = child.stderr.take().expect("piped");
         let (send, lines) = channel();
         thread::spawn(move || {
@@ -165,11 +180,8 @@
     fs::write(&path, valid.replace("data_centre = a", "data_center = a")).expect("written");
     for extra in [&[][..], &["--check"][..]] {
         let mut command = Command::new(PROGRAM);
-        let output = command
-            .args(["--settings", &path])
-            .args(extra)
-            .output()
-            .expect("runs");
+        command.args(["--settings", &path]).args(extra);
+        let output = without_fork(|| command.output()).expect("runs");
         expect_that!(output.status.code(), some(eq(2)));
         let stderr = String::from_utf8_lossy(&output.stderr);
         expect_that!(stderr, contains_substring(path.as_str()));
@@ -188,10 +200,8 @@
         free_address(),
     );
     let mut command = Command::new(PROGRAM);
-    let output = command
-        .args(["--settings", &path, "--check"])
-        .output()
-        .expect("runs");
+    command.args(["--settings", &path, "--check"]);
+    let output = without_fork(|| command.output()).expect("runs");
     expect_that!(output.status.code(), some(eq(0)));
     expect_that!(
         String::from_utf8_lossy(&output.stdout),
