Decline delegated calls on a node that is stopping

Cause: an owner stopped using a delegate only when the withdrawal of its offer arrived. That is one message a second with a time limit of 500 ms, on a link that reads the state in bulk. A delegate stopped at 49.00 s was still listed at 51.22 s.

Change: a stopping node answers "declined" to new calls and ends its open report requests with it; orders that it has begun are completed (they take 2 s at most, the process closes its listener after 2.3 s). The owner repeats a declined call through another delegate, not directly, and uses the node again only for an offer of a later process. Late offers of the same process no longer bring it back.

Ruled out: taking a declined call as a failure, which would pause the node for 3 s of its next process as well.

Delegates are still lost right after a recovery ("cannot be reached").

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -79,6 +79,8 @@
     offer: Offer,
     heard_at: MonoMs,
     failed_until: MonoMs,
+    /// Whether the process declined a call.
+    is_stopping: bool,
 }
 
 impl Candidate {
@@ -122,14 +124,19 @@
     }
 
     /// Records an offer.
-    pub fn record_offer(&mut self, offer: Offer, now: MonoMs) {
+    pub fn record_offer(&mut self, mut offer: Offer, now: MonoMs) {
         let node = offer.node.clone();
         let known = self.candidates.get(&node);
         let failed_until = known.map_or(MonoMs(0), |known| known.failed_until);
+        // An offer that was sent before the process began to stop may arrive late.
+        let is_stopping = known
+            .is_some_and(|known| known.is_stopping && known.offer.started_ms == offer.started_ms);
+        offer.available &= !is_stopping;
         let candidate = Candidate {
             offer,
             heard_at: now,
             failed_until,
+            is_stopping,
         };
         self.candidates.insert(node, candidate);
     }
@@ -149,6 +156,15 @@
         self.active.retain(|delegate| delegate.node != *node);
     }
 
+    /// Records that a node declined a call because it is stopping, and stops using its process.
+    pub fn record_declined(&mut self, node: &NodeName) {
+        if let Some(candidate) = self.candidates.get_mut(node) {
+            candidate.offer.available = false;
+            candidate.is_stopping = true;
+        }
+        self.active.retain(|delegate| delegate.node != *node);
+    }
+
     /// Chooses the delegates for a number of workers; returns whether they changed.
     pub fn choose(&mut self, workers: usize, now: MonoMs) -> bool {
         self.candidates
--- a/hemlocksaddle-policy/tests/delegation.rs
+++ b/hemlocksaddle-policy/tests/delegation.rs
@@ -190,6 +190,38 @@
     expect_that!(routes(&delegates).contains(&Some(stopping)), eq(false));
 }
 
+/// Load pattern: nodes stopped in turn on full links. Guards against a stopping node that is used again after 3 s, since
+/// its last offer was late (issue 39), and against a restarted one that is not.
+#[gtest]
+fn a_node_that_declined_is_used_again_after_its_restart() {
+    let mut delegates = large_fleet();
+    delegates.choose(890, START);
+    let declined = delegates.active()[0].node.clone();
+    let number = (0..97)
+        .find(|&number| node(number) == declined)
+        .expect("node");
+    delegates.record_declined(&declined);
+    expect_that!(
+        routes(&delegates).contains(&Some(declined.clone())),
+        eq(false)
+    );
+    let is_used = |delegates: &mut Delegates, started_ms, now| {
+        let offer = Offer {
+            started_ms,
+            ..offer(number, 5, FAST_MILLI, 200_000)
+        };
+        delegates.record_offer(offer, now);
+        delegates.choose(890, now);
+        routes(delegates).contains(&Some(declined.clone()))
+    };
+    expect_that!(is_used(&mut delegates, 0, START + Millis(10)), eq(false));
+    expect_that!(is_used(&mut delegates, 0, START + Millis(4_000)), eq(false));
+    expect_that!(
+        is_used(&mut delegates, 9_000, START + Millis(5_000)),
+        eq(true)
+    );
+}
+
 /// Load pattern: nodes stopped in turn. Guards against a successor that is stopped next, and against one that
 /// reads the state for longer than others, or is slow.
 #[gtest]
--- a/hemlocksaddle-shard/src/delegate.rs
+++ b/hemlocksaddle-shard/src/delegate.rs
@@ -3,15 +3,20 @@
 //! A node offers itself to the owner of each shard and repeats the offer. It checks
 //! only the term of a call: after it has seen a higher one, it declines calls of the
 //! former owner, which may not have noticed yet that it was replaced.
+//!
+//! A node that is stopping declines new calls and ends its open report requests, so
+//! that owners move its workers to other delegates. It completes orders that it has begun.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{HashMap, VecDeque},
+    pin::pin,
     rc::Rc,
     sync::Arc,
 };
 
-use hemlocksaddle_node::wait::within;
+use futures_util::future::{Either, select};
+use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::delegation::{OFFER_INTERVAL_MS, should_offer};
 use hemlocksaddle_types::{
     clock::Millis,
@@ -58,6 +63,9 @@
     texts: RefCell<Texts>,
     /// Highest term seen of each shard.
     terms: RefCell<HashMap<u32, u64>>,
+    is_stopping: Cell<bool>,
+    /// Notified when the node begins to stop.
+    stopped: Signal,
 }
 
 impl Delegate {
@@ -66,14 +74,23 @@
             env,
             texts: RefCell::default(),
             terms: RefCell::default(),
+            is_stopping: Cell::new(false),
+            stopped: Signal::default(),
         })
     }
 
+    /// Declines calls from now on.
+    pub(crate) fn stop(&self) {
+        self.is_stopping.set(true);
+        self.stopped.notify();
+    }
+
     /// Carries out a call for the owner of a shard.
     pub(crate) async fn carry_out(&self, shard: u32, call: DelegatedCall) -> DelegatedAnswer {
-        if !self.accepts_term(shard, call.term) {
+        if !self.accepts_term(shard, call.term) || self.is_stopping.get() {
             return DelegatedAnswer::Declined;
         }
+        let is_report = matches!(call.action, Action::Report(..));
         let timeout = call.timeout;
         let unanswered = match &call.action {
             Action::Start(..) => DelegatedAnswer::Start(Timed {
@@ -86,8 +103,16 @@
             }
             Action::Report(..) => DelegatedAnswer::Report(Err(WorkerError::Unknown)),
         };
-        let answer = within(&*self.env.ports.runtime, timeout, self.call_worker(call)).await;
-        answer.unwrap_or(unanswered)
+        let called = within(&*self.env.ports.runtime, timeout, self.call_worker(call));
+        if !is_report {
+            return called.await.unwrap_or(unanswered);
+        }
+        // Unlike an order, a report request may be repeated at once whether it was sent or not.
+        let stopped = self.stopped.wait_past(self.stopped.count());
+        match select(pin!(called), pin!(stopped)).await {
+            Either::Left((answer, _)) => answer.unwrap_or(unanswered),
+            Either::Right(_) => DelegatedAnswer::Declined,
+        }
     }
 
     fn accepts_term(&self, shard: u32, term: u64) -> bool {
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -2,8 +2,9 @@
 //!
 //! `hemlocksaddle_policy::delegation` decides which nodes are delegates and through
 //! which one a worker is called. A call that was certainly not sent to the delegate
-//! is made directly. One that got no answer has an unknown outcome, as if the worker
-//! had not answered; the owner repeats it, by then through another node.
+//! is made directly, and one that it declined through another. One that got no answer
+//! has an unknown outcome, as if the worker had not answered; the owner repeats it,
+//! by then through another node.
 
 use std::{cell::RefCell, rc::Rc};
 
@@ -48,6 +49,8 @@
     Answered(DelegatedAnswer),
     /// Certainly not carried out.
     NotSent,
+    /// Not carried out, since the delegate is stopping.
+    Declined,
     NoAnswer,
 }
 
@@ -141,11 +144,12 @@
             born_ms: None,
             value: StartAnswer::Unknown,
         };
-        if let Some(delegate) = self.route(worker) {
+        while let Some(delegate) = self.route(worker) {
             match self.delegate_start(&delegate, worker, &call, timeout).await {
                 Outcome::Answered(DelegatedAnswer::Start(answer)) => return answer,
                 Outcome::NoAnswer => return unknown,
-                Outcome::Answered(_) | Outcome::NotSent => {}
+                Outcome::Declined => {}
+                Outcome::Answered(_) | Outcome::NotSent => break,
             }
         }
         let sent = self.env.ports.fleet.start(&worker.endpoint(), call);
@@ -222,11 +226,15 @@
         action: Action,
         timeout: Millis,
     ) -> Option<Result<(), WorkerError>> {
-        let delegate = self.route(worker)?;
-        match self.delegate(&delegate, worker, action, timeout).await {
-            Outcome::Answered(DelegatedAnswer::Order(answer)) => Some(answer),
-            Outcome::NoAnswer => Some(Err(WorkerError::Unknown)),
-            Outcome::Answered(_) | Outcome::NotSent => None,
+        loop {
+            let delegate = self.route(worker)?;
+            let called = self.delegate(&delegate, worker, action.clone(), timeout);
+            match called.await {
+                Outcome::Answered(DelegatedAnswer::Order(answer)) => return Some(answer),
+                Outcome::NoAnswer => return Some(Err(WorkerError::Unknown)),
+                Outcome::Declined => {}
+                Outcome::Answered(_) | Outcome::NotSent => return None,
+            }
         }
     }
 
@@ -237,7 +245,7 @@
         request: ReportRequest,
         timeout: Millis,
     ) -> Result<Timed<Report>, WorkerError> {
-        if let Some(delegate) = self.route(worker) {
+        while let Some(delegate) = self.route(worker) {
             let ReportRequest {
                 lease_until_ms,
                 saved_ends,
@@ -248,7 +256,8 @@
             match self.delegate(&delegate, worker, action, timeout).await {
                 Outcome::Answered(DelegatedAnswer::Report(answer)) => return answer,
                 Outcome::NoAnswer => return Err(WorkerError::Unknown),
-                Outcome::Answered(_) | Outcome::NotSent => {}
+                Outcome::Declined => {}
+                Outcome::Answered(_) | Outcome::NotSent => break,
             }
         }
         let fleet = &self.env.ports.fleet;
@@ -288,6 +297,10 @@
         let calls = &self.env.metrics.delegated_calls;
         calls.with_label_values(&[label]).inc();
         match outcome {
+            CallOutcome::Answered(ShardResponse::Delegated(DelegatedAnswer::Declined)) => {
+                self.release_delegate(delegate);
+                Outcome::Declined
+            }
             CallOutcome::Answered(ShardResponse::Delegated(answer)) => {
                 let now = self.env.now();
                 let mut delegates = self.delegates.borrow_mut();
@@ -314,11 +327,24 @@
         }
     }
 
+    /// Stops using a delegate that declined a call.
+    fn release_delegate(&self, delegate: &Delegate) {
+        self.stop_using(delegate, "is stopping", |delegates| {
+            delegates.record_declined(&delegate.node);
+        });
+    }
+
     fn drop_delegate(&self, delegate: &Delegate, reason: &str) {
         let now = self.env.now();
+        self.stop_using(delegate, reason, |delegates| {
+            delegates.record_failure(&delegate.node, now);
+        });
+    }
+
+    fn stop_using(&self, delegate: &Delegate, reason: &str, record: impl FnOnce(&mut Delegates)) {
         let mut delegates = self.delegates.borrow_mut();
         let was_active = delegates.active().contains(delegate);
-        delegates.record_failure(&delegate.node, now);
+        record(&mut delegates);
         drop(delegates);
         self.known_texts.borrow_mut().remove(&delegate.node);
         if was_active {
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -436,6 +436,7 @@
     /// Offers all owned shards to other nodes; callers are still served.
     pub fn release(&self) {
         self.claims.stopping.set(true);
+        self.owners.delegate.stop();
         let owners = self.owners.owners.borrow();
         self.env
             .event(Event::Stopping, &json!({ "owned": owners.len() }));
--- a/hemlocksaddle-shard/tests/delegation.rs
+++ b/hemlocksaddle-shard/tests/delegation.rs
@@ -16,6 +16,9 @@
 /// Bandwidth for the calls to two workers.
 const LINK_KBPS: u32 = 200;
 
+/// Time from the signal to stop until the process is killed.
+const GRACE_MS: Millis = Millis(6_000);
+
 /// Time for an owner to be elected and to choose delegates.
 const SETTLE_MS: Millis = Millis(9_000);
 
@@ -163,3 +166,32 @@
     let unanswered = "shard_delegated_calls_total{outcome=\"no answer\"}";
     expect_that!(metrics, not(contains_substring(unanswered)));
 }
+
+/// Guards against workers that are called through a delegate until it exits (issue 39): the
+/// withdrawal of its offer may be lost on a full link.
+#[gtest]
+fn a_stopping_delegate_hands_its_workers_back_at_once() {
+    for seed in 1..=10 {
+        let deployment = deployment(seed, 12);
+        let owner = deployment.owner().expect("owner");
+        submit(&deployment, owner, 1..=3);
+        callers(&deployment);
+        deployment.sim.run_for(Millis(1_500));
+        let stopping = callers(&deployment)[0];
+        deployment.lose_requests(stopping);
+        deployment.node(stopping).expect("node").shut_down(GRACE_MS);
+        // Calls that arrive while the declined ones are answered.
+        deployment.sim.run_for(Millis(20));
+        callers(&deployment);
+        deployment.sim.run_for(Millis(1_500));
+        let called = callers(&deployment);
+        expect_that!(called, not(contains(eq(&stopping))), "seed {seed}");
+        expect_that!(called, not(contains(eq(&owner))), "seed {seed}");
+        let lost = "shard_delegated_calls_total{outcome=\"no answer\"}";
+        let metrics = deployment.node(owner).expect("node").metrics_text();
+        let metrics = String::from_utf8(metrics.expect("metrics")).expect("text");
+        expect_that!(metrics, not(contains_substring(lost)), "seed {seed}");
+        submit(&deployment, owner, 4..=6);
+        expect_completed(&deployment, owner, 1..=6);
+    }
+}
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -54,6 +54,8 @@
     pub(crate) fleet: Rc<FakeFleet>,
     nodes: Registry,
     stores: RefCell<BTreeMap<usize, Rc<NodeStore>>>,
+    /// Nodes whose requests to others are lost.
+    loses_requests: RefCell<BTreeMap<usize, Rc<Cell<bool>>>>,
     catalogue: Catalogue,
 }
 
@@ -170,6 +172,7 @@
             store,
             nodes: Registry::default(),
             stores: RefCell::default(),
+            loses_requests: RefCell::default(),
             catalogue: catalogue(),
             sim,
         };
@@ -220,7 +223,14 @@
             fleet: self.fleet.of_node(number),
         };
         let node = Node::new(settings, ports).expect("metrics");
-        node.set_peers(Rc::new(FakePeers::new(self.nodes.clone())));
+        let loses_requests = Rc::new(Cell::new(false));
+        node.set_peers(Rc::new(FakePeers::new(
+            self.nodes.clone(),
+            loses_requests.clone(),
+        )));
+        self.loses_requests
+            .borrow_mut()
+            .insert(number, loses_requests);
         node.start();
         self.nodes.borrow_mut().insert(address(number), node);
     }
@@ -256,6 +266,11 @@
         self.stores.borrow()[&number].page_ms.set(page.0);
     }
 
+    /// Loses the requests of a node to others from now on; it still answers theirs.
+    pub(crate) fn lose_requests(&self, number: usize) {
+        self.loses_requests.borrow()[&number].set(true);
+    }
+
     /// Suspends a node's process.
     pub(crate) fn pause(&self, number: usize, duration: Millis) {
         self.sim.pause(&node_name(number), duration);
--- a/hemlocksaddle-shard/tests/support/peers.rs
+++ b/hemlocksaddle-shard/tests/support/peers.rs
@@ -1,6 +1,6 @@
 //! In-memory connections between nodes.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
@@ -11,17 +11,24 @@
 
 use super::Registry;
 
-struct Sender(mpsc::UnboundedSender<Message>);
+struct Sender {
+    messages: mpsc::UnboundedSender<Message>,
+    /// Whether messages are lost.
+    is_lossy: Rc<Cell<bool>>,
+}
 
 impl PeerSender for Sender {
     fn send(&self, message: Message) -> Result<()> {
-        self.0
+        if self.is_lossy.get() {
+            return Ok(());
+        }
+        self.messages
             .unbounded_send(message)
             .map_err(|_| PortError::NotSent)
     }
 
     fn close(&self) {
-        self.0.close_channel();
+        self.messages.close_channel();
     }
 }
 
@@ -36,22 +43,29 @@
 /// Connects to registered nodes.
 pub(super) struct FakePeers {
     nodes: Registry,
+    loses_requests: Rc<Cell<bool>>,
 }
 
 impl FakePeers {
-    pub(super) fn new(nodes: Registry) -> FakePeers {
-        FakePeers { nodes }
+    pub(super) fn new(nodes: Registry, loses_requests: Rc<Cell<bool>>) -> FakePeers {
+        FakePeers {
+            nodes,
+            loses_requests,
+        }
     }
-}
 
-fn link_pair() -> (PeerLink, PeerLink) {
-    let (to_remote, from_local) = mpsc::unbounded();
-    let (to_local, from_remote) = mpsc::unbounded();
-    let link = |sender, receiver| PeerLink {
-        sender: Rc::new(Sender(sender)),
-        receiver: Box::new(Receiver(receiver)),
-    };
-    (link(to_remote, from_remote), link(to_local, from_local))
+    fn link_pair(&self) -> (PeerLink, PeerLink) {
+        let (to_remote, from_local) = mpsc::unbounded();
+        let (to_local, from_remote) = mpsc::unbounded();
+        let link = |messages, receiver, is_lossy| PeerLink {
+            sender: Rc::new(Sender { messages, is_lossy }),
+            receiver: Box::new(Receiver(receiver)),
+        };
+        (
+            link(to_remote, from_remote, self.loses_requests.clone()),
+            link(to_local, from_local, Rc::default()),
+        )
+    }
 }
 
 impl Peers for FakePeers {
@@ -60,7 +74,7 @@
         Box::pin(async move {
             let node = self.nodes.borrow().get(&address).cloned();
             let node = node.ok_or(PortError::NotSent)?;
-            let (local, remote) = link_pair();
+            let (local, remote) = self.link_pair();
             node.accept_peer(remote);
             Ok(local)
         })
--- a/hemlocksaddle-types/src/delegation.rs
+++ b/hemlocksaddle-types/src/delegation.rs
@@ -328,6 +328,6 @@
     Report(Result<Timed<Report>, WorkerError>),
     /// Delegate does not know the workflow's text; nothing was sent.
     TextMissing,
-    /// Delegate has seen a higher term or is stopping; nothing was sent.
+    /// Delegate has seen a higher term or is stopping; no order was sent.
     Declined,
 }
