Restart inherited tasks once a report has shown their run

Cause: a new owner does not start any inherited task before every worker has reported, also where it has itself seen the task's run in a report and then stopped it because the worker drains. Such a run is the only one: the predecessor starts another only after it has certainly ended, and from that report on the worker refuses the predecessor's orders.

Change: a task whose run a report of this term has shown may start again at once. An earlier run of it that completed on a worker that has not reported yet is not acknowledged any more, like after an expired lease.

Evidence: a_task_whose_run_was_seen_in_this_term_does_not_wait_for_other_workers fails without the change (no start). The second test guards the safety of it: it also has no start to look at without the change.

Ruled out: an end that is reported in this term without the run having been seen. Ends are listed until they are durable, so the predecessor may have read the same end and started the next run.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -85,6 +85,10 @@
     pub checkpoint: Option<Arc<str>>,
     /// Whether a run of the task is known to have started.
     pub(super) has_run: bool,
+    /// Whether a report of this term has listed the latest run as running.
+    ///
+    /// No predecessor can have a run elsewhere, since it starts another only after the end of this one.
+    pub(super) located: bool,
     /// Time since which the task has waited; `None` before its first start.
     ///
     /// A start that is refused does not change it.
@@ -128,6 +132,7 @@
             restarted_before: None,
             checkpoint: None,
             has_run: false,
+            located: false,
             waiting_since: None,
             not_before: MonoMs(0),
             failed_on: None,
@@ -181,6 +186,8 @@
     pub(super) tasks: Vec<Task>,
     pub(super) done: u32,
     pub(super) waiting: u32,
+    /// Number of located tasks.
+    pub(super) located: u32,
     /// Time since which a task of the step has been ready to start.
     pub(super) waiting_since: Option<MonoMs>,
     /// Estimated load of the long-running tasks.
@@ -199,6 +206,7 @@
             tasks: vec![Task::new(); step.tasks as usize],
             done: 0,
             waiting: step.tasks,
+            located: 0,
             waiting_since: None,
             load: None,
         };
@@ -370,9 +378,10 @@
             && self.occurrences.iter().all(Occurrence::is_done)
     }
 
-    /// Whether a step has to wait until all workers have reported in this term.
+    /// Whether tasks of a step that are not located have to wait until all workers have reported in this
+    /// term.
     ///
-    /// A predecessor may have started its tasks.
+    /// A predecessor may have started them.
     pub(super) fn awaits_reports(&self, step: &Step, failover_complete: bool) -> bool {
         self.inherited && !failover_complete && !step.speculative
     }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -10,9 +10,10 @@
 //! worker until its run has certainly ended: the worker reported the end, has a
 //! new incarnation, or its lease has certainly expired. Second, a new owner does
 //! not start a task that its predecessor may have started until every worker has
-//! reported or its lease has expired. Third, where a task was started again after a
-//! lease had expired, a completed earlier run that is reported later is not
-//! acknowledged; the result of the later run counts.
+//! reported or its lease has expired, unless a report of its own term has shown the
+//! task's latest run. Third, where a task was started again after a lease had expired,
+//! or before every worker has reported, a completed earlier run that is reported later
+//! is not acknowledged; the result of the later run counts.
 
 mod capacity;
 mod consolidation;
--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -246,7 +246,7 @@
             let is_first_of_step = state.waiting == spec.tasks;
             let mut has_new = false;
             for key in (0..spec.tasks).map(|index| step.key(index)) {
-                let Some(task) = job.task(key).filter(|task| task.may_start(now)) else {
+                let Some(task) = job.task(key).filter(|task| step.may_start(task, now)) else {
                     continue;
                 };
                 let is_new = !task.has_run || spec.gang;
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -38,6 +38,8 @@
     pub(super) queue: Arc<Queue>,
     accepted_at: MonoMs,
     capacity_rule: CapacityRule,
+    /// Whether only located tasks may start.
+    awaits_reports: bool,
 }
 
 impl ReadyStep {
@@ -50,6 +52,11 @@
         }
     }
 
+    /// Whether a task of the step may be started now.
+    pub(super) fn may_start(&self, task: &Task, now: MonoMs) -> bool {
+        task.may_start(now) && (task.located || !self.awaits_reports)
+    }
+
     fn cmp_urgency(&self, other: &ReadyStep) -> Ordering {
         self.queue
             .priority
@@ -103,10 +110,11 @@
             let spec: Rc<_> = job.spec.clone();
             for occurrence in 0..job.occurrences.len() {
                 for (number, spec) in spec.steps.iter().enumerate() {
-                    let must_wait = job.unconfirmed || job.awaits_reports(spec, failover_complete);
-                    let due = !must_wait && job.step_is_due(occurrence, number);
+                    let awaits_reports = job.awaits_reports(spec, failover_complete);
+                    let due = !job.unconfirmed && job.step_is_due(occurrence, number);
                     let step = &mut job.occurrences[occurrence].steps[number];
-                    if step.waiting == 0 || !due {
+                    let must_wait = awaits_reports && step.located == 0;
+                    if step.waiting == 0 || must_wait || !due {
                         step.waiting_since = None;
                         continue;
                     }
@@ -118,6 +126,7 @@
                         queue: queue.clone(),
                         accepted_at: job.accepted_at,
                         capacity_rule: CapacityRule::for_step(spec, waiting_since, now),
+                        awaits_reports,
                     });
                 }
             }
@@ -147,7 +156,7 @@
             }
             let key = ready.key(index);
             let task = self.jobs[ready.job].task(key);
-            if !task.is_some_and(|task| task.may_start(now)) {
+            if !task.is_some_and(|task| ready.may_start(task, now)) {
                 continue;
             }
             let Some(wanted) = self.wanted(key, pool, None) else {
@@ -204,7 +213,7 @@
         let members: Vec<TaskKey> = (0..step.tasks).map(|index| ready.key(index)).collect();
         let all_wait = members.iter().all(|&key| {
             let task = self.jobs[ready.job].task(key);
-            task.is_some_and(|task| task.may_start(now))
+            task.is_some_and(|task| ready.may_start(task, now))
         });
         if !all_wait {
             return false;
@@ -278,6 +287,7 @@
 
     fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run, now: MonoMs) {
         let name = self.name(key);
+        let failover_complete = self.is_failover_complete(now);
         let job = &mut self.jobs[key.job];
         let text = job.spec.text.clone();
         let waiting_since = job.waiting_since(key);
@@ -292,7 +302,8 @@
             unanswered: false,
         };
         // An inherited task may have run on a worker that has not reported.
-        let end_unknown = job.inherited && self.missing_reports;
+        let end_unknown =
+            job.inherited && self.missing_reports || job.awaits_reports(step, failover_complete);
         let task = job.task_mut(key);
         if task.end_unknown || end_unknown {
             task.mark_restarted(run);
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -256,6 +256,8 @@
             task.halted_at = None;
             let state = job.step_state(key);
             state.waiting -= 1;
+            let task = &mut state.tasks[key.index as usize];
+            state.located += u32::from(!std::mem::replace(&mut task.located, true));
             job.placed += 1;
         }
         let task = job.task_mut(key);
--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -358,7 +358,7 @@
             Some(WaitReason::StartUnanswered)
         } else if job.unconfirmed {
             Some(WaitReason::UnconfirmedSubmission)
-        } else if job.awaits_reports(step, self.is_failover_complete(now)) {
+        } else if !task.located && job.awaits_reports(step, self.is_failover_complete(now)) {
             Some(WaitReason::UnreportedWorkers)
         } else if task.crash_unsaved {
             Some(WaitReason::UnsavedCrash)
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -7,9 +7,11 @@
 mod workflow_support;
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::workflow::{EndKind, MAX_SAVED_WORKFLOWS, Start, StartAnswer};
+use hemlocksaddle_policy::workflow::{
+    End, EndKind, MAX_SAVED_WORKFLOWS, Start, StartAnswer, Worker,
+};
 use hemlocksaddle_types::workflow::{Run, State, WorkflowId};
-use workflow_support::{Harness, LEASE_MS, step};
+use workflow_support::{Harness, LEASE_MS, long_running, step};
 
 /// Saves, and returns the names of the workers that left the roster.
 fn departed(harness: &mut Harness) -> Vec<String> {
@@ -139,6 +141,58 @@
     expect_that!(harness.starts().len(), eq(1));
 }
 
+/// Load pattern: workers are drained one after another while owners change, and one has left with its
+/// tasks. Guards against a task that waits for the reports of all workers after the owner itself has
+/// moved it off a draining worker.
+#[gtest]
+fn a_task_whose_run_was_seen_in_this_term_does_not_wait_for_other_workers() {
+    let mut harness = Harness::unreported(3, 16_000, 10_000);
+    harness.accept_inherited(1, vec![long_running(1, 4_000, "image")]);
+    harness.accept_inherited(2, vec![long_running(1, 4_000, "image")]);
+    harness.report_running(0, 1, Run(1));
+    harness.report_idle(1);
+    harness.leave(2);
+    harness.silence(harness.workers[2]);
+    let mut listed = harness.roster();
+    listed[0].draining = true;
+    listed.truncate(2);
+    harness.scheduler.list_workers(listed, harness.now());
+    expect_that!(harness.stops().len(), eq(1));
+    harness.end_stopped(0, 1, Run(1));
+    let starts = harness.starts();
+    assert_that!(starts.len(), eq(1));
+    expect_that!(starts[0].name.workflow, eq(WorkflowId(1)));
+    expect_that!(starts[0].worker, eq(harness.workers[1]));
+    // The run of the other task may be on the worker that has not reported.
+    harness.advance(1_000);
+    expect_that!(harness.starts(), is_empty());
+}
+
+/// Guards against a completed run that is acknowledged after a later run was started: it ended before the
+/// predecessor took its lease as expired, on a worker that reports late.
+#[gtest]
+fn an_earlier_run_that_is_reported_late_is_not_acknowledged_after_a_restart() {
+    let mut harness = Harness::unreported(3, 16_000, 10_000);
+    harness.accept_inherited(1, vec![step(1, 1_000)]);
+    harness.report_running(0, 1, Run(2));
+    harness.report_idle(1);
+    harness.end_stopped(0, 1, Run(2));
+    let start = harness.starts().remove(0);
+    harness.answer(&start, StartAnswer::Accepted);
+    let done = End {
+        number: 1,
+        task: Some(start.name),
+        run: Run(1),
+        kind: EndKind::Done,
+        checkpoint: None,
+    };
+    harness.report_ends(2, vec![done]);
+    harness.save();
+    let late = harness.scheduler.worker(harness.workers[2]);
+    expect_that!(late.map(Worker::withholds_ends), some(eq(true)));
+    expect_that!(harness.state(1), some(eq(State::Running)));
+}
+
 /// Guards against a second run of a task on a worker that was restarted, and used by a predecessor,
 /// before the platform's list shows it.
 #[gtest]
