Wait less for leases that earlier owners granted

The platform takes them as lost after 9,000 ms.

Cause: an owner grants leases of 6 s until its own lease of 3 s after a renewal ends, so a successor waits 9 s and the clock error after the last renewal that it has read. The third second serves only an owner that has missed two renewals.

Change: more than 2 s after a renewal, an owner grants shorter leases, so that all end within 8 s of the renewal. Claims and renewals carry this time (leases_end_within_ms); without it, after an owner of an earlier version and until its leases have expired, a successor waits as before. The time since a renewal is that of the clock on which more has passed, since the monotonic one does not count a suspension.

The policy test of both clocks does not compile without the change.

Ruled out: a shorter ownership lease, which has to cover two missed renewals and a slow answer.

--- a/hemlocksaddle-policy/src/take_over.rs
+++ b/hemlocksaddle-policy/src/take_over.rs
@@ -168,9 +168,16 @@
     now: MonoMs,
     worker_lease: Millis,
 ) -> MonoMs {
-    let leases_ms = OWNERSHIP_LEASE_MS.0 + worker_lease.0;
-    let wait_ms = leases_ms + leases_ms * CLOCK_ERROR_PERCENT / 100 + LEASE_MARGIN_MS;
-    earlier_read_at.unwrap_or(now) + Millis(wait_ms)
+    let end_within = Millis(OWNERSHIP_LEASE_MS.0 + worker_lease.0);
+    leases_expired_at(earlier_read_at.unwrap_or(now), end_within)
+}
+
+/// Time by which all workers' leases have expired that end within `end_within` of the last renewal of their
+/// owner, which was read at `read_at`.
+#[must_use]
+pub fn leases_expired_at(read_at: MonoMs, end_within: Millis) -> MonoMs {
+    let wait_ms = end_within.0 + end_within.0 * CLOCK_ERROR_PERCENT / 100 + LEASE_MARGIN_MS;
+    read_at + Millis(wait_ms)
 }
 
 /// Longest lease of a worker that an owner grants.
@@ -187,6 +194,27 @@
     limit.min(MAX_WORKER_LEASE_MS)
 }
 
+/// Time after a renewal from which leases of workers are shortened.
+///
+/// Two renewals and a slow answer; only an owner that may be about to lose the shard shortens leases.
+const FULL_LEASES_MS: Millis = Millis(2_000);
+
+/// Time after the latest renewal of an owner within which every worker's lease that it grants ends, on
+/// the worker's clock.
+#[must_use]
+pub fn leases_end_within(limit: Millis) -> Millis {
+    FULL_LEASES_MS + worker_lease(limit)
+}
+
+/// Lease that an owner grants to a worker at `now`, after a renewal that was sent at `renewed_at`.
+#[must_use]
+pub fn granted_lease(limit: Millis, renewed_at: ClockReading, now: ClockReading) -> Millis {
+    let left_ms = leases_end_within(limit)
+        .0
+        .saturating_sub(renewed_at.elapsed(now).0);
+    worker_lease(limit).min(Millis(left_ms))
+}
+
 /// Both clocks of a node at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
@@ -197,6 +225,12 @@
 }
 
 impl ClockReading {
+    /// Time since this reading, by the clock on which more has passed.
+    #[must_use]
+    pub fn elapsed(self, now: ClockReading) -> Millis {
+        now.mono.since(self.mono).max(now.wall.since(self.wall))
+    }
+
     /// Whether the ownership lease of a renewal sent at `self` is valid at `now`, by both clocks.
     #[must_use]
     pub fn lease_is_valid(self, now: ClockReading) -> bool {
--- a/hemlocksaddle-policy/tests/take_over.rs
+++ b/hemlocksaddle-policy/tests/take_over.rs
@@ -3,8 +3,8 @@
 use googletest::prelude::*;
 use hemlocksaddle_policy::take_over::{
     AppendAttempts, Candidate, ClockReading, OWNERSHIP_LEASE_MS, OwnerView, RENEW_INTERVAL_MS,
-    ShardView, Successor, failover_complete_at, renew_interval, should_claim_before_stop,
-    worker_lease,
+    ShardView, Successor, failover_complete_at, granted_lease, leases_end_within,
+    leases_expired_at, renew_interval, should_claim_before_stop, worker_lease,
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs, WallMs};
 
@@ -299,6 +299,43 @@
     expect_that!(wait(None), ge(longest));
 }
 
+/// Load pattern: an owner killed beside a worker that leaves at the same time. Guards against a wait for
+/// earlier leases that alone takes as long as a long-running task may stay away, against a lease that ends
+/// after that wait, and against leases that are shortened while the owner renews its claim in time.
+#[gtest]
+fn a_successor_waits_for_less_than_the_longest_lease_at_the_end_of_a_term() {
+    for limit_ms in [2_000, 6_000, 10_000] {
+        let limit = Millis(limit_ms);
+        let within = leases_end_within(limit);
+        let expired_at = leases_expired_at(NOW, within);
+        expect_that!(expired_at.since(NOW), le(Millis(8_500)));
+        for after_ms in (0..=OWNERSHIP_LEASE_MS.0).step_by(100) {
+            let granted_at = NOW + Millis(after_ms);
+            let read = |ms| ClockReading {
+                mono: NOW,
+                wall: WallMs(1_000_000 + ms),
+            };
+            let awake = ClockReading {
+                mono: granted_at,
+                ..read(after_ms)
+            };
+            let lease = granted_lease(limit, read(0), awake);
+            // The monotonic clock does not count a suspension.
+            expect_that!(granted_lease(limit, read(0), read(after_ms)), eq(lease));
+            if after_ms <= 2 * RENEW_INTERVAL_MS.0 {
+                expect_that!(lease, eq(worker_lease(limit)), "{limit_ms}, {after_ms}");
+            }
+            let end = granted_at.since(NOW).0 + lease.0;
+            // The owner's clock and the worker's are both 2% slow.
+            expect_that!(
+                NOW + Millis(end * 102 / 100),
+                le(expired_at),
+                "{limit_ms}, {after_ms}"
+            );
+        }
+    }
+}
+
 /// Load pattern: nodes stopped in turn over slow links. Guards against a node that claims a shard and ends
 /// before another one can have read it, and against one that lets what it has read go to waste.
 #[gtest]
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -17,8 +17,8 @@
 
 use hemlocksaddle_node::wait::Signal;
 use hemlocksaddle_policy::take_over::{
-    AppendAttempts, Candidate, ClockReading, OwnerView, ShardView, Successor,
-    should_claim_before_stop,
+    AppendAttempts, Candidate, ClockReading, OWNERSHIP_LEASE_MS, OwnerView, ShardView, Successor,
+    failover_complete_at, leases_end_within, leases_expired_at, should_claim_before_stop,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -86,6 +86,9 @@
     attempts: AppendAttempts,
     /// Time at which the last record before the claim was read.
     earlier_read_at: Option<MonoMs>,
+    /// Time after the last record before the claim within which earlier leases end; `None` if there was no
+    /// such record.
+    earlier_leases_end_within: Option<Millis>,
 }
 
 /// This node's view of the claims.
@@ -420,15 +423,20 @@
         let term = earlier.as_ref().map_or(1, |claim| claim.term + 1);
         let partition = self.partition(shard);
         let end = partition.end.get();
-        let earlier_read_at = earlier.and(partition.record_read_at.get());
-        let claim = self.own_claim(term, None);
+        let earlier_read_at = partition.record_read_at.get().filter(|_| earlier.is_some());
+        let earlier_leases_end_within = earlier.as_ref().map(|claim| {
+            let longest = OWNERSHIP_LEASE_MS + self.env.settings.lease_ms;
+            claim.leases_end_within_ms.unwrap_or(longest)
+        });
         let first = self.first_sequence();
         let sent_at = self.env.clocks();
         {
             let mut own_claim = self.own_claim_record(shard, term);
             own_claim.attempts.send(sent_at);
             own_claim.earlier_read_at = earlier_read_at;
+            own_claim.earlier_leases_end_within = earlier_leases_end_within;
         }
+        let claim = self.own_claim(shard, term, None);
         let made = self.append_claim(shard, &claim, first, Some(end)).await;
         self.claiming.set(false);
         if made.as_ref().is_err_and(|error| error.is_certain()) {
@@ -478,10 +486,27 @@
         claim.attempts.first_sent_at()
     }
 
-    /// Returns the time at which the last record before this node's claim was read; `None` if no
-    /// earlier claim was known.
-    pub(crate) fn earlier_read_at(&self, shard: u32, term: u64) -> Option<MonoMs> {
-        self.latest_own_claim(shard, term)?.earlier_read_at
+    /// Returns the time by which all workers' leases granted before this node's claim have expired.
+    pub(crate) fn earlier_leases_expired_at(&self, shard: u32, term: u64) -> MonoMs {
+        let claim = self.latest_own_claim(shard, term);
+        let known = claim.and_then(|claim| {
+            let end_within = claim.earlier_leases_end_within?;
+            Some(leases_expired_at(claim.earlier_read_at?, end_within))
+        });
+        known.unwrap_or_else(|| {
+            failover_complete_at(None, self.env.now(), self.env.settings.lease_ms)
+        })
+    }
+
+    /// Returns the time after a renewal of this node's claim within which all workers' leases end; `None`
+    /// while longer ones of an earlier term may last.
+    fn leases_end_within(&self, shard: u32, term: u64) -> Option<Millis> {
+        let claim = self.latest_own_claim(shard, term)?;
+        let end_within = leases_end_within(self.env.settings.lease_ms);
+        let earlier = claim.earlier_leases_end_within;
+        let is_longest = earlier.is_none_or(|earlier| earlier <= end_within)
+            || self.env.now() >= self.earlier_leases_expired_at(shard, term);
+        is_longest.then_some(end_within)
     }
 
     /// Returns the sequence number of a term's first append.
@@ -495,7 +520,7 @@
         stable_hash(&[settings.node.as_str().as_bytes(), &started]) >> 32
     }
 
-    fn own_claim(&self, term: u64, handover: Option<&Handover>) -> Claim {
+    fn own_claim(&self, shard: u32, term: u64, handover: Option<&Handover>) -> Claim {
         Claim {
             term,
             node: self.env.settings.node.clone(),
@@ -504,6 +529,7 @@
             cpu_milli: self.env.settings.cpu_milli(),
             released: handover.is_some(),
             successor: handover.and_then(|handover| handover.successor.clone()),
+            leases_end_within_ms: self.leases_end_within(shard, term),
         }
     }
 
@@ -540,7 +566,7 @@
         handover: Option<&Handover>,
         sequence: &Cell<u64>,
     ) -> Result<()> {
-        let claim = self.own_claim(term, handover);
+        let claim = self.own_claim(shard, term, handover);
         match self.append_claim(shard, &claim, sequence.get(), None).await {
             Ok(_) => {
                 sequence.set(sequence.get() + 1);
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -14,8 +14,7 @@
 use hemlocksaddle_policy::{
     congestion::{LatencyEstimate, StartWindow},
     take_over::{
-        AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, failover_complete_at,
-        renew_interval,
+        AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, granted_lease, renew_interval,
     },
     workflow::{Limits, Listing, Scheduler, WorkerKey},
 };
@@ -117,9 +116,7 @@
         let claim_sequence = Cell::new(claims.first_sequence() + 1);
         let ownership_lease_from = Cell::new(claims.claim_sent_at(shard, term));
         let shards = claims.layout().map_or(1, |layout| layout.shards);
-        let earlier_read_at = claims.earlier_read_at(shard, term);
-        let failover_complete_at =
-            failover_complete_at(earlier_read_at, now, env.settings.lease_ms);
+        let failover_complete_at = claims.earlier_leases_expired_at(shard, term);
         let limits = Limits {
             keep_ended_ms: env.settings.keep_ended_ms,
         };
@@ -161,6 +158,14 @@
         !self.ended.get() && from.is_some_and(|from| from.lease_is_valid(self.env.clocks()))
     }
 
+    /// Returns the lease that may be granted to a worker now; `None` without the ownership lease.
+    pub(crate) fn worker_lease(&self) -> Option<Millis> {
+        let from = self.ownership_lease_from.get()?;
+        let now = self.env.clocks();
+        let limit = self.env.settings.lease_ms;
+        self.holds_lease().then(|| granted_lease(limit, from, now))
+    }
+
     /// Records the latency of a worker's answer to a call that was sent at `sent_at`.
     pub(crate) fn record_latency(&self, sent_at: MonoMs) {
         let mut latency = self.latency.get();
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hemlocksaddle_types::{
+    clock::Millis,
     error::{Error, ErrorKind, Result},
     name::NodeName,
     workflow::WorkflowId,
@@ -55,6 +56,11 @@
     /// Node that should claim the offered shard first.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) successor: Option<NodeName>,
+    /// Time after the latest renewal within which all workers' leases end, those of earlier terms included.
+    ///
+    /// `None` if it is not known: the owner has an earlier version, or follows one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) leases_end_within_ms: Option<Millis>,
 }
 
 /// Start of an owner's term in the submissions stream.
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -5,7 +5,6 @@
 use hemlocksaddle_node::wait::within;
 use hemlocksaddle_policy::{
     congestion::silent_poll_pause,
-    take_over::worker_lease,
     workflow::{Listing, Report, WorkerKey},
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs};
@@ -311,14 +310,11 @@
         // Read before the check, because the process may be stopped after it.
         let now = self.env.now();
         // Without the ownership lease, a successor may already be waiting for this lease to expire.
-        if !self.holds_lease() {
-            return None;
-        }
+        let lease = self.worker_lease()?;
         if self.scheduler.borrow().worker(key)?.is_doubted() {
             return None;
         }
         let clock = *self.clocks.borrow().get(&key)?;
-        let lease = worker_lease(self.env.settings.lease_ms);
         let until_ms = clock.deadline_in(now, lease);
         let passed_by = clock.passed_by(until_ms);
         self.scheduler.borrow_mut().extend_lease(key, passed_by);
