Serve open connections until a stopping node exits

Cause: 2.3 s after SIGTERM the node called hyper's graceful_shutdown on each connection, which closes at once those on which no complete head of a request has been parsed: kept, new and half-read ones. A request on its way or still in the receive buffer was dropped, although the grace period is 6 s.

Change: from SIGTERM on each answer carries `Connection: close`. Connections stay open until the exit; the listener is closed first, then idle connections. Requests are refused from 4.5 s and answered by 5.0 s after the signal, as before.

Not changed: a request that crosses the end of an idle connection at the exit. A process with idle connections exits 5.3 s after SIGTERM instead of 2.3 s.

--- a/hemlocksaddle-daemon/src/shards.rs
+++ b/hemlocksaddle-daemon/src/shards.rs
@@ -27,7 +27,7 @@
 
 use crate::program::{bind, end_process_on_panic, signals};
 
-/// Time between the first "not ready" response and closing the listener.
+/// Time between the first "not ready" response and the earliest exit.
 ///
 /// The load balancer probes once a second and removes a node after two failed probes.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
@@ -35,7 +35,7 @@
 /// Interval at which a planned stop checks whether requests, connections or shards are left.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Longest wait for the last answers to be written after the listener was closed.
+/// Longest wait for the last answers to be written after idle connections were closed.
 const WRITE_LIMIT: Duration = Duration::from_millis(200);
 
 /// Runs a node until SIGTERM or SIGINT; `path` is the settings file that SIGHUP validates again.
@@ -101,24 +101,29 @@
 }
 
 /// Planned stop: releases the shards, waits until the load balancer has removed the node, then
-/// drains requests and connections within the grace period.
+/// until callers have left their connections, within the grace period.
 ///
 /// Further signals have no effect: the process ends as soon as possible anyway.
 async fn stop(node: &Node, server: &Server, grace: Millis) {
     let shutdown = node.shut_down(grace);
+    server.drain();
     let is_open = || node.frontend.open_requests() > 0 || server.connections() > 0;
     compio::time::sleep(DRAIN_DELAY.min(Duration::from_millis(grace.0 / 2))).await;
-    server.stop();
     while (is_open() || node.owned() > 0) && !shutdown.is_over(node.now()) {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
-    // What has been read is answered; what arrives later is not read any more.
     server.close();
-    let closed_at = Instant::now();
+    // Connections that were accepted last are served; what has arrived on others is read.
     loop {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        if !is_open() || closed_at.elapsed() >= WRITE_LIMIT {
-            return;
+        if !is_open() || shutdown.is_over(node.now()) {
+            break;
         }
     }
+    // What has been read is answered; what arrives later is not read any more.
+    server.close_idle();
+    let closed_at = Instant::now();
+    while is_open() && closed_at.elapsed() < WRITE_LIMIT {
+        compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
 }
