Open connections to delegates before they are used

Cause: each call that found no connection opened one of its own, so that the first calls of a new owner opened dozens to each delegate at once, on a full link. Calls timed out before their connection was open, which abandoned it and counted against the delegate. Of several connections only the last one opened was looked at for signs of life.

Change: calls that wait for a connection share one attempt, which goes on after they have timed out, for up to 2 s. The owner opens a connection when a node offers itself, and uses the node once it is open. A closed connection no longer pauses a delegate for 3 s; it is used again once a connection is open. Delegates that do not answer are paused as before.

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -81,11 +81,16 @@
     failed_until: MonoMs,
     /// Whether the process declined a call.
     is_stopping: bool,
+    /// Whether the owner has a connection to it.
+    is_connected: bool,
 }
 
 impl Candidate {
     fn is_usable(&self, now: MonoMs) -> bool {
-        self.offer.available && now.since(self.heard_at) < HEARD_TTL_MS && now >= self.failed_until
+        self.offer.available
+            && self.is_connected
+            && now.since(self.heard_at) < HEARD_TTL_MS
+            && now >= self.failed_until
     }
 
     fn capacity(&self) -> f64 {
@@ -132,11 +137,13 @@
         let is_stopping = known
             .is_some_and(|known| known.is_stopping && known.offer.started_ms == offer.started_ms);
         offer.available &= !is_stopping;
+        let is_connected = known.is_none_or(|known| known.is_connected);
         let candidate = Candidate {
             offer,
             heard_at: now,
             failed_until,
             is_stopping,
+            is_connected,
         };
         self.candidates.insert(node, candidate);
     }
@@ -165,6 +172,21 @@
         self.active.retain(|delegate| delegate.node != *node);
     }
 
+    /// Records to which candidates connections are open; others are not chosen.
+    pub fn record_connections(&mut self, is_open: impl Fn(SocketAddr) -> bool) {
+        for candidate in self.candidates.values_mut() {
+            candidate.is_connected = is_open(candidate.offer.address);
+        }
+    }
+
+    /// Records that the connection to a delegate was closed, and stops using it until there is one.
+    pub fn record_disconnected(&mut self, node: &NodeName) {
+        if let Some(candidate) = self.candidates.get_mut(node) {
+            candidate.is_connected = false;
+        }
+        self.active.retain(|delegate| delegate.node != *node);
+    }
+
     /// Chooses the delegates for a number of workers; returns whether they changed.
     pub fn choose(&mut self, workers: usize, now: MonoMs) -> bool {
         self.candidates
--- a/hemlocksaddle-policy/tests/delegation.rs
+++ b/hemlocksaddle-policy/tests/delegation.rs
@@ -222,6 +222,32 @@
     );
 }
 
+/// Load pattern: owner's link full. Guards against calls that wait until a connection is open (issue 39), and against a pause
+/// once it is open again.
+#[gtest]
+fn a_node_is_used_while_a_connection_to_it_is_open() {
+    let mut delegates = large_fleet();
+    let closed = offer(1, 5, FAST_MILLI, 200_000);
+    let is_used = |delegates: &mut Delegates, is_open: bool| {
+        delegates.record_offer(closed.clone(), START);
+        delegates.record_connections(|address| is_open || address != closed.address);
+        delegates.choose(890, START);
+        routes(delegates).contains(&Some(closed.node.clone()))
+    };
+    expect_that!(is_used(&mut delegates, false), eq(false));
+    expect_that!(is_used(&mut delegates, true), eq(true));
+    delegates.record_disconnected(&closed.node);
+    expect_that!(
+        routes(&delegates).contains(&Some(closed.node.clone())),
+        eq(false)
+    );
+    expect_that!(is_used(&mut delegates, false), eq(false));
+    expect_that!(is_used(&mut delegates, true), eq(true));
+    // Whether the owner has a connection does not matter to who should succeed it.
+    delegates.record_connections(|_| false);
+    expect_that!(delegates.successor(0, START), some(anything()));
+}
+
 /// Load pattern: nodes stopped in turn. Guards against a successor that is stopped next, and against one that
 /// reads the state for longer than others, or is slow.
 #[gtest]
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -80,6 +80,9 @@
 
     /// Records the offer of a node.
     pub(crate) fn record_offer(&self, offer: Offer) {
+        if offer.available {
+            self.links.prepare(&offer.node, offer.address);
+        }
         self.delegates
             .borrow_mut()
             .record_offer(offer, self.env.now());
@@ -88,6 +91,7 @@
     /// Chooses the delegates for a number of workers.
     pub(crate) fn choose_delegates(&self, workers: usize) {
         let mut delegates = self.delegates.borrow_mut();
+        delegates.record_connections(|address| self.links.is_open(address));
         if !delegates.choose(workers, self.env.now()) {
             return;
         }
@@ -298,7 +302,9 @@
         calls.with_label_values(&[label]).inc();
         match outcome {
             CallOutcome::Answered(ShardResponse::Delegated(DelegatedAnswer::Declined)) => {
-                self.release_delegate(delegate);
+                self.stop_using(delegate, "is stopping", |delegates| {
+                    delegates.record_declined(&delegate.node);
+                });
                 Outcome::Declined
             }
             CallOutcome::Answered(ShardResponse::Delegated(answer)) => {
@@ -312,7 +318,9 @@
                 Outcome::NotSent
             }
             CallOutcome::NotSent => {
-                self.drop_delegate(delegate, "cannot be reached");
+                self.stop_using(delegate, "cannot be reached", |delegates| {
+                    delegates.record_disconnected(&delegate.node);
+                });
                 Outcome::NotSent
             }
             CallOutcome::NoAnswer => {
@@ -327,13 +335,6 @@
         }
     }
 
-    /// Stops using a delegate that declined a call.
-    fn release_delegate(&self, delegate: &Delegate) {
-        self.stop_using(delegate, "is stopping", |delegates| {
-            delegates.record_declined(&delegate.node);
-        });
-    }
-
     fn drop_delegate(&self, delegate: &Delegate, reason: &str) {
         let now = self.env.now();
         self.stop_using(delegate, reason, |delegates| {
--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -1,7 +1,8 @@
 //! Connections to the owners of shards.
 //!
-//! A connection to an owner is opened by the first call and kept open. A call that
-//! times out closes the connection, because a connection may stay silent although a
+//! A connection to an owner is opened by the first call and kept open. All calls that
+//! wait for a connection share one attempt to open it, which goes on after they have
+//! timed out. A call that times out closes the connection, because a connection may stay silent although a
 //! new one would work. Calls to delegates share a connection with many others and
 //! leave it open; the failure of a delegate is noticed by its silence.
 
@@ -15,7 +16,7 @@
 use futures_channel::oneshot;
 use hemlocksaddle_node::{
     ports::{PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers, PortFuture},
-    wait::within,
+    wait::{Signal, within},
 };
 use hemlocksaddle_policy::congestion::LatencyEstimate;
 use hemlocksaddle_types::{
@@ -34,8 +35,8 @@
 /// Longest timeout of a call, while answers take long.
 const MAX_ANSWER_TIMEOUT_MS: Millis = Millis(1_000);
 
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT_MS: Millis = Millis(500);
+/// Time limit for opening a connection; a few round trips of the longest answer timeout, on a congested link.
+const CONNECT_TIMEOUT_MS: Millis = Millis(2_000);
 
 /// Time without a message from the peer after which an unanswered call closes the connection.
 ///
@@ -76,6 +77,8 @@
     env: Rc<Env>,
     peers: OnceCell<Rc<dyn Peers>>,
     open: RefCell<HashMap<SocketAddr, Rc<Link>>>,
+    /// Attempts in progress to open a connection; notified when they end.
+    opening: RefCell<HashMap<SocketAddr, Rc<Signal>>>,
     next: Cell<u64>,
     /// Owners whose latest call failed, with the time of the failure.
     lost: RefCell<HashMap<SocketAddr, MonoMs>>,
@@ -93,6 +96,7 @@
             env,
             peers: OnceCell::new(),
             open: RefCell::new(HashMap::new()),
+            opening: RefCell::new(HashMap::new()),
             next: Cell::new(1),
             lost: RefCell::new(HashMap::new()),
         })
@@ -228,9 +232,7 @@
         request: ShardRequest,
         sent: &Cell<Option<u64>>,
     ) -> Option<ShardResponse> {
-        let opening = self.link(node, address);
-        let opened = within(&*self.env.ports.runtime, CONNECT_TIMEOUT_MS, opening).await;
-        let link = opened.flatten()?;
+        let link = self.link(node, address).await?;
         let number = self.next.get();
         self.next.set(number + 1);
         let (answered, answer) = oneshot::channel();
@@ -241,17 +243,59 @@
         answer.await.ok()
     }
 
+    /// Returns whether a connection is open.
+    pub(crate) fn is_open(&self, address: SocketAddr) -> bool {
+        self.open.borrow().contains_key(&address)
+    }
+
+    /// Opens a connection in the background, unless it is open or being opened.
+    pub(crate) fn prepare(self: &Rc<Self>, node: &NodeName, address: SocketAddr) {
+        if !self.is_open(address) {
+            self.start_opening(node, address);
+        }
+    }
+
     async fn link(self: &Rc<Self>, node: &NodeName, address: SocketAddr) -> Option<Rc<Link>> {
         if let Some(link) = self.open.borrow().get(&address) {
             return Some(link.clone());
         }
-        let peers = self.peers.get()?;
+        self.start_opening(node, address).wait_past(0).await;
+        self.open.borrow().get(&address).cloned()
+    }
+
+    /// Returns the signal of the attempt to open a connection, after starting one if there is none.
+    fn start_opening(self: &Rc<Self>, node: &NodeName, address: SocketAddr) -> Rc<Signal> {
+        if let Some(ended) = self.opening.borrow().get(&address) {
+            return ended.clone();
+        }
+        let ended = Rc::new(Signal::default());
+        self.opening.borrow_mut().insert(address, ended.clone());
         let peer = PeerAddress {
             node: node.clone(),
             data_centre: self.env.settings.data_centre.clone(),
             address,
         };
-        let opened = peers.connect(&peer).await.ok()?;
+        let links = self.clone();
+        let notified = ended.clone();
+        self.env.spawn(async move {
+            links.open(&peer).await;
+            links.opening.borrow_mut().remove(&address);
+            notified.notify();
+        });
+        ended
+    }
+
+    /// Opens a connection; calls that wait for it notice a failure by its absence.
+    async fn open(self: &Rc<Self>, peer: &PeerAddress) {
+        let address = peer.address;
+        let Some(peers) = self.peers.get() else {
+            return;
+        };
+        let connecting = peers.connect(peer);
+        let opened = within(&*self.env.ports.runtime, CONNECT_TIMEOUT_MS, connecting).await;
+        let Some(Ok(opened)) = opened else {
+            return;
+        };
         let link = Rc::new(Link {
             sender: opened.sender,
             pending: Pending::default(),
@@ -261,18 +305,16 @@
         });
         self.open.borrow_mut().insert(address, link.clone());
         let links = self.clone();
-        let received = link.clone();
         self.env.spawn(async move {
-            receive_answers(&links.env, &received, opened.receiver).await;
+            receive_answers(&links.env, &link, opened.receiver).await;
             let mut open = links.open.borrow_mut();
             if open
                 .get(&address)
-                .is_some_and(|open| Rc::ptr_eq(open, &received))
+                .is_some_and(|open| Rc::ptr_eq(open, &link))
             {
                 open.remove(&address);
             }
         });
-        Some(link)
     }
 
     /// Handles the requests of a peer until it closes the connection.
--- a/hemlocksaddle-shard/tests/delegation.rs
+++ b/hemlocksaddle-shard/tests/delegation.rs
@@ -37,6 +37,11 @@
         .collect()
 }
 
+fn metrics(deployment: &Deployment, node: usize) -> String {
+    let metrics = deployment.node(node).expect("node").metrics_text();
+    String::from_utf8(metrics.expect("metrics")).expect("text")
+}
+
 fn submit(deployment: &Deployment, at: usize, ids: std::ops::RangeInclusive<u64>) {
     for id in ids {
         let accepted = deployment.submit(at, id, vec![step(6)]);
@@ -161,8 +166,7 @@
         deployment.sim.run_for(Millis(500));
         expect_that!(callers(&deployment), not(contains(eq(&owner))));
     }
-    let metrics = deployment.node(owner).expect("node").metrics_text();
-    let metrics = String::from_utf8(metrics.expect("metrics")).expect("text");
+    let metrics = metrics(&deployment, owner);
     let unanswered = "shard_delegated_calls_total{outcome=\"no answer\"}";
     expect_that!(metrics, not(contains_substring(unanswered)));
 }
@@ -188,10 +192,31 @@
         expect_that!(called, not(contains(eq(&stopping))), "seed {seed}");
         expect_that!(called, not(contains(eq(&owner))), "seed {seed}");
         let lost = "shard_delegated_calls_total{outcome=\"no answer\"}";
-        let metrics = deployment.node(owner).expect("node").metrics_text();
-        let metrics = String::from_utf8(metrics.expect("metrics")).expect("text");
+        let metrics = metrics(&deployment, owner);
         expect_that!(metrics, not(contains_substring(lost)), "seed {seed}");
         submit(&deployment, owner, 4..=6);
         expect_completed(&deployment, owner, 1..=6);
     }
 }
+
+/// Load pattern: links full, so that a connection takes longer to open than an order may. Guards against a new owner
+/// that opens a connection for each call and loses its delegates meanwhile (issue 39).
+#[gtest]
+fn a_new_owner_has_connections_before_it_uses_them() {
+    for seed in 1..=10 {
+        let deployment = deployment(seed, 24);
+        let owner = deployment.owner().expect("owner");
+        let other = (owner + 1) % NODES;
+        submit(&deployment, other, 1..=6);
+        deployment.connections.opening_ms.set(450);
+        deployment.kill(owner);
+        expect_completed(&deployment, other, 1..=6);
+        expect_that!(deployment.connections.repeated.get(), eq(0), "seed {seed}");
+        let successor = deployment.owner().expect("successor");
+        let metrics = metrics(&deployment, successor);
+        for outcome in ["not sent", "no answer"] {
+            let lost = format!("shard_delegated_calls_total{{outcome=\"{outcome}\"}}");
+            expect_that!(metrics, not(contains_substring(lost)), "seed {seed}");
+        }
+    }
+}
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -27,7 +27,7 @@
     workflow::{Catalogue, Pool, Queue, State, Step, Workflow, WorkflowId},
 };
 
-use self::peers::FakePeers;
+use self::peers::{Connections, FakePeers};
 pub(crate) use self::{
     fleet::FakeFleet,
     store::{FakeStore, NodeStore},
@@ -56,6 +56,7 @@
     stores: RefCell<BTreeMap<usize, Rc<NodeStore>>>,
     /// Nodes whose requests to others are lost.
     loses_requests: RefCell<BTreeMap<usize, Rc<Cell<bool>>>>,
+    pub(crate) connections: Rc<Connections>,
     catalogue: Catalogue,
 }
 
@@ -173,6 +174,7 @@
             nodes: Registry::default(),
             stores: RefCell::default(),
             loses_requests: RefCell::default(),
+            connections: Rc::default(),
             catalogue: catalogue(),
             sim,
         };
@@ -227,6 +229,8 @@
         node.set_peers(Rc::new(FakePeers::new(
             self.nodes.clone(),
             loses_requests.clone(),
+            self.sim.clone(),
+            self.connections.clone(),
         )));
         self.loses_requests
             .borrow_mut()
--- a/hemlocksaddle-shard/tests/support/peers.rs
+++ b/hemlocksaddle-shard/tests/support/peers.rs
@@ -1,13 +1,18 @@
 //! In-memory connections between nodes.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use futures_channel::mpsc;
 use futures_util::StreamExt;
+use hemlocksaddle_fakes::runtime::SimRuntime;
 use hemlocksaddle_node::ports::{
     PeerAddress, PeerLink, PeerReceiver, PeerSender, Peers, PortError, PortFuture, Result,
 };
-use hemlocksaddle_types::peer::Message;
+use hemlocksaddle_types::{clock::Millis, peer::Message};
 
 use super::Registry;
 
@@ -44,13 +49,60 @@
 pub(super) struct FakePeers {
     nodes: Registry,
     loses_requests: Rc<Cell<bool>>,
+    sim: SimRuntime,
+    connections: Rc<Connections>,
+    opening: RefCell<Vec<SocketAddr>>,
+}
+
+/// Attempt of a node to open a connection, until it ends or is abandoned.
+struct Opening<'a> {
+    peers: &'a FakePeers,
+    address: SocketAddr,
+}
+
+impl Drop for Opening<'_> {
+    fn drop(&mut self) {
+        let mut opening = self.peers.opening.borrow_mut();
+        if let Some(index) = opening.iter().position(|address| *address == self.address) {
+            opening.swap_remove(index);
+        }
+    }
+}
+
+/// Openings of connections in a deployment.
+#[derive(Default)]
+pub(crate) struct Connections {
+    /// Time that it takes to open one.
+    pub(crate) opening_ms: Cell<u64>,
+    /// Number of those that a node began to open while it was opening one to the same address.
+    pub(crate) repeated: Cell<u64>,
 }
 
 impl FakePeers {
-    pub(super) fn new(nodes: Registry, loses_requests: Rc<Cell<bool>>) -> FakePeers {
+    pub(super) fn new(
+        nodes: Registry,
+        loses_requests: Rc<Cell<bool>>,
+        sim: SimRuntime,
+        connections: Rc<Connections>,
+    ) -> FakePeers {
         FakePeers {
             nodes,
             loses_requests,
+            sim,
+            connections,
+            opening: RefCell::default(),
+        }
+    }
+
+    fn begin_opening(&self, address: SocketAddr) -> Opening<'_> {
+        let mut opening = self.opening.borrow_mut();
+        if opening.contains(&address) {
+            self.connections.repeated.update(|repeated| repeated + 1);
+        }
+        opening.push(address);
+        Opening {
+            peers: self,
+            address,
         }
     }
 
@@ -72,6 +124,12 @@
     fn connect(&self, peer: &PeerAddress) -> PortFuture<'_, Result<PeerLink>> {
         let address = peer.address;
         Box::pin(async move {
+            let opening = self.begin_opening(address);
+            let opening_ms = self.connections.opening_ms.get();
+            if opening_ms > 0 {
+                self.sim.sleep(Millis(opening_ms)).await;
+            }
+            drop(opening);
             let node = self.nodes.borrow().get(&address).cloned();
             let node = node.ok_or(PortError::NotSent)?;
             let (local, remote) = self.link_pair();
