--- a/hemlocksaddle-daemon/src/shards.rs
+++ b/hemlocksaddle-daemon/src/shards.rs
@@ -108,19 +108,15 @@
     let shutdown = node.shut_down(grace);
     server.drain();
     let is_open = || node.frontend.open_requests() > 0 || server.connections() > 0;
-    let is_used = || {
-        let keeps_unused = shutdown.keeps_unused(node.now());
-        node.frontend.open_requests() > 0 || keeps_unused && server.connections() > 0
-    };
     compio::time::sleep(DRAIN_DELAY.min(Duration::from_millis(grace.0 / 2))).await;
-    while (is_used() || node.owned() > 0) && !shutdown.is_over(node.now()) {
+    while (is_open() || node.owned() > 0) && !shutdown.is_over(node.now()) {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     server.close();
     // Connections that were accepted last are served; what has arrived on others is read.
     loop {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        if !is_used() || shutdown.is_over(node.now()) {
+        if !is_open() || shutdown.is_over(node.now()) {
             break;
         }
     }
--- a/hemlocksaddle-policy/src/shutdown.rs
+++ b/hemlocksaddle-policy/src/shutdown.rs
@@ -1,9 +1,7 @@
 //! Times of a graceful shutdown, within the grace period after which the process is killed.
 //!
 //! A node goes on serving callers while its successor reads the state and the load balancer takes
-//! it out of rotation. A caller may use an open connection at any time, and each answer closes its
-//! connection; a node that would wait for unused ones until the end would be away for twice as long,
-//! and with nodes restarted in turn twice as many would be away at once. Every request that it has read needs an answer before the process ends. A
+//! it out of rotation. Every request that it has read needs an answer before the process ends. A
 //! request may wait for an owner or for the store, so that near the end new requests are refused,
 //! and those that wait are answered with what is known of them.
 
@@ -19,14 +17,9 @@
 /// store that takes a quarter of a second.
 const REFUSE_AHEAD_MS: Millis = Millis(500);
 
-/// Part of the grace period for which unused connections are kept: a half.
-const UNUSED_SHARE: u64 = 2;
-
 /// Times of one graceful shutdown, each at or after the one before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
-    /// Time from which the process exits although unused connections are open.
-    pub leave_unused_from: MonoMs,
     /// Time from which new requests are refused.
     pub refuse_from: MonoMs,
     /// Time by which every request is answered.
@@ -43,21 +36,13 @@
             let reserve_ms = EXIT_RESERVE_MS.0 + reserve.0;
             now + Millis(grace.0.saturating_sub(reserve_ms))
         };
-        let refuse_from = before_exit(WRITE_RESERVE_MS + REFUSE_AHEAD_MS);
         Shutdown {
-            leave_unused_from: refuse_from.min(now + Millis(grace.0 / UNUSED_SHARE)),
-            refuse_from,
+            refuse_from: before_exit(WRITE_RESERVE_MS + REFUSE_AHEAD_MS),
             answer_by: before_exit(WRITE_RESERVE_MS),
             exit_by: before_exit(Millis(0)),
         }
     }
 
-    /// Whether the process waits for connections without a request.
-    #[must_use]
-    pub fn keeps_unused(&self, now: MonoMs) -> bool {
-        now < self.leave_unused_from
-    }
-
     /// Whether a request that arrives now is refused.
     #[must_use]
     pub fn refuses(&self, now: MonoMs) -> bool {
