Start interrupted tasks first while start orders are scarce

Cause: interrupted tasks come before short ones only after 5 s or if a predecessor left them waiting, and then one per worker and 8 s; with 150 workers, 100 of them take more than 5 s. The rate protects the capacity of short tasks. Here capacity is free and start orders are not.

Change: if more tasks wait than start orders may be given, interrupted long-running tasks get up to half of the orders first, those with the longest wait before others and those of a predecessor before all. They take only capacity outside the recent peak of short tasks, so that a full fleet is served as before.

Evidence: interrupted_tasks_get_half_of_scarce_start_orders_after_a_change_of_owner fails without the change (1 of 60 started after 8 plans of 16 orders).

--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -11,6 +11,10 @@
 //!   rarely, since each takes capacity for minutes from short tasks whose work is worth
 //!   more; the first task of each step is started sooner.
 //!
+//! While the start orders in flight limit the starts and not the capacity, as after a change
+//! of owner on a narrow link, interrupted tasks come before short ones without a wait. They
+//! get half of the orders, and only capacity that short tasks have not used recently.
+//!
 //! The rates are proportional to the number of workers. They bound what short tasks
 //! lose if many long-running tasks are interrupted at once.
 
@@ -99,11 +103,46 @@
         if workers == 0 {
             return;
         }
-        let (interrupted, new) = self.overdue(ready, now);
+        let (interrupted, new) = self.overdue(ready, INTERRUPTED_AFTER_MS, now);
         self.place_interrupted(ready, &interrupted, candidates, workers, now);
         self.place_new(ready, &new, candidates, workers, now);
     }
 
+    /// Starts interrupted tasks that take no capacity from short ones, where start orders are scarce.
+    pub(super) fn place_before_short(
+        &mut self,
+        ready: &[ReadyStep],
+        candidates: &mut Candidates,
+        now: MonoMs,
+    ) {
+        let waiting: u32 = ready.iter().map(|step| self.waiting_tasks(step)).sum();
+        if waiting <= self.start_budget {
+            return;
+        }
+        let (mut left, mut examined) = (self.start_budget.div_ceil(2), 0);
+        candidates.capacity_rule = CapacityRule::OutsideRecentPeak;
+        for task in self.overdue(ready, Millis(0), now).0 {
+            if left == 0 || examined == MAX_EXAMINED_TASKS {
+                break;
+            }
+            let step = &ready[task.step];
+            if self.is_ruled_out(task.key, &step.queue.pool, candidates) {
+                continue;
+            }
+            if self.start_overdue(step, task.key, candidates, now) {
+                left -= 1;
+            } else {
+                examined += 1;
+            }
+        }
+    }
+
+    fn waiting_tasks(&self, ready: &ReadyStep) -> u32 {
+        let first = ready.key(0);
+        let steps = &self.jobs[ready.job].occurrences[first.occurrence as usize].steps;
+        steps[usize::from(ready.step)].waiting
+    }
+
     fn place_new(
         &mut self,
         ready: &[ReadyStep],
@@ -231,9 +270,14 @@
         unplaced.any(|other| other.rules_out(job.step(key), job.image(key), pool, rule))
     }
 
-    /// Interrupted tasks and the first new task of each step that have waited for long, longest
-    /// wait first.
-    fn overdue(&self, ready: &[ReadyStep], now: MonoMs) -> (Vec<Overdue>, Vec<Overdue>) {
+    /// Interrupted tasks that have waited for `interrupted_after`, and the first new task of each step that
+    /// has waited for long, longest wait first.
+    fn overdue(
+        &self,
+        ready: &[ReadyStep],
+        interrupted_after: Millis,
+        now: MonoMs,
+    ) -> (Vec<Overdue>, Vec<Overdue>) {
         let (mut interrupted, mut new) = (Vec::new(), Vec::new());
         for (number, step) in ready.iter().enumerate() {
             let job = &self.jobs[step.job];
@@ -254,10 +298,7 @@
                     (RELAX_AFTER_MS, job.waiting_since(key))
                 } else {
                     // A task that a predecessor left waiting may have waited for any time.
-                    (
-                        INTERRUPTED_AFTER_MS,
-                        task.waiting_since.unwrap_or(MonoMs(0)),
-                    )
+                    (interrupted_after, task.waiting_since.unwrap_or(MonoMs(0)))
                 };
                 if (is_new && has_new) || now.since(waiting_since) < served_after {
                     continue;
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -82,6 +82,7 @@
         let mut candidates = self.candidates(now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
+        self.place_before_short(&ready, &mut candidates, now);
         for step in &ready {
             if self.start_budget == 0 {
                 break;
--- a/hemlocksaddle-policy/tests/starvation.rs
+++ b/hemlocksaddle-policy/tests/starvation.rs
@@ -212,3 +212,36 @@
     }
     expect_that!(long_started, eq(INTERRUPTED));
 }
+
+/// Load pattern: a change of owner on a narrow link, with few start orders at once, free capacity, hundreds
+/// of short tasks, and long-running tasks that the predecessor left waiting. Guards against long-running
+/// tasks that start one by one after short ones, and against short ones that get no start meanwhile.
+#[gtest]
+fn interrupted_tasks_get_half_of_scarce_start_orders_after_a_change_of_owner() {
+    let mut before = Harness::with_workers(20, 16_000);
+    before.accept(LONG_RUNNING, vec![long_running(60, 1_000, "a")]);
+    let starts = before.starts();
+    assert_that!(starts.len(), eq(60));
+    before.answer_all(&starts, StartAnswer::Accepted);
+    for start in &starts {
+        before.end(start, EndKind::Stopped);
+    }
+    let progress = before.save();
+    let mut harness = Harness::unreported(20, 16_000, 0);
+    harness.accept(2, vec![step(400, 100)]);
+    harness.accept_inherited(LONG_RUNNING, vec![long_running(60, 1_000, "a")]);
+    harness.restore(progress);
+    (0..20).for_each(|number| harness.report_idle(number));
+    let mut long_started = 0;
+    for _ in 0..8 {
+        harness.scheduler.set_start_budget(16);
+        let starts = harness.starts();
+        harness.answer_all(&starts, StartAnswer::Accepted);
+        let is_long = |start: &&Start| start.name.workflow.0 == LONG_RUNNING;
+        let long = starts.iter().filter(is_long).count();
+        expect_that!(starts.len() - long, ge(7));
+        long_started += long;
+        harness.advance(50);
+    }
+    expect_that!(long_started, eq(60));
+}
