Keep back start orders while first reports are due

Cause: report requests and start orders share the owner's link, but only the orders are limited, by the window of orders in flight, which does not count reports.

Change: until the wait for earlier leases is over, each listed worker that owes its first report and has not failed to answer takes the place of one start order, up to half of them. Workers that are silent or have left keep nothing back.

Evidence: start_orders_are_kept_back_while_first_reports_are_due fails without the change (32 orders instead of 16, 22 and 31).

--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -79,6 +79,7 @@
         self.adjust_paces(now);
         self.record_short_task_usage(now);
         let ready = self.ready(now, wall);
+        self.keep_path_for_reports(now);
         let mut candidates = self.candidates(now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
@@ -97,6 +98,22 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Keeps back start orders while first reports are on their way.
+    ///
+    /// Each report takes the place of an order on the path, up to half of them. Inherited tasks wait for the
+    /// last report, and new work alone would fill a narrow link.
+    fn keep_path_for_reports(&mut self, now: MonoMs) {
+        if self.is_failover_complete(now) {
+            return;
+        }
+        let workers = self.workers.values();
+        let awaited = workers
+            .filter(|worker| worker.is_first_report_due())
+            .count();
+        let kept = u32::try_from(awaited).unwrap_or(u32::MAX);
+        self.start_budget -= kept.min(self.start_budget / 2);
+    }
+
     /// Steps whose waiting tasks may start, most urgent first.
     fn ready(&mut self, now: MonoMs, wall: WallMs) -> Vec<ReadyStep> {
         let failover_complete = self.is_failover_complete(now);
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -163,6 +163,11 @@
         self.silent_since.is_some()
     }
 
+    /// Whether a new owner waits for the worker's first report, and may get it soon.
+    pub(super) fn is_first_report_due(&self) -> bool {
+        self.inherited && self.reported_at.is_none() && self.listed && !self.is_silent()
+    }
+
     /// Number of assigned tasks.
     #[must_use]
     pub fn tasks(&self) -> usize {
--- a/hemlocksaddle-policy/tests/starvation.rs
+++ b/hemlocksaddle-policy/tests/starvation.rs
@@ -245,3 +245,27 @@
     }
     expect_that!(long_started, eq(60));
 }
+
+/// Load pattern: a change of owner on a narrow link while new short tasks arrive. Guards against starts of
+/// new work that delay the first reports, for which inherited tasks wait, and against orders that are kept
+/// back for workers which do not answer.
+#[gtest]
+fn start_orders_are_kept_back_while_first_reports_are_due() {
+    let mut harness = Harness::unreported(40, 16_000, 10_000);
+    harness.accept(2, vec![step(400, 100)]);
+    let starts = |harness: &mut Harness| {
+        harness.scheduler.set_start_budget(32);
+        let starts = harness.starts();
+        harness.answer_all(&starts, StartAnswer::Accepted);
+        harness.advance(10);
+        starts.len()
+    };
+    (0..10).for_each(|number| harness.report_idle(number));
+    expect_that!(starts(&mut harness), eq(16));
+    (10..30).for_each(|number| harness.report_idle(number));
+    expect_that!(starts(&mut harness), eq(22));
+    (30..39).for_each(|number| harness.report_idle(number));
+    expect_that!(starts(&mut harness), eq(31));
+    harness.silence(harness.workers[39]);
+    expect_that!(starts(&mut harness), eq(32));
+}
