End cancelled workflows that have no assigned tasks

What callers saw: nothing; the records of a workflow that was cancelled before its first start, or whose last run was lost with its worker, stayed in the store and in the owner's memory for good, and each new owner read them.

Cause: a cancelled workflow ended only when a worker reported an end or no longer listed a run of it.

Change: each plan ends cancelled workflows without assigned tasks; those of a predecessor not before all workers have reported or earlier leases have expired. Their submissions are then deleted like those of other ended workflows.

--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -109,6 +109,7 @@
             return;
         }
         job.cancelled = true;
+        self.cancelled_jobs.push(key);
         self.stop_all(key);
         self.remove_open(key);
     }
@@ -280,6 +281,22 @@
         }
     }
 
+    /// Ends cancelled workflows without assigned tasks.
+    ///
+    /// Those of a predecessor may have runs on workers that have not reported yet.
+    pub(super) fn finish_cancelled(&mut self, now: MonoMs, wall: WallMs) {
+        let failover_complete = self.is_failover_complete(now);
+        for key in std::mem::take(&mut self.cancelled_jobs) {
+            let inherited = self.jobs.get(key).is_some_and(|job| job.inherited);
+            if failover_complete || !inherited {
+                self.finish_if_complete(key, wall);
+            }
+            if self.jobs.get(key).is_some_and(|job| job.ended.is_none()) {
+                self.cancelled_jobs.push(key);
+            }
+        }
+    }
+
     /// Ends a workflow as failed.
     pub(super) fn fail_job(&mut self, key: JobKey, failure: Failure, wall: WallMs) {
         let job = &mut self.jobs[key];
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -148,6 +148,8 @@
     /// Whether leases of earlier terms were waited out because some worker did not report.
     missing_reports: bool,
     open_jobs: Vec<JobKey>,
+    /// Cancelled workflows that have not ended yet.
+    cancelled_jobs: Vec<JobKey>,
     interference: interference::InterferenceModel,
     /// Best-effort tasks that this plan could not place.
     blocked: Vec<consolidation::Blocked>,
@@ -194,6 +196,7 @@
             failover_complete_at,
             missing_reports: false,
             open_jobs: Vec::new(),
+            cancelled_jobs: Vec::new(),
             interference: interference::InterferenceModel::default(),
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -72,6 +72,7 @@
     pub fn plan(&mut self, now: MonoMs, wall: WallMs) -> Vec<Order> {
         self.updated_at = now;
         self.expire(now);
+        self.finish_cancelled(now, wall);
         self.give_up_suspects(wall);
         self.check_remembered_attempts(wall);
         self.move_stalled(now);
--- a/hemlocksaddle-policy/tests/ended.rs
+++ b/hemlocksaddle-policy/tests/ended.rs
@@ -132,6 +132,57 @@
     expect_that!(take(&mut successor).len(), eq(3));
 }
 
+/// Guards against a workflow that is cancelled before its first start and never ends: its records would stay
+/// in the store for good.
+#[gtest]
+fn a_workflow_that_is_cancelled_while_it_waits_ends() {
+    let mut harness = Harness::with_workers(1, 500);
+    harness.accept(1, vec![step(1, 1_000)]);
+    harness.cancel(1);
+    expect_that!(harness.starts(), is_empty());
+    expect_that!(harness.save()[0].1.ended, some(eq(State::Cancelled)));
+    expect_that!(harness.state(1), some(eq(State::Cancelled)));
+    expect_that!(take(&mut harness), elements_are![eq(&WorkflowId(1))]);
+    harness.advance(KEEP_ENDED_MS + 100);
+    let wall = harness.wall();
+    expect_that!(harness.scheduler.forget_ended(wall).len(), eq(1));
+}
+
+/// Guards against a cancelled workflow that never ends, because the worker of its last run was lost.
+#[gtest]
+fn a_cancelled_workflow_ends_when_the_lease_of_its_last_run_has_expired() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    let start = start(&mut harness, 1);
+    harness.cancel(1);
+    harness.silence(start.worker);
+    harness.advance(LEASE_MS - 100);
+    harness.starts();
+    harness.save();
+    expect_that!(take(&mut harness), is_empty());
+    harness.advance(200);
+    harness.starts();
+    expect_that!(harness.save()[0].1.ended, some(eq(State::Cancelled)));
+    expect_that!(take(&mut harness), elements_are![eq(&WorkflowId(1))]);
+}
+
+/// Guards against a successor that ends a cancelled workflow while workers that have not reported may
+/// hold its runs.
+#[gtest]
+fn a_successor_ends_a_cancelled_workflow_after_all_workers_have_reported() {
+    let mut successor = Harness::unreported(1, 16_000, 1_000_000);
+    successor.accept_inherited(1, vec![step(1, 1_000)]);
+    successor.cancel(1);
+    successor.starts();
+    expect_that!(successor.save(), is_empty());
+    successor.report_running(0, 1, Run(1));
+    successor.starts();
+    expect_that!(successor.stops().len(), eq(1));
+    expect_that!(successor.save(), is_empty());
+    successor.end_stopped(0, 1, Run(1));
+    successor.starts();
+    expect_that!(successor.save()[0].1.ended, some(eq(State::Cancelled)));
+}
+
 /// Guards against a cancellation that is read before the outcome and later cancels another workflow.
 #[gtest]
 fn a_cancellation_of_an_ended_workflow_is_ignored_and_deleted() {
