Close unused connections during the grace period of a stop

Cause: an unused connection kept the process until its exit time.

Change: from 2.3 s after SIGTERM on a connection is closed once nothing was answered on it for half the grace period (policy::shutdown, 3 s of 6 s). A connection that was opened after the signal keeps that time for its request.

Evidence: connections_are_closed_after_half_the_grace_period_without_a_request; open_connections_are_served_after_sigterm still passes unchanged.

Ruled out: closing them at 2.3 s as before, which meets new connections.

--- a/hemlocksaddle-policy/src/shutdown.rs
+++ b/hemlocksaddle-policy/src/shutdown.rs
@@ -26,6 +26,8 @@
     pub answer_by: MonoMs,
     /// Time at which the process exits although something is still open.
     pub exit_by: MonoMs,
+    /// Time without a request after which a connection counts as unused.
+    pub idle_limit: Millis,
 }
 
 impl Shutdown {
@@ -40,6 +42,7 @@
             refuse_from: before_exit(WRITE_RESERVE_MS + REFUSE_AHEAD_MS),
             answer_by: before_exit(WRITE_RESERVE_MS),
             exit_by: before_exit(Millis(0)),
+            idle_limit: Millis(grace.0 / 2),
         }
     }
 
@@ -55,6 +58,12 @@
         self.answer_by.since(now)
     }
 
+    /// Time left until a connection that was last used at a time counts as unused.
+    #[must_use]
+    pub fn time_to_idle_limit(&self, now: MonoMs, last_used: MonoMs) -> Millis {
+        (last_used + self.idle_limit).since(now)
+    }
+
     /// Whether the process exits now in any case.
     #[must_use]
     pub fn is_over(&self, now: MonoMs) -> bool {
--- a/hemlocksaddle-policy/tests/shutdown.rs
+++ b/hemlocksaddle-policy/tests/shutdown.rs
@@ -34,3 +34,16 @@
         expect_that!(shutdown.refuses(NOW), eq(true), "{grace_ms} ms");
     }
 }
+
+/// Load pattern: callers that keep connections, or open one to a node that is stopping. Guards against a new
+/// connection that is closed before its first request arrives, and against an unused one that delays the
+/// restart until the end of the grace period.
+#[gtest]
+fn connections_are_closed_after_half_the_grace_period_without_a_request() {
+    let shutdown = Shutdown::new(NOW, Millis(6_000));
+    let left = |last_used_ms| shutdown.time_to_idle_limit(MonoMs(12_300), MonoMs(last_used_ms));
+    expect_that!(left(12_300), eq(Millis(3_000)));
+    expect_that!(left(9_900), eq(Millis(600)));
+    expect_that!(left(9_300), eq(Millis(0)));
+    expect_that!(left(0), eq(Millis(0)));
+}
