Limit the wait for a connection to one second

Calls now share one attempt to open a connection. With a limit of 2 s, a lost first packet would have kept all calls to an owner from a new attempt for that time, where each opened its own after 250 ms to 1 s before. The limit is that of the longest answer.

--- a/hemlocksaddle-shard/src/links.rs
+++ b/hemlocksaddle-shard/src/links.rs
@@ -2,9 +2,9 @@
 //!
 //! A connection to an owner is opened by the first call and kept open. All calls that
 //! wait for a connection share one attempt to open it, which goes on after they have
-//! timed out. A call that times out closes the connection, because a connection may stay silent although a
-//! new one would work. Calls to delegates share a connection with many others and
-//! leave it open; the failure of a delegate is noticed by its silence.
+//! timed out. A call that times out closes the connection, because a connection may stay
+//! silent although a new one would work. Calls to delegates share a connection with many
+//! others and leave it open; the failure of a delegate is noticed by its silence.
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -35,8 +35,10 @@
 /// Longest timeout of a call, while answers take long.
 const MAX_ANSWER_TIMEOUT_MS: Millis = Millis(1_000);
 
-/// Time limit for opening a connection; a few round trips of the longest answer timeout, on a congested link.
-const CONNECT_TIMEOUT_MS: Millis = Millis(2_000);
+/// Time limit for opening a connection, on a congested link.
+///
+/// Calls wait for the attempt in progress, so that a longer limit would delay them if its first packet is lost.
+const CONNECT_TIMEOUT_MS: Millis = Millis(1_000);
 
 /// Time without a message from the peer after which an unanswered call closes the connection.
 ///
