Count runs that are being stopped against the limit of a step per worker

Cause: a successor starts tasks of steps with copies before all workers have reported. A run of the predecessor that it meets later is stopped; meanwhile its resources counted as occupied, but it did not count against the limit of its step. The trace: term 2 started .8 on i-6a38e4430c at 55.06 s, term 3 started .8 elsewhere, met the first run by a report at 55.2 s, ordered it to stop, and started .15 there at 55.38 s, 0.03 s before the answer.

Change: runs that are being stopped count as long as the worker lists them.

Evidence: a_run_that_is_being_stopped_counts_against_the_limit_of_its_step_on_the_worker fails without the change.

--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -363,6 +363,8 @@
     }
 
     /// Number of further tasks of a step that a worker may run by the limit of the step.
+    ///
+    /// Runs that are being stopped count as long as the worker lists them.
     fn left_below_limit(&self, worker: &Worker, key: TaskKey, step: &Step) -> usize {
         if step.max_per_worker == 0 {
             return usize::MAX;
@@ -370,7 +372,14 @@
         let same = worker.tasks.keys().filter(|other| {
             other.job == key.job && other.occurrence == key.occurrence && other.step == key.step
         });
-        (step.max_per_worker as usize).saturating_sub(same.count())
+        let name = self.name(key);
+        let leftovers = worker.leftovers.iter().filter(|run| {
+            let task = run.task;
+            task.workflow == name.workflow
+                && task.occurrence == name.occurrence
+                && task.step == name.step
+        });
+        (step.max_per_worker as usize).saturating_sub(same.count() + leftovers.count())
     }
 
     /// Whether a worker that takes a task of a step has room for another one.
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -10,7 +10,7 @@
 use hemlocksaddle_policy::workflow::{
     End, EndKind, MAX_SAVED_WORKFLOWS, Start, StartAnswer, Worker,
 };
-use hemlocksaddle_types::workflow::{Run, State, WorkflowId};
+use hemlocksaddle_types::workflow::{Run, State, Step, WorkflowId};
 use workflow_support::{Harness, LEASE_MS, long_running, step};
 
 /// Saves, and returns the names of the workers that left the roster.
@@ -193,6 +193,32 @@
     expect_that!(harness.state(1), some(eq(State::Running)));
 }
 
+/// Load pattern: owner after owner is stopped beside steps with copies, which a successor starts before all workers
+/// have reported. Guards against a worker that gets a task of a step beside a predecessor's run of the same
+/// step, although the step allows one on each worker.
+#[gtest]
+fn a_run_that_is_being_stopped_counts_against_the_limit_of_its_step_on_the_worker() {
+    let mut harness = Harness::unreported(2, 16_000, 10_000);
+    harness.report_idle(0);
+    let one_each = Step {
+        max_per_worker: 1,
+        speculative: true,
+        ..step(2, 1_000)
+    };
+    harness.accept(1, vec![one_each]);
+    let first = harness.starts();
+    assert_that!(first.len(), eq(1));
+    harness.answer_all(&first, StartAnswer::Accepted);
+    harness.report_running(1, 1, Run(1));
+    expect_that!(harness.stops().len(), eq(1));
+    expect_that!(harness.starts(), is_empty());
+    harness.advance(100);
+    harness.report_idle(1);
+    let second = harness.starts();
+    assert_that!(second.len(), eq(1));
+    expect_that!(second[0].worker, eq(harness.workers[1]));
+}
+
 /// Guards against a second run of a task on a worker that was restarted, and used by a predecessor,
 /// before the platform's list shows it.
 #[gtest]
