Repeat the fences of a recovery without reading the state again

An owner fences two streams while it reads its state. A fence without an answer within 1.2 s, as on a link that the read fills, made the recovery fail after the read, and all of the state was read again, also what had been read ahead.

Change: each fence is repeated by itself until its outcome is known. Repeats have the same writer and number, so that the store answers them like the first.

--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -46,14 +46,8 @@
 impl Owner {
     /// Fences off the predecessor and reads the live state.
     pub(crate) async fn recover(self: &Rc<Self>) -> Result<FollowOffsets> {
-        let fence = Conditions {
-            end: None,
-            writer: Some(self.progress_writer()),
-        };
         // Concurrent, because each call takes a third of a second while the store is slow.
-        let fence = self
-            .env
-            .append(Stream::Progress, self.shard, Vec::new(), fence);
+        let fence = self.append_fence(Stream::Progress, Vec::new(), self.progress_writer());
         let (submissions, progress, workers) = match self.claims.take_snapshots(self.shard) {
             Some(read) => (
                 Some(read.submissions),
@@ -124,20 +118,43 @@
             self.env.event(Event::InvariantViolated, &inputs);
             StoreError::NotDone
         })?;
-        let conditions = Conditions {
-            end: None,
-            // The epoch keeps a delayed append of an earlier term from replacing a later fence.
-            writer: Some(Writer {
-                name: "owner".into(),
-                epoch: self.term,
-                sequence: 0,
-            }),
+        // The epoch keeps a delayed append of an earlier term from replacing a later fence.
+        let writer = Writer {
+            name: "owner".into(),
+            epoch: self.term,
+            sequence: 0,
         };
-        self.env
-            .append(Stream::Submissions, self.shard, vec![fence], conditions)
+        self.append_fence(Stream::Submissions, vec![fence], writer)
             .await
     }
 
+    /// Appends a fence; repeats it until its outcome is known or ownership ends.
+    ///
+    /// On a full link the state takes longer to read than the answer may take, and would be read again after a
+    /// failure.
+    async fn append_fence(
+        &self,
+        stream: Stream,
+        records: Vec<Record>,
+        writer: Writer,
+    ) -> Result<u64> {
+        loop {
+            let conditions = Conditions {
+                end: None,
+                writer: Some(writer.clone()),
+            };
+            let append = self
+                .env
+                .append(stream, self.shard, records.clone(), conditions);
+            match append.await {
+                Err(error) if error != StoreError::Fenced && !self.ended.get() => {
+                    self.recovery_failed(error).await;
+                }
+                appended => return appended,
+            }
+        }
+    }
+
     /// Whether a record of the submissions stream is the fence of a later term.
     pub(crate) fn is_fenced_by(&self, record: &Record) -> bool {
         if Key::parse(&record.key) != Some(Key::Fence) {
--- a/hemlocksaddle-shard/tests/rolling_stops.rs
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -217,6 +217,35 @@
     }
 }
 
+/// Longest time from a claim without the state until work starts: one read of the state, and first reports.
+const BLIND_RECOVERY_MS: u64 = PAGE_MS.0 + 1_000;
+
+/// Load pattern: an owner is lost, and its successor reads the state for seconds over a slow link. Guards against a
+/// lost answer to a fence after which all of the state is read again.
+#[gtest]
+fn the_state_is_read_once_although_the_answer_to_a_fence_is_lost() {
+    for seed in 1..=10 {
+        let (deployment, owner) = slow_link_deployment(seed, 3, PAGE_MS);
+        let other = (owner + 1) % 3;
+        deployment.kill(owner);
+        let successor = (0..5_000).find_map(|_| {
+            deployment.sim.run_for(Millis(1));
+            deployment.owner()
+        });
+        expect_that!(successor, some(anything()), "seed {seed}");
+        let claimed_at = deployment.sim.now();
+        deployment.store.lose_answers.set(true);
+        deployment.sim.run_for(Millis(20));
+        deployment.store.lose_answers.set(false);
+        let _outcome = deployment.submit_in_background(other, 1, vec![step(1)]);
+        while deployment.fleet.starts() == 0 && deployment.sim.now().0 < claimed_at.0 + 20_000 {
+            deployment.sim.run_for(Millis(50));
+        }
+        let took_ms = deployment.sim.now().0 - claimed_at.0;
+        expect_that!(took_ms, le(BLIND_RECOVERY_MS), "seed {seed}");
+    }
+}
+
 /// Guards against a submission that a successor does not know right after its recovery, since it was stored
 /// while the state was read.
 #[gtest]
