Let a stopping node claim only what is offered to it, and wait for its claim

Since claims are repeated by a stopping node, one that kept the state after another node's claim could claim from that owner as well, seconds before its exit. And the process could exit while a claim was under way, which then leaves a shard with an owner that is gone for two seconds.

Change: a stopping node claims only a shard whose offer names it, and the process waits for the answer to a claim as it waits for owned shards. The tests of rolling stops pass; neither case has a test of its own.

--- a/hemlocksaddle-daemon/src/shards.rs
+++ b/hemlocksaddle-daemon/src/shards.rs
@@ -110,7 +110,8 @@
     let is_open = || node.frontend.open_requests() > 0 || server.connections() > 0;
     compio::time::sleep(DRAIN_DELAY.min(Duration::from_millis(grace.0 / 2))).await;
     server.close_unused(shutdown);
-    while (is_open() || node.owned() > 0) && !shutdown.is_over(node.now()) {
+    let is_owner = || node.owned() > 0 || node.is_claiming();
+    while (is_open() || is_owner()) && !shutdown.is_over(node.now()) {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     server.close();
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -101,7 +101,8 @@
     partitions: Vec<PartitionState>,
     /// Signals a change of an owner or of the layout.
     pub(crate) changed: Signal,
-    claiming: Cell<bool>,
+    /// Whether a claim is being made; its outcome is not known.
+    pub(crate) claiming: Cell<bool>,
     own_claims: RefCell<BTreeMap<u32, OwnClaim>>,
     pub(crate) stopping: Cell<bool>,
     /// Time at which the process ends at the latest, once it is about to stop.
@@ -311,8 +312,14 @@
             .should_claim(&view, self.env.now())
     }
 
-    /// Whether this node, which is about to stop, has read the state of a shard and time to own it.
+    /// Whether this node, which is about to stop, has read the state of a shard that is offered to it, and has
+    /// time to own it.
     fn may_claim_last(&self, shard: u32) -> bool {
+        let claim = self.claim(shard);
+        let named = claim.and_then(|claim| claim.successor);
+        if named.as_ref() != Some(&self.env.settings.node) {
+            return false;
+        }
         let snapshots = self.snapshots.borrow();
         let has_state = snapshots.as_ref().is_some_and(|(of, _)| *of == shard);
         let left = self.exit_by.get().map(|at| at.since(self.env.now()));
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -454,6 +454,12 @@
         }
     }
 
+    /// Whether a claim of the node is under way, which may succeed.
+    #[must_use]
+    pub fn is_claiming(&self) -> bool {
+        self.claims.claiming.get()
+    }
+
     /// Returns the number of shards that the node still owns.
     #[must_use]
     pub fn owned(&self) -> usize {
