Restart located tasks only when no former owner can know of their end

A task whose run a report of the term had shown was started again without the reports of all other workers. A former owner that has not noticed its successor may learn of the end of that run by a report request that was open when the worker met the new term, and from a worker's restart or the end of a lease, and start the task elsewhere: two runs.

Change: a run counts as located from the first report that was requested 1.1 s after the worker's first one, when no request of a former owner is open any more, and not after an end that the worker has not listed.

Evidence: a_task_waits_for_all_workers_while_a_former_owner_may_have_restarted_it fails without the time, and without the second part.

Besides: plans do not look for interrupted tasks while no order may be sent, and progress of removed workflows is not put back.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -85,9 +85,10 @@
     pub checkpoint: Option<Arc<str>>,
     /// Whether a run of the task is known to have started.
     pub(super) has_run: bool,
-    /// Whether a report of this term has listed the latest run as running.
+    /// Whether a report has listed the latest run as running after the last call of a predecessor to the
+    /// worker was answered.
     ///
-    /// No predecessor can have a run elsewhere, since it starts another only after the end of this one.
+    /// No predecessor can have a run elsewhere, since it starts another only after it knows of the end of this one.
     pub(super) located: bool,
     /// Time since which the task has waited; `None` before its first start.
     ///
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -220,7 +220,12 @@
 
     /// Puts back progress that could not be saved.
     pub fn mark_unsaved(&mut self, unsaved: Unsaved) {
-        self.unsaved.extend(unsaved.keys);
+        let jobs = &self.jobs;
+        let known = unsaved
+            .keys
+            .into_iter()
+            .filter(|&key| jobs.contains_key(key));
+        self.unsaved.extend(known);
         self.put_back_departed(unsaved.departed);
         for key in unsaved.crashes {
             if let Some(job) = self.jobs.get_mut(key.job) {
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -10,8 +10,8 @@
 //! worker until its run has certainly ended: the worker reported the end, has a
 //! new incarnation, or its lease has certainly expired. Second, a new owner does
 //! not start a task that its predecessor may have started until every worker has
-//! reported or its lease has expired, unless a report of its own term has shown the
-//! task's latest run. Third, where a task was started again after a lease had expired,
+//! reported or its lease has expired, unless a report has shown the task's latest run
+//! when no predecessor could learn of its end any more. Third, where a task was started again after a lease had expired,
 //! or before every worker has reported, a completed earlier run that is reported later
 //! is not acknowledged; the result of the later run counts.
 
@@ -64,6 +64,13 @@
     pub struct WorkerKey;
 }
 
+/// Longest time that a worker holds a report request until a run ends (long poll).
+pub const REPORT_WAIT_MS: Millis = Millis(1_000);
+
+/// Time for which a worker may hold a report request of a predecessor that arrived before the first one of a
+/// new owner: the longest wait, on a slow clock.
+const OPEN_REQUEST_MS: Millis = Millis(REPORT_WAIT_MS.0 + 100);
+
 /// Run numbers that belong to one term; the next term starts above them.
 const RUNS_PER_TERM: u64 = 4_096;
 
--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -115,6 +115,9 @@
         candidates: &mut Candidates,
         now: MonoMs,
     ) {
+        if self.start_budget == 0 {
+            return;
+        }
         let waiting: u32 = ready.iter().map(|step| self.waiting_tasks(step)).sum();
         if waiting <= self.start_budget {
             return;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -35,6 +35,8 @@
         // Its runs ended with their lease, not by a crash.
         worker.expired.clear();
         worker.reported_at = worker.reported_at.max(Some(report.sent_at));
+        worker.first_report_at.get_or_insert(now);
+        let locates = worker.answers_this_owner_alone(report.sent_at);
         worker.pace_due = true;
         let applied = worker.applied_ends;
         for end in report.ends.iter().filter(|end| end.number > applied) {
@@ -48,7 +50,7 @@
             worker.leftovers.retain(|run| run.seen_at > report.sent_at);
         }
         for status in &report.running {
-            self.apply_status(key, status, now);
+            self.apply_status(key, status, locates, now);
         }
         if report.ends.len() < MAX_LISTED_ENDS {
             self.drop_missing(key, report, wall);
@@ -211,7 +213,8 @@
         (0..tasks).map(|index| TaskKey { index, ..key }).collect()
     }
 
-    fn apply_status(&mut self, worker: WorkerKey, status: &TaskStatus, now: MonoMs) {
+    /// Applies the state of a run; `locates` if no predecessor can have seen its end meanwhile.
+    fn apply_status(&mut self, worker: WorkerKey, status: &TaskStatus, locates: bool, now: MonoMs) {
         let Some(key) = self.task_key(status.task) else {
             self.stop_leftover(worker, status.task, status.run, None, now);
             return;
@@ -263,9 +266,12 @@
             task.halted_at = None;
             let state = job.step_state(key);
             state.waiting -= 1;
+            job.placed += 1;
+        }
+        if locates {
+            let state = job.step_state(key);
             let task = &mut state.tasks[key.index as usize];
             state.located += u32::from(!std::mem::replace(&mut task.located, true));
-            job.placed += 1;
         }
         let task = job.task_mut(key);
         if adopted {
@@ -288,6 +294,15 @@
         }
     }
 
+    /// Takes back that the run of a task is known not to have been followed by another.
+    pub(super) fn forget_location(&mut self, key: TaskKey) {
+        if let Some(job) = self.jobs.get_mut(key.job) {
+            let state = job.step_state(key);
+            let task = &mut state.tasks[key.index as usize];
+            state.located -= u32::from(std::mem::replace(&mut task.located, false));
+        }
+    }
+
     /// Orders a run to stop that is no longer assigned, and counts it until the worker drops it.
     fn stop_leftover(
         &mut self,
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -10,7 +10,8 @@
 };
 
 use super::{
-    Listing, Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect, restart::Presence,
+    Listing, OPEN_REQUEST_MS, Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect,
+    restart::Presence,
 };
 
 /// Consecutive failures after which a worker is suspended.
@@ -68,6 +69,8 @@
     pub(super) inherited: bool,
     /// Time at which the latest report was requested.
     pub reported_at: Option<MonoMs>,
+    /// Time at which the first report of this term arrived; the worker refuses later calls of predecessors.
+    pub(super) first_report_at: Option<MonoMs>,
     /// Local time by which the lease has certainly expired, and all runs on the worker with it.
     pub lease_until: MonoMs,
     /// Number of the last end that was applied.
@@ -127,6 +130,7 @@
             rostered: false,
             inherited: false,
             reported_at: None,
+            first_report_at: None,
             lease_until: MonoMs(0),
             applied_ends: 0,
             saved_ends: 0,
@@ -163,6 +167,13 @@
         self.silent_since.is_some()
     }
 
+    /// Whether no request of a predecessor can have been open at the worker when a report was requested at
+    /// `sent_at`.
+    pub(super) fn answers_this_owner_alone(&self, sent_at: MonoMs) -> bool {
+        let first_report_at = self.first_report_at;
+        first_report_at.is_some_and(|at| sent_at >= at + OPEN_REQUEST_MS)
+    }
+
     /// Whether a new owner waits for the worker's first report, and may get it soon.
     pub(super) fn is_first_report_due(&self) -> bool {
         self.inherited && self.reported_at.is_none() && self.listed && !self.is_silent()
@@ -549,6 +560,8 @@
         };
         let tasks: Vec<TaskKey> = worker.tasks.keys().copied().collect();
         for task in tasks {
+            // The worker did not list the end, so that a predecessor may have taken it as ended earlier.
+            self.forget_location(task);
             self.unassign(task);
         }
     }
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -13,6 +13,10 @@
 use hemlocksaddle_types::workflow::{Run, State, Step, WorkflowId};
 use workflow_support::{Harness, LEASE_MS, long_running, step};
 
+/// Time after a worker's first report from which no request of a former owner is open at it: the longest wait of a
+/// report request, on a clock that is 2% slow, and some more.
+const OPEN_REQUEST_MS: u64 = 1_100;
+
 /// Saves, and returns the names of the workers that left the roster.
 fn departed(harness: &mut Harness) -> Vec<String> {
     harness.starts_again_later();
@@ -151,6 +155,8 @@
     harness.accept_inherited(2, vec![long_running(1, 4_000, "image")]);
     harness.report_running(0, 1, Run(1));
     harness.report_idle(1);
+    harness.advance(OPEN_REQUEST_MS);
+    harness.report_running(0, 1, Run(1));
     harness.leave(2);
     harness.silence(harness.workers[2]);
     let mut listed = harness.roster();
@@ -168,6 +174,32 @@
     expect_that!(harness.starts(), is_empty());
 }
 
+/// Load pattern: an owner that has not noticed its successor beside workers that are drained. Guards against a
+/// second run of a task whose end the former owner may learn by a request that was open when the worker reported
+/// to the new one, and of one whose worker was replaced, since each may have started it elsewhere.
+#[gtest]
+fn a_task_waits_for_all_workers_while_a_former_owner_may_have_restarted_it() {
+    let inherit = || {
+        let mut harness = Harness::unreported(3, 16_000, 10_000);
+        harness.accept_inherited(1, vec![long_running(1, 4_000, "image")]);
+        harness.report_running(0, 1, Run(1));
+        harness.report_idle(1);
+        harness
+    };
+    let mut early = inherit();
+    early.advance(OPEN_REQUEST_MS - 200);
+    early.report_running(0, 1, Run(1));
+    early.end_stopped(0, 1, Run(1));
+    expect_that!(early.starts(), is_empty());
+    let mut replaced = inherit();
+    replaced.advance(OPEN_REQUEST_MS);
+    replaced.report_running(0, 1, Run(1));
+    let worker = replaced.workers[0];
+    let now = replaced.now();
+    replaced.scheduler.worker_replaced(worker, now);
+    expect_that!(replaced.starts(), is_empty());
+}
+
 /// Guards against a completed run that is acknowledged after a later run was started: it ended before the
 /// predecessor took its lease as expired, on a worker that reports late.
 #[gtest]
@@ -176,6 +208,8 @@
     harness.accept_inherited(1, vec![step(1, 1_000)]);
     harness.report_running(0, 1, Run(2));
     harness.report_idle(1);
+    harness.advance(OPEN_REQUEST_MS);
+    harness.report_running(0, 1, Run(2));
     harness.end_stopped(0, 1, Run(2));
     let start = harness.starts().remove(0);
     harness.answer(&start, StartAnswer::Accepted);
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -5,7 +5,7 @@
 use hemlocksaddle_node::wait::within;
 use hemlocksaddle_policy::{
     congestion::silent_poll_pause,
-    workflow::{Listing, Report, WorkerKey},
+    workflow::{Listing, REPORT_WAIT_MS, Report, WorkerKey},
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 use serde_json::json;
@@ -16,9 +16,6 @@
     ports::{ReportRequest, Timed, WorkerError},
 };
 
-/// Longest time that a worker holds a report request until a run ends (long poll).
-const REPORT_WAIT_MS: Millis = Millis(1_000);
-
 /// Like `REPORT_WAIT_MS`, for a worker whose tail latencies are monitored; equals the window of one
 /// reported value.
 const SHARED_REPORT_WAIT_MS: Millis = Millis(350);
