--- a/hemlocksaddle-policy/tests/delegation.rs
+++ b/hemlocksaddle-policy/tests/delegation.rs
@@ -191,7 +191,7 @@
 }
 
 /// Load pattern: nodes stopped in turn on full links. Guards against a stopping node that is used again after 3 s, since
-/// its last offer was late (issue 39), and against a restarted one that is not.
+/// its last offer was late, and against a restarted one that is not.
 #[gtest]
 fn a_node_that_declined_is_used_again_after_its_restart() {
     let mut delegates = large_fleet();
@@ -222,7 +222,7 @@
     );
 }
 
-/// Load pattern: owner's link full. Guards against calls that wait until a connection is open (issue 39), and against a pause
+/// Load pattern: owner's link full. Guards against calls that wait until a connection is open, and against a pause
 /// once it is open again.
 #[gtest]
 fn a_node_is_used_while_a_connection_to_it_is_open() {
--- a/hemlocksaddle-shard/tests/delegation.rs
+++ b/hemlocksaddle-shard/tests/delegation.rs
@@ -171,7 +171,7 @@
     expect_that!(metrics, not(contains_substring(unanswered)));
 }
 
-/// Guards against workers that are called through a delegate until it exits (issue 39): the
+/// Guards against workers that are called through a delegate until it exits: the
 /// withdrawal of its offer may be lost on a full link.
 #[gtest]
 fn a_stopping_delegate_hands_its_workers_back_at_once() {
@@ -200,7 +200,7 @@
 }
 
 /// Load pattern: links full, so that a connection takes longer to open than an order may. Guards against a new owner
-/// that opens a connection for each call and loses its delegates meanwhile (issue 39).
+/// that opens a connection for each call and loses its delegates meanwhile.
 #[gtest]
 fn a_new_owner_has_connections_before_it_uses_them() {
     for seed in 1..=10 {
