--- a/review/stand-in-2/src/executor.rs
+++ b/review/stand-in-2/src/executor.rs
@@ -28,6 +28,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MAX_ENDS: usize = 500;
 
+/// Time for which a channel to a process that had no power hangs at least.
+const HANGS: Duration = Duration::from_millis(3_000);
+
 /// Start or end of a run, in the order in which executors saw them.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -80,6 +83,10 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
     is_lost: bool,
+    /// Whether the machine has no power; a new process starts once it has.
+    is_dark: bool,
+    /// Number of the process on the machine.
+    life: u64,
     /// Time until which the executor is cut off and runs on.
     cut_until: Option<Instant>,
     /// Time at which the request for the lists came that is waiting for an end.
@@ -103,6 +110,8 @@
             ended: Vec::new(),
             last_end: 0,
             is_lost: false,
+            is_dark: false,
+            life: 0,
             cut_until: None,
             held_since: None,
         }
@@ -110,7 +119,7 @@
 
     /// Whether nothing gets through to or from the executor.
     fn is_off(&self) -> bool {
-        self.is_lost || self.cut_until.is_some_and(|until| Instant::now() < until)
+        self.is_lost || self.is_dark || self.cut_until.is_some_and(|until| Instant::now() < until)
     }
 }
 
@@ -122,6 +131,8 @@
     log: Log,
     /// Whether each start and end is written to the record.
     is_verbose: bool,
+    /// Whether answers to orders leave `born` out, as on the pages.
+    is_plain: bool,
 }
 
 /// Running executor.
@@ -139,6 +150,7 @@
         board: &Board,
         log: &Log,
         is_verbose: bool,
+        is_plain: bool,
     ) -> Arc<Executor> {
         let since_1970 = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -153,6 +165,7 @@
             board: board.clone(),
             log: log.clone(),
             is_verbose,
+            is_plain,
         });
         let handled = shared.clone();
         let server = Server::start(move |request| handled.handle(&request));
@@ -181,11 +194,19 @@
             let mut seq = 1;
             loop {
                 thread::sleep(HEARTBEAT);
-                if beating.shared.state.lock().unwrap().is_lost {
+                let (is_lost, is_dark, born) = {
+                    let state = beating.shared.state.lock().unwrap();
+                    (state.is_lost, state.is_dark, state.born)
+                };
+                if is_lost {
                     return;
                 }
+                if is_dark {
+                    continue;
+                }
                 seq += 1;
                 let mut entry = beating.entry.clone();
+                entry["born"] = born.into();
                 entry["seq"] = seq.into();
                 beating
                     .store
@@ -234,6 +255,35 @@
         });
     }
 
+    /// Takes the power away for a time; then a new process starts under the same id and address, and
+    /// registers with its first status report.
+    pub fn lose_power(self: &Arc<Self>, time: Duration) {
+        let lost = {
+            let mut state = self.shared.state.lock().unwrap();
+            state.is_dark = true;
+            let running = std::mem::take(&mut state.running);
+            for (task, run) in &running {
+                self.shared.see(task, run.run, Some("lost"));
+            }
+            running.len()
+        };
+        let id = &self.shared.id;
+        self.shared.log.line(&format!(
+            "executor {id} has no power for {} ms, and loses {lost} runs",
+            time.as_millis()
+        ));
+        let executor = self.clone();
+        thread::spawn(move || {
+            thread::sleep(time);
+            let mut state = executor.shared.state.lock().unwrap();
+            let life = state.life + 1;
+            *state = State {
+                life,
+                ..State::new()
+            };
+        });
+    }
+
     /// Cuts the executor off from all machines of the system for a time; it runs on.
     pub fn cut(&self, time: Duration) {
         let mut state = self.shared.state.lock().unwrap();
@@ -339,7 +389,9 @@
 
     fn answer(&self, state: &State, status: u16, mut body: Value) -> Answer {
         body["clockMs"] = state.clock_ms().into();
-        body["born"] = state.born.into();
+        if !self.is_plain || body.get("runningTasks").is_some() {
+            body["born"] = state.born.into();
+        }
         answer(status, &body)
     }
 
@@ -373,14 +425,15 @@
                 let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0).min(2_000));
                 let until = Instant::now() + wait;
                 state.held_since = Some(Instant::now());
-                while state.ended.is_empty() && !state.is_off() {
+                let life = state.life;
+                while state.ended.is_empty() && !state.is_off() && state.life == life {
                     let left = until.saturating_duration_since(Instant::now());
                     if left.is_zero() {
                         break;
                     }
                     state = self.changed.wait_timeout(state, left).unwrap().0;
                 }
-                if state.is_off() {
+                if state.is_off() || state.life != life {
                     return self.drop_request(state);
                 }
                 state.held_since = None;
@@ -390,12 +443,15 @@
         }
     }
 
-    /// Loses a request or its answer: a cut swallows it without a word.
+    /// Loses a request or its answer: a cut or a loss of power swallows it without a word.
     fn drop_request(&self, state: MutexGuard<'_, State>) -> Answer {
         let until = state.cut_until.filter(|_| !state.is_lost);
+        let was_dark = state.is_dark || state.life > 0;
         drop(state);
         if let Some(until) = until {
             thread::sleep(until.saturating_duration_since(Instant::now()));
+        } else if was_dark {
+            thread::sleep(HANGS);
         }
         None
     }
--- a/review/stand-in-2/src/platform.rs
+++ b/review/stand-in-2/src/platform.rs
@@ -5,7 +5,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::{Arc, Mutex, OnceLock},
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -34,8 +37,6 @@
 
 struct Process {
     child: Child,
-    /// Whether the test has told the process to end.
-    is_told: bool,
     ended_at: Option<Instant>,
 }
 
@@ -48,6 +49,14 @@
     process: Mutex<Process>,
 }
 
+/// Whether executors that are started from now on leave `born` out of their answers to orders.
+static IS_PLAIN: AtomicBool = AtomicBool::new(false);
+
+/// Lets executors tell `born` in their lists of runs only.
+pub fn answer_orders_plainly() {
+    IS_PLAIN.store(true, Ordering::SeqCst);
+}
+
 /// Deployment of this process, for the end of its time.
 static CURRENT: OnceLock<Arc<World>> = OnceLock::new();
 
@@ -72,7 +81,8 @@
 /// Deployment with its stand-ins.
 pub struct World {
     pub log: Log,
-    pub store: Arc<Store>,
+    /// Kept for as long as the deployment.
+    _store: Arc<Store>,
     pub board: Board,
     pub executors: Mutex<Vec<Arc<Executor>>>,
     pub nodes: Vec<Arc<Node>>,
@@ -122,7 +132,16 @@
     ) -> Arc<World> {
         let store = Store::start(log.clone());
         let board = Board::default();
-        let start = |n| Executor::start(n, &store, &board, log, is_verbose);
+        let start = |n| {
+            Executor::start(
+                n,
+                &store,
+                &board,
+                log,
+                is_verbose,
+                IS_PLAIN.load(Ordering::SeqCst),
+            )
+        };
         let executors: Vec<_> = (0..executors).map(start).collect();
         let nodes = (0..3).map(|number| {
             let zone = ZONES[number];
@@ -154,7 +173,6 @@
             let child = spawn(&settings, &output);
             let process = Mutex::new(Process {
                 child,
-                is_told: false,
                 ended_at: None,
             });
             Arc::new(Node {
@@ -172,7 +190,7 @@
                 put_config(&world_store, 1, routes);
                 nodes.collect()
             },
-            store,
+            _store: store,
             board,
             executors: Mutex::new(executors),
             own_ends: Arc::default(),
@@ -199,7 +217,6 @@
             if at.elapsed() >= *self.restart_delay.lock().unwrap() && !*self.is_over.lock().unwrap()
             {
                 process.child = spawn(&node.settings, &node.output);
-                process.is_told = false;
                 process.ended_at = None;
                 self.log
                     .line(&format!("platform: {} is started again", node.name));
@@ -208,7 +225,7 @@
         }
         if let Ok(Some(status)) = process.child.try_wait() {
             process.ended_at = Some(Instant::now());
-            self.note_end(node, status, process.is_told);
+            self.note_end(node, status);
             return;
         }
         let rss_mb = rss_mb(process.child.id());
@@ -227,14 +244,7 @@
         }
     }
 
-    fn note_end(&self, node: &Node, status: ExitStatus, is_told: bool) {
-        if is_told {
-            self.log.line(&format!(
-                "platform: {} has ended as told: {status}",
-                node.name
-            ));
-            return;
-        }
+    fn note_end(&self, node: &Node, status: ExitStatus) {
         let output = fs::read_to_string(&node.output).unwrap_or_default();
         let panic = output
             .lines()
@@ -254,35 +264,6 @@
         *self.restart_delay.lock().unwrap() = delay;
     }
 
-    /// Puts a manifest with the given routes; returns after the store's answer.
-    pub fn put_config(&self, version: u64, routes: &[&str]) {
-        put_config(&self.store, version, routes);
-        self.log.line(&format!(
-            "operator: manifest {version} with the routes {}",
-            routes.join(" ")
-        ));
-    }
-
-    /// Node that owns the shard, by the newest claim in the store.
-    pub fn owner(&self) -> Option<Arc<Node>> {
-        let claim = self.store.newest("keyed.claims", 0, "shard/0")?;
-        let text = String::from_utf8_lossy(&claim).into_owned();
-        self.nodes
-            .iter()
-            .find(|node| text.contains(&node.name))
-            .cloned()
-    }
-
-    /// Sends SIGTERM to a node.
-    pub fn terminate(&self, node: &Node) {
-        let mut process = node.process.lock().unwrap();
-        process.is_told = true;
-        self.log
-            .line(&format!("platform: SIGTERM to {}", node.name));
-        let command = format!("kill -TERM {}", process.child.id());
-        let _ = Command::new("sh").arg("-c").arg(command).status();
-    }
-
     /// One request of a consumer to a node.
     pub fn ask(&self, node: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let address = self.nodes[node % self.nodes.len()].front;
--- a/review/stand-in-2/src/store.rs
+++ b/review/stand-in-2/src/store.rs
@@ -87,16 +87,6 @@
     }
 }
 
-impl Store {
-    /// Value of the newest record of a key.
-    pub fn newest(&self, topic: &str, part: u64, key: &str) -> Option<Vec<u8>> {
-        let partitions = self.shared.partitions.lock().unwrap();
-        let partition = partitions.get(&(topic.to_owned(), part))?;
-        let record = &partition.records[*partition.newest.get(key)?];
-        Some(record[1 + usize::from(record[0])..].to_vec())
-    }
-}
-
 impl Shared {
     fn handle(&self, request: &Request, log: &Log) -> Answer {
         let Some(key) = request.text("topic").zip(request.number("part")) else {
