Acknowledge withheld ends once the worker's lease has expired

Cause: the end of a run whose task was started again is withheld, and all later ends of the worker with it. Only a run that lapsed proved that the lease had expired since, and a worker on which nothing else ran lists none. A successor also assumed that each worker's lease had been renewed just before its first report, when all earlier leases had expired.

Change: withheld ends are released as soon as the lease has certainly expired, when a report arrives or in the next plan. Where it was renewed meanwhile, it is not renewed while nothing runs on the worker. Ends known after the lease has expired were reached before, since no run outlives it. Events 17 and 18 tell which workers have withheld ends.

--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -46,6 +46,7 @@
             }
         }
         if let Some(worker) = self.workers.get_mut(key) {
+            worker.release_ends(now);
             // Later ones may have been seen while the report was on its way.
             worker.leftovers.retain(|run| run.seen_at > report.sent_at);
         }
@@ -62,7 +63,7 @@
         if end.kind == EndKind::Lapsed
             && let Some(worker) = self.workers.get_mut(worker)
         {
-            // Ends from before an expired lease need not be kept back.
+            // The lease has expired since the earlier ends.
             worker.withheld_end = None;
         }
         let Some(key) = end.task.and_then(|name| self.task_key(name)) else {
@@ -127,7 +128,7 @@
         self.finish_if_complete(key.job, wall);
     }
 
-    /// Keeps an end of a worker from being acknowledged.
+    /// Keeps an end of a worker from being acknowledged until its lease has expired.
     fn withhold(&mut self, worker: WorkerKey, end: &End) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.withheld_end.get_or_insert(end.number);
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -77,7 +77,8 @@
     pub applied_ends: u64,
     /// Number up to which ends are durable and acknowledged.
     pub saved_ends: u64,
-    /// First end that must not be acknowledged: a run completed whose task was started again.
+    /// First end that must not be acknowledged before the lease expires: a run completed whose task was
+    /// started again.
     pub(super) withheld_end: Option<u64>,
     pub(super) tasks: HashMap<TaskKey, Assigned>,
     /// Resources reserved by tasks; best-effort tasks reserve no processors.
@@ -216,6 +217,23 @@
         self.withheld_end.is_some()
     }
 
+    /// Whether the lease may be renewed.
+    ///
+    /// An idle worker with a withheld end has to lose its lease before it can be used without limits again.
+    #[must_use]
+    pub fn may_renew_lease(&self) -> bool {
+        self.withheld_end.is_none() || !self.tasks.is_empty()
+    }
+
+    /// Stops withholding ends if the lease has certainly expired.
+    ///
+    /// No run outlives the lease, so all ends known by now were reached before it expired.
+    pub(super) fn release_ends(&mut self, now: MonoMs) {
+        if now > self.lease_until {
+            self.withheld_end = None;
+        }
+    }
+
     /// Whether the worker certainly runs nothing that it was told to start, and gets no new task
     /// either: it is about to leave, or has left.
     fn is_vacant(&self) -> bool {
@@ -471,6 +489,21 @@
         }
     }
 
+    /// Extends the time until which tasks may run on a worker to the end of a lease that may have been granted
+    /// before its clock was known.
+    ///
+    /// Leases of a predecessor have expired by the end of the failover.
+    pub fn assume_earlier_lease(&mut self, key: WorkerKey, until: MonoMs) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            let until = if worker.inherited {
+                until.min(self.failover_complete_at)
+            } else {
+                until
+            };
+            worker.lease_until = worker.lease_until.max(until);
+        }
+    }
+
     /// Unassigns tasks of workers whose lease has certainly expired; removes unlisted workers, and those
     /// that certainly run nothing from the roster.
     pub fn expire(&mut self, now: MonoMs) {
@@ -479,6 +512,9 @@
             .retain(|_, at| now.since(*at) < keep_ms);
         let failover_complete = now >= self.failover_complete_at;
         self.forget_crashes(now);
+        for worker in self.workers.values_mut() {
+            worker.release_ends(now);
+        }
         let expired = |worker: &Worker| {
             now > worker.lease_until && (failover_complete || worker.reported_at.is_some())
         };
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -78,6 +78,10 @@
     WorkerCrashed = 15, "worker crashed";
     /// Worker has started again under its name, and may hold runs that were ordered before.
     RunsCarriedOver = 16, "runs carried over";
+    /// Ends of a worker are not acknowledged until its lease has expired.
+    EndsWithheld = 17, "ends withheld";
+    /// Ends of a worker are acknowledged again.
+    EndsReleased = 18, "ends released";
     /// Configuration was applied.
     Configured = 20, "configured";
     /// Data centre was closed or reopened.
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -109,6 +109,7 @@
         let mut silent = false;
         // No task is placed on a worker before its first report, so the first request does not wait.
         let mut is_new = true;
+        let mut withholds = false;
         while !self.ended.get() {
             let Some(listing) = self.listing(key) else {
                 return;
@@ -141,7 +142,16 @@
                     }
                     silent = false;
                     is_new = false;
-                    if self.withholds_ends(key) {
+                    if self.withholds_ends(key) != withholds {
+                        withholds = !withholds;
+                        let (event, reason) = if withholds {
+                            (Event::EndsWithheld, "its task was started again")
+                        } else {
+                            (Event::EndsReleased, "the lease has expired")
+                        };
+                        self.worker_event(event, &listing, reason);
+                    }
+                    if withholds {
                         self.env.sleep(WITHHELD_PAUSE_MS).await;
                     }
                 }
@@ -308,8 +318,12 @@
         let now = self.env.now();
         // Without the ownership lease, a successor may already be waiting for this lease to expire.
         let lease = self.worker_lease()?;
-        if self.scheduler.borrow().worker(key)?.is_doubted() {
-            return None;
+        {
+            let scheduler = self.scheduler.borrow();
+            let worker = scheduler.worker(key)?;
+            if worker.is_doubted() || !worker.may_renew_lease() {
+                return None;
+            }
         }
         let clock = *self.clocks.borrow().get(&key)?;
         let until_ms = clock.deadline_in(now, lease);
@@ -348,7 +362,7 @@
         if self.clocks.borrow_mut().insert(key, clock).is_none() {
             // A predecessor may have renewed the lease just before this term.
             let until_ms = clock_ms + self.env.settings.lease_ms.0;
-            scheduler.extend_lease(key, clock.passed_by(until_ms));
+            scheduler.assume_earlier_lease(key, clock.passed_by(until_ms));
         }
     }
 
