Pass over kept runs of ended workflows when a worker is removed

Cause: the runs of a worker whose lease has expired are kept for 30 s, until it is removed. Those that had just started are then looked up again, although their workflow may have ended and been reduced to its outcome; the lookup panics.

Lookups of kept runs and suspects elsewhere already tolerate a missing workflow.

--- a/hemlocksaddle-policy/src/workflow/crash.rs
+++ b/hemlocksaddle-policy/src/workflow/crash.rs
@@ -443,7 +443,11 @@
         self.keep_runs(key, now);
         let worker = &self.workers[key];
         for suspect in worker.expired.iter().filter(|suspect| suspect.is_prompt()) {
-            let task = self.jobs[suspect.task.job].task_mut(suspect.task);
+            // Workflows may have ended since their runs were kept.
+            let job = self.jobs.get_mut(suspect.task.job);
+            let Some(task) = job.and_then(|job| job.find_task_mut(suspect.task)) else {
+                continue;
+            };
             if task.is_suspect() {
                 task.add_crash(CrashedRun {
                     run: suspect.run,
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -346,6 +346,13 @@
         &mut self.step_state(key).tasks[key.index as usize]
     }
 
+    /// Task with the given key, for changes; `None` if it has no state.
+    pub(super) fn find_task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
+        let step = occurrence.steps.get_mut(usize::from(key.step))?;
+        step.tasks.get_mut(key.index as usize)
+    }
+
     /// Adds the occurrences that are due; returns whether any was added.
     pub(super) fn add_due_occurrences(&mut self, wall: WallMs) -> bool {
         let Some(schedule) = self.spec.schedule else {
--- a/hemlocksaddle-policy/tests/crashes.rs
+++ b/hemlocksaddle-policy/tests/crashes.rs
@@ -483,3 +483,26 @@
     expect_that!(beside.count(), eq(1));
     expect_that!(harness.phase(1, 0), pat!(Phase::Starting { .. }));
 }
+
+/// Guards against a panic when a worker is lost for good after the workflow of a run that it had just started was
+/// reduced to its outcome.
+#[gtest]
+fn a_worker_may_be_lost_for_good_after_its_workflow_has_ended() {
+    let mut harness = Harness::with_workers(2, 16_000);
+    harness.accept(1, vec![step(1, 1_000)]);
+    let first = harness.starts().remove(0);
+    harness.answer(&first, StartAnswer::Accepted);
+    harness.silence(first.worker);
+    harness.leave(harness.number_of(&first));
+    harness.advance(LEASE_MS + 100);
+    let second = harness.starts().remove(0);
+    harness.answer(&second, StartAnswer::Accepted);
+    harness.end(&second, EndKind::Done);
+    harness.save();
+    let now = harness.now();
+    let reduced = harness.scheduler.take_ended_submissions(1, now);
+    expect_that!(reduced, elements_are![eq(&WorkflowId(1))]);
+    harness.advance(31_000);
+    expect_that!(harness.starts(), is_empty());
+    expect_that!(harness.scheduler.worker(first.worker), none());
+}
