Store progress of any size, and done occurrences as ranges

Cause: the progress of a workflow was one record with some 38 bytes for each done step of each occurrence. The store refuses a record over 256 kB for good; the owner takes this as a refusal of the moment and repeats the append, and all progress of the shard waits behind it. Appends of progress had no limit of their size either.

Change: of done occurrences only the numbers are kept and stored, and the runs that decide whether a late end is acknowledged. Progress of more than 64 kB is stored in parts: first the further ones, under a new generation, then the first one, which names it, then the deletion of the generation before. Appends are at most 1 MB, or what the link carries in half a second. No record and no append can exceed what the store takes, and a successor meets one generation or the other whole. An occurrence that a worker names is created also before it is taken as due; its runs were stopped and their ends acknowledged without being recorded.

--- a/hemlocksaddle-policy/src/congestion.rs
+++ b/hemlocksaddle-policy/src/congestion.rs
@@ -191,6 +191,19 @@
 /// Share of the link that appends of progress may take.
 const SAVE_LINK_SHARE: f64 = 0.1;
 
+/// Time that an append may take on the link, in milliseconds; less than half of the time limit of a call.
+const APPEND_TRANSFER_MS: usize = 500;
+
+/// Largest size of an append on any link.
+const MAX_APPEND_BYTES: usize = 1 << 20;
+
+/// Largest size of an append in bytes, on a link of the given bandwidth.
+#[must_use]
+pub fn append_bytes(link_kbps: u32) -> usize {
+    let transferred = (link_kbps as usize).saturating_mul(APPEND_TRANSFER_MS) / 8;
+    transferred.min(MAX_APPEND_BYTES)
+}
+
 /// Pause after an append of progress of the given size, on a link of the given bandwidth.
 ///
 /// A longer pause covers more runs with one record, since a workflow's progress is stored whole.
--- a/hemlocksaddle-policy/src/workflow/ended.rs
+++ b/hemlocksaddle-policy/src/workflow/ended.rs
@@ -27,20 +27,24 @@
 impl EndedWorkflow {
     /// Outcome that durable progress tells; `None` if the workflow has not ended.
     fn from_progress(progress: &Progress) -> Option<EndedWorkflow> {
-        let restarted = progress.steps.iter().flat_map(|step| {
-            let runs = step.restarted.iter();
-            runs.map(|&(index, run)| ((step.occurrence, step.step, index), run))
-        });
         Some(EndedWorkflow {
             state: progress.ended?,
             at_ms: progress.ended_ms.unwrap_or_default(),
             failure: progress.failure.clone(),
-            restarted: restarted.collect(),
+            restarted: restarted_runs(progress).collect(),
             has_submission: false,
         })
     }
 }
 
+/// Runs in a progress that were started after one whose end is unknown.
+fn restarted_runs(progress: &Progress) -> impl Iterator<Item = ((u32, u16, u32), Run)> {
+    progress.steps.iter().flat_map(|step| {
+        let runs = step.restarted.iter();
+        runs.map(|&(index, run)| ((step.occurrence, step.step, index), run))
+    })
+}
+
 impl Scheduler {
     /// State of a workflow as shown to its caller; `None` if it is not known.
     #[must_use]
@@ -60,6 +64,11 @@
 
     /// Restores the outcome of a workflow whose submission is deleted; ignored unless it has ended.
     pub(super) fn restore_ended(&mut self, id: WorkflowId, progress: &Progress) {
+        if let Some(known) = self.ended.get_mut(&id) {
+            // A further part of the progress.
+            known.restarted.extend(restarted_runs(progress));
+            return;
+        }
         if let Some(mut ended) = EndedWorkflow::from_progress(progress) {
             ended.has_submission = self.pending_cancels.remove(&id).is_some();
             self.ended.insert(id, ended);
@@ -131,13 +140,15 @@
         old.map(|(id, _)| id).collect()
     }
 
-    /// Whether a run completed whose task was started again while its end was unknown, in a workflow of
-    /// which only the outcome is kept.
+    /// Whether a run completed whose task was started again while its end was unknown, in a workflow or an
+    /// occurrence of which only the outcome is kept.
     pub(super) fn is_superseded(&self, name: TaskName, end: &End) -> bool {
-        let ended = self.ended.get(&name.workflow);
         let key = (name.occurrence, name.step, name.index);
-        let restarted = ended.and_then(|ended| ended.restarted.get(&key));
-        end.kind == EndKind::Done && restarted.is_some_and(|run| end.run < *run)
+        let ended = self.ended.get(&name.workflow);
+        let of_ended = ended.and_then(|ended| ended.restarted.get(&key).copied());
+        let job = self.job(name.workflow);
+        let of_job = job.and_then(|job| job.occurrences.restarted_run(key));
+        end.kind == EndKind::Done && of_ended.or(of_job).is_some_and(|run| end.run < run)
     }
 }
 
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -7,7 +7,7 @@
     workflow::{CrashedRun, Failure, Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
-use super::{JobKey, WorkerKey, interference::ImageId};
+use super::{JobKey, WorkerKey, interference::ImageId, occurrences::Occurrences};
 
 /// Key of a task in the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -202,7 +202,7 @@
 }
 
 impl Occurrence {
-    fn new(spec: &Workflow) -> Occurrence {
+    pub(super) fn new(spec: &Workflow) -> Occurrence {
         let state = |step: &Step| StepState {
             tasks: vec![Task::new(); step.tasks as usize],
             done: 0,
@@ -254,7 +254,9 @@
     pub failure: Option<Failure>,
     /// Suspects with a crash that is not durable yet.
     pub(super) unsaved_crashes: Vec<TaskKey>,
-    pub(super) occurrences: Vec<Occurrence>,
+    pub(super) occurrences: Occurrences,
+    /// Occurrences with a step that is done since the last look for done occurrences.
+    pub(super) maybe_done: Vec<u32>,
     /// Image of each step.
     pub(super) images: Vec<ImageId>,
     /// Number of tasks assigned to workers.
@@ -269,13 +271,10 @@
         now: MonoMs,
         inherited: bool,
     ) -> Job {
-        let first = if spec.schedule.is_none() {
-            vec![Occurrence::new(&spec)]
-        } else {
-            Vec::new()
-        };
         Job {
             id,
+            occurrences: Occurrences::new(&spec),
+            maybe_done: Vec::new(),
             spec: Rc::new(spec),
             accepted_at: now,
             inherited,
@@ -286,7 +285,6 @@
             ended_saved: false,
             failure: None,
             unsaved_crashes: Vec::new(),
-            occurrences: first,
             images,
             placed: 0,
         }
@@ -312,7 +310,7 @@
     /// Task with the given key.
     #[must_use]
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
-        let occurrence = self.occurrences.get(key.occurrence as usize)?;
+        let occurrence = self.occurrences.get(key.occurrence)?;
         let step = occurrence.steps.get(usize::from(key.step))?;
         step.tasks.get(key.index as usize)
     }
@@ -320,7 +318,7 @@
     /// Task with the given name; the workflow id in it is ignored.
     #[must_use]
     pub fn task_named(&self, name: TaskName) -> Option<&Task> {
-        let occurrence = self.occurrences.get(name.occurrence as usize)?;
+        let occurrence = self.occurrences.get(name.occurrence)?;
         let step = occurrence.steps.get(usize::from(name.step))?;
         step.tasks.get(name.index as usize)
     }
@@ -334,12 +332,12 @@
     }
 
     pub(super) fn load(&self, key: TaskKey) -> Option<f64> {
-        let occurrence = self.occurrences.get(key.occurrence as usize)?;
+        let occurrence = self.occurrences.get(key.occurrence)?;
         occurrence.steps.get(usize::from(key.step))?.load
     }
 
     pub(super) fn step_state(&mut self, key: TaskKey) -> &mut StepState {
-        &mut self.occurrences[key.occurrence as usize].steps[usize::from(key.step)]
+        &mut self.occurrences[key.occurrence].steps[usize::from(key.step)]
     }
 
     pub(super) fn task_mut(&mut self, key: TaskKey) -> &mut Task {
@@ -348,42 +346,36 @@
 
     /// Task with the given key, for changes; `None` if it has no state.
     pub(super) fn find_task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
-        let occurrence = self.occurrences.get_mut(key.occurrence as usize)?;
+        let occurrence = self.occurrences.get_mut(key.occurrence)?;
         let step = occurrence.steps.get_mut(usize::from(key.step))?;
         step.tasks.get_mut(key.index as usize)
     }
 
-    /// Adds the occurrences that are due; returns whether any was added.
-    pub(super) fn add_due_occurrences(&mut self, wall: WallMs) -> bool {
-        let Some(schedule) = self.spec.schedule else {
-            return false;
-        };
-        let before = self.occurrences.len();
-        while self.occurrences.len() < schedule.occurrences as usize {
-            let number = self.occurrences.len() as u64;
-            let due_ms = schedule.first_ms.0 + number * schedule.interval_ms.0;
-            if wall.0 < due_ms {
-                break;
-            }
-            self.occurrences.push(Occurrence::new(&self.spec));
-        }
-        self.occurrences.len() > before
+    /// Creates the state of the occurrences that are due.
+    pub(super) fn add_due_occurrences(&mut self, wall: WallMs) {
+        self.occurrences.add_due(&self.spec, wall);
     }
 
-    /// Creates occurrences up to the given one, which a predecessor had started.
-    pub(super) fn ensure_occurrence(&mut self, number: u32) {
-        if number >= self.spec.occurrences() {
-            return;
+    /// Creates the state of the occurrence of a task, unless the occurrence is done or there is no such task.
+    pub(super) fn ensure_occurrence_of(&mut self, name: TaskName) {
+        let step = self.spec.steps.get(usize::from(name.step));
+        if step.is_some_and(|step| name.index < step.tasks) {
+            self.occurrences.ensure(name.occurrence, &self.spec);
         }
-        while self.occurrences.len() <= number as usize {
-            self.occurrences.push(Occurrence::new(&self.spec));
+    }
+
+    /// Drops the state of done occurrences of a schedule.
+    pub(super) fn retire_occurrences(&mut self) {
+        for number in std::mem::take(&mut self.maybe_done) {
+            if self.spec.schedule.is_some() {
+                self.occurrences.retire(number);
+            }
         }
     }
 
     /// Whether every task of every occurrence is done.
     pub(super) fn is_done(&self) -> bool {
-        self.occurrences.len() == self.spec.occurrences() as usize
-            && self.occurrences.iter().all(Occurrence::is_done)
+        self.occurrences.are_done()
     }
 
     /// Whether tasks of a step that are not located have to wait until all workers have reported in this
@@ -397,7 +389,8 @@
     /// Records that waiting tasks may have run in a way that is not known; returns whether any was
     /// not marked before.
     pub(super) fn mark_waiting_unknown(&mut self) -> bool {
-        let steps = self.occurrences.iter_mut().flat_map(|o| &mut o.steps);
+        let occurrences = self.occurrences.iter_mut();
+        let steps = occurrences.flat_map(|(_, occurrence)| &mut occurrence.steps);
         let mut has_changed = false;
         for task in steps.flat_map(|step| &mut step.tasks) {
             if task.phase == Phase::Waiting {
@@ -409,14 +402,14 @@
 
     /// Time since which a task has waited or, if it does not wait, had waited before its start.
     pub(super) fn waiting_since(&self, key: TaskKey) -> MonoMs {
-        let state = &self.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
+        let state = &self.occurrences[key.occurrence].steps[usize::from(key.step)];
         let task = &state.tasks[key.index as usize];
         let since = task.waiting_since.or(state.waiting_since);
         since.unwrap_or(self.accepted_at)
     }
 
     /// Whether all steps that this one depends on are done.
-    pub(super) fn step_is_due(&self, occurrence: usize, step: usize) -> bool {
+    pub(super) fn step_is_due(&self, occurrence: u32, step: usize) -> bool {
         let states = &self.occurrences[occurrence].steps;
         let dependencies = &self.spec.steps[step].depends_on;
         dependencies
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Life cycle of workflows: acceptance, cancellation, completion and recovery.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
@@ -120,15 +120,25 @@
             return self.restore_ended(id, progress);
         };
         let job = &mut self.jobs[key];
+        job.occurrences.restore_done(&progress.done);
+        job.started |= !progress.done.is_empty();
         for saved in &progress.steps {
-            job.ensure_occurrence(saved.occurrence);
-            let occurrence = job.occurrences.get_mut(saved.occurrence as usize);
+            job.started |= saved.has_started();
+            if !job.occurrences.is_open(saved.occurrence) {
+                for &(index, run) in &saved.restarted {
+                    let of = (saved.occurrence, saved.step, index);
+                    job.occurrences.restore_restarted(of, run);
+                }
+                continue;
+            }
+            job.occurrences.ensure(saved.occurrence, &job.spec);
+            let occurrence = job.occurrences.get_mut(saved.occurrence);
             let Some(step) = occurrence.and_then(|o| o.steps.get_mut(usize::from(saved.step)))
             else {
                 continue;
             };
             restore_step(step, saved);
-            job.started |= saved.has_started();
+            job.maybe_done.push(saved.occurrence);
             let suspects = saved.crashed.iter().map(|&(index, _)| TaskKey {
                 job: key,
                 occurrence: saved.occurrence,
@@ -145,6 +155,7 @@
             });
             self.unchecked_attempts.extend(failed);
         }
+        job.retire_occurrences();
         if let Some(state) = progress.ended {
             let at_ms = progress.ended_ms.unwrap_or(job.spec.received_ms);
             job.ended = Some((state, at_ms));
@@ -207,8 +218,9 @@
         for key in saved.crashes {
             if let Some(job) = self.jobs.get_mut(key.job)
                 && !job.unsaved_crashes.contains(&key)
+                && let Some(task) = job.find_task_mut(key)
             {
-                job.task_mut(key).crash_unsaved = false;
+                task.crash_unsaved = false;
             }
         }
         for (key, upto) in saved.ends {
@@ -279,6 +291,7 @@
             }
             return;
         }
+        job.retire_occurrences();
         if job.is_done() {
             job.ended = Some((State::Completed, wall));
             self.unsaved.insert(key);
@@ -322,13 +335,13 @@
     fn stop_all(&mut self, key: JobKey) {
         let job = &self.jobs[key];
         let mut placed = Vec::new();
-        for (occurrence, state) in job.occurrences.iter().enumerate() {
+        for (occurrence, state) in job.occurrences.iter() {
             for (step, tasks) in state.steps.iter().enumerate() {
                 let with_worker = tasks.tasks.iter().enumerate();
                 placed.extend(with_worker.filter(|(_, t)| t.phase.worker().is_some()).map(
                     |(index, _)| TaskKey {
                         job: key,
-                        occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
+                        occurrence,
                         step: u16::try_from(step).unwrap_or(u16::MAX),
                         index: u32::try_from(index).unwrap_or(u32::MAX),
                     },
@@ -402,6 +415,9 @@
         task.crashes.clear();
         state.waiting -= 1;
         state.done += 1;
+        if state.is_done() {
+            job.maybe_done.push(key.occurrence);
+        }
         job.started = true;
         self.unsaved.insert(key.job);
     }
@@ -464,10 +480,10 @@
 /// Progress of a workflow, to be made durable.
 pub(super) fn progress(job: &Job) -> Progress {
     let mut steps = Vec::new();
-    for (occurrence, state) in job.occurrences.iter().enumerate() {
+    for (occurrence, state) in job.occurrences.iter() {
         for (number, step) in state.steps.iter().enumerate() {
             let saved = StepProgress {
-                occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
+                occurrence,
                 step: u16::try_from(number).unwrap_or(u16::MAX),
                 done: ranges(step, |task| task.phase == Phase::Done),
                 failed: failed_runs(step),
@@ -488,7 +504,14 @@
             }
         }
     }
+    steps.extend(restarted_of_done(job));
     Progress {
+        done: if job.ended.is_some() {
+            Vec::new()
+        } else {
+            job.occurrences.done().to_vec()
+        },
+        further: None,
         ended: job.ended.map(|(state, _)| state),
         ended_ms: job.ended.map(|(_, at_ms)| at_ms),
         failure: job.failure.clone(),
@@ -496,6 +519,18 @@
     }
 }
 
+/// Progress of steps of done occurrences: what decides whether a late end is acknowledged.
+fn restarted_of_done(job: &Job) -> Vec<StepProgress> {
+    let mut steps: BTreeMap<(u32, u16), StepProgress> = BTreeMap::new();
+    for (&(occurrence, step, index), &run) in job.occurrences.restarted() {
+        let saved = steps.entry((occurrence, step)).or_default();
+        saved.occurrence = occurrence;
+        saved.step = step;
+        saved.restarted.push((index, run));
+    }
+    steps.into_values().collect()
+}
+
 /// Tasks with a property, as half-open index ranges.
 fn ranges(step: &StepState, has_property: impl Fn(&Task) -> bool) -> Vec<(u32, u32)> {
     let mut ranges: Vec<(u32, u32)> = Vec::new();
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -23,10 +23,12 @@
 mod job;
 mod lifecycle;
 mod listing;
+mod occurrences;
 mod overdue;
 mod pacing;
 mod placement;
 mod plan;
+mod ranges;
 mod ranking;
 mod report;
 mod restart;
@@ -318,6 +320,15 @@
         self.jobs[job].task(key).is_some().then_some(key)
     }
 
+    /// Key of a task that a worker names; creates the state of its occurrence.
+    ///
+    /// A predecessor may have started tasks of occurrences that this owner does not take as due yet.
+    fn named_task_key(&mut self, name: TaskName) -> Option<TaskKey> {
+        let job = *self.by_id.get(&name.workflow)?;
+        self.jobs[job].ensure_occurrence_of(name);
+        self.task_key(name)
+    }
+
     fn name(&self, key: TaskKey) -> TaskName {
         TaskName {
             workflow: self.jobs[key.job].id,
--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -142,7 +142,7 @@
 
     fn waiting_tasks(&self, ready: &ReadyStep) -> u32 {
         let first = ready.key(0);
-        let steps = &self.jobs[ready.job].occurrences[first.occurrence as usize].steps;
+        let steps = &self.jobs[ready.job].occurrences[first.occurrence].steps;
         steps[usize::from(ready.step)].waiting
     }
 
@@ -289,7 +289,7 @@
                 continue;
             }
             let first = step.key(0);
-            let state = &job.occurrences[first.occurrence as usize].steps[usize::from(first.step)];
+            let state = &job.occurrences[first.occurrence].steps[usize::from(first.step)];
             let is_first_of_step = state.waiting == spec.tasks;
             let mut has_new = false;
             for key in (0..spec.tasks).map(|index| step.key(index)) {
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -127,7 +127,8 @@
                 continue;
             };
             let spec: Rc<_> = job.spec.clone();
-            for occurrence in 0..job.occurrences.len() {
+            let numbers: Vec<u32> = job.occurrences.iter().map(|(number, _)| number).collect();
+            for occurrence in numbers {
                 for (number, spec) in spec.steps.iter().enumerate() {
                     let awaits_reports = job.awaits_reports(spec, failover_complete);
                     let due = !job.unconfirmed && job.step_is_due(occurrence, number);
@@ -140,7 +141,7 @@
                     let waiting_since = *step.waiting_since.get_or_insert(now);
                     ready.push(ReadyStep {
                         job: key,
-                        occurrence: u32::try_from(occurrence).unwrap_or(u32::MAX),
+                        occurrence,
                         step: u16::try_from(number).unwrap_or(u16::MAX),
                         queue: queue.clone(),
                         accepted_at: job.accepted_at,
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -66,7 +66,7 @@
             // The lease has expired since the earlier ends.
             worker.withheld_end = None;
         }
-        let Some(key) = end.task.and_then(|name| self.task_key(name)) else {
+        let Some(key) = end.task.and_then(|name| self.named_task_key(name)) else {
             if end.task.is_some_and(|name| self.is_superseded(name, end)) {
                 self.withhold(worker, end);
             }
@@ -216,7 +216,7 @@
 
     /// Applies the state of a run; `locates` if no predecessor can have seen its end meanwhile.
     fn apply_status(&mut self, worker: WorkerKey, status: &TaskStatus, locates: bool, now: MonoMs) {
-        let Some(key) = self.task_key(status.task) else {
+        let Some(key) = self.named_task_key(status.task) else {
             self.stop_leftover(worker, status.task, status.run, None, now);
             return;
         };
--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -238,11 +238,11 @@
         let mut overdue = Vec::new();
         for &key in &self.open_jobs {
             let job = &self.jobs[key];
-            for (occurrence, states) in (0u32..).zip(&job.occurrences) {
+            for (occurrence, states) in job.occurrences.iter() {
                 for (number, state) in (0u16..).zip(&states.steps) {
                     let step = &job.spec.steps[usize::from(number)];
                     let is_held = (job.unconfirmed || job.awaits_reports(step, failover_complete))
-                        && job.step_is_due(occurrence as usize, usize::from(number));
+                        && job.step_is_due(occurrence, usize::from(number));
                     let is_ready = state.waiting_since.is_some() || is_held;
                     if state.waiting == 0 || !is_ready {
                         continue;
@@ -329,7 +329,7 @@
         let job = &self.jobs[key.job];
         let step = job.step(key);
         let pool = self.queue(&job.spec.queue).map_or("", |queue| &queue.pool);
-        let state = &job.occurrences[key.occurrence as usize].steps[usize::from(key.step)];
+        let state = &job.occurrences[key.occurrence].steps[usize::from(key.step)];
         let ready_since = state.waiting_since.unwrap_or(now);
         candidates.capacity_rule = CapacityRule::for_step(step, ready_since, now);
         let obstacles = self.obstacles(candidates, key, pool);
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod frontend;
 pub mod metrics;
 pub mod node;
+pub mod parts;
 pub mod ports;
 
 mod claims;
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -9,7 +9,7 @@
 
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::ports::{PeerLink, Peers, PortFuture, Runtime};
-use hemlocksaddle_policy::{shutdown::Shutdown, take_over::ClockReading};
+use hemlocksaddle_policy::{congestion::append_bytes, shutdown::Shutdown, take_over::ClockReading};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::{DataCentre, NodeName},
@@ -62,6 +62,10 @@
     pub lease_ms: Millis,
     /// Retention time of ended workflows.
     pub keep_ended_ms: Millis,
+    /// Largest record that the store takes, with its key.
+    pub max_record_bytes: usize,
+    /// Largest append that the store takes.
+    pub max_append_bytes: usize,
 }
 
 impl Settings {
@@ -69,6 +73,12 @@
     pub(crate) fn cpu_milli(&self) -> u32 {
         (self.cpu_share * 1_000.0).round() as u32
     }
+
+    /// Largest append that the store takes and that does not occupy the node's link for long.
+    pub(crate) fn append_bytes(&self) -> usize {
+        let of_link = append_bytes(self.link_kbps).max(self.max_record_bytes);
+        of_link.min(self.max_append_bytes)
+    }
 }
 
 /// Interfaces (ports) through which a node reaches its environment.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -21,7 +21,7 @@
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
-    workflow::{ShardRequest, ShardResponse, State},
+    workflow::{ShardRequest, ShardResponse, State, WorkflowId},
 };
 use serde_json::json;
 use std::sync::Arc;
@@ -87,6 +87,10 @@
     ownership_lease_from: Cell<Option<ClockReading>>,
     claim_sequence: Cell<u64>,
     pub(crate) progress_sequence: Cell<u64>,
+    /// Keys of the further parts in which the progress of workflows is stored.
+    pub(crate) stored_parts: RefCell<HashMap<WorkflowId, Vec<Arc<str>>>>,
+    /// Number of generations of further parts that this owner has written.
+    pub(crate) generations: Cell<u32>,
     submissions_read_at: Cell<MonoMs>,
     /// Offset of the submissions up to which no fence of a later term was met.
     pub(crate) submissions_read_to: Cell<u64>,
@@ -137,6 +141,8 @@
             ownership_lease_from,
             claim_sequence,
             progress_sequence: Cell::new(0),
+            stored_parts: RefCell::new(HashMap::new()),
+            generations: Cell::new(0),
             submissions_read_at: Cell::new(MonoMs(0)),
             submissions_read_to: Cell::new(0),
             interference_due: Cell::new(false),
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -79,6 +79,8 @@
     Cancelled(WorkflowId),
     Fence,
     Progress(WorkflowId),
+    /// Further part of a progress, with its generation and number.
+    ProgressPart(WorkflowId, u64, u32),
     Roster(Arc<str>),
     Interference,
 }
@@ -90,6 +92,9 @@
             Key::Cancelled(id) => format!("{CANCELLED_PREFIX}{id}"),
             Key::Fence => FENCE_KEY.to_owned(),
             Key::Progress(id) => format!("{PROGRESS_PREFIX}{id}"),
+            Key::ProgressPart(id, generation, number) => {
+                format!("{PROGRESS_PREFIX}{id}/{generation}/{number}")
+            }
             Key::Roster(name) => format!("{ROSTER_PREFIX}{name}"),
             Key::Interference => INTERFERENCE_KEY.to_owned(),
         }
@@ -110,7 +115,12 @@
             return id.parse().ok().map(Key::Cancelled);
         }
         if let Some(id) = text.strip_prefix(PROGRESS_PREFIX) {
-            return id.parse().ok().map(Key::Progress);
+            let Some((id, part)) = id.split_once('/') else {
+                return id.parse().ok().map(Key::Progress);
+            };
+            let (generation, number) = part.split_once('/')?;
+            let (generation, number) = (generation.parse().ok()?, number.parse().ok()?);
+            return Some(Key::ProgressPart(id.parse().ok()?, generation, number));
         }
         text.strip_prefix(ROSTER_PREFIX)
             .map(|name| Key::Roster(name.into()))
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -12,7 +12,7 @@
 use hemlocksaddle_policy::workflow::{InterferenceSnapshot, Listing};
 use hemlocksaddle_types::{
     clock::MonoMs,
-    workflow::{Progress, Submission},
+    workflow::{FurtherParts, Progress, Submission, WorkflowId},
 };
 use serde_json::json;
 
@@ -256,13 +256,33 @@
 
     fn apply_progress(self: &Rc<Self>, progress: &Snapshot) {
         let mut roster = Vec::new();
+        // First part of a progress, whose further parts follow in the order of the keys.
+        let mut first: Option<(WorkflowId, FurtherParts)> = None;
         for record in progress.records() {
             let Some(value) = &record.value else { continue };
             match Key::parse(&record.key) {
                 Some(Key::Progress(id)) => match record::decode::<Progress>(&record.key, value) {
-                    Ok(progress) => self.scheduler.borrow_mut().restore(id, &progress),
+                    Ok(progress) => {
+                        self.scheduler.borrow_mut().restore(id, &progress);
+                        first = progress.further.map(|further| (id, further));
+                    }
                     Err(cause) => self.log_unreadable(record, &cause.to_string()),
                 },
+                Some(Key::ProgressPart(id, generation, _)) => {
+                    let mut stored = self.stored_parts.borrow_mut();
+                    stored.entry(id).or_default().push(record.key.clone());
+                    drop(stored);
+                    // Others were left by an owner that did not get to the first part, or to the deletion.
+                    let is_current = first
+                        .is_some_and(|(of, further)| of == id && further.generation == generation);
+                    match record::decode::<Progress>(&record.key, value) {
+                        Ok(progress) if is_current => {
+                            self.scheduler.borrow_mut().restore(id, &progress);
+                        }
+                        Ok(_) => {}
+                        Err(cause) => self.log_unreadable(record, &cause.to_string()),
+                    }
+                }
                 Some(Key::Roster(_)) => match record::decode::<Listing>(&record.key, value) {
                     Ok(listing) => match listing.check(self.env.wall()) {
                         Ok(()) => roster.push(listing),
--- a/hemlocksaddle-shard/src/retention.rs
+++ b/hemlocksaddle-shard/src/retention.rs
@@ -89,9 +89,13 @@
             }
             // If an append fails, the next owner reads these records and deletes them again.
             if self.delete_submissions_of(&old).await.is_ok() {
-                let progress = old.iter().map(|&id| deletion(Key::Progress(id)));
+                let mut progress: Vec<Record> = Vec::new();
+                for &id in &old {
+                    progress.push(deletion(Key::Progress(id)));
+                    progress.extend(self.take_deletions_of_parts(id));
+                }
                 // Logged; see above.
-                let _ = self.delete(Stream::Progress, progress.collect()).await;
+                let _ = self.delete(Stream::Progress, progress).await;
             }
         }
     }
--- a/hemlocksaddle-shard/src/saving.rs
+++ b/hemlocksaddle-shard/src/saving.rs
@@ -7,16 +7,24 @@
     congestion::save_pause,
     workflow::{Listing, Unsaved, WorkerKey},
 };
-use hemlocksaddle_types::{clock::Millis, workflow::Failure};
+use hemlocksaddle_types::{
+    clock::Millis,
+    error::Result,
+    workflow::{Failure, FurtherParts, Progress, WorkflowId},
+};
 use serde_json::json;
 
 use crate::{
     event::Event,
     owner::{MAX_PLAN_INTERVAL_MS, Owner, RETRY_MS},
+    parts::{MAX_PROGRESS_BYTES, record_bytes, split, split_appends},
     ports::{Conditions, Record, StoreError, Stream, Writer},
     record::{self, Key},
 };
 
+/// Largest size of the key and the header of a record of progress.
+const MAX_KEY_BYTES: usize = 80;
+
 /// Interval at which the interference estimates are saved.
 const SAVE_INTERFERENCE_INTERVAL_MS: Millis = Millis(2_000);
 
@@ -62,9 +70,30 @@
     async fn save_batch(&self, unsaved: Unsaved, roster: &[(WorkerKey, Listing)]) -> usize {
         let started_at = self.env.now();
         let records = self.progress_records(&unsaved, roster);
-        let values = records.iter().filter_map(|record| record.value.as_ref());
-        let bytes = values.map(|value| value.len()).sum();
-        while !self.ended.get() && !records.is_empty() {
+        let bytes = records.iter().map(record_bytes).sum();
+        for records in split_appends(records, self.env.settings.append_bytes()) {
+            self.append_progress(records).await;
+        }
+        if self.ended.get() {
+            return bytes;
+        }
+        let took_ms = self.env.now().since(started_at);
+        self.env.metrics.save_s.observe(took_ms.0 as f64 / 1_000.0);
+        self.log_ended(&unsaved);
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.mark_saved(unsaved);
+        for (key, _) in roster {
+            scheduler.mark_rostered(*key);
+        }
+        drop(scheduler);
+        self.saved.notify();
+        self.changed.notify();
+        bytes
+    }
+
+    /// Appends records to the progress until they are durable or ownership ends.
+    async fn append_progress(&self, records: Vec<Record>) {
+        while !self.ended.get() {
             let conditions = Conditions {
                 end: None,
                 writer: Some(self.progress_writer()),
@@ -76,38 +105,66 @@
             match appended {
                 Ok(_) => {
                     self.progress_sequence.set(self.progress_sequence.get() + 1);
-                    break;
+                    return;
                 }
                 Err(StoreError::OutOfSequence(expected)) => self.progress_sequence.set(expected),
-                Err(StoreError::Fenced) => {
-                    self.step_down("progress is fenced");
-                    return bytes;
-                }
+                Err(StoreError::Fenced) => self.step_down("progress is fenced"),
                 Err(_) => self.env.sleep(RETRY_MS).await,
             }
         }
-        if self.ended.get() {
-            return bytes;
-        }
-        let took_ms = self.env.now().since(started_at);
-        self.env.metrics.save_s.observe(took_ms.0 as f64 / 1_000.0);
-        self.log_ended(&unsaved);
-        let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.mark_saved(unsaved);
-        for (key, _) in roster {
-            scheduler.mark_rostered(*key);
+    }
+
+    /// Records of a workflow's progress, in the order in which they have to become durable.
+    fn records_of(&self, id: WorkflowId, progress: &Progress) -> Vec<Result<Record>> {
+        let max_bytes = self
+            .env
+            .settings
+            .max_record_bytes
+            .saturating_sub(MAX_KEY_BYTES);
+        let max_bytes = max_bytes.min(MAX_PROGRESS_BYTES);
+        let deletions = self.take_deletions_of_parts(id);
+        let mut parts = split(progress.clone(), max_bytes).into_iter();
+        let mut first = parts.next().unwrap_or_default();
+        let mut records = Vec::new();
+        let mut keys = Vec::new();
+        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        if count > 0 {
+            let generation = self.next_generation();
+            first.further = Some(FurtherParts { generation, count });
+            for (number, part) in (1..).zip(parts) {
+                let key = Key::ProgressPart(id, generation, number).text();
+                keys.push(key.clone());
+                records.push(record::encode(key, &part));
+            }
+            self.stored_parts.borrow_mut().insert(id, keys);
         }
-        drop(scheduler);
-        self.saved.notify();
-        self.changed.notify();
-        bytes
+        records.push(record::encode(Key::Progress(id).text(), &first));
+        records.extend(deletions.map(Ok));
+        records
+    }
+
+    /// Returns a generation of further parts that no owner has written yet.
+    fn next_generation(&self) -> u64 {
+        let number = self.generations.get() + 1;
+        self.generations.set(number);
+        self.term << u32::BITS | u64::from(number)
+    }
+
+    /// Takes records that delete the further parts of a workflow's progress.
+    pub(crate) fn take_deletions_of_parts(
+        &self,
+        id: WorkflowId,
+    ) -> impl Iterator<Item = Record> + use<> {
+        let keys = self.stored_parts.borrow_mut().remove(&id);
+        let keys = keys.into_iter().flatten();
+        keys.map(|key| Record { key, value: None })
     }
 
     fn progress_records(&self, unsaved: &Unsaved, roster: &[(WorkerKey, Listing)]) -> Vec<Record> {
         let progress = unsaved
             .progress
             .iter()
-            .map(|(id, progress)| record::encode(Key::Progress(*id).text(), progress));
+            .flat_map(|(id, progress)| self.records_of(*id, progress));
         let roster = roster
             .iter()
             .map(|(_, listing)| record::encode(Key::Roster(listing.name.clone()).text(), listing));
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -24,7 +24,7 @@
     clock::{Millis, WallMs},
     name::{DataCentre, NodeName},
     resources::Resources,
-    workflow::{Catalogue, Pool, Queue, State, Step, Workflow, WorkflowId},
+    workflow::{Catalogue, Pool, Queue, Schedule, State, Step, Workflow, WorkflowId},
 };
 
 use self::peers::{Connections, FakePeers};
@@ -205,6 +205,8 @@
             link_kbps,
             lease_ms: Millis(self.fleet.max_lease_ms.get()),
             keep_ended_ms: Millis(120_000),
+            max_record_bytes: self.store.max_record_bytes.get(),
+            max_append_bytes: store::RECORDS_PER_APPEND * self.store.max_record_bytes.get(),
         };
         let store = Rc::new(NodeStore {
             store: self.store.clone(),
@@ -308,6 +310,23 @@
             .block_on(node.frontend.submit(WorkflowId(id), workflow(steps)))
     }
 
+    /// Submits a workflow with a schedule at a node and returns the outcome.
+    pub(crate) fn submit_scheduled(
+        &self,
+        at: usize,
+        id: u64,
+        steps: Vec<Step>,
+        schedule: Schedule,
+    ) -> Submitted {
+        let node = self.node(at).expect("node");
+        let workflow = Workflow {
+            schedule: Some(schedule),
+            ..workflow(steps)
+        };
+        let submit = node.frontend.submit(WorkflowId(id), workflow);
+        self.sim.block_on(submit)
+    }
+
     /// Submits a workflow at a node, without waiting for the outcome.
     pub(crate) fn submit_in_background(&self, at: usize, id: u64, steps: Vec<Step>) -> Outcome {
         let outcome = Outcome::default();
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -26,8 +26,11 @@
 /// Value of the record of a worker that is about to leave.
 pub(super) const DRAINING: &[u8] = b"draining";
 
-/// Largest value of a record that the platform's store takes.
-const LARGEST_VALUE_BYTES: usize = 256 << 10;
+/// Largest record that the platform's store takes, with its key.
+const MAX_RECORD_BYTES: usize = 256 << 10;
+
+/// Size of the largest append that the store takes, in largest records.
+pub(super) const RECORDS_PER_APPEND: usize = 8;
 
 /// Time after which a connection without an answer is given up; longer than any caller waits.
 const SILENCE_MS: Millis = Millis(60_000);
@@ -57,10 +60,17 @@
     pub(crate) full: Cell<bool>,
     /// Factor applied to the latency of calls; above 1, appends also occupy their partition.
     pub(crate) latency_factor: Cell<u64>,
+    /// Largest record that the store takes, with its key.
+    pub(crate) max_record_bytes: Cell<usize>,
     /// Delay of reads of the newest worker records; widens races between the nodes that read them.
     pub(crate) worker_read_delay_ms: Cell<u64>,
 }
 
+/// Size of a record in an append: four bytes of length, one of the key's length, key and value.
+fn record_bytes(record: &Record) -> usize {
+    5 + record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+}
+
 impl FakeStore {
     pub(crate) fn new(sim: SimRuntime) -> Rc<FakeStore> {
         Rc::new(FakeStore {
@@ -71,6 +81,7 @@
             lose_answers: Cell::new(false),
             full: Cell::new(false),
             latency_factor: Cell::new(1),
+            max_record_bytes: Cell::new(MAX_RECORD_BYTES),
             worker_read_delay_ms: Cell::new(0),
         })
     }
@@ -201,10 +212,12 @@
             return Err(StoreError::Conflict);
         }
         let too_large = |record: &Record| {
-            let value_bytes = record.value.as_ref().map_or(0, Bytes::len);
-            record.key.len() > LONGEST_KEY_BYTES || value_bytes > LARGEST_VALUE_BYTES
+            record.key.len() > LONGEST_KEY_BYTES
+                || record_bytes(record) > self.max_record_bytes.get()
         };
-        if records.iter().any(too_large) {
+        let bytes: usize = records.iter().map(record_bytes).sum();
+        let max_bytes = self.max_record_bytes.get() * RECORDS_PER_APPEND;
+        if records.iter().any(too_large) || bytes > max_bytes {
             return Err(StoreError::NotDone);
         }
         let is_rejected = self.full.get() && !records.is_empty();
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -368,8 +368,24 @@
     /// Why the workflow failed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub failure: Option<Failure>,
+    /// Occurrences of which all tasks are done, as half-open ranges of their numbers; `steps` tells nothing of
+    /// their done tasks.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
     /// Progress of the steps that have any.
     pub steps: Vec<StepProgress>,
+    /// Further records that hold the rest; `None` if there are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub further: Option<FurtherParts>,
+}
+
+/// Further records of a progress that is too large for one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FurtherParts {
+    /// Generation of the records; each change of the progress writes a new one.
+    pub generation: u64,
+    /// Number of records.
+    pub count: u32,
 }
 
 /// Record in the submissions stream.
