Bound the stored interference estimates

The estimates are stored with the progress, in a record that had the full name of every image ever submitted.

Evidence: stored_estimates_are_bounded_whatever_images_are_named failed before, with 1,015,722 bytes for 2,000 images.

Change: 256 images are told apart, further ones share the last id, as columns beyond 64 did already. Of names over 64 bytes the beginning and a hash are kept. With a regression for each image the record takes 200 kB at most.

--- a/hemlocksaddle-policy/src/workflow/interference.rs
+++ b/hemlocksaddle-policy/src/workflow/interference.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use foldhash::HashMap;
+use hemlocksaddle_types::hash::stable_hash;
 use serde::{Deserialize, Serialize};
 
 /// Base as a fraction of the target, before shorter tails are observed.
@@ -70,6 +71,14 @@
 /// observation.
 const MAX_IMAGES: usize = 64;
 
+/// Maximum number of images that are told apart; further ones share the last id.
+///
+/// Bounds the stored state at 200 kB, with a regression for each of them.
+const MAX_KNOWN_IMAGES: usize = 256;
+
+/// Longest name of an image that is stored; of a longer one, the beginning and a hash are.
+const MAX_IMAGE_NAME_BYTES: usize = 64;
+
 /// Id of a task image; all tasks without an image share one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ImageId(usize);
@@ -213,6 +222,10 @@
 
     /// Restores a predecessor's learned state; ignored if inconsistent or once images are known.
     pub(super) fn restore(&mut self, snapshot: InterferenceSnapshot) {
+        let mut snapshot = snapshot;
+        snapshot.images.truncate(MAX_KNOWN_IMAGES);
+        let long_running = &mut snapshot.long_running;
+        long_running.retain(|long_running| long_running.image < MAX_KNOWN_IMAGES);
         let consistent = snapshot.long_running.iter().all(|long_running| {
             let size = long_running.weights.len();
             long_running.image < snapshot.images.len()
@@ -227,7 +240,8 @@
             self.demand = snapshot.demand.into_iter().map(f64::from).collect();
         }
         let images = snapshot.images.into_iter().enumerate();
-        self.images = images.map(|(key, name)| (name, ImageId(key))).collect();
+        let images = images.map(|(key, name)| (stored_name(name), ImageId(key)));
+        self.images = images.collect();
         self.regressions = vec![None; self.images.len()];
         for long_running in snapshot.long_running {
             self.bases
@@ -239,9 +253,13 @@
 
     /// Id of an image, assigned on first use.
     pub(super) fn image_id(&mut self, name: Option<&Arc<str>>) -> ImageId {
-        let name = name.cloned().unwrap_or_else(|| Arc::from(""));
+        let name = stored_name(name.cloned().unwrap_or_else(|| Arc::from("")));
         let next = ImageId(self.images.len());
-        *self.images.entry(name).or_insert(next)
+        if next.0 < MAX_KNOWN_IMAGES {
+            return *self.images.entry(name).or_insert(next);
+        }
+        let known = self.images.get(&name).copied();
+        known.unwrap_or(ImageId(MAX_KNOWN_IMAGES - 1))
     }
 
     /// Weight of best-effort work of `image` beside `long_running`; 0 for a harmless pair.
@@ -378,6 +396,16 @@
     load.unwrap_or(INITIAL_LOAD)
 }
 
+/// Name under which an image is stored.
+fn stored_name(name: Arc<str>) -> Arc<str> {
+    if name.len() <= MAX_IMAGE_NAME_BYTES {
+        return name;
+    }
+    let hash = format!("#{:016x}", stable_hash(&[name.as_bytes()]));
+    let beginning = name.floor_char_boundary(MAX_IMAGE_NAME_BYTES - hash.len());
+    format!("{}{hash}", &name[..beginning]).into()
+}
+
 /// Column of an image in a regression.
 fn column(image: ImageId) -> usize {
     image.0.min(MAX_IMAGES - 1)
--- a/hemlocksaddle-policy/tests/colocation.rs
+++ b/hemlocksaddle-policy/tests/colocation.rs
@@ -180,3 +180,24 @@
         );
     }
 }
+
+/// Guards against stored estimates that grow with each new name of an image, until the store refuses them.
+#[gtest]
+fn stored_estimates_are_bounded_whatever_images_are_named() {
+    let mut harness = Harness::with_workers(1, 16_000);
+    for id in 0..2_000 {
+        let name = format!("{}-{id}", "image".repeat(100));
+        harness.accept(id, vec![best_effort(1, 100, &name)]);
+    }
+    let stored = serde_json::to_string(&harness.scheduler.interference_snapshot());
+    expect_that!(stored.expect("encoded").len(), lt(64 << 10));
+    // Names that differ at their end only are told apart.
+    let mut successor = Harness::with_workers(1, 16_000);
+    let snapshot = harness.scheduler.interference_snapshot();
+    successor.scheduler.restore_interference(snapshot.clone());
+    let restored = successor.scheduler.interference_snapshot();
+    expect_that!(
+        serde_json::to_string(&restored).expect("encoded"),
+        eq(&serde_json::to_string(&snapshot).expect("encoded"))
+    );
+}
