Bound the appends of submissions

Up to 200 pending submissions went into one append, whatever their size. The store refuses an append over its limit, and the owner then refused all of them after 100 ms.

Evidence: submissions_that_exceed_one_append_together_are_accepted failed before (no answer after 60 ms; five appends take 20 ms).

Change: an append holds as many pending submissions as fit. A submission that exceeds a record is answered with 413 at once, by the node that its caller asked.

--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -27,6 +27,7 @@
     links::{CallOutcome, Links},
     node::{Env, Owners},
     owner::state_text,
+    parts::record_bytes,
     ports::{Conditions, StoreError, Stream},
     record::{self, Key},
 };
@@ -52,6 +53,8 @@
     Unavailable,
     /// Outcome unknown; the caller has to retry with the same id.
     Unknown,
+    /// Certainly not stored; the store takes no record of this size.
+    TooLarge,
 }
 
 /// Outcome of a state query.
@@ -169,6 +172,7 @@
             Submitted::Accepted => (Event::Accepted, "accepted"),
             Submitted::Unavailable => (Event::Refused, "refused"),
             Submitted::Unknown => (Event::OutcomeUnknown, "unknown"),
+            Submitted::TooLarge => (Event::Refused, "too large"),
         };
         self.env
             .metrics
@@ -218,6 +222,9 @@
                 return Submitted::Unavailable;
             }
         };
+        if record_bytes(&record) > self.env.settings.max_record_bytes {
+            return Submitted::TooLarge;
+        }
         loop {
             if self.is_isolated(shard) && !attempts.borrow().maybe_stored {
                 return Submitted::Unavailable;
--- a/hemlocksaddle-shard/src/group_commit.rs
+++ b/hemlocksaddle-shard/src/group_commit.rs
@@ -22,6 +22,7 @@
 use crate::{
     event::Event,
     owner::Owner,
+    parts::record_bytes,
     ports::{Conditions, Record, StoreError, Stream},
     record::{self, Key},
     recovery::Origin,
@@ -45,6 +46,16 @@
     reply: oneshot::Sender<ShardResponse>,
 }
 
+/// Number of the first pending submissions that fit into one append.
+fn batch_size(pending: &[PendingSubmission], max_bytes: usize) -> usize {
+    let mut bytes = 0;
+    let fitting = pending.iter().take(MAX_BATCH).take_while(|item| {
+        bytes += record_bytes(&item.record);
+        bytes <= max_bytes
+    });
+    fitting.count().max(1).min(pending.len())
+}
+
 impl Owner {
     /// Stores a submission, in one append with others that are pending.
     pub(crate) async fn store(&self, id: WorkflowId, submission: &Submission) -> ShardResponse {
@@ -60,7 +71,8 @@
                 return ShardResponse::NotStored;
             }
         };
-        if self.env.store_failing_for() >= STORE_UNAVAILABLE_MS {
+        let is_too_large = record_bytes(&record) > self.env.settings.max_record_bytes;
+        if is_too_large || self.env.store_failing_for() >= STORE_UNAVAILABLE_MS {
             return ShardResponse::NotStored;
         }
         let (reply, answer) = oneshot::channel();
@@ -83,7 +95,7 @@
             let seen = self.pending_changed.count();
             let mut batch: Vec<PendingSubmission> = {
                 let mut waiting = self.pending_submissions.borrow_mut();
-                let count = waiting.len().min(MAX_BATCH);
+                let count = batch_size(&waiting, self.env.settings.append_bytes());
                 waiting.drain(..count).collect()
             };
             if batch.is_empty() {
