Bound the state of workflows with many tasks

Cause: the owner created the state of every task of every due occurrence. The numbers of tasks and of occurrences are limited one by one, and their product is not. Each plan went through all of them.

Only tasks that have been started and are not done have state of their own, so that memory is bounded by what runs and not by what a submission names. The second part covers several workflows of 100,000 tasks without a schedule.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -7,7 +7,7 @@
     workflow::{CrashedRun, Failure, Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
-use super::{JobKey, WorkerKey, interference::ImageId, occurrences::Occurrences};
+use super::{JobKey, WorkerKey, interference::ImageId, occurrences::Occurrences, tasks::Tasks};
 
 /// Key of a task in the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -123,12 +123,13 @@
 }
 
 impl Task {
-    fn new() -> Task {
+    /// Task without a run that is known.
+    pub(super) const fn with(phase: Phase, end_unknown: bool) -> Task {
         Task {
-            phase: Phase::Waiting,
+            phase,
             run: Run(0),
             failed: Vec::new(),
-            end_unknown: false,
+            end_unknown,
             restarted: None,
             restarted_before: None,
             checkpoint: None,
@@ -184,7 +185,7 @@
 /// Tasks of one step in one occurrence.
 #[derive(Clone, Debug)]
 pub(super) struct StepState {
-    pub(super) tasks: Vec<Task>,
+    pub(super) tasks: Tasks,
     pub(super) done: u32,
     pub(super) waiting: u32,
     /// Number of located tasks.
@@ -199,12 +200,14 @@
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
     pub(super) steps: Vec<StepState>,
+    /// Time at which it became due for this owner.
+    pub(super) due_at: MonoMs,
 }
 
 impl Occurrence {
-    pub(super) fn new(spec: &Workflow) -> Occurrence {
+    pub(super) fn new(spec: &Workflow, due_at: MonoMs) -> Occurrence {
         let state = |step: &Step| StepState {
-            tasks: vec![Task::new(); step.tasks as usize],
+            tasks: Tasks::new(step.tasks),
             done: 0,
             waiting: step.tasks,
             located: 0,
@@ -213,17 +216,30 @@
         };
         Occurrence {
             steps: spec.steps.iter().map(state).collect(),
+            due_at,
         }
     }
 
+    /// Number of tasks that are not assigned and not done.
+    pub(super) fn waiting(&self) -> u64 {
+        let steps = self.steps.iter();
+        steps.map(|step| u64::from(step.waiting)).sum()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.steps.iter().all(StepState::is_done)
     }
+
+    /// Whether all steps that one depends on are done.
+    pub(super) fn step_is_due(&self, step: &Step) -> bool {
+        let mut dependencies = step.depends_on.iter();
+        dependencies.all(|&dependency| self.steps[usize::from(dependency)].is_done())
+    }
 }
 
 impl StepState {
     pub(super) fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
+        self.done == self.tasks.count()
     }
 }
 
@@ -273,7 +289,7 @@
     ) -> Job {
         Job {
             id,
-            occurrences: Occurrences::new(&spec),
+            occurrences: Occurrences::new(&spec, now),
             maybe_done: Vec::new(),
             spec: Rc::new(spec),
             accepted_at: now,
@@ -312,7 +328,7 @@
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
         let occurrence = self.occurrences.get(key.occurrence)?;
         let step = occurrence.steps.get(usize::from(key.step))?;
-        step.tasks.get(key.index as usize)
+        step.tasks.get(key.index)
     }
 
     /// Task with the given name; the workflow id in it is ignored.
@@ -320,7 +336,7 @@
     pub fn task_named(&self, name: TaskName) -> Option<&Task> {
         let occurrence = self.occurrences.get(name.occurrence)?;
         let step = occurrence.steps.get(usize::from(name.step))?;
-        step.tasks.get(name.index as usize)
+        step.tasks.get(name.index)
     }
 
     pub(super) fn step(&self, key: TaskKey) -> &Step {
@@ -341,26 +357,38 @@
     }
 
     pub(super) fn task_mut(&mut self, key: TaskKey) -> &mut Task {
-        &mut self.step_state(key).tasks[key.index as usize]
+        &mut self.step_state(key).tasks[key.index]
+    }
+
+    /// Drops the state of a task that is done.
+    pub(super) fn settle(&mut self, key: TaskKey) {
+        self.step_state(key).tasks.settle(key.index);
+    }
+
+    /// Index of the first waiting task of a step from the given one.
+    pub(super) fn first_waiting(&self, from: TaskKey) -> Option<u32> {
+        let occurrence = self.occurrences.get(from.occurrence)?;
+        let step = occurrence.steps.get(usize::from(from.step))?;
+        step.tasks.first_waiting(from.index)
     }
 
     /// Task with the given key, for changes; `None` if it has no state.
     pub(super) fn find_task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
         let occurrence = self.occurrences.get_mut(key.occurrence)?;
         let step = occurrence.steps.get_mut(usize::from(key.step))?;
-        step.tasks.get_mut(key.index as usize)
+        step.tasks.get_mut(key.index)
     }
 
-    /// Creates the state of the occurrences that are due.
-    pub(super) fn add_due_occurrences(&mut self, wall: WallMs) {
-        self.occurrences.add_due(&self.spec, wall);
+    /// Creates the state of occurrences that are due.
+    pub(super) fn add_due_occurrences(&mut self, now: MonoMs, wall: WallMs) {
+        self.occurrences.add_due(&self.spec, now, wall);
     }
 
     /// Creates the state of the occurrence of a task, unless the occurrence is done or there is no such task.
-    pub(super) fn ensure_occurrence_of(&mut self, name: TaskName) {
+    pub(super) fn ensure_occurrence_of(&mut self, name: TaskName, now: MonoMs) {
         let step = self.spec.steps.get(usize::from(name.step));
         if step.is_some_and(|step| name.index < step.tasks) {
-            self.occurrences.ensure(name.occurrence, &self.spec);
+            self.occurrences.ensure(name.occurrence, &self.spec, now);
         }
     }
 
@@ -383,7 +411,12 @@
     ///
     /// A predecessor may have started them.
     pub(super) fn awaits_reports(&self, step: &Step, failover_complete: bool) -> bool {
-        self.inherited && !failover_complete && !step.speculative
+        self.may_await_reports(failover_complete) && !step.speculative
+    }
+
+    /// Whether some tasks that are not located have to wait until all workers have reported in this term.
+    pub(super) fn may_await_reports(&self, failover_complete: bool) -> bool {
+        self.inherited && !failover_complete
     }
 
     /// Records that waiting tasks may have run in a way that is not known; returns whether any was
@@ -392,10 +425,8 @@
         let occurrences = self.occurrences.iter_mut();
         let steps = occurrences.flat_map(|(_, occurrence)| &mut occurrence.steps);
         let mut has_changed = false;
-        for task in steps.flat_map(|step| &mut step.tasks) {
-            if task.phase == Phase::Waiting {
-                has_changed |= !std::mem::replace(&mut task.end_unknown, true);
-            }
+        for step in steps {
+            has_changed |= step.tasks.mark_waiting_unknown();
         }
         has_changed
     }
@@ -403,17 +434,13 @@
     /// Time since which a task has waited or, if it does not wait, had waited before its start.
     pub(super) fn waiting_since(&self, key: TaskKey) -> MonoMs {
         let state = &self.occurrences[key.occurrence].steps[usize::from(key.step)];
-        let task = &state.tasks[key.index as usize];
+        let task = &state.tasks[key.index];
         let since = task.waiting_since.or(state.waiting_since);
-        since.unwrap_or(self.accepted_at)
+        since.unwrap_or(self.occurrences[key.occurrence].due_at)
     }
 
-    /// Whether all steps that this one depends on are done.
+    /// Whether all steps that one depends on are done.
     pub(super) fn step_is_due(&self, occurrence: u32, step: usize) -> bool {
-        let states = &self.occurrences[occurrence].steps;
-        let dependencies = &self.spec.steps[step].depends_on;
-        dependencies
-            .iter()
-            .all(|&dependency| states[usize::from(dependency)].is_done())
+        self.occurrences[occurrence].step_is_due(&self.spec.steps[step])
     }
 }
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -4,14 +4,14 @@
 
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
-    workflow::{CrashedRun, Failure, Progress, State, StepProgress, Workflow, WorkflowId},
+    workflow::{CrashedRun, Failure, Progress, Run, State, StepProgress, Workflow, WorkflowId},
 };
 
 use super::{
     JobKey, Order, Phase, Scheduler, TaskKey, WorkerKey,
     ended::of_ended,
     interference::ImageId,
-    job::{Job, StepState, Task},
+    job::{Job, StepState},
 };
 
 /// Maximum number of workflows whose progress is saved at once.
@@ -20,6 +20,9 @@
 /// call to the store may take more than twice as long.
 pub const MAX_SAVED_WORKFLOWS: usize = 500;
 
+/// Number of restored tasks of a step with an unknown end from which all waiting ones are taken as such.
+const MAX_SINGLY_UNKNOWN: usize = 1_000;
+
 /// Progress that is to be made durable.
 #[derive(Clone, Debug, Default)]
 pub struct Unsaved {
@@ -131,7 +134,8 @@
                 }
                 continue;
             }
-            job.occurrences.ensure(saved.occurrence, &job.spec);
+            job.occurrences
+                .ensure(saved.occurrence, &job.spec, job.accepted_at);
             let occurrence = job.occurrences.get_mut(saved.occurrence);
             let Some(step) = occurrence.and_then(|o| o.steps.get_mut(usize::from(saved.step)))
             else {
@@ -337,15 +341,14 @@
         let mut placed = Vec::new();
         for (occurrence, state) in job.occurrences.iter() {
             for (step, tasks) in state.steps.iter().enumerate() {
-                let with_worker = tasks.tasks.iter().enumerate();
-                placed.extend(with_worker.filter(|(_, t)| t.phase.worker().is_some()).map(
-                    |(index, _)| TaskKey {
-                        job: key,
-                        occurrence,
-                        step: u16::try_from(step).unwrap_or(u16::MAX),
-                        index: u32::try_from(index).unwrap_or(u32::MAX),
-                    },
-                ));
+                let assigned = tasks.tasks.own();
+                let assigned = assigned.filter(|(_, task)| task.phase.worker().is_some());
+                placed.extend(assigned.map(|(index, _)| TaskKey {
+                    job: key,
+                    occurrence,
+                    step: u16::try_from(step).unwrap_or(u16::MAX),
+                    index,
+                }));
             }
         }
         for task in placed {
@@ -382,7 +385,7 @@
         };
         let long_running = job.step(key).long_running;
         let state = job.step_state(key);
-        let task = &mut state.tasks[key.index as usize];
+        let task = &mut state.tasks[key.index];
         let Some(worker) = task.phase.worker() else {
             return;
         };
@@ -406,13 +409,12 @@
         self.unassign(key);
         let job = &mut self.jobs[key.job];
         let state = job.step_state(key);
-        let task = &mut state.tasks[key.index as usize];
+        let task = &mut state.tasks[key.index];
         if task.phase == Phase::Done {
             return;
         }
         task.phase = Phase::Done;
-        task.checkpoint = None;
-        task.crashes.clear();
+        state.tasks.settle(key.index);
         state.waiting -= 1;
         state.done += 1;
         if state.is_done() {
@@ -424,18 +426,21 @@
 }
 
 fn restore_step(step: &mut StepState, saved: &StepProgress) {
-    let tasks = step.tasks.len();
-    for &(from, to) in &saved.done {
-        for task in &mut step.tasks[(from as usize).min(tasks)..(to as usize).min(tasks)] {
-            if task.phase == Phase::Waiting {
-                task.phase = Phase::Done;
-                step.done += 1;
-                step.waiting -= 1;
-            }
+    let count = step.tasks.count();
+    let indices = |ranges: &[(u32, u32)]| -> Vec<u32> {
+        let ranges = ranges.iter();
+        ranges.flat_map(|&(from, to)| from..to.min(count)).collect()
+    };
+    for index in indices(&saved.done) {
+        if step.tasks[index].phase == Phase::Waiting {
+            step.tasks[index].phase = Phase::Done;
+            step.tasks.settle(index);
+            step.done += 1;
+            step.waiting -= 1;
         }
     }
     for &(index, run) in &saved.failed {
-        if let Some(task) = step.tasks.get_mut(index as usize)
+        if let Some(task) = step.tasks.get_mut(index)
             && !task.failed.contains(&run)
         {
             task.failed.push(run);
@@ -443,13 +448,11 @@
             task.has_run = true;
         }
     }
-    for &(from, to) in &saved.begun {
-        for task in &mut step.tasks[(from as usize).min(tasks)..(to as usize).min(tasks)] {
-            task.has_run = true;
-        }
+    for index in indices(&saved.begun) {
+        step.tasks[index].has_run = true;
     }
     for (index, crashed) in &saved.crashed {
-        if let Some(task) = step.tasks.get_mut(*index as usize)
+        if let Some(task) = step.tasks.get_mut(*index)
             && !task.crashes.contains(crashed)
         {
             task.crashes.push(crashed.clone());
@@ -458,22 +461,28 @@
         }
     }
     for &(index, run) in &saved.restarted {
-        if let Some(task) = step.tasks.get_mut(index as usize) {
+        if let Some(task) = step.tasks.get_mut(index) {
             task.restarted = Some(run);
             task.run = task.run.max(run);
+            step.tasks.settle(index);
         }
     }
-    for &(from, to) in &saved.end_unknown {
-        for task in &mut step.tasks[(from as usize).min(tasks)..(to as usize).min(tasks)] {
-            task.end_unknown = true;
-        }
+    let end_unknown = indices(&saved.end_unknown);
+    if end_unknown.len() > MAX_SINGLY_UNKNOWN {
+        // To take an end as unknown that is known costs an acknowledgement at most.
+        step.tasks.mark_waiting_unknown();
+        return;
+    }
+    for index in end_unknown {
+        step.tasks[index].end_unknown = true;
     }
 }
 
 fn crashed_runs(step: &StepState) -> Vec<(u32, CrashedRun)> {
-    let tasks = (0u32..).zip(&step.tasks);
-    let crashed =
-        tasks.flat_map(|(index, task)| task.crashes.iter().map(move |run| (index, run.clone())));
+    let crashed = step.tasks.own().flat_map(|(index, task)| {
+        let crashes = task.crashes.iter();
+        crashes.map(move |run| (index, run.clone()))
+    });
     crashed.collect()
 }
 
@@ -485,14 +494,16 @@
             let saved = StepProgress {
                 occurrence,
                 step: u16::try_from(number).unwrap_or(u16::MAX),
-                done: ranges(step, |task| task.phase == Phase::Done),
+                done: step.tasks.ranges(|task| task.phase == Phase::Done),
                 failed: failed_runs(step),
-                restarted: restarted_runs(step),
+                restarted: step.tasks.restarted(),
                 crashed: crashed_runs(step),
-                begun: ranges(step, |task| {
-                    job.spec.steps[number].long_running && task.has_run
-                }),
-                end_unknown: ranges(step, |task| task.end_unknown && task.phase != Phase::Done),
+                begun: step
+                    .tasks
+                    .ranges(|task| job.spec.steps[number].long_running && task.has_run),
+                end_unknown: step
+                    .tasks
+                    .ranges(|task| task.end_unknown && task.phase != Phase::Done),
             };
             let saved = if job.ended.is_some() {
                 of_ended(saved)
@@ -531,29 +542,10 @@
     steps.into_values().collect()
 }
 
-/// Tasks with a property, as half-open index ranges.
-fn ranges(step: &StepState, has_property: impl Fn(&Task) -> bool) -> Vec<(u32, u32)> {
-    let mut ranges: Vec<(u32, u32)> = Vec::new();
-    for (index, task) in (0u32..).zip(&step.tasks) {
-        if !has_property(task) {
-            continue;
-        }
-        match ranges.last_mut() {
-            Some((_, end)) if *end == index => *end += 1,
-            _ => ranges.push((index, index + 1)),
-        }
-    }
-    ranges
-}
-
-fn failed_runs(step: &StepState) -> Vec<(u32, hemlocksaddle_types::workflow::Run)> {
-    let tasks = (0u32..).zip(&step.tasks);
-    let failed = tasks.flat_map(|(index, task)| task.failed.iter().map(move |&run| (index, run)));
+fn failed_runs(step: &StepState) -> Vec<(u32, Run)> {
+    let failed = step
+        .tasks
+        .own()
+        .flat_map(|(index, task)| task.failed.iter().map(move |&run| (index, run)));
     failed.collect()
 }
-
-fn restarted_runs(step: &StepState) -> Vec<(u32, hemlocksaddle_types::workflow::Run)> {
-    let tasks = (0u32..).zip(&step.tasks);
-    let restarted = tasks.filter_map(|(index, task)| Some((index, task.restarted?)));
-    restarted.collect()
-}
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -32,6 +32,7 @@
 mod ranking;
 mod report;
 mod restart;
+mod tasks;
 mod waiting;
 mod work;
 mod worker;
@@ -325,7 +326,7 @@
     /// A predecessor may have started tasks of occurrences that this owner does not take as due yet.
     fn named_task_key(&mut self, name: TaskName) -> Option<TaskKey> {
         let job = *self.by_id.get(&name.workflow)?;
-        self.jobs[job].ensure_occurrence_of(name);
+        self.jobs[job].ensure_occurrence_of(name, self.updated_at);
         self.task_key(name)
     }
 
--- a/hemlocksaddle-policy/src/workflow/occurrences.rs
+++ b/hemlocksaddle-policy/src/workflow/occurrences.rs
@@ -1,7 +1,8 @@
 //! Occurrences of a workflow and the state of their tasks.
 //!
 //! An occurrence has state from the time at which it is due until all its tasks are done. Of done ones only
-//! their numbers are kept, and what decides whether a late end is acknowledged.
+//! their numbers are kept, and what decides whether a late end is acknowledged. Of occurrences that are due at
+//! the same time, those get state whose tasks may be started next; the others follow as tasks are started.
 
 use std::{
     collections::BTreeMap,
@@ -10,12 +11,17 @@
 
 use foldhash::HashMap;
 use hemlocksaddle_types::{
-    clock::WallMs,
+    clock::{MonoMs, WallMs},
     workflow::{Run, Workflow},
 };
 
 use super::{job::Occurrence, ranges::Ranges};
 
+/// Number of waiting tasks of a workflow from which no further occurrence gets state.
+///
+/// More than one plan usually starts.
+const MAX_WAITING_TASKS: u64 = 500;
+
 /// Task of an occurrence: numbers of the occurrence, the step and the task.
 type TaskNumbers = (u32, u16, u32);
 
@@ -52,7 +58,7 @@
 
 impl Occurrences {
     /// Occurrences of a workflow; the only one of a workflow without a schedule is due at once.
-    pub(super) fn new(spec: &Workflow) -> Occurrences {
+    pub(super) fn new(spec: &Workflow, now: MonoMs) -> Occurrences {
         let mut occurrences = Occurrences {
             total: spec.occurrences(),
             next: 0,
@@ -61,7 +67,7 @@
             restarted: HashMap::default(),
         };
         if spec.schedule.is_none() {
-            occurrences.ensure(0, spec);
+            occurrences.ensure(0, spec, now);
         }
         occurrences
     }
@@ -94,19 +100,20 @@
     }
 
     /// Creates the state of an occurrence that exists and is not done, unless it has one.
-    pub(super) fn ensure(&mut self, number: u32, spec: &Workflow) {
+    pub(super) fn ensure(&mut self, number: u32, spec: &Workflow, now: MonoMs) {
         if self.is_open(number) {
             self.active
                 .entry(number)
-                .or_insert_with(|| Occurrence::new(spec));
+                .or_insert_with(|| Occurrence::new(spec, now));
         }
     }
 
-    /// Creates the state of the occurrences that are due.
-    pub(super) fn add_due(&mut self, spec: &Workflow, wall: WallMs) {
+    /// Creates the state of the occurrences that are due, as long as few tasks wait.
+    pub(super) fn add_due(&mut self, spec: &Workflow, now: MonoMs, wall: WallMs) {
         let Some(schedule) = spec.schedule else {
             return;
         };
+        let mut waiting = None;
         loop {
             self.next = self.done.first_missing(self.next);
             let interval_ms = schedule.interval_ms.0;
@@ -116,7 +123,15 @@
             if self.next >= self.total || wall.0 < due_ms {
                 return;
             }
-            self.ensure(self.next, spec);
+            let waiting = waiting.get_or_insert_with(|| {
+                let active = self.active.values();
+                active.map(Occurrence::waiting).sum::<u64>()
+            });
+            if *waiting >= MAX_WAITING_TASKS {
+                return;
+            }
+            self.ensure(self.next, spec, now);
+            *waiting += self.get(self.next).map_or(0, Occurrence::waiting);
             self.next += 1;
         }
     }
@@ -142,11 +157,9 @@
             return;
         };
         for (step, state) in (0u16..).zip(&occurrence.steps) {
-            for (index, task) in (0u32..).zip(&state.tasks) {
-                if let Some(run) = task.restarted {
-                    self.restarted.insert((number, step, index), run);
-                }
-            }
+            let restarted = state.tasks.restarted().into_iter();
+            let restarted = restarted.map(|(index, run)| ((number, step, index), run));
+            self.restarted.extend(restarted);
         }
     }
 
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -36,7 +36,7 @@
     occurrence: u32,
     pub(super) step: u16,
     pub(super) queue: Arc<Queue>,
-    accepted_at: MonoMs,
+    due_at: MonoMs,
     capacity_rule: CapacityRule,
     /// Whether only located tasks may start.
     awaits_reports: bool,
@@ -62,7 +62,7 @@
             .priority
             .cmp(&other.queue.priority)
             .then(self.capacity_rule.cmp(&other.capacity_rule))
-            .then(self.accepted_at.cmp(&other.accepted_at))
+            .then(self.due_at.cmp(&other.due_at))
             .then(self.step.cmp(&other.step))
     }
 }
@@ -122,17 +122,17 @@
         let mut ready = Vec::new();
         for &key in &self.open_jobs {
             let job = &mut self.jobs[key];
-            job.add_due_occurrences(wall);
+            job.add_due_occurrences(now, wall);
             let Some(queue) = self.queues.get(&job.spec.queue) else {
                 continue;
             };
-            let spec: Rc<_> = job.spec.clone();
-            let numbers: Vec<u32> = job.occurrences.iter().map(|(number, _)| number).collect();
-            for occurrence in numbers {
-                for (number, spec) in spec.steps.iter().enumerate() {
-                    let awaits_reports = job.awaits_reports(spec, failover_complete);
-                    let due = !job.unconfirmed && job.step_is_due(occurrence, number);
-                    let step = &mut job.occurrences[occurrence].steps[number];
+            let unconfirmed = job.unconfirmed;
+            let may_await_reports = job.may_await_reports(failover_complete);
+            for (occurrence, state) in job.occurrences.iter_mut() {
+                for (number, spec) in job.spec.steps.iter().enumerate() {
+                    let awaits_reports = may_await_reports && !spec.speculative;
+                    let due = !unconfirmed && state.step_is_due(spec);
+                    let step = &mut state.steps[number];
                     let must_wait = awaits_reports && step.located == 0;
                     if step.waiting == 0 || must_wait || !due {
                         step.waiting_since = None;
@@ -144,7 +144,7 @@
                         occurrence,
                         step: u16::try_from(number).unwrap_or(u16::MAX),
                         queue: queue.clone(),
-                        accepted_at: job.accepted_at,
+                        due_at: state.due_at,
                         capacity_rule: CapacityRule::for_step(spec, waiting_since, now),
                         awaits_reports,
                     });
@@ -170,7 +170,9 @@
         let is_ruled_out = unplaced.any(|other| other.rules_out(step, image, pool, rule));
         // Ranking of the previous task, with the place that it took.
         let mut previous: Option<(Ranking, usize)> = None;
-        for index in 0..step.tasks {
+        let mut next = 0;
+        while let Some(index) = self.jobs[ready.job].first_waiting(ready.key(next)) {
+            next = index + 1;
             if self.start_budget == 0 {
                 return;
             }
--- a/hemlocksaddle-policy/src/workflow/ranges.rs
+++ b/hemlocksaddle-policy/src/workflow/ranges.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Smallest member from the given number.
+    pub(super) fn first_present(&self, from: u32) -> Option<u32> {
+        let at = self.ranges.partition_point(|&(_, end)| end <= from);
+        self.ranges.get(at).map(|&(start, _)| start.max(from))
+    }
+
     /// Number of members.
     pub(super) fn count(&self) -> u32 {
         self.count
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -95,6 +95,7 @@
             task.checkpoint.clone_from(&end.checkpoint);
         }
         if end.kind == EndKind::Done && task.restarted.is_some_and(|run| end.run < run) {
+            job.settle(key);
             return self.withhold(worker, end);
         }
         match end.kind {
@@ -125,6 +126,7 @@
         if gang && end.kind != EndKind::Done {
             self.stop_gang(key);
         }
+        self.jobs[key.job].settle(key);
         self.finish_if_complete(key.job, wall);
     }
 
@@ -271,7 +273,7 @@
         }
         if locates {
             let state = job.step_state(key);
-            let task = &mut state.tasks[key.index as usize];
+            let task = &mut state.tasks[key.index];
             state.located += u32::from(!std::mem::replace(&mut task.located, true));
         }
         let task = job.task_mut(key);
@@ -299,7 +301,7 @@
     pub(super) fn forget_location(&mut self, key: TaskKey) {
         if let Some(job) = self.jobs.get_mut(key.job) {
             let state = job.step_state(key);
-            let task = &mut state.tasks[key.index as usize];
+            let task = &mut state.tasks[key.index];
             state.located -= u32::from(std::mem::replace(&mut task.located, false));
         }
     }
--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -265,14 +265,15 @@
         let job = &self.jobs[first.job];
         let step = job.step(first);
         let threshold = threshold(step);
-        let ready_since = state.waiting_since.unwrap_or(job.accepted_at);
+        let due_at = job.occurrences[first.occurrence].due_at;
+        let ready_since = state.waiting_since.unwrap_or(due_at);
         // Long-running tasks are few; the others are scanned only if some may be overdue.
         if !step.long_running && now.since(ready_since) < threshold {
             return None;
         }
-        let tasks = (0u32..).zip(&state.tasks);
-        let waiting = tasks.filter(|(_, task)| task.phase == Phase::Waiting);
-        let waits = waiting.map(|(index, _)| {
+        let segments = state.tasks.segments();
+        let waiting = segments.filter(|(.., task)| task.phase == Phase::Waiting);
+        let waits = waiting.map(|(index, ..)| {
             let key = TaskKey { index, ..first };
             (job.waiting_since(key), key)
         });
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -1,6 +1,7 @@
 //! Test harness: a scheduler with workers whose reports the test makes up.
 
 mod crashes;
+mod schedules;
 
 use std::{net::SocketAddr, ops::RangeInclusive};
 
