Keep what withholds ends in one module

No change of behaviour, but for the state of a done task that a worker lists as running, which is dropped again.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -34,6 +34,7 @@
 mod restart;
 mod tasks;
 mod waiting;
+mod withheld;
 mod work;
 mod worker;
 
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -130,13 +130,6 @@
         self.finish_if_complete(key.job, wall);
     }
 
-    /// Keeps an end of a worker from being acknowledged until its lease has expired.
-    fn withhold(&mut self, worker: WorkerKey, end: &End) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.withheld_end.get_or_insert(end.number);
-        }
-    }
-
     /// Orders the current run of a task to stop after another run of it completed.
     fn stop_superseded(&mut self, key: TaskKey, now: MonoMs) {
         let name = self.name(key);
@@ -246,6 +239,7 @@
         let current = task.phase.worker() == Some(worker) && task.run == status.run;
         if !adopted && !current {
             let occupied = occupied(job.step(key));
+            job.settle(key);
             self.stop_leftover(worker, status.task, status.run, Some(occupied), now);
             return;
         }
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -204,36 +204,6 @@
         self.acknowledgeable_ends() > self.saved_ends
     }
 
-    /// Number up to which applied ends may be acknowledged once they are durable.
-    pub(super) fn acknowledgeable_ends(&self) -> u64 {
-        let withheld = self.withheld_end.unwrap_or(u64::MAX);
-        self.applied_ends.min(withheld - 1)
-    }
-
-    /// Whether the worker lists ends that must not be acknowledged; it then answers each report
-    /// request at once.
-    #[must_use]
-    pub fn withholds_ends(&self) -> bool {
-        self.withheld_end.is_some()
-    }
-
-    /// Whether the lease may be renewed.
-    ///
-    /// An idle worker with a withheld end has to lose its lease before it can be used without limits again.
-    #[must_use]
-    pub fn may_renew_lease(&self) -> bool {
-        self.withheld_end.is_none() || !self.tasks.is_empty()
-    }
-
-    /// Stops withholding ends if the lease has certainly expired.
-    ///
-    /// No run outlives the lease, so all ends known by now were reached before it expired.
-    pub(super) fn release_ends(&mut self, now: MonoMs) {
-        if now > self.lease_until {
-            self.withheld_end = None;
-        }
-    }
-
     /// Whether the worker certainly runs nothing that it was told to start, and gets no new task
     /// either: it is about to leave, or has left.
     fn is_vacant(&self) -> bool {
@@ -489,21 +459,6 @@
         }
     }
 
-    /// Extends the time until which tasks may run on a worker to the end of a lease that may have been granted
-    /// before its clock was known.
-    ///
-    /// Leases of a predecessor have expired by the end of the failover.
-    pub fn assume_earlier_lease(&mut self, key: WorkerKey, until: MonoMs) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            let until = if worker.inherited {
-                until.min(self.failover_complete_at)
-            } else {
-                until
-            };
-            worker.lease_until = worker.lease_until.max(until);
-        }
-    }
-
     /// Unassigns tasks of workers whose lease has certainly expired; removes unlisted workers, and those
     /// that certainly run nothing from the roster.
     pub fn expire(&mut self, now: MonoMs) {
