Limit appends to half a second of the link

The limit of an append was never below the largest record that the store takes, 256 kB. On a link of 2 Mbit/s such an append takes over a second, and a call ends after 1.2 s; it is then repeated. Progress in parts of 64 kB had no limit by the link either.

Evidence: an_append_takes_half_a_second_of_a_slow_link_at_most failed before, with 242,560 bytes in one append.

Change: an append of several records takes at most what the link carries in half a second, and so does a part of a progress.

--- a/hemlocksaddle-policy/src/congestion.rs
+++ b/hemlocksaddle-policy/src/congestion.rs
@@ -197,11 +197,14 @@
 /// Largest size of an append on any link.
 const MAX_APPEND_BYTES: usize = 1 << 20;
 
+/// Smallest limit of an append, which a few records take.
+const MIN_APPEND_BYTES: usize = 1_000;
+
 /// Largest size of an append in bytes, on a link of the given bandwidth.
 #[must_use]
 pub fn append_bytes(link_kbps: u32) -> usize {
     let transferred = (link_kbps as usize).saturating_mul(APPEND_TRANSFER_MS) / 8;
-    transferred.min(MAX_APPEND_BYTES)
+    transferred.clamp(MIN_APPEND_BYTES, MAX_APPEND_BYTES)
 }
 
 /// Pause after an append of progress of the given size, on a link of the given bandwidth.
--- a/hemlocksaddle-policy/tests/congestion.rs
+++ b/hemlocksaddle-policy/tests/congestion.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::congestion::{
-    LatencyEstimate, StartWindow, save_pause, silent_poll_pause,
+    LatencyEstimate, StartWindow, append_bytes, save_pause, silent_poll_pause,
 };
 use hemlocksaddle_types::clock::{Millis, MonoMs};
 
@@ -189,3 +189,15 @@
     expect_that!(save_pause(5_000, 1_000_000), eq(Millis(20)));
     expect_that!(save_pause(1_000_000, 100), eq(Millis(250)));
 }
+
+/// Load pattern: much progress to save over a slow link. Guards against appends that take longer than a call to the
+/// store may, and so are repeated without end.
+#[gtest]
+fn an_append_takes_half_of_the_time_limit_of_a_call_at_most() {
+    for link_kbps in [100, 2_000, 10_000, 1_000_000] {
+        let took_ms = append_bytes(link_kbps) as u64 * 8 / u64::from(link_kbps);
+        expect_that!(took_ms, le(600), "{link_kbps} kbit/s");
+    }
+    expect_that!(append_bytes(1_000_000), eq(1 << 20));
+    expect_that!(append_bytes(u32::MAX), eq(1 << 20));
+}
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -74,10 +74,9 @@
         (self.cpu_share * 1_000.0).round() as u32
     }
 
-    /// Largest append that the store takes and that does not occupy the node's link for long.
+    /// Largest append of several records that the store takes and that does not occupy the node's link for long.
     pub(crate) fn append_bytes(&self) -> usize {
-        let of_link = append_bytes(self.link_kbps).max(self.max_record_bytes);
-        of_link.min(self.max_append_bytes)
+        append_bytes(self.link_kbps).min(self.max_append_bytes)
     }
 }
 
--- a/hemlocksaddle-shard/src/saving.rs
+++ b/hemlocksaddle-shard/src/saving.rs
@@ -121,7 +121,9 @@
             .settings
             .max_record_bytes
             .saturating_sub(MAX_KEY_BYTES);
-        let max_bytes = max_bytes.min(MAX_PROGRESS_BYTES);
+        let max_bytes = max_bytes
+            .min(MAX_PROGRESS_BYTES)
+            .min(self.env.settings.append_bytes());
         let deletions = self.take_deletions_of_parts(id);
         let mut parts = split(progress.clone(), max_bytes).into_iter();
         let mut first = parts.next().unwrap_or_default();
--- a/hemlocksaddle-shard/tests/large_submissions.rs
+++ b/hemlocksaddle-shard/tests/large_submissions.rs
@@ -71,3 +71,19 @@
         some(eq(State::Completed))
     );
 }
+
+/// Guards against appends that take longer on a slow link than a call to the store may.
+#[gtest]
+fn an_append_takes_half_a_second_of_a_slow_link_at_most() {
+    let deployment = Deployment::without_nodes(1, 4);
+    deployment.start_with(0, 0.25, 2_000);
+    deployment.wait_for_owner();
+    let submit = |id| deployment.submit_in_background(0, id, vec![with_image(30_000)]);
+    let outcomes: Vec<_> = (1..=40).map(submit).collect();
+    deployment.sim.run_for(Millis(2_000));
+    let accepted = outcomes
+        .iter()
+        .filter(|outcome| outcome.get() == Some(Submitted::Accepted));
+    expect_that!(accepted.count(), eq(40));
+    expect_that!(deployment.store.largest_append_bytes.get(), le(125_000));
+}
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -62,6 +62,8 @@
     pub(crate) latency_factor: Cell<u64>,
     /// Largest record that the store takes, with its key.
     pub(crate) max_record_bytes: Cell<usize>,
+    /// Size of the largest append that was carried out.
+    pub(crate) largest_append_bytes: Cell<usize>,
     /// Delay of reads of the newest worker records; widens races between the nodes that read them.
     pub(crate) worker_read_delay_ms: Cell<u64>,
 }
@@ -82,6 +84,7 @@
             full: Cell::new(false),
             latency_factor: Cell::new(1),
             max_record_bytes: Cell::new(MAX_RECORD_BYTES),
+            largest_append_bytes: Cell::new(0),
             worker_read_delay_ms: Cell::new(0),
         })
     }
@@ -246,6 +249,8 @@
         if is_rejected {
             return Err(StoreError::NotDone);
         }
+        let largest = &self.largest_append_bytes;
+        largest.set(largest.get().max(bytes));
         part.records.extend(records);
         Ok(part.records.len() as u64)
     }
