--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -105,6 +105,7 @@
         stretch: 1.5,
         target_completion_ms: Millis(250),
         timeout_ms: Millis(3_000),
+        public: false,
     }
 }
 
@@ -301,6 +302,7 @@
             steps,
             schedule: None,
             received_ms: self.wall(),
+            tenant: None,
         };
         workflow.check().expect("valid workflow");
         workflow
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -146,6 +146,7 @@
             stretch: 1.5,
             target_completion_ms: Millis(250),
             timeout_ms: Millis(3_000),
+            public: false,
         }],
         pools: vec![Pool {
             name: "pool".into(),
@@ -153,6 +154,7 @@
             standby: false,
         }],
         max_body_bytes: 1 << 18,
+        tenants: Vec::new(),
     }
 }
 
@@ -387,6 +389,7 @@
         steps,
         schedule: None,
         received_ms: WallMs(0),
+        tenant: None,
     }
 }
 
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -168,6 +168,9 @@
     pub schedule: Option<Schedule>,
     /// Wall-clock time at which the node received it.
     pub received_ms: WallMs,
+    /// Name of the tenant that submitted it; `None` without one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<Arc<str>>,
 }
 
 impl Workflow {
@@ -418,6 +421,9 @@
     pub target_completion_ms: Millis,
     /// Time for which callers wait for a response.
     pub timeout_ms: Millis,
+    /// Whether calls need no key of a tenant.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// Configuration of a pool of workers.
@@ -432,6 +438,31 @@
     pub standby: bool,
 }
 
+/// SHA-256 digest of a tenant's key.
+///
+/// The key itself is not kept.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyDigest(pub [u8; 32]);
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+/// Configuration of a tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Tenant {
+    /// Name of the tenant.
+    pub name: Arc<str>,
+    /// Digests of its keys.
+    pub keys: Vec<KeyDigest>,
+    /// Share of the capacity when all of it is in use, relative to the other tenants.
+    pub weight: u32,
+    /// Largest resources that its tasks may use at the same time; 0 means no limit.
+    pub cap: Resources,
+}
+
 /// Queues, pools and limits of the current configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalogue {
@@ -443,6 +474,9 @@
     pub pools: Vec<Pool>,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// All tenants; if there are none, calls need no key.
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
 }
 
 impl Catalogue {
