Read the state of a shard up to a fixed end

With 490 workers that write about 445 records a second and a round trip of 15 ms to the store, every read brings more, so a new owner never finished recovery: submissions were accepted and nothing started.

Change: the end of the stream at the first read after the fences is the end of what is read; the store's answer gives it and the adapter now passes it on. What follows later is followed after recovery. Where more than two records a known key are left, the newest records are read again instead, which bounds the bytes by the number of keys, also for the workers' stream that an owner follows.

Ruled out: a limit on the number of reads, which leaves the state incomplete.

--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -12,6 +12,7 @@
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
+    catch_up::{CatchUp, Next},
     congestion::{LatencyEstimate, StartWindow},
     take_over::{
         AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, granted_lease, renew_interval,
@@ -363,15 +364,16 @@
                     self.follow_records(tail.records.iter().flatten(), next);
                 }
                 Err(StoreError::Truncated(_)) => {
-                    if let Ok((records, end)) =
-                        self.env.read_all(Stream::Submissions, self.shard).await
-                    {
-                        // Pages are ordered by key, so a fence may come after what was stored behind it.
-                        if records.iter().any(|record| self.is_fenced_by(record)) {
-                            return self.step_down("submissions are fenced");
+                    match self.env.read_all(Stream::Submissions, self.shard).await {
+                        Ok((records, end)) => {
+                            // Pages are ordered by key, so a fence may come after what was stored behind it.
+                            if records.iter().any(|record| self.is_fenced_by(record)) {
+                                return self.step_down("submissions are fenced");
+                            }
+                            self.follow_records(records.iter(), end);
+                            next = end;
                         }
-                        self.follow_records(records.iter(), end);
-                        next = end;
+                        Err(_) => self.env.sleep(RETRY_MS).await,
                     }
                 }
                 Err(_) => self.env.sleep(RETRY_MS).await,
@@ -395,20 +397,22 @@
     async fn follow_workers(self: Rc<Self>, mut next: u64) {
         while !self.ended.get() {
             self.env.sleep(WORKERS_INTERVAL_MS).await;
-            match self.env.read(Stream::Workers, 0, next, Millis(0)).await {
+            let must_read_newest = match self.env.read(Stream::Workers, 0, next, Millis(0)).await {
                 Ok(tail) => {
-                    next = tail.next;
+                    let from = std::mem::replace(&mut next, tail.next);
                     self.apply_listings(tail.records);
-                }
-                Err(StoreError::Truncated(_)) => {
-                    if let Ok((records, end)) = self.env.read_all(Stream::Workers, 0).await {
-                        self.listings.borrow_mut().clear();
-                        self.apply_listings(records.into_iter().map(Some).collect());
-                        next = end;
-                    }
+                    let mut catch_up = CatchUp::new(self.listings.borrow().len());
+                    catch_up.after_read(from, next, tail.end) == Next::ReadNewest
                 }
                 // The known workers are kept; the next interval retries.
-                Err(_) => {}
+                Err(error) => matches!(error, StoreError::Truncated(_)),
+            };
+            if must_read_newest
+                && let Ok((records, end)) = self.env.read_all(Stream::Workers, 0).await
+            {
+                self.listings.borrow_mut().clear();
+                self.apply_listings(records.into_iter().map(Some).collect());
+                next = end;
             }
         }
     }
--- a/hemlocksaddle-shard/src/ports.rs
+++ b/hemlocksaddle-shard/src/ports.rs
@@ -106,6 +106,8 @@
     pub records: Vec<Option<Record>>,
     /// Offset of the next read.
     pub next: u64,
+    /// Offset after the last record of the partition at the time of the read.
+    pub end: u64,
 }
 
 /// Platform's store: partitioned streams of keyed records.
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -173,6 +173,8 @@
     }
 
     /// Reads what has followed a snapshot, or a stream completely; retries until ownership ends.
+    ///
+    /// What is read is complete up to the end of the stream at some time after the call.
     async fn read_stream(
         &self,
         stream: Stream,
@@ -186,9 +188,10 @@
                     let updated = snapshot.update(&self.env, stream, partition).await;
                     match updated {
                         Ok(()) => Ok(snapshot),
-                        Err(StoreError::Truncated(_)) => continue,
                         Err(error) => {
-                            known = Some(snapshot);
+                            // Deleted records can no longer be followed; the stream is read completely.
+                            let is_followable = !matches!(error, StoreError::Truncated(_));
+                            known = is_followable.then_some(snapshot);
                             Err(error)
                         }
                     }
--- a/hemlocksaddle-shard/src/snapshot.rs
+++ b/hemlocksaddle-shard/src/snapshot.rs
@@ -7,6 +7,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use futures_util::future::join3;
+use hemlocksaddle_policy::catch_up::{CatchUp, Next};
 use hemlocksaddle_types::clock::Millis;
 
 use crate::{
@@ -39,20 +40,30 @@
         })
     }
 
-    /// Adds the records that have followed.
+    /// Adds the records that have followed, up to the end of the stream at the first read.
     ///
     /// # Errors
     ///
     /// Fails with `Truncated` if some of them are no longer in the store.
     pub(crate) async fn update(&mut self, env: &Env, stream: Stream, partition: u32) -> Result<()> {
-        while self.read_following(env, stream, partition).await? {}
-        Ok(())
+        let mut catch_up = CatchUp::new(self.records.len());
+        loop {
+            let from = self.end;
+            let end = self.read_following(env, stream, partition).await?;
+            match catch_up.after_read(from, self.end, end) {
+                Next::Follow => {}
+                Next::ReadNewest => {
+                    *self = Snapshot::read(env, stream, partition).await?;
+                    return Ok(());
+                }
+                Next::Complete => return Ok(()),
+            }
+        }
     }
 
-    /// Adds records that have followed, of one call; returns whether there were any.
-    async fn read_following(&mut self, env: &Env, stream: Stream, partition: u32) -> Result<bool> {
+    /// Adds records that have followed, of one call; returns the end of the stream.
+    async fn read_following(&mut self, env: &Env, stream: Stream, partition: u32) -> Result<u64> {
         let tail = env.read_following(stream, partition, self.end).await?;
-        let has_grown = tail.next != self.end;
         self.end = tail.next;
         for record in tail.records.into_iter().flatten() {
             if record.value.is_some() {
@@ -61,7 +72,7 @@
                 self.records.remove(&record.key);
             }
         }
-        Ok(has_grown)
+        Ok(tail.end)
     }
 
     /// Number of records.
@@ -88,6 +99,7 @@
     pub(crate) async fn read_following(&mut self, env: &Env, shard: u32) -> Result<()> {
         let started_at = env.now();
         for _ in 0..FOLLOWING_READS {
+            let before = self.ends();
             let (submissions, progress, workers) = join3(
                 self.submissions
                     .read_following(env, Stream::Submissions, shard),
@@ -95,14 +107,19 @@
                 self.workers.read_following(env, Stream::Workers, 0),
             )
             .await;
-            let has_grown = [submissions?, progress?, workers?];
-            if !has_grown.contains(&true) || env.now().since(started_at) >= FOLLOWING_LIMIT_MS {
+            let _ = (submissions?, progress?, workers?);
+            let has_grown = self.ends() != before;
+            if !has_grown || env.now().since(started_at) >= FOLLOWING_LIMIT_MS {
                 break;
             }
         }
         Ok(())
     }
 
+    fn ends(&self) -> [u64; 3] {
+        [self.submissions.end, self.progress.end, self.workers.end]
+    }
+
     /// Reads the streams of a shard, at the same time.
     pub(crate) async fn read(env: &Env, shard: u32) -> Result<Snapshots> {
         let (submissions, progress, workers) = join3(
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -217,6 +217,10 @@
             is_silent: Cell::new(false),
             silent_stream: Cell::new(None),
             answer_ms: Cell::new(0),
+            record_us: Cell::new(0),
+            link_free_at_us: Cell::new(0),
+            worker_records_read: Cell::new(0),
+            worker_reads: Cell::new(0),
         });
         self.stores.borrow_mut().insert(number, store.clone());
         let ports = Ports {
@@ -269,6 +273,11 @@
         self.stores.borrow()[&number].answer_ms.set(answer.0);
     }
 
+    /// The store as a node sees it.
+    pub(crate) fn store_of(&self, number: usize) -> Rc<NodeStore> {
+        self.stores.borrow()[&number].clone()
+    }
+
     /// Sets the time that a page of newest records takes on a node's link.
     pub(crate) fn set_page_time(&self, number: usize, page: Millis) {
         self.stores.borrow()[&number].page_ms.set(page.0);
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
+    ops::Bound,
     rc::Rc,
     sync::Arc,
 };
@@ -35,18 +36,35 @@
 /// Time after which a connection without an answer is given up; longer than any caller waits.
 const SILENCE_MS: Millis = Millis(60_000);
 
+/// Largest number of records in a page of the newest ones.
+const PAGE_RECORDS: usize = 500;
+
 /// Longest time that an append is queued; one that would wait longer is rejected.
 const MAX_QUEUE_WAIT_MS: Millis = Millis(2_000);
 
 #[derive(Default)]
 struct Partition {
     records: Vec<Record>,
+    /// Offset of the newest record of each key.
+    newest: BTreeMap<Arc<str>, usize>,
+    /// Offset of the first record that can still be read; earlier ones are deleted, except for the newest of
+    /// each key.
+    first: u64,
     /// Epoch, last sequence number and offset after its append, by writer.
     writers: HashMap<Arc<str>, (u64, Option<u64>, u64)>,
     /// Time at which the queued appends are finished.
     free_at: Millis,
 }
 
+impl Partition {
+    fn append(&mut self, records: impl IntoIterator<Item = Record>) {
+        for record in records {
+            self.newest.insert(record.key.clone(), self.records.len());
+            self.records.push(record);
+        }
+    }
+}
+
 pub(crate) struct FakeStore {
     sim: SimRuntime,
     partitions: RefCell<HashMap<(Stream, u32), Partition>>,
@@ -64,6 +82,8 @@
     pub(crate) max_record_bytes: Cell<usize>,
     /// Size of the largest append that was carried out.
     pub(crate) largest_append_bytes: Cell<usize>,
+    /// Largest number of records in an answer to a read.
+    pub(crate) max_read_records: Cell<usize>,
     /// Delay of reads of the newest worker records; widens races between the nodes that read them.
     pub(crate) worker_read_delay_ms: Cell<u64>,
 }
@@ -85,6 +105,7 @@
             latency_factor: Cell::new(1),
             max_record_bytes: Cell::new(MAX_RECORD_BYTES),
             largest_append_bytes: Cell::new(0),
+            max_read_records: Cell::new(usize::MAX),
             worker_read_delay_ms: Cell::new(0),
         })
     }
@@ -95,7 +116,7 @@
         let keys = ["", "garbage", "a", "config", "claim-0", "layout", id];
         let mut partitions = self.partitions.borrow_mut();
         let part = partitions.entry((stream, 0)).or_default();
-        part.records.extend(keys.map(|key| Record {
+        part.append(keys.map(|key| Record {
             key: key.into(),
             value: Some(Bytes::from_static(&[0xff, 0x00, 0x9f])),
         }));
@@ -120,6 +141,14 @@
         self.put_value(Stream::Workers, &number.to_string(), value);
     }
 
+    /// Deletes the history of a stream; the newest record of each key stays.
+    pub(crate) fn forget_history(&self, stream: Stream) {
+        let mut partitions = self.partitions.borrow_mut();
+        if let Some(part) = partitions.get_mut(&(stream, 0)) {
+            part.first = part.records.len() as u64;
+        }
+    }
+
     /// Removes a worker's record, as the platform does when the worker has left.
     pub(crate) fn remove_worker(&self, number: usize) {
         self.put_value(Stream::Workers, &number.to_string(), None);
@@ -135,11 +164,7 @@
             value,
         };
         let mut partitions = self.partitions.borrow_mut();
-        partitions
-            .entry((stream, 0))
-            .or_default()
-            .records
-            .push(record);
+        partitions.entry((stream, 0)).or_default().append([record]);
     }
 
     /// Returns the keys of a stream whose newest record has a value.
@@ -251,7 +276,7 @@
         }
         let largest = &self.largest_append_bytes;
         largest.set(largest.get().max(bytes));
-        part.records.extend(records);
+        part.append(records);
         Ok(part.records.len() as u64)
     }
 }
@@ -269,9 +294,34 @@
     pub(crate) silent_stream: Cell<Option<Stream>>,
     /// Time that an answer takes to this node.
     pub(crate) answer_ms: Cell<u64>,
+    /// Time that a record takes on this node's link, in microseconds.
+    pub(crate) record_us: Cell<u64>,
+    /// Time at which the link has transferred what was sent to this node.
+    pub(crate) link_free_at_us: Cell<u64>,
+    /// Number of workers' records that were sent to this node.
+    pub(crate) worker_records_read: Cell<usize>,
+    /// Number of reads and pages of workers' records that this node requested.
+    pub(crate) worker_reads: Cell<usize>,
 }
 
 impl NodeStore {
+    /// Waits until the link has transferred records to this node, after those that were sent before.
+    async fn transfer(&self, stream: Stream, records: usize) {
+        if stream == Stream::Workers {
+            self.worker_reads.set(self.worker_reads.get() + 1);
+            let read = self.worker_records_read.get() + records;
+            self.worker_records_read.set(read);
+        }
+        let now_us = self.store.sim.now().0 * 1_000;
+        let free_at_us = self.link_free_at_us.get().max(now_us);
+        let free_at_us = free_at_us + records as u64 * self.record_us.get();
+        self.link_free_at_us.set(free_at_us);
+        let wait = Millis((free_at_us - now_us) / 1_000);
+        if wait > Millis(0) {
+            self.store.sim.sleep(wait).await;
+        }
+    }
+
     /// Carries out a call, unless it or its answer is lost.
     async fn call<T>(&self, call: impl Future<Output = Result<T>>) -> Result<T> {
         if self.rejects_calls.get() {
@@ -300,8 +350,10 @@
         after: Option<Arc<str>>,
     ) -> PortFuture<'_, Result<Newest>> {
         let page = self.store.newest(stream, partition, after);
-        Box::pin(self.call(async {
+        Box::pin(self.call(async move {
             let page = page.await;
+            let records = page.as_ref().map_or(0, |page| page.records.len());
+            self.transfer(stream, records).await;
             self.store.sim.sleep(Millis(self.page_ms.get())).await;
             page
         }))
@@ -317,6 +369,8 @@
         let read = self.call(self.store.read(stream, partition, from, wait));
         Box::pin(async move {
             let answer = read.await;
+            let records = answer.as_ref().map_or(0, |tail| tail.records.len());
+            self.transfer(stream, records).await;
             if self.silent_stream.get() == Some(stream) {
                 self.store.sim.sleep(SILENCE_MS).await;
             }
@@ -341,7 +395,7 @@
         &self,
         stream: Stream,
         partition: u32,
-        _after: Option<Arc<str>>,
+        after: Option<Arc<str>>,
     ) -> PortFuture<'_, Result<Newest>> {
         Box::pin(async move {
             if stream == Stream::Workers {
@@ -355,16 +409,16 @@
             let Some(part) = partitions.get(&(stream, partition)) else {
                 return Ok(Newest::default());
             };
-            let mut newest: BTreeMap<Arc<str>, Record> = BTreeMap::new();
-            for record in &part.records {
-                newest.insert(record.key.clone(), record.clone());
-            }
+            let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+            let newest = part.newest.range((from, Bound::Unbounded));
+            let live = newest.map(|(_, &offset)| &part.records[offset]);
+            let live = live.filter(|record| record.value.is_some());
+            let mut records: Vec<Record> = live.take(PAGE_RECORDS + 1).cloned().collect();
+            let more = records.len() > PAGE_RECORDS;
+            records.truncate(PAGE_RECORDS);
             Ok(Newest {
-                records: newest
-                    .into_values()
-                    .filter(|record| record.value.is_some())
-                    .collect(),
-                more: false,
+                records,
+                more,
                 end: part.records.len() as u64,
             })
         })
@@ -387,20 +441,21 @@
                 if self.down.get() {
                     return Err(StoreError::NotDone);
                 }
-                let records: Vec<_> = {
+                let (records, end): (Vec<_>, u64) = {
                     let partitions = self.partitions.borrow();
                     let part = partitions.get(&(stream, partition));
+                    let first = part.map_or(0, |part| part.first);
+                    if from < first {
+                        return Err(StoreError::Truncated(first));
+                    }
                     let records = part.map_or(&[][..], |part| &part.records);
-                    records
-                        .iter()
-                        .skip(from as usize)
-                        .cloned()
-                        .map(Some)
-                        .collect()
+                    let following = records.iter().skip(from as usize);
+                    let following = following.take(self.max_read_records.get());
+                    (following.cloned().map(Some).collect(), records.len() as u64)
                 };
                 if !records.is_empty() || self.sim.now() >= until {
                     let next = from + records.len() as u64;
-                    return Ok(Tail { records, next });
+                    return Ok(Tail { records, next, end });
                 }
                 self.sim.sleep(POLL_MS).await;
             }
