Give up a shard that its owner does not recover

Cause: an owner whose recovery does not end kept the shard, and neither the log nor a metric told what it waited for.

Change: an owner that has not recovered reports after 3 s, the time budget of callers, and at each doubling what it waits for (event 37), and a gauge shows the time since its claim. After 6 s and the time of the transfer over its link it offers the shard to a node that may do better: alive, not stopping, with no smaller share of a core and no narrower link, and with a store that answers it twice as fast if the owner's is slow; offers of nodes tell how the store answers them. The claim counts the consecutive terms that have not recovered, and each of them doubles the time, up to 2 min. Earlier versions ignore the new fields and count as recovered.

--- a/hemlocksaddle-policy/src/delegation.rs
+++ b/hemlocksaddle-policy/src/delegation.rs
@@ -11,7 +11,7 @@
 //! node is chosen by rendezvous hashing over racks, so that a delegate that is lost
 //! or gained moves only its own racks.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -20,6 +20,8 @@
     name::{DataCentre, NodeName},
 };
 
+use crate::recovery_watch::StoreView;
+
 /// Interval at which a node repeats its offer.
 pub const OFFER_INTERVAL_MS: Millis = Millis(1_000);
 
@@ -96,6 +98,21 @@
     fn capacity(&self) -> f64 {
         worker_capacity(self.offer.cpu_milli, self.offer.link_kbps)
     }
+
+    /// Whether it was heard lately, and is not about to stop.
+    ///
+    /// Whether the owner can reach it does not matter: the owner's own link may be full.
+    fn is_alive(&self, now: MonoMs) -> bool {
+        self.offer.available && now.since(self.heard_at) < ALIVE_TTL_MS
+    }
+
+    fn store(&self) -> Option<StoreView> {
+        let latency = self.offer.store_latency_ms?;
+        Some(StoreView {
+            latency,
+            failing_for: self.offer.store_failing_ms,
+        })
+    }
 }
 
 /// Node that calls are delegated to.
@@ -241,10 +258,7 @@
     #[must_use]
     pub fn successor(&self, started_ms: u64, now: MonoMs) -> Option<&NodeName> {
         let usable = self.candidates.values();
-        // Whether the owner can reach it does not matter: the owner's own link may be full.
-        let usable = usable.filter(|candidate| {
-            candidate.offer.available && now.since(candidate.heard_at) < ALIVE_TTL_MS
-        });
+        let usable = usable.filter(|candidate| candidate.is_alive(now));
         let best = usable.max_by_key(|candidate| {
             let offer = &candidate.offer;
             let is_fast = offer.cpu_milli >= FULL_SHARE_MILLI;
@@ -254,6 +268,34 @@
         best.map(|candidate| &candidate.offer.node)
     }
 
+    /// Node that may recover the shard sooner than an owner that has a share of a core, a link and a view of the
+    /// store; `None` if there is none.
+    ///
+    /// It has no smaller share and no narrower link than the owner. The store's answers come first, since
+    /// recovery mostly waits for them.
+    #[must_use]
+    pub fn better_owner(
+        &self,
+        cpu_milli: u32,
+        link_kbps: u32,
+        store: StoreView,
+        now: MonoMs,
+    ) -> Option<&NodeName> {
+        let better = self.candidates.values().filter(|candidate| {
+            let offer = &candidate.offer;
+            candidate.is_alive(now)
+                && offer.cpu_milli >= cpu_milli
+                && offer.link_kbps >= link_kbps
+                && store.may_be_better(candidate.store())
+        });
+        let best = better.min_by_key(|candidate| {
+            let offer = &candidate.offer;
+            let latency = offer.store_latency_ms.unwrap_or(store.latency);
+            (latency, Reverse(offer.link_kbps), Reverse(offer.cpu_milli))
+        });
+        best.map(|candidate| &candidate.offer.node)
+    }
+
     /// Node that should own the shard after the owner has offered it to `named` for `waited`.
     ///
     /// An owner that has just recovered knows no offers at first, and the named node may be about to stop. Another
--- a/hemlocksaddle-policy/tests/delegation.rs
+++ b/hemlocksaddle-policy/tests/delegation.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::delegation::{Delegates, should_offer, worker_capacity};
+use hemlocksaddle_policy::recovery_watch::StoreView;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     delegation::Offer,
@@ -33,6 +34,8 @@
         link_kbps,
         available: true,
         started_ms: 0,
+        store_latency_ms: None,
+        store_failing_ms: Millis(0),
     }
 }
 
@@ -276,6 +279,39 @@
     expect_successor(stopping, 4);
 }
 
+/// Failure: an owner that does not recover. Guards against a hand-over to a node that recovers no sooner, is about to
+/// stop or is gone.
+#[gtest]
+fn a_better_owner_has_no_less_and_a_store_that_answers_sooner() {
+    let offer = |number, cpu_milli, link_kbps, latency| Offer {
+        store_latency_ms: Some(Millis(latency)),
+        ..offer(number, 1, cpu_milli, link_kbps)
+    };
+    let mut delegates = Delegates::new(FAST_MILLI, 10_000);
+    let mut expect_better = |added: Offer, now, latency, expected: Option<usize>| {
+        let name = format!("{added:?}");
+        delegates.record_offer(added, START);
+        let store = StoreView {
+            latency: Millis(latency),
+            failing_for: Millis(0),
+        };
+        let better = delegates.better_owner(FAST_MILLI, 10_000, store, now);
+        expect_that!(better, eq(expected.map(node).as_ref()), "{name}");
+    };
+    expect_better(offer(1, SLOW_MILLI, 10_000, 4), START, 400, None);
+    expect_better(offer(2, FAST_MILLI, 9_999, 4), START, 400, None);
+    expect_better(offer(3, FAST_MILLI, 10_000, 300), START, 400, None);
+    expect_better(offer(4, FAST_MILLI, 10_000, 200), START, 400, Some(4));
+    expect_better(offer(5, FAST_MILLI, 90_000, 30), START, 400, Some(5));
+    expect_better(offer(6, FAST_MILLI, 10_000, 4), START, 400, Some(6));
+    let stopping = Offer {
+        available: false,
+        ..offer(6, FAST_MILLI, 10_000, 4)
+    };
+    expect_better(stopping.clone(), START, 400, Some(5));
+    expect_better(stopping, START + Millis(3_000), 400, None);
+}
+
 /// Load pattern: nodes stopped in turn, the successor of an owner among them. Guards against a shard that waits for a
 /// node that is about to stop and has just begun to read, and against a successor that is named too late to read
 /// the state.
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -8,17 +8,20 @@
 //! renewals by the previous owner.
 
 mod layout;
+mod own;
 
 use std::{
-    cell::{Cell, RefCell, RefMut},
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
 };
 
 use hemlocksaddle_node::wait::Signal;
-use hemlocksaddle_policy::take_over::{
-    AppendAttempts, Candidate, ClockReading, OWNERSHIP_LEASE_MS, OwnerView, ShardView, Successor,
-    failover_complete_at, leases_end_within, leases_expired_at, should_claim_before_stop,
+use hemlocksaddle_policy::{
+    take_over::{
+        Candidate, OWNERSHIP_LEASE_MS, OwnerView, ShardView, Successor, should_claim_before_stop,
+    },
+    unserved::ServiceView,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -27,10 +30,11 @@
 };
 use serde_json::json;
 
+use self::own::OwnClaim;
 use crate::{
     event::Event,
     node::Env,
-    ports::{Conditions, Record, Result, StoreError, Stream, Writer},
+    ports::{Record, Result, StoreError, Stream},
     record::{self, Claim, LAYOUT_KEY, Layout},
     snapshot::Snapshots,
 };
@@ -54,19 +58,23 @@
     renewed_at: MonoMs,
     /// Time at which the first record of the term was read.
     claimed_at: MonoMs,
+    /// Time at which the latest record of an owner that had recovered was read, of any term.
+    served_until: Option<MonoMs>,
     /// Time at which the first record with the owner's offer of the shard was read.
     released_at: Option<MonoMs>,
     /// Start of the period in which the owner has answered no call from this node.
     unanswered_since: Option<MonoMs>,
 }
 
-/// Offer of a shard by an owner that stops.
+/// Offer of a shard by an owner that stops, or that does not recover.
 #[derive(Clone, Debug)]
 pub(crate) struct Handover {
     /// Node that should claim the shard first; `None` if the owner knows none.
     pub(crate) successor: Option<NodeName>,
     /// Time of the offer.
     pub(crate) offered_at: MonoMs,
+    /// Whether the owner gives the shard up because it has not recovered.
+    pub(crate) is_given_up: bool,
 }
 
 /// Read position of a partition.
@@ -77,18 +85,8 @@
     record_read_at: Cell<Option<MonoMs>>,
     /// Start of the period in which all reads succeeded.
     read_since: Cell<Option<MonoMs>>,
-}
-
-/// This node's latest claim of a shard.
-#[derive(Clone, Copy, Debug, Default)]
-struct OwnClaim {
-    term: u64,
-    attempts: AppendAttempts,
-    /// Time at which the last record before the claim was read.
-    earlier_read_at: Option<MonoMs>,
-    /// Time after the last record before the claim within which earlier leases end; `None` if there was no
-    /// such record.
-    earlier_leases_end_within: Option<Millis>,
+    /// Time of the latest answer to a read.
+    read_at: Cell<MonoMs>,
 }
 
 /// This node's view of the claims.
@@ -184,6 +182,7 @@
         for record in &records {
             self.apply(record);
         }
+        self.partition(partition).read_at.set(self.env.now());
         self.partition(partition)
             .read_since
             .set(Some(self.env.now()));
@@ -198,6 +197,7 @@
             .read(Stream::Claims, partition, state.end.get(), READ_WAIT_MS);
         match read.await {
             Ok(tail) => {
+                state.read_at.set(self.env.now());
                 if tail.next != state.end.replace(tail.next) {
                     state.record_read_at.set(Some(self.env.now()));
                 }
@@ -255,7 +255,14 @@
         }
         let changed = known.is_none_or(|known| known.claim != claim);
         let same_term = known.filter(|known| known.claim.term == claim.term);
+        let has_recovered = claim.unrecovered_terms == 0;
+        let served_until = if has_recovered {
+            Some(renewed_at)
+        } else {
+            known.and_then(|known| known.served_until)
+        };
         let updated = ObservedClaim {
+            served_until,
             renewed_at,
             claimed_at: same_term.map_or(renewed_at, |known| known.claimed_at),
             released_at: same_term
@@ -361,6 +368,23 @@
         }
     }
 
+    /// Returns the time for which this node knows no owner of a shard that starts its work.
+    pub(crate) fn unserved_for(&self, shard: u32) -> Millis {
+        let state = self.partition(shard);
+        let Some(read_since) = state.read_since.get() else {
+            return Millis(0);
+        };
+        let observed = self.observed.borrow();
+        let observed = observed.get(&shard);
+        let view = ServiceView {
+            read_since: read_since.max(self.layout_since.get()),
+            read_at: state.read_at.get(),
+            served_until: observed.and_then(|observed| observed.served_until),
+            has_recovered: observed.is_some_and(|observed| observed.claim.unrecovered_terms == 0),
+        };
+        view.unserved_for()
+    }
+
     /// Returns whether the owner of a shard has failed to answer this node.
     pub(crate) fn is_unanswered(&self, shard: u32) -> bool {
         let observed = self.observed.borrow();
@@ -435,6 +459,8 @@
             let longest = OWNERSHIP_LEASE_MS + self.env.settings.lease_ms;
             claim.leases_end_within_ms.unwrap_or(longest)
         });
+        let unrecovered = earlier.as_ref().map_or(0, |claim| claim.unrecovered_terms);
+        let unrecovered_terms = unrecovered.saturating_add(1);
         let first = self.first_sequence();
         let sent_at = self.env.clocks();
         {
@@ -442,6 +468,7 @@
             own_claim.attempts.send(sent_at);
             own_claim.earlier_read_at = earlier_read_at;
             own_claim.earlier_leases_end_within = earlier_leases_end_within;
+            own_claim.unrecovered_terms = unrecovered_terms;
         }
         let claim = self.own_claim(shard, term, None);
         let made = self.append_claim(shard, &claim, first, Some(end)).await;
@@ -464,126 +491,4 @@
             self.env.sleep(CHECK_INTERVAL_MS).await;
         }
     }
-
-    /// Returns the record of an own claim, which replaces that of another term.
-    fn own_claim_record(&self, shard: u32, term: u64) -> RefMut<'_, OwnClaim> {
-        let own_claims = self.own_claims.borrow_mut();
-        let mut latest = RefMut::map(own_claims, |claims| claims.entry(shard).or_default());
-        if latest.term != term {
-            *latest = OwnClaim {
-                term,
-                ..OwnClaim::default()
-            };
-        }
-        latest
-    }
-
-    fn latest_own_claim(&self, shard: u32, term: u64) -> Option<OwnClaim> {
-        let own_claims = self.own_claims.borrow();
-        let latest = own_claims.get(&shard).copied();
-        latest.filter(|latest| latest.term == term)
-    }
-
-    /// Returns the time from which the ownership lease of this node's claim runs.
-    ///
-    /// It is the time of sending, because the process may be suspended for seconds before
-    /// it sees the answer.
-    pub(crate) fn claim_sent_at(&self, shard: u32, term: u64) -> Option<ClockReading> {
-        let claim = self.latest_own_claim(shard, term)?;
-        claim.attempts.first_sent_at()
-    }
-
-    /// Returns the time by which all workers' leases granted before this node's claim have expired.
-    pub(crate) fn earlier_leases_expired_at(&self, shard: u32, term: u64) -> MonoMs {
-        let claim = self.latest_own_claim(shard, term);
-        let known = claim.and_then(|claim| {
-            let end_within = claim.earlier_leases_end_within?;
-            Some(leases_expired_at(claim.earlier_read_at?, end_within))
-        });
-        known.unwrap_or_else(|| {
-            failover_complete_at(None, self.env.now(), self.env.settings.lease_ms)
-        })
-    }
-
-    /// Returns the time after a renewal of this node's claim within which all workers' leases end; `None`
-    /// while longer ones of an earlier term may last.
-    fn leases_end_within(&self, shard: u32, term: u64) -> Option<Millis> {
-        let claim = self.latest_own_claim(shard, term)?;
-        let end_within = leases_end_within(self.env.settings.lease_ms);
-        let earlier = claim.earlier_leases_end_within;
-        let is_longest = earlier.is_none_or(|earlier| earlier <= end_within)
-            || self.env.now() >= self.earlier_leases_expired_at(shard, term);
-        is_longest.then_some(end_within)
-    }
-
-    /// Returns the sequence number of a term's first append.
-    ///
-    /// It differs between nodes: the store treats an append with the same number and epoch
-    /// as a retry and answers it like the original, which must not happen to a concurrent claim
-    /// by another node.
-    pub(crate) fn first_sequence(&self) -> u64 {
-        let settings = &self.env.settings;
-        let started = self.env.started_ms.to_be_bytes();
-        stable_hash(&[settings.node.as_str().as_bytes(), &started]) >> 32
-    }
-
-    fn own_claim(&self, shard: u32, term: u64, handover: Option<&Handover>) -> Claim {
-        Claim {
-            term,
-            node: self.env.settings.node.clone(),
-            started_ms: self.env.started_ms,
-            address: self.env.settings.peer_address,
-            cpu_milli: self.env.settings.cpu_milli(),
-            released: handover.is_some(),
-            successor: handover.and_then(|handover| handover.successor.clone()),
-            leases_end_within_ms: self.leases_end_within(shard, term),
-        }
-    }
-
-    async fn append_claim(
-        &self,
-        shard: u32,
-        claim: &Claim,
-        sequence: u64,
-        end: Option<u64>,
-    ) -> Result<u64> {
-        let key = record::claim_key(shard);
-        let writer = Writer {
-            name: key.clone(),
-            epoch: claim.term,
-            sequence,
-        };
-        let Ok(record) = record::encode(key, claim) else {
-            return Err(StoreError::NotDone);
-        };
-        let conditions = Conditions {
-            end,
-            writer: Some(writer),
-        };
-        self.env
-            .append(Stream::Claims, shard, vec![record], conditions)
-            .await
-    }
-
-    /// Renews a claim and advances `sequence`, the writer's next sequence number.
-    pub(crate) async fn renew(
-        &self,
-        shard: u32,
-        term: u64,
-        handover: Option<&Handover>,
-        sequence: &Cell<u64>,
-    ) -> Result<()> {
-        let claim = self.own_claim(shard, term, handover);
-        match self.append_claim(shard, &claim, sequence.get(), None).await {
-            Ok(_) => {
-                sequence.set(sequence.get() + 1);
-                Ok(())
-            }
-            Err(StoreError::OutOfSequence(expected)) => {
-                sequence.set(expected);
-                Err(StoreError::OutOfSequence(expected))
-            }
-            Err(error) => Err(error),
-        }
-    }
 }
--- /dev/null
+++ b/hemlocksaddle-shard/src/claims/own.rs
@@ -0,0 +1,174 @@
+//! This node's own claims: their records, leases and renewals.
+
+use std::cell::{Cell, RefMut};
+
+use hemlocksaddle_policy::take_over::{
+    AppendAttempts, ClockReading, failover_complete_at, leases_end_within, leases_expired_at,
+};
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    hash::stable_hash,
+};
+
+use super::{Claims, Handover};
+use crate::{
+    ports::{Conditions, Result, StoreError, Stream, Writer},
+    record::{self, Claim},
+};
+
+/// This node's latest claim of a shard.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct OwnClaim {
+    term: u64,
+    pub(super) attempts: AppendAttempts,
+    /// Time at which the last record before the claim was read.
+    pub(super) earlier_read_at: Option<MonoMs>,
+    /// Time after the last record before the claim within which earlier leases end; `None` if there was no
+    /// such record.
+    pub(super) earlier_leases_end_within: Option<Millis>,
+    /// Number of consecutive terms that have not recovered, this one included; 0 once it has.
+    pub(super) unrecovered_terms: u32,
+}
+
+impl Claims {
+    /// Returns the record of an own claim, which replaces that of another term.
+    pub(super) fn own_claim_record(&self, shard: u32, term: u64) -> RefMut<'_, OwnClaim> {
+        let own_claims = self.own_claims.borrow_mut();
+        let mut latest = RefMut::map(own_claims, |claims| claims.entry(shard).or_default());
+        if latest.term != term {
+            *latest = OwnClaim {
+                term,
+                ..OwnClaim::default()
+            };
+        }
+        latest
+    }
+
+    fn latest_own_claim(&self, shard: u32, term: u64) -> Option<OwnClaim> {
+        let own_claims = self.own_claims.borrow();
+        let latest = own_claims.get(&shard).copied();
+        latest.filter(|latest| latest.term == term)
+    }
+
+    /// Returns the time from which the ownership lease of this node's claim runs.
+    ///
+    /// It is the time of sending, because the process may be suspended for seconds before
+    /// it sees the answer.
+    pub(crate) fn claim_sent_at(&self, shard: u32, term: u64) -> Option<ClockReading> {
+        let claim = self.latest_own_claim(shard, term)?;
+        claim.attempts.first_sent_at()
+    }
+
+    /// Returns the time by which all workers' leases granted before this node's claim have expired.
+    pub(crate) fn earlier_leases_expired_at(&self, shard: u32, term: u64) -> MonoMs {
+        let claim = self.latest_own_claim(shard, term);
+        let known = claim.and_then(|claim| {
+            let end_within = claim.earlier_leases_end_within?;
+            Some(leases_expired_at(claim.earlier_read_at?, end_within))
+        });
+        known.unwrap_or_else(|| {
+            failover_complete_at(None, self.env.now(), self.env.settings.lease_ms)
+        })
+    }
+
+    /// Returns the time after a renewal of this node's claim within which all workers' leases end; `None`
+    /// while longer ones of an earlier term may last.
+    fn leases_end_within(&self, shard: u32, term: u64) -> Option<Millis> {
+        let claim = self.latest_own_claim(shard, term)?;
+        let end_within = leases_end_within(self.env.settings.lease_ms);
+        let earlier = claim.earlier_leases_end_within;
+        let is_longest = earlier.is_none_or(|earlier| earlier <= end_within)
+            || self.env.now() >= self.earlier_leases_expired_at(shard, term);
+        is_longest.then_some(end_within)
+    }
+
+    /// Returns the sequence number of a term's first append.
+    ///
+    /// It differs between nodes: the store treats an append with the same number and epoch
+    /// as a retry and answers it like the original, which must not happen to a concurrent claim
+    /// by another node.
+    pub(crate) fn first_sequence(&self) -> u64 {
+        let settings = &self.env.settings;
+        let started = self.env.started_ms.to_be_bytes();
+        stable_hash(&[settings.node.as_str().as_bytes(), &started]) >> 32
+    }
+
+    pub(super) fn own_claim(&self, shard: u32, term: u64, handover: Option<&Handover>) -> Claim {
+        Claim {
+            term,
+            node: self.env.settings.node.clone(),
+            started_ms: self.env.started_ms,
+            address: self.env.settings.peer_address,
+            cpu_milli: self.env.settings.cpu_milli(),
+            released: handover.is_some(),
+            successor: handover.and_then(|handover| handover.successor.clone()),
+            leases_end_within_ms: self.leases_end_within(shard, term),
+            unrecovered_terms: self.unrecovered_terms(shard, term),
+        }
+    }
+
+    /// Returns the number of consecutive terms that have not recovered, this node's included.
+    pub(crate) fn unrecovered_terms(&self, shard: u32, term: u64) -> u32 {
+        let claim = self.latest_own_claim(shard, term);
+        claim.map_or(0, |claim| claim.unrecovered_terms)
+    }
+
+    /// Records that this node has recovered the state of a shard; the next renewal tells the others.
+    pub(crate) fn record_recovery(&self, shard: u32, term: u64) {
+        self.own_claim_record(shard, term).unrecovered_terms = 0;
+        if let Some(claim) = self.claim(shard).filter(|claim| claim.term == term) {
+            let recovered = Claim {
+                unrecovered_terms: 0,
+                ..claim
+            };
+            self.observe(shard, recovered);
+        }
+    }
+
+    pub(super) async fn append_claim(
+        &self,
+        shard: u32,
+        claim: &Claim,
+        sequence: u64,
+        end: Option<u64>,
+    ) -> Result<u64> {
+        let key = record::claim_key(shard);
+        let writer = Writer {
+            name: key.clone(),
+            epoch: claim.term,
+            sequence,
+        };
+        let Ok(record) = record::encode(key, claim) else {
+            return Err(StoreError::NotDone);
+        };
+        let conditions = Conditions {
+            end,
+            writer: Some(writer),
+        };
+        self.env
+            .append(Stream::Claims, shard, vec![record], conditions)
+            .await
+    }
+
+    /// Renews a claim and advances `sequence`, the writer's next sequence number.
+    pub(crate) async fn renew(
+        &self,
+        shard: u32,
+        term: u64,
+        handover: Option<&Handover>,
+        sequence: &Cell<u64>,
+    ) -> Result<()> {
+        let claim = self.own_claim(shard, term, handover);
+        match self.append_claim(shard, &claim, sequence.get(), None).await {
+            Ok(_) => {
+                sequence.set(sequence.get() + 1);
+                Ok(())
+            }
+            Err(StoreError::OutOfSequence(expected)) => {
+                sequence.set(expected);
+                Err(StoreError::OutOfSequence(expected))
+            }
+            Err(error) => Err(error),
+        }
+    }
+}
--- a/hemlocksaddle-shard/src/delegate.rs
+++ b/hemlocksaddle-shard/src/delegate.rs
@@ -205,6 +205,8 @@
         link_kbps: settings.link_kbps,
         available: !claims.stopping.get(),
         started_ms: env.started_ms,
+        store_latency_ms: Some(env.store_latency()),
+        store_failing_ms: env.store_failing_for(),
     };
     let request = ShardRequest::Offer(shard, offer);
     let sent = links.call_within(&claim.node, claim.address, request, OFFER_TIMEOUT_MS);
--- a/hemlocksaddle-shard/src/dispatcher.rs
+++ b/hemlocksaddle-shard/src/dispatcher.rs
@@ -112,6 +112,16 @@
             .cloned()
     }
 
+    /// Node that may recover the shard sooner than this one, if one is known.
+    pub(crate) fn better_owner(&self) -> Option<NodeName> {
+        let settings = &self.env.settings;
+        let (store, now) = (self.env.store_view(), self.env.now());
+        let delegates = self.delegates.borrow();
+        delegates
+            .better_owner(settings.cpu_milli(), settings.link_kbps, store, now)
+            .cloned()
+    }
+
     /// Node that should own the shard after it was offered to `named` for `waited`.
     pub(crate) fn next_successor(
         &self,
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -96,12 +96,18 @@
     Deposed = 32, "deposed";
     /// Shard's state could not be read; the read is retried.
     RecoveryFailed = 33, "recovery failed";
-    /// Owner that stops offers its shard to other nodes.
+    /// Owner that stops or does not recover offers its shard to other nodes.
     Offered = 34, "offered";
     /// State of an offered shard was read before the claim.
     ReadAhead = 35, "read ahead";
     /// Records of ended workflows could not be deleted, or the outcome is unknown; they are deleted again.
     DeletionFailed = 36, "deletion failed";
+    /// Owner has not recovered for long.
+    RecoveryWaits = 37, "recovery waits";
+    /// Records that were followed are deleted, or do not come; the newest ones are read again.
+    PositionLost = 38, "position lost";
+    /// Store repeats a page of newest records, or answers a read that should wait at once with nothing.
+    AnswerRepeated = 39, "answer repeated";
     /// Submission was accepted.
     Accepted = 40, "accepted";
     /// Submission was refused.
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -36,6 +36,7 @@
 mod owner;
 mod record;
 mod recovery;
+mod recovery_watch;
 mod retention;
 mod saving;
 mod snapshot;
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -3,8 +3,8 @@
 use hemlocksaddle_policy::workflow::WorkCounts;
 use hemlocksaddle_types::clock::Millis;
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, from one store append to a caller's time limit.
@@ -42,6 +42,10 @@
     pub plan_late_s: Histogram,
     /// Number of shards that the node owns.
     pub owned_shards: IntGauge,
+    /// Time since the claim of a shard while its owner, this node, has not recovered; 0 otherwise.
+    pub unrecovered_s: GaugeVec,
+    /// Shards that were given up because they were not recovered in time.
+    pub shards_given_up: IntCounter,
     /// Number of nodes that carry out the owner's calls to workers.
     pub delegates: IntGauge,
     /// Calls to delegates by outcome.
@@ -98,7 +102,22 @@
             "Workflows given up because workers crashed under a task.",
         )?;
         registry.register(Box::new(given_up.clone()))?;
+        let unrecovered_s = GaugeVec::new(
+            Opts::new(
+                "shard_unrecovered_seconds",
+                "Time since the claim while the owner has not recovered, 0 otherwise.",
+            ),
+            &["shard"],
+        )?;
+        registry.register(Box::new(unrecovered_s.clone()))?;
+        let shards_given_up = IntCounter::new(
+            "shard_unrecovered_given_up_total",
+            "Shards offered to another node because they were not recovered in time.",
+        )?;
+        registry.register(Box::new(shards_given_up.clone()))?;
         Ok(Metrics {
+            unrecovered_s,
+            shards_given_up,
             worker_crashes,
             given_up,
             delegates,
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -9,7 +9,10 @@
 
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::ports::{PeerLink, Peers, PortFuture, Runtime};
-use hemlocksaddle_policy::{congestion::append_bytes, shutdown::Shutdown, take_over::ClockReading};
+use hemlocksaddle_policy::{
+    congestion::append_bytes, recovery_watch::StoreView, shutdown::Shutdown,
+    take_over::ClockReading,
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::{DataCentre, NodeName},
@@ -136,18 +139,43 @@
         &self,
         stream: Stream,
         partition: u32,
+    ) -> Result<(Vec<Record>, u64)> {
+        self.read_pages(stream, partition, |_| {}).await
+    }
+
+    /// Reads the newest record of each key, as [`Env::read_all`] does; `on_page` gets the number of records of each
+    /// page.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a page begins at or before the end of the previous one, which would be read for ever.
+    pub(crate) async fn read_pages(
+        &self,
+        stream: Stream,
+        partition: u32,
+        on_page: impl Fn(usize),
     ) -> Result<(Vec<Record>, u64)> {
         let mut records: Vec<Record> = Vec::new();
         let mut end = None;
         loop {
             let after = records.last().map(|record| record.key.clone());
-            let page = self.ports.store.newest(stream, partition, after);
+            let page = self.ports.store.newest(stream, partition, after.clone());
             let page = self
                 .with_timeout("newest", self.page_timeout(), page)
                 .await?;
+            on_page(page.records.len());
             // Changes between two pages are read again when the stream is followed.
             end.get_or_insert(page.end);
             let is_empty = page.records.is_empty();
+            let last = page.records.last().map(|record| record.key.clone());
+            if !is_empty && last <= after {
+                let inputs = json!({
+                    "stream": format!("{stream:?}"), "partition": partition,
+                    "after": after, "last": last,
+                });
+                self.event(Event::AnswerRepeated, &inputs);
+                return Err(StoreError::Unreadable);
+            }
             records.extend(page.records);
             if !page.more || is_empty {
                 return Ok((records, end.unwrap_or(page.end)));
@@ -269,6 +297,14 @@
         }
     }
 
+    /// Returns how the store answers this node.
+    pub(crate) fn store_view(&self) -> StoreView {
+        StoreView {
+            latency: self.store_latency(),
+            failing_for: self.store_failing_for(),
+        }
+    }
+
     /// Returns the time for which all calls to the store have failed.
     pub(crate) fn store_failing_for(&self) -> Millis {
         let since = self.store_failing_since.get();
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -37,6 +37,7 @@
     node::Env,
     ports::{Record, StoreError, Stream},
     recovery::Origin,
+    recovery_watch::RecoveryWaits,
     worker_poll::WorkerClock,
 };
 
@@ -99,7 +100,9 @@
     /// Time at which tasks that have waited long were last reported.
     pub(crate) waiting_reported_at: Cell<MonoMs>,
     handover: RefCell<Option<Handover>>,
-    released_changed: Signal,
+    /// Signals a change of what the claim says.
+    claim_changed: Signal,
+    pub(crate) recovery: RecoveryWaits,
     pub(crate) pending_submissions: RefCell<Vec<PendingSubmission>>,
     pub(crate) pending_changed: Signal,
 }
@@ -149,7 +152,8 @@
             interference_due: Cell::new(false),
             waiting_reported_at: Cell::new(now),
             handover: RefCell::default(),
-            released_changed: Signal::default(),
+            claim_changed: Signal::default(),
+            recovery: RecoveryWaits::default(),
             pending_submissions: RefCell::default(),
             pending_changed: Signal::default(),
         })
@@ -193,6 +197,7 @@
         self.spawn(|owner| owner.renew());
         self.spawn(|owner| owner.watch_claim());
         self.spawn(|owner| owner.choose_delegates());
+        self.spawn(|owner| owner.watch_recovery());
         let followed = loop {
             if self.ended.get() {
                 return;
@@ -206,6 +211,8 @@
         self.submissions_read_at.set(followed.submissions_read_at);
         self.submissions_read_to.set(followed.submissions);
         self.ready.set(true);
+        self.claims.record_recovery(self.shard, self.term);
+        self.claim_changed.notify();
         self.spawn(|owner| owner.follow_configuration());
         self.spawn(move |owner| owner.follow_submissions(followed.submissions));
         self.spawn(move |owner| owner.follow_workers(followed.workers));
@@ -229,6 +236,7 @@
         self.offer(Handover {
             successor: self.dispatcher.successor(),
             offered_at: self.env.now(),
+            is_given_up: false,
         });
     }
 
@@ -247,19 +255,32 @@
         }
     }
 
-    fn offer(&self, handover: Handover) {
+    pub(crate) fn offer(&self, handover: Handover) {
         let inputs = json!({
             "shard": self.shard, "term": self.term,
             "successor": handover.successor.as_ref().map(|node| node.as_str()),
+            "given_up": handover.is_given_up,
         });
         self.env.event(Event::Offered, &inputs);
         self.handover.replace(Some(handover));
-        self.released_changed.notify();
+        self.claim_changed.notify();
+    }
+
+    /// Whether the owner has neither recovered nor ended.
+    pub(crate) fn is_recovering(&self) -> bool {
+        !self.ready.get() && !self.ended.get()
+    }
+
+    /// Whether the owner offers the shard to other nodes.
+    pub(crate) fn is_offered(&self) -> bool {
+        self.handover.borrow().is_some()
     }
 
     /// Offers the shard to another node if none was known or the named one is about to stop.
     fn replace_successor(&self) {
-        let Some(handover) = self.handover.borrow().clone() else {
+        let handover = self.handover.borrow().clone();
+        // Another node would not do better than the one that an unrecovered owner has named.
+        let Some(handover) = handover.filter(|handover| !handover.is_given_up) else {
             return;
         };
         let waited = self.env.now().since(handover.offered_at);
@@ -279,7 +300,7 @@
         while !self.ended.get() {
             let sent_at = self.env.clocks();
             let lease_from = attempts.send(sent_at);
-            let seen = self.released_changed.count();
+            let seen = self.claim_changed.count();
             let handover = self.handover.borrow().clone();
             let renewed = self.claims.renew(
                 self.shard,
@@ -311,7 +332,7 @@
             }
             let successor = handover.and_then(|handover| handover.successor);
             let interval = renew_interval(successor.is_some());
-            let released = self.released_changed.wait_past(seen);
+            let released = self.claim_changed.wait_past(seen);
             let _ = within(&*self.env.ports.runtime, interval, released).await;
         }
     }
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -61,6 +61,15 @@
     /// `None` if it is not known: the owner has an earlier version, or follows one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) leases_end_within_ms: Option<Millis>,
+    /// Number of consecutive terms, this one included, whose owners have not recovered; 0 once the owner has.
+    ///
+    /// An owner of an earlier version counts as recovered.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub(crate) unrecovered_terms: u32,
+}
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 /// Start of an owner's term in the submissions stream.
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -138,6 +138,7 @@
         records: Vec<Record>,
         writer: Writer,
     ) -> Result<u64> {
+        let _waiting = self.recovery.wait_for_fence(stream);
         loop {
             let conditions = Conditions {
                 end: None,
@@ -181,11 +182,15 @@
         partition: u32,
         mut known: Option<Snapshot>,
     ) -> Result<Snapshot> {
+        let waiting = self.recovery.wait_for_read(stream);
+        let progress = waiting.progress();
         loop {
             let read = match known.take() {
-                None => Snapshot::read(&self.env, stream, partition).await,
+                None => Snapshot::read(&self.env, stream, partition, progress).await,
                 Some(mut snapshot) => {
-                    let updated = snapshot.update(&self.env, stream, partition).await;
+                    let updated = snapshot
+                        .update(&self.env, stream, partition, progress)
+                        .await;
                     match updated {
                         Ok(()) => Ok(snapshot),
                         Err(error) => {
--- a/hemlocksaddle-shard/src/snapshot.rs
+++ b/hemlocksaddle-shard/src/snapshot.rs
@@ -13,6 +13,7 @@
 use crate::{
     node::Env,
     ports::{Record, Result, Stream},
+    recovery_watch::ReadProgress,
 };
 
 /// Number of reads of what has followed before a claim; each takes a fraction of the time of the one before.
@@ -31,8 +32,15 @@
 
 impl Snapshot {
     /// Reads a stream completely.
-    pub(crate) async fn read(env: &Env, stream: Stream, partition: u32) -> Result<Snapshot> {
-        let (records, end) = env.read_all(stream, partition).await?;
+    pub(crate) async fn read(
+        env: &Env,
+        stream: Stream,
+        partition: u32,
+        progress: &ReadProgress,
+    ) -> Result<Snapshot> {
+        progress.record_newest();
+        let read = env.read_pages(stream, partition, |records| progress.record_read(records));
+        let (records, end) = read.await?;
         let by_key = records.into_iter();
         Ok(Snapshot {
             records: by_key.map(|record| (record.key.clone(), record)).collect(),
@@ -45,15 +53,25 @@
     /// # Errors
     ///
     /// Fails with `Truncated` if some of them are no longer in the store.
-    pub(crate) async fn update(&mut self, env: &Env, stream: Stream, partition: u32) -> Result<()> {
+    pub(crate) async fn update(
+        &mut self,
+        env: &Env,
+        stream: Stream,
+        partition: u32,
+        progress: &ReadProgress,
+    ) -> Result<()> {
         let mut catch_up = CatchUp::new(self.records.len());
         loop {
             let from = self.end;
-            let end = self.read_following(env, stream, partition).await?;
+            progress.record_from(from);
+            let end = self
+                .read_following(env, stream, partition, progress)
+                .await?;
+            progress.record_end(end);
             match catch_up.after_read(from, self.end, end) {
                 Next::Follow => {}
                 Next::ReadNewest => {
-                    *self = Snapshot::read(env, stream, partition).await?;
+                    *self = Snapshot::read(env, stream, partition, progress).await?;
                     return Ok(());
                 }
                 Next::Complete => return Ok(()),
@@ -62,8 +80,15 @@
     }
 
     /// Adds records that have followed, of one call; returns the end of the stream.
-    async fn read_following(&mut self, env: &Env, stream: Stream, partition: u32) -> Result<u64> {
+    async fn read_following(
+        &mut self,
+        env: &Env,
+        stream: Stream,
+        partition: u32,
+        progress: &ReadProgress,
+    ) -> Result<u64> {
         let tail = env.read_following(stream, partition, self.end).await?;
+        progress.record_read(tail.records.len());
         self.end = tail.next;
         for record in tail.records.into_iter().flatten() {
             if record.value.is_some() {
@@ -98,13 +123,16 @@
     /// Reads what has followed while the shard's owner adds to the streams, so that little is left to read.
     pub(crate) async fn read_following(&mut self, env: &Env, shard: u32) -> Result<()> {
         let started_at = env.now();
+        let progress = &ReadProgress::default();
         for _ in 0..FOLLOWING_READS {
             let before = self.ends();
             let (submissions, progress, workers) = join3(
                 self.submissions
-                    .read_following(env, Stream::Submissions, shard),
-                self.progress.read_following(env, Stream::Progress, shard),
-                self.workers.read_following(env, Stream::Workers, 0),
+                    .read_following(env, Stream::Submissions, shard, progress),
+                self.progress
+                    .read_following(env, Stream::Progress, shard, progress),
+                self.workers
+                    .read_following(env, Stream::Workers, 0, progress),
             )
             .await;
             let _ = (submissions?, progress?, workers?);
@@ -122,10 +150,11 @@
 
     /// Reads the streams of a shard, at the same time.
     pub(crate) async fn read(env: &Env, shard: u32) -> Result<Snapshots> {
+        let read = &ReadProgress::default();
         let (submissions, progress, workers) = join3(
-            Snapshot::read(env, Stream::Submissions, shard),
-            Snapshot::read(env, Stream::Progress, shard),
-            Snapshot::read(env, Stream::Workers, 0),
+            Snapshot::read(env, Stream::Submissions, shard, read),
+            Snapshot::read(env, Stream::Progress, shard, read),
+            Snapshot::read(env, Stream::Workers, 0, read),
         )
         .await;
         Ok(Snapshots {
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -181,6 +181,13 @@
         live.map(|(key, _)| key.clone()).collect()
     }
 
+    /// Returns the value of the newest record of a key.
+    pub(crate) fn newest_value(&self, stream: Stream, key: &str) -> Option<Bytes> {
+        let partitions = self.partitions.borrow();
+        let part = partitions.get(&(stream, 0))?;
+        part.records[*part.newest.get(key)?].value.clone()
+    }
+
     /// Returns the number of records appended under a key.
     pub(crate) fn record_count(&self, stream: Stream, key: &str) -> usize {
         let partitions = self.partitions.borrow();
--- a/hemlocksaddle-types/src/delegation.rs
+++ b/hemlocksaddle-types/src/delegation.rs
@@ -248,6 +248,12 @@
     /// Start time of the node's process in milliseconds; 0 if its version does not tell.
     #[serde(default)]
     pub started_ms: u64,
+    /// Latency of the store's latest answer to the node; `None` if its version does not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store_latency_ms: Option<Millis>,
+    /// Time for which all calls of the node to the store have failed.
+    #[serde(default)]
+    pub store_failing_ms: Millis,
 }
 
 /// Call to a worker that a delegate carries out.
