Refuse work that would come too late while no owner recovers

Cause: submissions were accepted for as long as no owner recovered, also those whose results callers could no longer use.

Change: nodes count from the claims the time for which no recovered owner is known, while they read the claims without a gap. The wait of a new submission is expected to be as long again; if that and its longest chain exceed three times its completion target, it is refused before anything is sent, with a Retry-After. Long-running and scheduled workflows are queued. An append whose answer cannot be decoded counts as one with an unknown outcome; it was called refused.

--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -8,6 +8,7 @@
 use hemlocksaddle_policy::{
     intake::{Action, STORE_UNAVAILABLE_MS, SUBMISSION_TIMEOUT_MS, SubmissionState},
     shutdown::Shutdown,
+    unserved::refuse_until,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -28,7 +29,7 @@
     node::{Env, Owners},
     owner::state_text,
     parts::record_bytes,
-    ports::{Conditions, StoreError, Stream},
+    ports::{Conditions, Stream},
     record::{self, Key},
 };
 
@@ -51,6 +52,8 @@
     Accepted,
     /// Certainly not stored; the store is unavailable.
     Unavailable,
+    /// Certainly not stored; no owner starts work, and the caller should retry after the given time in seconds.
+    Unserved(u32),
     /// Outcome unknown; the caller has to retry with the same id.
     Unknown,
     /// Certainly not stored; the store takes no record of this size.
@@ -165,12 +168,18 @@
     pub async fn submit(&self, id: WorkflowId, workflow: Workflow) -> Submitted {
         let started_at = self.env.now();
         let queue = workflow.queue.clone();
-        let submission = Submission::Accepted(Box::new(workflow));
-        let outcome = self.store(id, Key::Accepted(id), &submission).await;
+        let outcome = match self.refuse_unserved(id, &workflow) {
+            Some(refused) => refused,
+            None => {
+                let submission = Submission::Accepted(Box::new(workflow));
+                self.store(id, Key::Accepted(id), &submission).await
+            }
+        };
         let took_ms = self.env.now().since(started_at);
         let (event, label) = match outcome {
             Submitted::Accepted => (Event::Accepted, "accepted"),
             Submitted::Unavailable => (Event::Refused, "refused"),
+            Submitted::Unserved(_) => (Event::Refused, "unserved"),
             Submitted::Unknown => (Event::OutcomeUnknown, "unknown"),
             Submitted::TooLarge => (Event::Refused, "too large"),
         };
@@ -186,12 +195,25 @@
         let inputs = json!({
             "workflow": id.to_string(), "queue": &*queue, "took_ms": took_ms.0,
             "version": self.catalogue().map(|catalogue| catalogue.version),
-            "shard": self.shard(id),
+            "shard": self.shard(id), "outcome": label,
         });
         self.env.event(event, &inputs);
         outcome
     }
 
+    /// Refuses a workflow whose result would come too late because no owner starts work of its shard.
+    ///
+    /// Nothing has been sent for it yet, so that it is certainly not stored.
+    fn refuse_unserved(&self, id: WorkflowId, workflow: &Workflow) -> Option<Submitted> {
+        let unserved_for = self.claims.unserved_for(self.shard(id)?);
+        let catalogue = self.catalogue()?;
+        let mut queues = catalogue.queues.iter();
+        let queue = queues.find(|queue| queue.name == workflow.queue)?;
+        let after = refuse_until(workflow, queue, unserved_for)?;
+        let after_s = u32::try_from(after.0.div_ceil(1_000)).unwrap_or(u32::MAX);
+        Some(Submitted::Unserved(after_s))
+    }
+
     async fn store(&self, id: WorkflowId, key: Key, submission: &Submission) -> Submitted {
         let Some(shard) = self.shard(id).filter(|_| !self.refuses()) else {
             return Submitted::Unavailable;
@@ -270,8 +292,7 @@
                         attempts.in_flight = false;
                         match appended {
                             Ok(_) => return Submitted::Accepted,
-                            Err(StoreError::Unknown) => attempts.maybe_stored = true,
-                            Err(_) => {}
+                            Err(error) => attempts.maybe_stored |= !error.is_certain(),
                         }
                         attempts.append_failing_since.get_or_insert(sent_at);
                     }
