Pause after answers that leave a caller where it was

Cause: several loops went on without a pause or a log line for as long as the store or a worker answered at once: reads that do not wait, records that are always deleted already, pages that repeat, sequence numbers that never match, and reports that do not wait.

Change: each of them pauses and logs event 38 or 39; a page that does not follow the one before ends the listing with an error. Group commit takes an answer that cannot be decoded as an unknown outcome. The calls to the store move to a file of their own.

--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -166,6 +166,8 @@
                 continue;
             }
             while self.read_tail(partition).await {}
+            // A store that deletes records sooner than they are read would be read without a pause.
+            self.env.sleep(RETRY_MS).await;
         }
     }
 
@@ -209,7 +211,12 @@
                 }
                 true
             }
-            Err(StoreError::Truncated(_)) => false,
+            Err(StoreError::Truncated(first)) => {
+                let from = state.end.get();
+                self.env
+                    .log_position_lost(Stream::Claims, partition, from, first);
+                false
+            }
             Err(_) => {
                 state.read_since.set(None);
                 self.env.sleep(RETRY_MS).await;
--- a/hemlocksaddle-shard/src/configuration.rs
+++ b/hemlocksaddle-shard/src/configuration.rs
@@ -64,6 +64,8 @@
             self.replace_closed(&records);
             records.iter().for_each(|record| self.apply(record));
             while self.read_tail().await {}
+            // A store that deletes records sooner than they are read would be read without a pause.
+            self.env.sleep(RETRY_MS).await;
         }
     }
 
@@ -80,7 +82,11 @@
                     .for_each(|record| self.apply(record));
                 true
             }
-            Err(StoreError::Truncated(_)) => false,
+            Err(StoreError::Truncated(first)) => {
+                self.env
+                    .log_position_lost(Stream::Operator, 0, self.next.get(), first);
+                false
+            }
             Err(_) => {
                 self.env.sleep(RETRY_MS).await;
                 true
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -104,10 +104,10 @@
     DeletionFailed = 36, "deletion failed";
     /// Owner has not recovered for long.
     RecoveryWaits = 37, "recovery waits";
-    /// Records that were followed are deleted, or do not come; the newest ones are read again.
+    /// Store has deleted records that were to be read next; the newest ones are read again after a pause.
     PositionLost = 38, "position lost";
-    /// Store repeats a page of newest records, or answers a read that should wait at once with nothing.
-    AnswerRepeated = 39, "answer repeated";
+    /// Peer answers in a way that would be asked for again without a pause; a pause follows.
+    OddAnswer = 39, "odd answer";
     /// Submission was accepted.
     Accepted = 40, "accepted";
     /// Submission was refused.
--- a/hemlocksaddle-shard/src/group_commit.rs
+++ b/hemlocksaddle-shard/src/group_commit.rs
@@ -23,7 +23,7 @@
     event::Event,
     owner::Owner,
     parts::record_bytes,
-    ports::{Conditions, Record, StoreError, Stream},
+    ports::{Conditions, Record, Stream},
     record::{self, Key},
     recovery::Origin,
 };
@@ -110,7 +110,7 @@
             match append.await {
                 Ok(end) => self.acknowledge(batch, end),
                 Err(error) => {
-                    if error == StoreError::Unknown {
+                    if !error.is_certain() {
                         batch.iter_mut().for_each(|item| item.maybe_stored = true);
                     }
                     self.refuse_or_requeue(batch);
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -1,5 +1,7 @@
 //! Node of a deployment: follows the store, owns shards and answers peers.
 
+mod store_calls;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -9,10 +11,7 @@
 
 use foldhash::{HashMap, HashMapExt};
 use hemlocksaddle_node::ports::{PeerLink, Peers, PortFuture, Runtime};
-use hemlocksaddle_policy::{
-    congestion::append_bytes, recovery_watch::StoreView, shutdown::Shutdown,
-    take_over::ClockReading,
-};
+use hemlocksaddle_policy::{congestion::append_bytes, shutdown::Shutdown, take_over::ClockReading};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::{DataCentre, NodeName},
@@ -30,21 +29,9 @@
     links::{Links, RequestHandler},
     metrics::Metrics,
     owner::Owner,
-    ports::{Conditions, Fleet, Formats, Record, Result, Store, StoreError, Stream, Tail},
+    ports::{Fleet, Formats, Store},
 };
 
-/// Timeout of a call to the store, beyond the wait of a read.
-///
-/// Long enough for a few consecutive answers of a slow store, which takes 60 times the usual 4 ms
-/// for each, and short enough to detect a silent connection before the ownership lease expires.
-const STORE_TIMEOUT_MS: Millis = Millis(1_200);
-
-/// Maximum size of a page of newest records on the wire, encoded in base64.
-const MAX_PAGE_BYTES: u64 = 1_400_000;
-
-/// Number of streams that a new owner reads at the same time, over one link.
-const CONCURRENT_STREAMS: u64 = 2;
-
 /// Duration of a store failure after which the node reports itself as not ready.
 const UNREADY_AFTER_MS: Millis = Millis(700);
 
@@ -104,6 +91,8 @@
     log: Log,
     store_failing_since: Cell<Option<MonoMs>>,
     store_latency: Cell<Millis>,
+    /// Number of reads that were answered early without records.
+    early_answers: Cell<u64>,
 }
 
 impl Env {
@@ -133,183 +122,6 @@
     pub(crate) fn event(&self, event: Event, inputs: &Value) {
         self.log.emit(event, self.now(), self.wall(), inputs);
     }
-
-    /// Reads the newest record of each key, with the offset to follow from.
-    pub(crate) async fn read_all(
-        &self,
-        stream: Stream,
-        partition: u32,
-    ) -> Result<(Vec<Record>, u64)> {
-        self.read_pages(stream, partition, |_| {}).await
-    }
-
-    /// Reads the newest record of each key, as [`Env::read_all`] does; `on_page` gets the number of records of each
-    /// page.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a page begins at or before the end of the previous one, which would be read for ever.
-    pub(crate) async fn read_pages(
-        &self,
-        stream: Stream,
-        partition: u32,
-        on_page: impl Fn(usize),
-    ) -> Result<(Vec<Record>, u64)> {
-        let mut records: Vec<Record> = Vec::new();
-        let mut end = None;
-        loop {
-            let after = records.last().map(|record| record.key.clone());
-            let page = self.ports.store.newest(stream, partition, after.clone());
-            let page = self
-                .with_timeout("newest", self.page_timeout(), page)
-                .await?;
-            on_page(page.records.len());
-            // Changes between two pages are read again when the stream is followed.
-            end.get_or_insert(page.end);
-            let is_empty = page.records.is_empty();
-            let last = page.records.last().map(|record| record.key.clone());
-            if !is_empty && last <= after {
-                let inputs = json!({
-                    "stream": format!("{stream:?}"), "partition": partition,
-                    "after": after, "last": last,
-                });
-                self.event(Event::AnswerRepeated, &inputs);
-                return Err(StoreError::Unreadable);
-            }
-            records.extend(page.records);
-            if !page.more || is_empty {
-                return Ok((records, end.unwrap_or(page.end)));
-            }
-        }
-    }
-
-    /// Timeout of a call that reads a page: the page may be as large as the store allows.
-    fn page_timeout(&self) -> Millis {
-        let link_kbps = u64::from(self.settings.link_kbps.max(1));
-        Millis(STORE_TIMEOUT_MS.0 + CONCURRENT_STREAMS * MAX_PAGE_BYTES * 8 / link_kbps)
-    }
-
-    pub(crate) async fn read(
-        &self,
-        stream: Stream,
-        partition: u32,
-        from: u64,
-        wait: Millis,
-    ) -> Result<Tail> {
-        let timeout = wait + STORE_TIMEOUT_MS;
-        self.read_within(stream, partition, from, wait, timeout)
-            .await
-    }
-
-    /// Reads records that may be as many as the store returns at once; does not wait for new ones.
-    pub(crate) async fn read_following(
-        &self,
-        stream: Stream,
-        partition: u32,
-        from: u64,
-    ) -> Result<Tail> {
-        let timeout = self.page_timeout();
-        self.read_within(stream, partition, from, Millis(0), timeout)
-            .await
-    }
-
-    async fn read_within(
-        &self,
-        stream: Stream,
-        partition: u32,
-        from: u64,
-        wait: Millis,
-        timeout: Millis,
-    ) -> Result<Tail> {
-        let sent_at = self.now();
-        let read = self.ports.store.read(stream, partition, from, wait);
-        let read = self.with_timeout("read", timeout, read).await;
-        let took = self.now().since(sent_at);
-        match took.0.checked_sub(wait.0) {
-            _ if matches!(read, Err(StoreError::NotDone)) => {}
-            Some(delay) => self.store_latency.set(Millis(delay)),
-            // A record ended the wait early, so the latency is at most the whole time.
-            None => self.store_latency.set(self.store_latency.get().min(took)),
-        }
-        read
-    }
-
-    /// Returns the latency of the store's latest answer, without the wait of a read.
-    pub(crate) fn store_latency(&self) -> Millis {
-        self.store_latency.get()
-    }
-
-    pub(crate) async fn append(
-        &self,
-        stream: Stream,
-        partition: u32,
-        records: Vec<Record>,
-        conditions: Conditions,
-    ) -> Result<u64> {
-        let sent_at = self.now();
-        let append = self
-            .ports
-            .store
-            .append(stream, partition, records, conditions);
-        let append = self.with_timeout("append", STORE_TIMEOUT_MS, append).await;
-        // A rejected call does not show how long others take.
-        if !matches!(append, Err(StoreError::NotDone)) {
-            self.store_latency.set(self.now().since(sent_at));
-        }
-        append
-    }
-
-    async fn with_timeout<T>(
-        &self,
-        call: &str,
-        limit: Millis,
-        future: impl Future<Output = Result<T>>,
-    ) -> Result<T> {
-        let answer = hemlocksaddle_node::wait::within(&*self.ports.runtime, limit, future).await;
-        let answer = answer.unwrap_or(Err(StoreError::Unknown));
-        let outcome = match &answer {
-            Ok(_) => "ok",
-            Err(StoreError::NotDone) => "not done",
-            Err(StoreError::Unknown) => "unknown",
-            Err(_) => "refused",
-        };
-        self.metrics
-            .store_calls
-            .with_label_values(&[call, outcome])
-            .inc();
-        self.track_store_health(call, answer.as_ref().err().copied());
-        answer
-    }
-
-    fn track_store_health(&self, call: &str, error: Option<StoreError>) {
-        let failing = matches!(error, Some(StoreError::NotDone | StoreError::Unknown));
-        let since = self.store_failing_since.get();
-        if failing && since.is_none() {
-            self.store_failing_since.set(Some(self.now()));
-            let inputs = json!({ "call": call, "error": format!("{error:?}") });
-            self.event(Event::StoreLost, &inputs);
-        }
-        if !failing && let Some(since) = since {
-            self.store_failing_since.set(None);
-            let away_ms = self.now().since(since);
-            let inputs = json!({ "call": call, "away_ms": away_ms.0 });
-            self.event(Event::StoreRegained, &inputs);
-        }
-    }
-
-    /// Returns how the store answers this node.
-    pub(crate) fn store_view(&self) -> StoreView {
-        StoreView {
-            latency: self.store_latency(),
-            failing_for: self.store_failing_for(),
-        }
-    }
-
-    /// Returns the time for which all calls to the store have failed.
-    pub(crate) fn store_failing_for(&self) -> Millis {
-        let since = self.store_failing_since.get();
-        since.map_or(Millis(0), |since| self.now().since(since))
-    }
 }
 
 /// Owners that run on this node, by shard.
@@ -364,6 +176,7 @@
             started_ms,
             store_failing_since: Cell::new(None),
             store_latency: Cell::new(Millis(0)),
+            early_answers: Cell::new(0),
             settings,
             ports,
         });
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -318,8 +318,10 @@
                     }
                 }
                 Err(StoreError::Fenced) => return self.step_down("claim is fenced"),
-                Err(StoreError::OutOfSequence(_)) => {
+                Err(StoreError::OutOfSequence(expected)) => {
                     attempts = AppendAttempts::default();
+                    self.log_out_of_sequence(Stream::Claims, expected);
+                    self.env.sleep(RETRY_MS).await;
                     continue;
                 }
                 Err(error) => {
@@ -337,6 +339,15 @@
         }
     }
 
+    /// Logs that the store expects another sequence number, which the next append has.
+    pub(crate) fn log_out_of_sequence(&self, stream: Stream, expected: u64) {
+        let inputs = json!({
+            "shard": self.shard, "term": self.term, "stream": format!("{stream:?}"),
+            "expected": expected,
+        });
+        self.env.event(Event::OddAnswer, &inputs);
+    }
+
     async fn watch_claim(self: Rc<Self>) {
         while !self.ended.get() {
             let seen = self.claims.changed.count();
@@ -384,7 +395,11 @@
                     self.submissions_read_at.set(sent_at);
                     self.follow_records(tail.records.iter().flatten(), next);
                 }
-                Err(StoreError::Truncated(_)) => {
+                Err(StoreError::Truncated(first)) => {
+                    self.env
+                        .log_position_lost(Stream::Submissions, self.shard, next, first);
+                    // A store that deletes records sooner than they are read would be read without a pause.
+                    self.env.sleep(RETRY_MS).await;
                     match self.env.read_all(Stream::Submissions, self.shard).await {
                         Ok((records, end)) => {
                             // Pages are ordered by key, so a fence may come after what was stored behind it.
@@ -425,8 +440,12 @@
                     let mut catch_up = CatchUp::new(self.listings.borrow().len());
                     catch_up.after_read(from, next, tail.end) == Next::ReadNewest
                 }
+                Err(StoreError::Truncated(first)) => {
+                    self.env.log_position_lost(Stream::Workers, 0, next, first);
+                    true
+                }
                 // The known workers are kept; the next interval retries.
-                Err(error) => matches!(error, StoreError::Truncated(_)),
+                Err(_) => false,
             };
             if must_read_newest
                 && let Ok((records, end)) = self.env.read_all(Stream::Workers, 0).await
--- a/hemlocksaddle-shard/src/saving.rs
+++ b/hemlocksaddle-shard/src/saving.rs
@@ -107,7 +107,11 @@
                     self.progress_sequence.set(self.progress_sequence.get() + 1);
                     return;
                 }
-                Err(StoreError::OutOfSequence(expected)) => self.progress_sequence.set(expected),
+                Err(StoreError::OutOfSequence(expected)) => {
+                    self.progress_sequence.set(expected);
+                    self.log_out_of_sequence(Stream::Progress, expected);
+                    self.env.sleep(RETRY_MS).await;
+                }
                 Err(StoreError::Fenced) => self.step_down("progress is fenced"),
                 Err(_) => self.env.sleep(RETRY_MS).await,
             }
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -29,6 +29,14 @@
 /// Pause between two report requests to a worker that lists ends which are not acknowledged.
 const WITHHELD_PAUSE_MS: Millis = Millis(300);
 
+/// Number of reports in a row that were answered without waiting and without ends, from which the owner pauses.
+///
+/// A worker that begins or stops many runs answers early a few times in a row.
+const MAX_EARLY_ANSWERS: u32 = 20;
+
+/// Pause after each further report of such a worker.
+const EARLY_ANSWER_PAUSE_MS: Millis = Millis(50);
+
 /// Longest wait for reported ends to become durable before the next request.
 ///
 /// A report lists ends again until they are acknowledged as durable.
@@ -110,6 +118,7 @@
         // No task is placed on a worker before its first report, so the first request does not wait.
         let mut is_new = true;
         let mut withholds = false;
+        let mut early_answers = 0;
         while !self.ended.get() {
             let Some(listing) = self.listing(key) else {
                 return;
@@ -135,8 +144,21 @@
             } else {
                 REPORT_WAIT_MS
             };
+            let sent_at = self.env.now();
             match self.fetch_report(key, &listing, wait, !silent).await {
                 Ok(()) => {
+                    let took = self.env.now().since(sent_at);
+                    if took.0 >= wait.0 / 4 || self.has_unsaved_ends(key) {
+                        early_answers = 0;
+                    } else {
+                        early_answers += 1;
+                    }
+                    if early_answers >= MAX_EARLY_ANSWERS {
+                        if early_answers == MAX_EARLY_ANSWERS {
+                            self.worker_event(Event::OddAnswer, &listing, "does not wait");
+                        }
+                        self.env.sleep(EARLY_ANSWER_PAUSE_MS).await;
+                    }
                     if silent {
                         self.worker_event(Event::WorkerRegained, &listing, "answered");
                     }
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -116,6 +116,8 @@
     pub(crate) listed_after: Cell<Millis>,
     /// Whether answers to start orders lack the start time of the process.
     pub(crate) plain_start_answers: Cell<bool>,
+    /// Whether workers answer report requests without waiting.
+    pub(crate) answers_at_once: Cell<bool>,
     /// Whether workers start tasks that do not fit.
     pub(crate) unguarded: Cell<bool>,
     workers: RefCell<Vec<Worker>>,
@@ -158,6 +160,7 @@
             connections_hang: Cell::new(false),
             listed_after: Cell::new(Millis(0)),
             plain_start_answers: Cell::new(false),
+            answers_at_once: Cell::new(false),
             unguarded: Cell::new(false),
             workers: RefCell::new((0..count).map(|_| Worker::new()).collect()),
             violations: RefCell::default(),
@@ -523,7 +526,8 @@
         let number = FakeFleet::number(worker);
         Box::pin(async move {
             self.sim.sleep(LATENCY_MS).await;
-            let until = self.sim.now() + request.wait;
+            let waits = !self.answers_at_once.get();
+            let until = self.sim.now() + if waits { request.wait } else { Millis(0) };
             if self.workers.borrow()[number].is_down {
                 self.hang_if_down(number).await;
                 return Err(WorkerError::NotSent);
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -3,7 +3,7 @@
 mod fleet;
 mod node_fleet;
 mod peers;
-mod store;
+pub(crate) mod store;
 
 use std::{
     cell::{Cell, RefCell},
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -65,6 +65,21 @@
     }
 }
 
+/// Fault of the answers that a caller might meet by repeating the call for ever.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Odd {
+    /// Reads are answered at once and without records.
+    Empty,
+    /// All records that are followed are deleted already.
+    Truncated,
+    /// Each page of newest records is the first one and has a successor.
+    RepeatedPage,
+    /// Appends with a sequence number are not made, as if the next one had been expected.
+    OutOfSequence,
+    /// Appends are made, and their answers cannot be decoded.
+    UnreadableAppend,
+}
+
 pub(crate) struct FakeStore {
     sim: SimRuntime,
     partitions: RefCell<HashMap<(Stream, u32), Partition>>,
@@ -84,6 +99,10 @@
     pub(crate) largest_append_bytes: Cell<usize>,
     /// Largest number of records in an answer to a read.
     pub(crate) max_read_records: Cell<usize>,
+    /// Fault of the answers.
+    pub(crate) odd: Cell<Option<Odd>>,
+    /// Number of calls to each stream.
+    pub(crate) calls: RefCell<HashMap<Stream, usize>>,
     /// Delay of reads of the newest worker records; widens races between the nodes that read them.
     pub(crate) worker_read_delay_ms: Cell<u64>,
 }
@@ -106,6 +125,8 @@
             max_record_bytes: Cell::new(MAX_RECORD_BYTES),
             largest_append_bytes: Cell::new(0),
             max_read_records: Cell::new(usize::MAX),
+            odd: Cell::new(None),
+            calls: RefCell::default(),
             worker_read_delay_ms: Cell::new(0),
         })
     }
@@ -220,7 +241,8 @@
     }
 
     /// Waits for the latency of a call and applies the injected faults.
-    async fn answer(&self) -> Result<()> {
+    async fn answer(&self, stream: Stream) -> Result<()> {
+        *self.calls.borrow_mut().entry(stream).or_default() += 1;
         self.sim
             .sleep(Millis(LATENCY_MS.0 * self.latency_factor.get()))
             .await;
@@ -411,17 +433,19 @@
                     .await;
             }
             self.wait_in_queue(stream, partition, false).await?;
-            self.answer().await?;
+            self.answer(stream).await?;
             let partitions = self.partitions.borrow();
             let Some(part) = partitions.get(&(stream, partition)) else {
                 return Ok(Newest::default());
             };
+            let is_repeated = self.odd.get() == Some(Odd::RepeatedPage);
+            let after = after.filter(|_| !is_repeated);
             let from = after.map_or(Bound::Unbounded, Bound::Excluded);
             let newest = part.newest.range((from, Bound::Unbounded));
             let live = newest.map(|(_, &offset)| &part.records[offset]);
             let live = live.filter(|record| record.value.is_some());
             let mut records: Vec<Record> = live.take(PAGE_RECORDS + 1).cloned().collect();
-            let more = records.len() > PAGE_RECORDS;
+            let more = records.len() > PAGE_RECORDS || is_repeated;
             records.truncate(PAGE_RECORDS);
             Ok(Newest {
                 records,
@@ -439,7 +463,7 @@
         wait: Millis,
     ) -> PortFuture<'_, Result<Tail>> {
         Box::pin(async move {
-            self.answer().await?;
+            self.answer(stream).await?;
             let until = self.sim.now() + wait;
             loop {
                 if self.reset.get() {
@@ -452,6 +476,15 @@
                     let partitions = self.partitions.borrow();
                     let part = partitions.get(&(stream, partition));
                     let first = part.map_or(0, |part| part.first);
+                    match self.odd.get() {
+                        Some(Odd::Truncated) => return Err(StoreError::Truncated(from + 1)),
+                        Some(Odd::Empty) => {
+                            let (records, next) = (Vec::new(), from);
+                            let end = part.map_or(0, |part| part.records.len() as u64);
+                            return Ok(Tail { records, next, end });
+                        }
+                        _ => {}
+                    }
                     if from < first {
                         return Err(StoreError::Truncated(first));
                     }
@@ -478,11 +511,17 @@
     ) -> PortFuture<'_, Result<u64>> {
         Box::pin(async move {
             self.wait_in_queue(stream, partition, true).await?;
-            self.answer().await?;
+            self.answer(stream).await?;
+            if let (Some(Odd::OutOfSequence), Some(writer)) = (self.odd.get(), &conditions.writer) {
+                return Err(StoreError::OutOfSequence(writer.sequence + 1));
+            }
             let appended = self.do_append(stream, partition, records, &conditions);
             if appended.is_ok() {
                 self.occupy(stream, partition);
             }
+            if self.odd.get() == Some(Odd::UnreadableAppend) {
+                return appended.and(Err(StoreError::Unreadable));
+            }
             if self.lose_answers.get() {
                 return Err(StoreError::Unknown);
             }
