Log connections that listeners do not serve

Cause: listeners that could not accept, or had too many connections, went on without a log line; a call that cannot be built as a request was called not sent without one.

--- a/hemlocksaddle-adapters/src/callers/mod.rs
+++ b/hemlocksaddle-adapters/src/callers/mod.rs
@@ -24,6 +24,8 @@
 use hemlocksaddle_node::{settings::Limits, wait::Signal};
 use hyper::{server::conn::http1, service::service_fn};
 
+use crate::accept::RejectedConnections;
+
 pub use self::service::{Refusal, Service};
 
 /// Delay after a failed accept, for example for lack of file descriptors.
@@ -78,12 +80,16 @@
 
     /// Accepts connections until [`CallerServer::stop`] is called.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let rejected = RejectedConnections::new("callers");
         while !self.is_stopping() {
             let accept = Box::pin(listener.accept());
             let stopped = Box::pin(self.stop.wait_past(0));
             match select(accept, stopped).await {
                 Either::Left((Ok((stream, _)), _)) => self.spawn_connection(stream).await,
-                Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
+                Either::Left((Err(cause), _)) => {
+                    rejected.record(cause);
+                    compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
                 Either::Right(((), _)) => return,
             }
         }
--- a/hemlocksaddle-adapters/src/http.rs
+++ b/hemlocksaddle-adapters/src/http.rs
@@ -133,8 +133,12 @@
         deadline: Instant,
     ) -> ExchangeOutcome {
         let address = call.address;
-        let Ok(request) = build_request(call) else {
-            return ExchangeOutcome::NotSent;
+        let request = match build_request(call) {
+            Ok(request) => request,
+            Err(cause) => {
+                log::error!(target: "hemlocksaddle", "call to {address} is not valid: {cause}");
+                return ExchangeOutcome::NotSent;
+            }
         };
         let guard = EvictIdleOnDrop {
             client: self,
--- a/hemlocksaddle-adapters/src/lib.rs
+++ b/hemlocksaddle-adapters/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod accept;
 pub mod callers;
 mod headers;
 pub mod http;
--- a/hemlocksaddle-adapters/src/peers/mod.rs
+++ b/hemlocksaddle-adapters/src/peers/mod.rs
@@ -22,6 +22,7 @@
 
 pub use auth::MAX_MESSAGE_BYTES;
 
+use crate::accept::RejectedConnections;
 use key::PeerKey;
 
 /// Timeout for establishing and authenticating a connection.
@@ -82,12 +83,18 @@
 pub async fn listen(listener: TcpListener, key: PeerKey, on_link: impl Fn(PeerLink) + 'static) {
     let on_link = Rc::new(on_link);
     let pending = Rc::new(Cell::new(0));
+    let rejected = RejectedConnections::new("peers");
     loop {
-        let Ok((tcp, _)) = listener.accept().await else {
-            compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let tcp = match listener.accept().await {
+            Ok((tcp, _)) => tcp,
+            Err(cause) => {
+                rejected.record(cause);
+                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         let Some(slot) = PendingSlot::acquire(&pending) else {
+            rejected.record("too many connections are being set up");
             continue;
         };
         let key = key.clone();
