--- a/hemlocksaddle-shard/tests/catalogue.rs
+++ b/hemlocksaddle-shard/tests/catalogue.rs
@@ -48,6 +48,7 @@
         .with_label_values(&["answered"])
         .inc();
     metrics.waiting_tasks.with_label_values(&["room"]).set(1);
+    metrics.unrecovered_s.with_label_values(&["0"]).set(1.0);
     metrics.plan_work.with_label_values(&["plans"]).inc();
     let text = String::from_utf8(metrics.text().expect("text")).expect("text");
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/hemlocksaddle-shard/tests/growing_streams.rs
+++ b/hemlocksaddle-shard/tests/growing_streams.rs
@@ -10,7 +10,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_fakes::runtime::ENVIRONMENT;
-use hemlocksaddle_shard::ports::Stream;
+use hemlocksaddle_shard::{frontend::Submitted, ports::Stream};
 use hemlocksaddle_types::{clock::Millis, workflow::State};
 use support::{Deployment, step};
 
@@ -143,6 +143,51 @@
     }
 }
 
+/// Time after a claim for which the answers to appends are lost, those to the fences among them.
+const LOST_ANSWERS_MS: u64 = 1_500;
+
+/// Guards against a state that lacks what was stored while the answers to the fences were lost and the store forgot its
+/// history.
+#[gtest]
+fn nothing_is_lost_while_answers_to_the_fences_are_lost() {
+    for seed in 1..=5 {
+        let deployment = deployment_with_growing_stream(seed, 3);
+        forget_history(&deployment, Millis(20));
+        deployment.wait_for_owner();
+        let owner = deployment.owner().expect("owner");
+        let other = (owner + 1) % 3;
+        let mut outcomes = Vec::new();
+        let mut claimed_ms = None;
+        for id in 1..=60 {
+            outcomes.push((
+                id,
+                deployment.submit_in_background(other, id, vec![step(1)]),
+            ));
+            if id == 10 {
+                deployment.kill(owner);
+            }
+            if id > 10 && deployment.owner().is_some() {
+                claimed_ms.get_or_insert(deployment.sim.now().0);
+            }
+            let is_lost = |at| deployment.sim.now().0 < at + LOST_ANSWERS_MS;
+            let lost = id >= 10 && claimed_ms.is_none_or(is_lost);
+            deployment.store.lose_answers.set(lost);
+            deployment.sim.run_for(Millis(80));
+        }
+        expect_that!(claimed_ms, some(anything()), "seed {seed}");
+        deployment.store.lose_answers.set(false);
+        for (id, outcome) in outcomes {
+            let state = deployment.wait_for_end(other, id, RECOVERY_MS);
+            // The store has carried out appends whose answers were lost; a refusal is certain.
+            let is_refused = outcome.get() == Some(Submitted::Unavailable);
+            let expected = (!is_refused).then_some(State::Completed);
+            expect_that!(state, eq(expected), "{id}, seed {seed}, {outcome:?}");
+        }
+        let violations = deployment.fleet.violations.borrow();
+        expect_that!(*violations, is_empty(), "seed {seed}");
+    }
+}
+
 /// Factor of the store's latency with which each answer takes 300 ms.
 const SLOW_FACTOR: u64 = 75;
 
--- a/hemlocksaddle-shard/tests/unrecovered_owners.rs
+++ b/hemlocksaddle-shard/tests/unrecovered_owners.rs
@@ -93,6 +93,36 @@
     panic!("no node has claimed the shard");
 }
 
+/// Value of a metric of a node.
+fn metric(deployment: &Deployment, node: usize, name: &str) -> f64 {
+    let text = deployment.node(node).expect("node").metrics_text();
+    let text = String::from_utf8(text.expect("metrics")).expect("text");
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    line.expect("metric").trim().parse().expect("number")
+}
+
+const UNRECOVERED: &str = "shard_unrecovered_seconds{shard=\"0\"}";
+
+/// Guards against an owner that nobody can see waiting, and against a metric that stays after the shard has left.
+#[gtest]
+fn an_unrecovered_owner_shows_since_when() {
+    let (deployment, owner) = with_unrecovered_owner(1, 3, Trouble::Silent);
+    deployment.sim.run_for(Millis(4_000));
+    expect_that!(
+        metric(&deployment, owner, UNRECOVERED),
+        all![ge(3.5), le(4.0)]
+    );
+    let given_up = "shard_unrecovered_given_up_total ";
+    expect_that!(metric(&deployment, owner, given_up), eq(0.0));
+    let other = (0..3).find(|&number| number != owner && deployment.node(number).is_some());
+    let other = other.expect("other node");
+    set_trouble(&deployment, other, Trouble::Silent, false);
+    deployment.sim.run_for(FIRST_HANDOVER_MS);
+    expect_that!(metric(&deployment, owner, given_up), eq(1.0));
+    expect_that!(metric(&deployment, owner, UNRECOVERED), eq(0.0));
+    expect_that!(metric(&deployment, other, UNRECOVERED), eq(0.0));
+}
+
 /// Guards against an owner that keeps a shard which it cannot recover, while another node could.
 #[gtest]
 fn an_unrecovered_owner_gives_the_shard_to_a_node_that_the_store_answers() {
