Compare the keys of pages only for equality

Cause: the check of a repeated page relied on the store's order of keys being that of bytes; with any other one a sound listing would have been called repeated.

Change: a listing ends with an error if a page ends with the key of an earlier one.

--- a/hemlocksaddle-shard/src/node/store_calls.rs
+++ b/hemlocksaddle-shard/src/node/store_calls.rs
@@ -1,5 +1,6 @@
 //! Calls of a node to the store, with time limits, metrics and a view of the store's health.
 
+use foldhash::{HashSet, HashSetExt};
 use hemlocksaddle_policy::recovery_watch::StoreView;
 use hemlocksaddle_types::clock::Millis;
 use serde_json::json;
@@ -40,7 +41,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if a page begins at or before the end of the previous one, which would be read for ever.
+    /// Fails if a page ends with the same key as an earlier one, since the pages between would be read for ever.
     pub(crate) async fn read_pages(
         &self,
         stream: Stream,
@@ -49,6 +50,8 @@
     ) -> Result<(Vec<Record>, u64)> {
         let mut records: Vec<Record> = Vec::new();
         let mut end = None;
+        // Keys are only compared for equality, since the store's order of them may be any.
+        let mut last_keys = HashSet::new();
         loop {
             let after = records.last().map(|record| record.key.clone());
             let page = self.ports.store.newest(stream, partition, after.clone());
@@ -60,7 +63,7 @@
             end.get_or_insert(page.end);
             let is_empty = page.records.is_empty();
             let last = page.records.last().map(|record| record.key.clone());
-            if !is_empty && last <= after {
+            if last.is_some() && !last_keys.insert(last.clone()) {
                 let inputs = json!({
                     "stream": format!("{stream:?}"), "partition": partition,
                     "after": after, "last": last,
