Count a recovery as the time without service, not the wait for renewals

Cause: the time without a recovered owner began with the last renewal, up to 1.5 s before the claim of a planned change of owner, so that short work would have been refused in it. Reads of a whole state counted as the store's latency, so that submissions at a recovering owner waited for 2.6 s and were refused, and the comparison with other nodes was of unlike things.

Change: an owner that has recovered counts as serving until its lease ends or another claim is read. Reads that return as much as the store has do not count as latency.

--- a/hemlocksaddle-policy/src/unserved.rs
+++ b/hemlocksaddle-policy/src/unserved.rs
@@ -19,33 +19,35 @@
 /// A caller with a long pause would miss the time after the recovery.
 const RETRY_AFTER_MS: (Millis, Millis) = (Millis(1_000), Millis(10_000));
 
-/// Claims of a shard, as known to a node.
-#[derive(Clone, Copy, Debug)]
-pub struct ServiceView {
-    /// Time since which the node has read the claims without a gap.
-    pub read_since: MonoMs,
-    /// Time of the latest answer with claims, or with none.
-    pub read_at: MonoMs,
-    /// Time at which the latest record of an owner that had recovered was read.
-    pub served_until: Option<MonoMs>,
-    /// Whether the latest claim is that of an owner that has recovered.
-    pub has_recovered: bool,
+/// Time until which an owner may have started work of a shard, as known to a node that reads its claims.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Served {
+    until: Option<MonoMs>,
 }
 
-impl ServiceView {
+impl Served {
+    /// Counts a claim or renewal that was read at `read_at`.
+    ///
+    /// An owner that has recovered may start work until its lease ends or another node claims the shard. A planned
+    /// change of owner therefore begins with the claim, however long ago the last renewal was.
+    #[must_use]
+    pub fn after_record(self, has_recovered: bool, read_at: MonoMs) -> Served {
+        let until = if has_recovered {
+            Some(read_at + OWNERSHIP_LEASE_MS)
+        } else {
+            self.until.map(|until| until.min(read_at))
+        };
+        Served { until }
+    }
+
     /// Time for which no owner is known that starts work.
     ///
-    /// A recovered owner that is not replaced may start work until its lease ends.
+    /// `read_since` is the time since which the node has read the claims without a gap, `read_at` that of its latest
+    /// read.
     #[must_use]
-    pub fn unserved_for(&self) -> Millis {
-        let since = self
-            .served_until
-            .map_or(self.read_since, |until| until.max(self.read_since));
-        let passed = self.read_at.since(since);
-        if self.has_recovered && passed < OWNERSHIP_LEASE_MS {
-            return Millis(0);
-        }
-        passed
+    pub fn unserved_for(self, read_since: MonoMs, read_at: MonoMs) -> Millis {
+        let since = self.until.unwrap_or(read_since).max(read_since);
+        read_at.since(since)
     }
 }
 
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -21,7 +21,7 @@
     take_over::{
         Candidate, OWNERSHIP_LEASE_MS, OwnerView, ShardView, Successor, should_claim_before_stop,
     },
-    unserved::ServiceView,
+    unserved::Served,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -58,8 +58,8 @@
     renewed_at: MonoMs,
     /// Time at which the first record of the term was read.
     claimed_at: MonoMs,
-    /// Time at which the latest record of an owner that had recovered was read, of any term.
-    served_until: Option<MonoMs>,
+    /// Time until which an owner of any term may have started work.
+    served: Served,
     /// Time at which the first record with the owner's offer of the shard was read.
     released_at: Option<MonoMs>,
     /// Start of the period in which the owner has answered no call from this node.
@@ -263,13 +263,10 @@
         let changed = known.is_none_or(|known| known.claim != claim);
         let same_term = known.filter(|known| known.claim.term == claim.term);
         let has_recovered = claim.unrecovered_terms == 0;
-        let served_until = if has_recovered {
-            Some(renewed_at)
-        } else {
-            known.and_then(|known| known.served_until)
-        };
+        let served = known.map_or(Served::default(), |known| known.served);
+        let served = served.after_record(has_recovered, renewed_at);
         let updated = ObservedClaim {
-            served_until,
+            served,
             renewed_at,
             claimed_at: same_term.map_or(renewed_at, |known| known.claimed_at),
             released_at: same_term
@@ -383,13 +380,9 @@
         };
         let observed = self.observed.borrow();
         let observed = observed.get(&shard);
-        let view = ServiceView {
-            read_since: read_since.max(self.layout_since.get()),
-            read_at: state.read_at.get(),
-            served_until: observed.and_then(|observed| observed.served_until),
-            has_recovered: observed.is_some_and(|observed| observed.claim.unrecovered_terms == 0),
-        };
-        view.unserved_for()
+        let served = observed.map_or(Served::default(), |observed| observed.served);
+        let read_since = read_since.max(self.layout_since.get());
+        served.unserved_for(read_since, state.read_at.get())
     }
 
     /// Returns whether the owner of a shard has failed to answer this node.
--- a/hemlocksaddle-shard/src/node/store_calls.rs
+++ b/hemlocksaddle-shard/src/node/store_calls.rs
@@ -91,11 +91,8 @@
         from: u64,
         wait: Millis,
     ) -> Result<Tail> {
-        let timeout = wait + STORE_TIMEOUT_MS;
         let sent_at = self.now();
-        let read = self
-            .read_within(stream, partition, from, wait, timeout)
-            .await;
+        let read = self.read_timed(stream, partition, from, wait).await;
         let is_empty = read.as_ref().is_ok_and(|tail| tail.next <= from);
         if is_empty && self.now().since(sent_at).0 < wait.0 / 2 {
             // The caller reads on at once, since an answer without records has usually waited.
@@ -127,28 +124,30 @@
     }
 
     /// Reads records that may be as many as the store returns at once; does not wait for new ones.
+    ///
+    /// Its time does not count as the store's latency, as most of it may be that of the transfer.
     pub(crate) async fn read_following(
         &self,
         stream: Stream,
         partition: u32,
         from: u64,
     ) -> Result<Tail> {
-        let timeout = self.page_timeout();
-        self.read_within(stream, partition, from, Millis(0), timeout)
-            .await
+        let read = self.ports.store.read(stream, partition, from, Millis(0));
+        self.with_timeout("read", self.page_timeout(), read).await
     }
 
-    async fn read_within(
+    async fn read_timed(
         &self,
         stream: Stream,
         partition: u32,
         from: u64,
         wait: Millis,
-        timeout: Millis,
     ) -> Result<Tail> {
         let sent_at = self.now();
         let read = self.ports.store.read(stream, partition, from, wait);
-        let read = self.with_timeout("read", timeout, read).await;
+        let read = self
+            .with_timeout("read", wait + STORE_TIMEOUT_MS, read)
+            .await;
         let took = self.now().since(sent_at);
         match took.0.checked_sub(wait.0) {
             _ if matches!(read, Err(StoreError::NotDone)) => {}
