--- a/hemlocksaddle-policy/tests/unserved.rs
+++ b/hemlocksaddle-policy/tests/unserved.rs
@@ -95,18 +95,21 @@
     expect_that!(longest_chain(&chain), eq(Millis(u64::MAX)));
 }
 
+/// Whether the owner had recovered, and the time of the read, of each record.
+type Records<'a> = &'a [(bool, u64)];
+
 /// Failures: late renewals, a killed owner, owners in a row that do not recover, a node that does not read the claims.
 /// Guards against refusals while an owner may start work, and against time that counts although the node knew
 /// nothing.
 #[gtest]
 fn a_shard_is_unserved_while_no_recovered_owner_is_known() {
-    let after = |records: &[(bool, u64)]| {
+    let after = |records: Records<'_>| {
         let records = records.iter();
         records.fold(Served::default(), |served, &(has_recovered, at)| {
             served.after_record(has_recovered, MonoMs(at))
         })
     };
-    let cases: [(&str, &[(bool, u64)], u64, u64, u64); 6] = [
+    let cases: [(&str, Records<'_>, u64, u64, u64); 6] = [
         (
             "late renewal",
             &[(true, 9_000), (true, 10_000)],
