Hold tenants to their caps and serve them by weight

Cause: a tenant that sends many times its usual load takes the whole fleet, and a configured cap limits nothing. Change: the scheduler counts the usage of each tenant with every assignment, gives no start that would bring it above the cap (steps, gangs, overdue and moved tasks), counts what a predecessor may have left running until the failover is complete, and serves the tenant with the lowest weighted dominant share first. It tells the tenant of a workflow, also of ended ones, counts a tenant's own waiting workflows and ignores the cancellation by another tenant. Without tenants the order of starts is as before.

--- a/hemlocksaddle-policy/src/workflow/consolidation.rs
+++ b/hemlocksaddle-policy/src/workflow/consolidation.rs
@@ -100,7 +100,7 @@
             matches!(task.phase, Phase::Running { since, .. } if now.since(since) >= MIN_RUN_BEFORE_MOVE_MS)
         });
         let step = job.step(key);
-        long_enough && step.max_unavailable.is_none() && !step.gang
+        long_enough && step.max_unavailable.is_none() && !step.gang && !self.is_above_cap(key)
     }
 
     /// Whether another worker that is already incompatible with an image has capacity for a task.
--- a/hemlocksaddle-policy/src/workflow/ended.rs
+++ b/hemlocksaddle-policy/src/workflow/ended.rs
@@ -4,6 +4,8 @@
 //! needed any more: a successor restores the workflow from its progress alone. The outcome is kept until
 //! the retention time has passed, so that its state can be told and a repeated submission is recognised.
 
+use std::sync::Arc;
+
 use foldhash::HashMap;
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
@@ -18,6 +20,8 @@
     state: State,
     at_ms: WallMs,
     failure: Option<Failure>,
+    /// Name of the workflow's tenant.
+    pub(super) tenant: Option<Arc<str>>,
     /// Latest runs that were started after one whose end is unknown, by occurrence, step and index.
     restarted: HashMap<(u32, u16, u32), Run>,
     /// Whether the submissions may hold records of the workflow.
@@ -31,6 +35,7 @@
             state: progress.ended?,
             at_ms: progress.ended_ms.unwrap_or_default(),
             failure: progress.failure.clone(),
+            tenant: progress.tenant.clone(),
             restarted: restarted_runs(progress).collect(),
             has_submission: false,
         })
@@ -125,6 +130,7 @@
                 continue;
             };
             self.by_id.remove(&job.id);
+            self.tenancy.leave(job.tenant);
             if let Some(mut ended) = EndedWorkflow::from_progress(&progress(&job)) {
                 ended.has_submission = true;
                 self.ended.insert(job.id, ended);
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -7,7 +7,9 @@
     workflow::{CrashedRun, Failure, Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
-use super::{JobKey, WorkerKey, interference::ImageId, occurrences::Occurrences, tasks::Tasks};
+use super::{
+    JobKey, TenantKey, WorkerKey, interference::ImageId, occurrences::Occurrences, tasks::Tasks,
+};
 
 /// Key of a task in the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -273,6 +275,8 @@
     pub(super) occurrences: Occurrences,
     /// Occurrences with a step that is done since the last look for done occurrences.
     pub(super) maybe_done: Vec<u32>,
+    /// Tenant that submitted the workflow.
+    pub(super) tenant: Option<TenantKey>,
     /// Image of each step.
     pub(super) images: Vec<ImageId>,
     /// Number of tasks assigned to workers.
@@ -301,6 +305,7 @@
             ended_saved: false,
             failure: None,
             unsaved_crashes: Vec::new(),
+            tenant: None,
             images,
             placed: 0,
         }
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -76,10 +76,12 @@
         if !inherited || !self.interference.has_restored_demand() {
             self.record_demand(&spec, &images);
         }
+        let tenant = spec.tenant.clone();
         let key = self.jobs.insert(Job::new(id, spec, images, now, inherited));
+        self.jobs[key].tenant = tenant.map(|name| self.tenancy.enter(&name));
         self.by_id.insert(id, key);
         self.open_jobs.push(key);
-        if self.pending_cancels.remove(&id).is_some() {
+        if self.take_pending_cancel(key) {
             self.cancel_job(key);
         }
         key
@@ -95,18 +97,7 @@
         }
     }
 
-    /// Cancels a workflow and orders its runs to stop.
-    pub fn cancel(&mut self, id: WorkflowId, now: MonoMs) {
-        match self.by_id.get(&id).copied() {
-            Some(key) => self.cancel_job(key),
-            None if self.note_submission(id) => {}
-            None => {
-                self.pending_cancels.insert(id, now);
-            }
-        }
-    }
-
-    fn cancel_job(&mut self, key: JobKey) {
+    pub(super) fn cancel_job(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
         if job.ended.is_some() || job.cancelled {
             return;
@@ -250,18 +241,6 @@
         }
     }
 
-    /// Number of open workflows of a queue without a started task, excluding those with a schedule.
-    #[must_use]
-    pub fn count_waiting(&self, queue: &str) -> u32 {
-        let waiting = self.jobs.values().filter(|job| {
-            !job.started
-                && job.is_open()
-                && job.spec.schedule.is_none()
-                && *job.spec.queue == *queue
-        });
-        u32::try_from(waiting.count()).unwrap_or(u32::MAX)
-    }
-
     /// Removes workflows that ended more than `keep_ended_ms` ago; returns their ids.
     pub fn forget_ended(&mut self, wall: WallMs) -> Vec<WorkflowId> {
         let keep_ms = self.limits.keep_ended_ms;
@@ -271,7 +250,9 @@
         });
         let old: Vec<_> = old.map(|(key, job)| (key, job.id)).collect();
         for (key, id) in &old {
-            self.jobs.remove(*key);
+            if let Some(job) = self.jobs.remove(*key) {
+                self.tenancy.leave(job.tenant);
+            }
             self.by_id.remove(id);
             self.unsaved.remove(key);
         }
@@ -383,6 +364,7 @@
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
+        let (tenant, demand) = (job.tenant, job.step(key).demand);
         let long_running = job.step(key).long_running;
         let state = job.step_state(key);
         let task = &mut state.tasks[key.index];
@@ -399,6 +381,7 @@
         task.phase = Phase::Waiting;
         state.waiting += 1;
         job.placed -= 1;
+        self.tenancy.release(tenant, demand);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.remove(key);
         }
@@ -526,6 +509,7 @@
         ended: job.ended.map(|(state, _)| state),
         ended_ms: job.ended.map(|(_, at_ms)| at_ms),
         failure: job.failure.clone(),
+        tenant: job.ended.and_then(|_| job.spec.tenant.clone()),
         steps,
     }
 }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -33,6 +33,7 @@
 mod report;
 mod restart;
 mod tasks;
+mod tenancy;
 mod waiting;
 mod withheld;
 mod work;
@@ -56,6 +57,7 @@
     job::{Job, Phase, TaskKey},
     lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     listing::Listing,
+    tenancy::{TenantUse, TenantUses},
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
     worker::Worker,
@@ -66,6 +68,8 @@
     pub struct JobKey;
     /// Key of one incarnation of a worker in the scheduler.
     pub struct WorkerKey;
+    /// Key of a tenant in the scheduler.
+    pub struct TenantKey;
 }
 
 /// Longest time that a worker holds a report request until a run ends (long poll).
@@ -153,7 +157,7 @@
     departed: HashSet<Arc<str>>,
     orders: Vec<Order>,
     /// Cancellations that were read before the submission of their workflow.
-    pending_cancels: HashMap<WorkflowId, MonoMs>,
+    pending_cancels: HashMap<WorkflowId, tenancy::PendingCancel>,
     /// Time by which every lease granted in an earlier term has expired.
     failover_complete_at: MonoMs,
     /// Whether leases of earlier terms were waited out because some worker did not report.
@@ -182,6 +186,7 @@
     crashes: Vec<Crash>,
     /// Work of the plans that is not reported yet.
     work: WorkCounts,
+    tenancy: tenancy::Tenancy,
 }
 
 impl Scheduler {
@@ -220,6 +225,7 @@
             losses: Vec::new(),
             crashes: Vec::new(),
             work: WorkCounts::default(),
+            tenancy: tenancy::Tenancy::default(),
         }
     }
 
@@ -233,6 +239,7 @@
             }
         }
         let unguarded = catalogue.pools.iter().filter(|pool| !pool.admission_check);
+        self.tenancy.configure(&catalogue.tenants);
         self.unguarded_pools = unguarded.map(|pool| pool.name.clone()).collect();
     }
 
--- a/hemlocksaddle-policy/src/workflow/occurrences.rs
+++ b/hemlocksaddle-policy/src/workflow/occurrences.rs
@@ -136,6 +136,21 @@
         }
     }
 
+    /// Number of occurrences of a schedule that are due, not done and without state.
+    pub(super) fn due_without_state(&self, spec: &Workflow, wall: WallMs) -> u32 {
+        let Some(schedule) = spec.schedule else {
+            return 0;
+        };
+        if wall.0 < schedule.first_ms.0 {
+            return 0;
+        }
+        let later = wall.since(schedule.first_ms).0 / schedule.interval_ms.0.max(1);
+        let due = u32::try_from(later.saturating_add(1)).unwrap_or(u32::MAX);
+        let active = u32::try_from(self.active.len()).unwrap_or(u32::MAX);
+        let known = self.done.count().saturating_add(active);
+        due.min(self.total).saturating_sub(known)
+    }
+
     /// Whether every task of every occurrence is done.
     pub(super) fn are_done(&self) -> bool {
         let active = u32::try_from(self.active.len()).unwrap_or(u32::MAX);
--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -219,6 +219,9 @@
             if examined == MAX_EXAMINED_TASKS {
                 break;
             }
+            if !self.cap_allows(task.key) {
+                continue;
+            }
             let fits_nowhere =
                 unplaced.contains(&task.step) || self.is_ruled_out(task.key, pool, candidates);
             let mut choice = None;
@@ -265,12 +268,13 @@
         candidates.unplaced.extend(unplaced);
     }
 
-    /// Whether a task needs as much as one that fits nowhere.
+    /// Whether a task needs as much as one that fits nowhere, or exceeds its tenant's cap.
     fn is_ruled_out(&self, key: TaskKey, pool: &str, candidates: &Candidates) -> bool {
         let job = &self.jobs[key.job];
         let rule = candidates.capacity_rule;
         let mut unplaced = candidates.unplaced.iter();
-        unplaced.any(|other| other.rules_out(job.step(key), job.image(key), pool, rule))
+        !self.cap_allows(key)
+            || unplaced.any(|other| other.rules_out(job.step(key), job.image(key), pool, rule))
     }
 
     /// Interrupted tasks that have waited for `interrupted_after`, and the first new task of each step that
--- a/hemlocksaddle-policy/src/workflow/pacing.rs
+++ b/hemlocksaddle-policy/src/workflow/pacing.rs
@@ -426,7 +426,7 @@
                 continue;
             };
             let elsewhere = self.choose(candidates, key, &queue.pool, None);
-            if elsewhere.is_some_and(|elsewhere| elsewhere != worker) {
+            if elsewhere.is_some_and(|elsewhere| elsewhere != worker) && !self.is_above_cap(key) {
                 self.jobs[key.job].task_mut(key).failed_on = Some(worker);
                 self.stop(key);
             }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -57,6 +57,11 @@
         task.may_start(now) && (task.located || !self.awaits_reports)
     }
 
+    /// Whether steps of different tenants are served by the tenants' shares.
+    pub(super) fn shares_with(&self, other: &ReadyStep) -> bool {
+        (self.queue.priority, self.capacity_rule) == (other.queue.priority, other.capacity_rule)
+    }
+
     fn cmp_urgency(&self, other: &ReadyStep) -> Ordering {
         self.queue
             .priority
@@ -81,17 +86,12 @@
         self.record_short_task_usage(now);
         let ready = self.ready(now, wall);
         self.keep_path_for_reports(now);
+        self.count_unseen_runs(now, wall);
         let mut candidates = self.candidates(now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
         self.place_before_short(&ready, &mut candidates, now);
-        for step in &ready {
-            if self.start_budget == 0 {
-                break;
-            }
-            self.work.steps += 1;
-            self.place_step(step, &mut candidates, now);
-        }
+        self.place_ready(&ready, &mut candidates, now);
         self.consolidate(&candidates, now);
         self.work.plans += 1;
         self.work.compared_workers += candidates.compared_workers;
@@ -155,14 +155,21 @@
         ready
     }
 
-    fn place_step(&mut self, ready: &ReadyStep, candidates: &mut Candidates, now: MonoMs) {
+    /// Places the tasks of a step from an index; returns from which to go on if the tenant's turn is over.
+    pub(super) fn place_step(
+        &mut self,
+        ready: &ReadyStep,
+        from: u32,
+        candidates: &mut Candidates,
+        now: MonoMs,
+    ) -> Option<u32> {
         let job = &self.jobs[ready.job];
         let spec: Rc<_> = job.spec.clone();
         let step = &spec.steps[usize::from(ready.step)];
         candidates.capacity_rule = ready.capacity_rule;
         if step.gang {
             self.place_gang(ready, step, candidates, now);
-            return;
+            return None;
         }
         let (pool, rule) = (&ready.queue.pool, ready.capacity_rule);
         let image = job.images[usize::from(ready.step)];
@@ -170,13 +177,13 @@
         let is_ruled_out = unplaced.any(|other| other.rules_out(step, image, pool, rule));
         // Ranking of the previous task, with the place that it took.
         let mut previous: Option<(Ranking, usize)> = None;
-        let mut next = 0;
+        let mut next = from;
         while let Some(index) = self.jobs[ready.job].first_waiting(ready.key(next)) {
             next = index + 1;
-            if self.start_budget == 0 {
-                return;
-            }
             let key = ready.key(index);
+            if self.start_budget == 0 || !self.cap_allows(key) {
+                return None;
+            }
             let task = self.jobs[ready.job].task(key);
             if !task.is_some_and(|task| ready.may_start(task, now)) {
                 continue;
@@ -210,12 +217,16 @@
                         tasks: step.tasks - index,
                     });
                 }
-                return;
+                return None;
             };
             self.start_next(key, worker, now);
             candidates.invalidate(place);
             previous = is_plain.then_some((ranking, place));
+            if self.tenancy.is_turn_over() {
+                return Some(next);
+            }
         }
+        None
     }
 
     /// Starts the next run of a task.
@@ -237,7 +248,7 @@
             let task = self.jobs[ready.job].task(key);
             task.is_some_and(|task| ready.may_start(task, now))
         });
-        if !all_wait {
+        if !all_wait || !self.cap_allows(ready.key(0)) {
             return false;
         }
         let run = members.iter().map(|&key| self.next_run(key)).max();
@@ -352,6 +363,7 @@
         let checkpoint = task.checkpoint.clone();
         job.step_state(key).waiting -= 1;
         job.placed += 1;
+        self.tenancy.charge(job.tenant, assigned.demand);
         if let Some(on) = self.workers.get_mut(worker) {
             on.add(key, assigned);
             on.record_start(is_suspect, now);
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -45,14 +45,17 @@
                 worker.applied_ends = end.number;
             }
         }
+        let mut listed = Vec::new();
         if let Some(worker) = self.workers.get_mut(key) {
             worker.release_ends(now);
             // Later ones may have been seen while the report was on its way.
-            worker.leftovers.retain(|run| run.seen_at > report.sent_at);
+            let seen = |run: &mut Leftover| run.seen_at <= report.sent_at;
+            listed.extend(worker.leftovers.extract_if(.., seen));
         }
         for status in &report.running {
             self.apply_status(key, status, locates, now);
         }
+        self.renew_charges(key, listed);
         if report.ends.len() < MAX_LISTED_ENDS {
             self.drop_missing(key, report, wall);
         }
@@ -264,6 +267,7 @@
             let state = job.step_state(key);
             state.waiting -= 1;
             job.placed += 1;
+            self.tenancy.charge(job.tenant, assigned.demand);
         }
         if locates {
             let state = job.step_state(key);
@@ -309,13 +313,19 @@
         demand: Option<Resources>,
         now: MonoMs,
     ) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.add_leftover(Leftover {
+        let charge = self.charge_of(task);
+        if let Some(on) = self.workers.get_mut(worker) {
+            let replaced = on.add_leftover(Leftover {
                 task,
                 run,
                 demand,
+                charge,
                 seen_at: now,
             });
+            if let Some(charge) = charge {
+                self.tenancy.charge(charge.tenant, charge.demand);
+            }
+            self.renew_charges(worker, replaced);
         }
         self.orders.push(Order::Stop { worker, task, run });
     }
--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -65,6 +65,8 @@
     GangEnding = "gang ending",
     /// The order to start the task is not answered yet.
     StartUnanswered = "start unanswered",
+    /// The tenant would have more running than its cap allows.
+    TenantCap = "tenant cap",
     /// No worker of the pool takes new tasks.
     NoWorker = "no worker",
     /// No usable worker has the required label.
@@ -367,6 +369,8 @@
             Some(WaitReason::BackOff)
         } else if step.gang && !self.members(key).into_iter().all(member_waits) {
             Some(WaitReason::GangEnding)
+        } else if !self.cap_allows(key) {
+            Some(WaitReason::TenantCap)
         } else {
             None
         }
--- a/hemlocksaddle-policy/src/workflow/work.rs
+++ b/hemlocksaddle-policy/src/workflow/work.rs
@@ -19,6 +19,8 @@
     pub compared_workers: u64,
     /// Workers whose headroom for best-effort tasks was computed.
     pub headrooms: u64,
+    /// Turns of tenants, each of which takes one entry from a heap.
+    pub tenant_turns: u64,
 }
 
 impl Scheduler {
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Listing, OPEN_REQUEST_MS, Scheduler, TaskKey, WorkerKey, capacity::RecentPeak, crash::Suspect,
-    restart::Presence,
+    restart::Presence, tenancy::Charge,
 };
 
 /// Consecutive failures after which a worker is suspended.
@@ -51,6 +51,8 @@
     pub(super) run: Run,
     /// Resources that it occupies; `None` if its workflow is not known.
     pub(super) demand: Option<Resources>,
+    /// What it counts for its tenant; `None` if that is not known, or no more.
+    pub(super) charge: Option<Charge>,
     /// Time at which it was known to run.
     pub(super) seen_at: MonoMs,
 }
@@ -230,10 +232,13 @@
         self.listing.capacity.saturating_sub(&occupied)
     }
 
-    pub(super) fn add_leftover(&mut self, leftover: Leftover) {
-        self.leftovers
-            .retain(|known| (known.task, known.run) != (leftover.task, leftover.run));
+    /// Adds a run; returns the record of the same run that it replaces.
+    pub(super) fn add_leftover(&mut self, leftover: Leftover) -> Option<Leftover> {
+        let mut known = self.leftovers.iter();
+        let same = |known: &Leftover| (known.task, known.run) == (leftover.task, leftover.run);
+        let replaced = known.position(same).map(|at| self.leftovers.remove(at));
         self.leftovers.push(leftover);
+        replaced
     }
 
     /// Whether a run of unknown size occupies the worker.
@@ -433,6 +438,7 @@
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
+        self.release_charges(worker.leftovers.iter().filter_map(|run| run.charge));
         let name = worker.listing.name;
         if self.by_name.get(&name) == Some(&key) {
             self.by_name.remove(&name);
@@ -464,7 +470,7 @@
     pub fn expire(&mut self, now: MonoMs) {
         let keep_ms = self.limits.keep_ended_ms;
         self.pending_cancels
-            .retain(|_, at| now.since(*at) < keep_ms);
+            .retain(|_, cancel| now.since(cancel.at) < keep_ms);
         let failover_complete = now >= self.failover_complete_at;
         self.forget_crashes(now);
         for worker in self.workers.values_mut() {
@@ -482,6 +488,16 @@
             })
             .map(|(key, _)| key)
             .collect();
+        let mut ended = Vec::new();
+        for worker in self.workers.values_mut().filter(|worker| expired(worker)) {
+            ended.extend(
+                worker
+                    .leftovers
+                    .iter_mut()
+                    .filter_map(|run| run.charge.take()),
+            );
+        }
+        self.release_charges(ended);
         for key in keys {
             self.mark_ends_unknown(key);
             self.expire_runs(key, now);
--- a/hemlocksaddle-shard/src/parts.rs
+++ b/hemlocksaddle-shard/src/parts.rs
@@ -25,6 +25,9 @@
 /// Largest encoded size of a range of numbers.
 const RANGE_BYTES: usize = 11;
 
+/// Largest encoded size of the field of a tenant's name, without the name.
+const NAME_BYTES: usize = 12;
+
 /// Largest encoded size of a task's number and a run.
 const RUN_BYTES: usize = 15;
 
@@ -108,8 +111,12 @@
     let failure = progress.failure.as_ref();
     let workers = failure.map_or(&[][..], |failure| failure.workers());
     let reason_bytes = workers.iter().map(|name| name.len() + RUN_BYTES);
+    let tenant_bytes = progress
+        .tenant
+        .as_ref()
+        .map_or(0, |name| NAME_BYTES + name.len());
     let mut parts = Parts {
-        bytes: PART_BYTES + reason_bytes.sum::<usize>(),
+        bytes: PART_BYTES + reason_bytes.sum::<usize>() + tenant_bytes,
         parts: vec![progress],
         max_bytes,
     };
--- a/hemlocksaddle-types/src/resources.rs
+++ b/hemlocksaddle-types/src/resources.rs
@@ -34,6 +34,26 @@
         }
     }
 
+    /// Adds `other` in each dimension, up to the largest number.
+    #[must_use]
+    pub fn saturating_add(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Resources of `count` equal tasks, up to the largest number.
+    #[must_use]
+    pub fn saturating_mul(&self, count: u64) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Maximum in each dimension.
     #[must_use]
     pub fn max(&self, other: &Resources) -> Resources {
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -371,6 +371,9 @@
     /// Why the workflow failed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub failure: Option<Failure>,
+    /// Name of the workflow's tenant, once the workflow has ended; `None` without one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<Arc<str>>,
     /// Occurrences of which all tasks are done, as half-open ranges of their numbers; `steps` tells nothing of
     /// their done tasks.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
