Test caps and shares of tenants, and export their usage

Cause: caps and weights had no test, and operators could not see them. Each owner uses its part of each cap.

--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod schedules;
+mod tenants;
 
 use std::{net::SocketAddr, ops::RangeInclusive};
 
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -39,6 +39,7 @@
 mod retention;
 mod saving;
 mod snapshot;
+mod tenant_metrics;
 mod waiting;
 mod worker_poll;
 
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -7,6 +7,8 @@
     Opts, Registry, TextEncoder,
 };
 
+use crate::tenant_metrics::TenantMetrics;
+
 /// Bucket bounds of the latency histograms, from one store append to a caller's time limit.
 const LATENCY_BOUNDS_S: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
@@ -50,6 +52,8 @@
     pub waiting_tasks: IntGaugeVec,
     /// Longest wait of a task, 0 while none has waited long.
     pub longest_wait_s: Gauge,
+    /// What tenants use.
+    pub tenants: TenantMetrics,
 }
 
 impl Metrics {
@@ -98,7 +102,9 @@
             "Workflows given up because workers crashed under a task.",
         )?;
         registry.register(Box::new(given_up.clone()))?;
+        let tenants = TenantMetrics::new(&registry)?;
         Ok(Metrics {
+            tenants,
             worker_crashes,
             given_up,
             delegates,
@@ -156,6 +162,7 @@
             ("checked runs", work.checked_runs),
             ("compared workers", work.compared_workers),
             ("headrooms", work.headrooms),
+            ("tenant turns", work.tenant_turns),
         ];
         for (kind, count) in kinds {
             self.plan_work.with_label_values(&[kind]).inc_by(count);
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -121,9 +121,11 @@
             keep_ended_ms: env.settings.keep_ended_ms,
         };
         let dispatcher = Dispatcher::new(env.clone(), links, shard, term);
+        let mut scheduler = Scheduler::new(limits, term, failover_complete_at);
+        scheduler.set_cap_share(shard, shards);
         Rc::new(Owner {
             dispatcher,
-            scheduler: RefCell::new(Scheduler::new(limits, term, failover_complete_at)),
+            scheduler: RefCell::new(scheduler),
             env,
             claims,
             configuration,
--- a/hemlocksaddle-shard/src/waiting.rs
+++ b/hemlocksaddle-shard/src/waiting.rs
@@ -26,6 +26,7 @@
         self.waiting_reported_at.set(now);
         let waiting = self.scheduler.borrow().waiting(now, interval);
         self.count_waiting(&waiting);
+        self.report_tenants();
         // Logged at the threshold and at each doubling of it, which bounds the lines of a step.
         for step in waiting.steps.iter().filter(|step| step.has_doubled) {
             self.log_waiting(step, waiting.start_budget);
@@ -35,6 +36,7 @@
     /// Resets the metrics when ownership ends.
     pub(crate) fn clear_waiting(&self) {
         self.count_waiting(&Waiting::default());
+        self.clear_tenants();
     }
 
     fn count_waiting(&self, waiting: &Waiting) {
