--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -17,7 +17,7 @@
     workflow::{Run, TaskName, WorkflowId},
 };
 
-use super::{FakeStore, LEASE_MS, TASK_CPU_MILLI, node_fleet::NodeFleet};
+use super::{FakeStore, LEASE_MS, TASK_CPU_MILLI, node_fleet::NodeFleet, tenants::FleetTenants};
 
 /// Default run time of a task.
 const RUN_MS: u64 = 1_000;
@@ -47,9 +47,9 @@
 const AWAY_MS: Millis = Millis(3_100);
 
 #[derive(Default)]
-struct Worker {
+pub(super) struct Worker {
     /// Run and its end time in milliseconds, by task.
-    running: BTreeMap<TaskName, (Run, u64)>,
+    pub(super) running: BTreeMap<TaskName, (Run, u64)>,
     ends: Vec<End>,
     /// Number of the latest end.
     ended: u64,
@@ -118,7 +118,8 @@
     pub(crate) plain_start_answers: Cell<bool>,
     /// Whether workers start tasks that do not fit.
     pub(crate) unguarded: Cell<bool>,
-    workers: RefCell<Vec<Worker>>,
+    pub(super) workers: RefCell<Vec<Worker>>,
+    pub(super) tenants: FleetTenants,
     /// Violations of the run guarantees: concurrent runs of a task, and starts after its end.
     pub(crate) violations: RefCell<Vec<String>>,
     /// Completed tasks whose end the owner has acknowledged.
@@ -160,6 +161,7 @@
             plain_start_answers: Cell::new(false),
             unguarded: Cell::new(false),
             workers: RefCell::new((0..count).map(|_| Worker::new()).collect()),
+            tenants: FleetTenants::default(),
             violations: RefCell::default(),
             done: RefCell::default(),
             starts: Cell::new(0),
@@ -281,7 +283,7 @@
         });
     }
 
-    fn violation(&self, text: String) {
+    pub(super) fn violation(&self, text: String) {
         self.violations
             .borrow_mut()
             .push(format!("{} ms: {text}", self.sim.now().0));
@@ -378,10 +380,10 @@
         }
         self.starts.set(self.starts.get() + 1);
         self.started.borrow_mut().insert(call.task.workflow);
-        let worker = &mut self.workers.borrow_mut()[number];
-        worker
+        self.workers.borrow_mut()[number]
             .running
             .insert(call.task, (call.run, now_ms + self.run_ms.get()));
+        self.check_cap(call.task);
         self.crash_if_deadly(number, call.task);
         StartAnswer::Accepted
     }
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -4,6 +4,7 @@
 mod node_fleet;
 mod peers;
 mod store;
+mod tenants;
 
 use std::{
     cell::{Cell, RefCell},
@@ -331,11 +332,15 @@
 
     /// Submits a workflow at a node, without waiting for the outcome.
     pub(crate) fn submit_in_background(&self, at: usize, id: u64, steps: Vec<Step>) -> Outcome {
+        self.submit_workflow_in_background(at, id, workflow(steps))
+    }
+
+    fn submit_workflow_in_background(&self, at: usize, id: u64, workflow: Workflow) -> Outcome {
         let outcome = Outcome::default();
         if let Some(node) = self.node(at) {
             let outcome = outcome.clone();
             self.sim.spawn(ENVIRONMENT, async move {
-                let submitted = node.frontend.submit(WorkflowId(id), workflow(steps)).await;
+                let submitted = node.frontend.submit(WorkflowId(id), workflow).await;
                 outcome.set(Some(submitted));
             });
         }
