--- a/hemlocksaddle-policy/tests/tenant_random.rs
+++ b/hemlocksaddle-policy/tests/tenant_random.rs
@@ -1,7 +1,7 @@
 //! Caps of tenants under random faults, checked against what the workers run.
 //!
 //! Load: three tenants with more work than their caps allow on six workers, which refuse starts, lose answers,
-//! carry out orders late, fail and are silent for longer than a lease, while workflows are cancelled, and a
+//! carry out orders late, fail, restart and are silent for longer than a lease, while workflows are cancelled, and a
 //! successor takes over every few seconds.
 
 #[allow(dead_code, reason = "each test file uses a part of it")]
@@ -242,6 +242,23 @@
             .retain(|start| scheduler.is_start_pending(start));
     }
 
+    /// Replaces the process of a worker by a later one, which has no runs and is silent for a moment.
+    fn restart(&mut self, number: usize) {
+        let now = self.harness.now();
+        let key = self.harness.workers[number];
+        self.workers[number] = FakeWorker {
+            silent_until_ms: now.0 + 300,
+            ..FakeWorker::default()
+        };
+        self.unanswered.retain(|start| start.worker != key);
+        let mut listed = self.harness.roster();
+        listed[number].born_ms += 1;
+        for new in self.harness.scheduler.list_workers(listed, now) {
+            self.harness.workers[number] = new;
+            self.harness.scheduler.mark_rostered(new);
+        }
+    }
+
     /// Makes progress durable, after which workers drop the ends that it covers.
     fn save(&mut self) {
         self.stored.extend(self.harness.save());
@@ -294,6 +311,10 @@
             play.report();
             play.plan();
             play.answer();
+            if play.chance(1) {
+                let number = play.random.random_range(0..WORKERS);
+                play.restart(number);
+            }
             if play.chance(15) {
                 play.save();
             }
