--- a/hemlocksaddle-shard/src/tenant_metrics.rs
+++ b/hemlocksaddle-shard/src/tenant_metrics.rs
@@ -73,7 +73,7 @@
     }
 
     /// Replaces all values; none are shown without tenants.
-    fn replace(&self, uses: Option<&TenantUses>) {
+    pub fn replace(&self, uses: Option<&TenantUses>) {
         let gauges = [
             &self.used_cpu_milli,
             &self.used_memory_mb,
--- a/hemlocksaddle-shard/tests/catalogue.rs
+++ b/hemlocksaddle-shard/tests/catalogue.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeSet, fs, path::Path};
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::workflow::WaitReason;
+use hemlocksaddle_policy::workflow::{TenantUse, TenantUses, WaitReason};
 use hemlocksaddle_shard::{event::Event, metrics::Metrics};
 
 fn page(name: &str) -> String {
@@ -49,6 +49,11 @@
         .inc();
     metrics.waiting_tasks.with_label_values(&["room"]).set(1);
     metrics.plan_work.with_label_values(&["plans"]).inc();
+    let uses = TenantUses {
+        highest: vec![("tenant".into(), TenantUse::default())],
+        ..TenantUses::default()
+    };
+    metrics.tenants.replace(Some(&uses));
     let text = String::from_utf8(metrics.text().expect("text")).expect("text");
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let rendered: BTreeSet<String> = types
