Bound unseen runs by the workers that have not reported

Cause: beside a long queue, one worker that is missing after a change of owner held back all new work of a tenant until the leases had expired. Change: unseen runs count at most twice the capacity of the inherited workers that have not reported; the others refuse orders of earlier terms.

--- a/hemlocksaddle-policy/src/workflow/tenancy/unseen.rs
+++ b/hemlocksaddle-policy/src/workflow/tenancy/unseen.rs
@@ -4,7 +4,8 @@
 //! inherited workflow that is neither done, nor assigned, nor located may be running. The predecessor
 //! may also have started a step before it stored the end of the steps that it depends on, so that a step
 //! counts whether it seems due or not. Steps that depend on each other in a chain cannot run at
-//! once: of a chain, the largest step counts.
+//! once: of a chain, the largest step counts. No more can run than fits on the workers that have not
+//! reported, since the others refuse orders of earlier terms.
 
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
@@ -17,6 +18,11 @@
     job::{Occurrence, StepState},
 };
 
+/// Bound of what runs on a worker, in multiples of its listed capacity.
+///
+/// Best-effort tasks may request up to 1.45 times its processors, and its capacity may have shrunk.
+const MAX_COMMITMENT: u64 = 2;
+
 /// Upper bound of the resources that the tasks of one occurrence use at once, from the number of
 /// tasks in each step that may be running.
 fn bound(spec: &Workflow, tasks: impl Fn(usize) -> u32) -> Resources {
@@ -88,11 +94,21 @@
         if self.tenancy.len() == 0 || self.is_failover_complete(now) {
             return;
         }
+        let unreported = self.workers.values();
+        let unreported =
+            unreported.filter(|worker| worker.inherited && worker.reported_at.is_none());
+        let room = unreported.fold(Resources::default(), |sum, worker| {
+            sum.saturating_add(&worker.listing.capacity)
+        });
         for job in self.jobs.values().filter(|job| job.tenant.is_some()) {
             let unseen = job.unseen(wall);
             let account = self.tenancy.account_mut(job.tenant);
             account.unseen = account.unseen.saturating_add(&unseen);
             self.tenancy.has_unseen = true;
         }
+        let room = room.saturating_mul(MAX_COMMITMENT);
+        for account in self.tenancy.tenants.values_mut() {
+            account.unseen = account.unseen.min(&room);
+        }
     }
 }
--- a/hemlocksaddle-policy/tests/tenants.rs
+++ b/hemlocksaddle-policy/tests/tenants.rs
@@ -288,6 +288,20 @@
     expect_that!(harness.start_all(), eq(1));
 }
 
+/// Failure: the owner is lost, and one of many workers with it, beside a long queue of its tenant. Guards against new
+/// work that waits for the leases to expire although one worker cannot run much.
+#[gtest]
+fn a_successor_counts_no_more_than_the_missing_workers_can_run() {
+    let mut harness = Harness::unreported(10, 8_000, 60_000);
+    harness.configure_tenants(&[("a", 1, 40_000)]);
+    harness.inherit_of("a", 1, vec![step(500, 1_000)]);
+    harness.accept_of("a", 2, vec![step(60, 1_000)]);
+    (0..9).for_each(|number| harness.report_idle(number));
+    expect_that!(harness.start_all(), eq(40 - 16));
+    harness.report_idle(9);
+    expect_that!(harness.start_all(), eq(16));
+}
+
 /// Failure: as before, with more due occurrences of a schedule than get state at once. Guards against
 /// those that are not counted.
 #[gtest]
--- a/hemlocksaddle-types/src/resources.rs
+++ b/hemlocksaddle-types/src/resources.rs
@@ -54,6 +54,16 @@
         }
     }
 
+    /// Minimum in each dimension.
+    #[must_use]
+    pub fn min(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Maximum in each dimension.
     #[must_use]
     pub fn max(&self, other: &Resources) -> Resources {
