Test that no task of a tenant above its cap is moved

Cause: a move is a stop, and the task may not start again. Change: a test with a cap that is lowered under a task to be moved.

--- a/hemlocksaddle-policy/tests/colocation.rs
+++ b/hemlocksaddle-policy/tests/colocation.rs
@@ -106,6 +106,33 @@
     );
 }
 
+/// Load: as before, and the cap of the sensitive task's tenant was lowered. Guards against a move that stops a run
+/// which may not start again.
+#[gtest]
+fn a_task_is_not_moved_while_its_tenant_is_above_the_cap() {
+    for (cap_milli, moves) in [(6_000, 1), (5_999, 0)] {
+        let mut harness = Harness::with_workers(2, 16_000);
+        harness.scheduler.restore_interference(snapshot());
+        let (first, run_1) = start_long_running(&mut harness, 1, 6_000, "frail");
+        let (second, run_2) = start_long_running(&mut harness, 2, 6_000, "robust");
+        let (_, run_3) = start_long_running(&mut harness, 3, 10_000, "frail");
+        harness.accept_of("a", 4, vec![long_running(1, 6_000, "frail")]);
+        let starts = harness.starts();
+        harness.answer(&starts[0], StartAnswer::Accepted);
+        let run_4 = starts[0].run;
+        harness.cancel(3);
+        harness.stops();
+        harness.end_stopped(first, 3, run_3);
+        harness.advance(6_000);
+        harness.report_long_running(first, &[(1, run_1)]);
+        harness.report_long_running(second, &[(2, run_2), (4, run_4)]);
+        harness.configure_tenants(&[("a", 1, cap_milli)]);
+        harness.accept(5, vec![best_effort(2, 6_000, "loud")]);
+        expect_that!(harness.starts(), is_empty());
+        expect_that!(harness.stops().len(), eq(moves), "cap {cap_milli}");
+    }
+}
+
 /// Load pattern: more images than one owner met so far. Guards against images that share an estimate
 /// although only one of them interferes.
 #[gtest]
