--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -1,5 +1,6 @@
 //! Test harness: a scheduler with workers whose reports the test makes up.
 
+mod configuration;
 mod crashes;
 mod schedules;
 mod tenants;
@@ -14,9 +15,7 @@
     clock::{Millis, MonoMs, WallMs},
     name::DataCentre,
     resources::Resources,
-    workflow::{
-        Catalogue, Pool, Progress, Queue, Run, State, Step, TaskName, Workflow, WorkflowId,
-    },
+    workflow::{Catalogue, Progress, Queue, Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
 /// Target tail latency of long-running tasks in the tests.
@@ -239,20 +238,6 @@
         self.scheduler.list_workers(listed, self.now);
     }
 
-    /// Configures the workers' pool as one that does not check whether a task fits.
-    pub(crate) fn unguard_pool(&mut self) {
-        self.scheduler.configure(&Catalogue {
-            version: 2,
-            queues: vec![queue()],
-            pools: vec![Pool {
-                name: "pool".into(),
-                admission_check: false,
-                standby: false,
-            }],
-            ..Catalogue::default()
-        });
-    }
-
     /// Announces that the worker of a start leaves.
     pub(crate) fn drain(&mut self, start: &Start) {
         let number = self.number_of(start);
@@ -408,20 +393,6 @@
         self.report(self.workers[number], &report);
     }
 
-    /// Configures a further queue with a limit of attempts.
-    pub(crate) fn configure_queue(&mut self, name: &str, max_attempts: u32) {
-        let further = Queue {
-            name: name.into(),
-            max_attempts,
-            ..queue()
-        };
-        self.scheduler.configure(&Catalogue {
-            version: 3,
-            queues: vec![queue(), further],
-            ..Catalogue::default()
-        });
-    }
-
     pub(crate) fn report_idle(&mut self, number: usize) {
         let report = Report {
             sent_at: self.now,
--- a/hemlocksaddle-policy/tests/workflow_support/tenants.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/tenants.rs
@@ -3,37 +3,12 @@
 use hemlocksaddle_policy::workflow::{End, Report, StartAnswer, TaskStatus};
 use hemlocksaddle_types::{
     clock::{Millis, WallMs},
-    resources::Resources,
-    workflow::{Catalogue, Queue, Schedule, Step, Tenant, Workflow, WorkflowId},
+    workflow::{Schedule, Step, Workflow, WorkflowId},
 };
 
-use super::{Harness, queue};
+use super::Harness;
 
 impl Harness {
-    /// Configures tenants by name, weight and cap in thousandths of a core.
-    pub(crate) fn configure_tenants(&mut self, tenants: &[(&str, u32, u64)]) {
-        let tenant = |&(name, weight, cpu_milli): &(&str, u32, u64)| Tenant {
-            name: name.into(),
-            keys: Vec::new(),
-            weight,
-            cap: Resources {
-                cpu_milli,
-                ..Resources::default()
-            },
-        };
-        let later = Queue {
-            name: "later".into(),
-            priority: 1,
-            ..queue()
-        };
-        self.scheduler.configure(&Catalogue {
-            version: 9,
-            queues: vec![queue(), later],
-            tenants: tenants.iter().map(tenant).collect(),
-            ..Catalogue::default()
-        });
-    }
-
     /// Accepts a workflow of a tenant.
     pub(crate) fn accept_of(&mut self, tenant: &str, id: u64, steps: Vec<Step>) {
         self.add_of(tenant, id, steps, false);
