--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -40,6 +40,7 @@
 mod retention;
 mod saving;
 mod snapshot;
+mod tenant_metrics;
 mod waiting;
 mod worker_poll;
 
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -7,6 +7,8 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::tenant_metrics::TenantMetrics;
+
 /// Bucket bounds of the latency histograms, from one store append to a caller's time limit.
 const LATENCY_BOUNDS_S: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
@@ -54,6 +56,8 @@
     pub waiting_tasks: IntGaugeVec,
     /// Longest wait of a task, 0 while none has waited long.
     pub longest_wait_s: Gauge,
+    /// What tenants use.
+    pub tenants: TenantMetrics,
 }
 
 impl Metrics {
@@ -115,7 +119,9 @@
             "Shards offered to another node because they were not recovered in time.",
         )?;
         registry.register(Box::new(shards_given_up.clone()))?;
+        let tenants = TenantMetrics::new(&registry)?;
         Ok(Metrics {
+            tenants,
             unrecovered_s,
             shards_given_up,
             worker_crashes,
@@ -175,6 +181,7 @@
             ("checked runs", work.checked_runs),
             ("compared workers", work.compared_workers),
             ("headrooms", work.headrooms),
+            ("tenant turns", work.tenant_turns),
         ];
         for (kind, count) in kinds {
             self.plan_work.with_label_values(&[kind]).inc_by(count);
