Check the keys of tenants on calls, and keep their work apart

Cause: `tenants` and `public` of a configuration were not read, so any caller could submit, see and cancel any work.

Change: the configuration's tenants are validated (names, keys, caps) and kept as digests; each node looks a call's key up in a table that is indexed by a keyed hash and answers 401 to unknown ones, on every request and again after the body. A workflow carries its tenant; the owner of its shard shows, counts and cancels it for that tenant only and answers 410 to others. Records of tenants have keys of their own, and progress names the tenant, so that a successor keeps them apart as well. An id belongs to the tenant that used it first. Without tenants, messages and records are as before.

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fairness;
 pub mod intake;
 pub mod interference;
+pub mod keys;
 pub mod placement;
 pub mod retry;
 pub mod routing;
--- a/hemlocksaddle-policy/src/workflow/ended.rs
+++ b/hemlocksaddle-policy/src/workflow/ended.rs
@@ -4,6 +4,8 @@
 //! needed any more: a successor restores the workflow from its progress alone. The outcome is kept until
 //! the retention time has passed, so that its state can be told and a repeated submission is recognised.
 
+use std::sync::Arc;
+
 use foldhash::HashMap;
 use hemlocksaddle_types::{
     clock::{MonoMs, WallMs},
@@ -18,6 +20,7 @@
     state: State,
     at_ms: WallMs,
     failure: Option<Failure>,
+    pub(super) tenant: Option<Arc<str>>,
     /// Latest runs that were started after one whose end is unknown, by occurrence, step and index.
     restarted: HashMap<(u32, u16, u32), Run>,
     /// Whether the submissions may hold records of the workflow.
@@ -31,6 +34,7 @@
             state: progress.ended?,
             at_ms: progress.ended_ms.unwrap_or_default(),
             failure: progress.failure.clone(),
+            tenant: progress.tenant.clone(),
             restarted: restarted_runs(progress).collect(),
             has_submission: false,
         })
@@ -70,7 +74,8 @@
             return;
         }
         if let Some(mut ended) = EndedWorkflow::from_progress(progress) {
-            ended.has_submission = self.pending_cancels.remove(&id).is_some();
+            let canceller = (id, ended.tenant.clone());
+            ended.has_submission = self.pending_cancels.remove(&canceller).is_some();
             self.ended.insert(id, ended);
         }
     }
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -76,10 +76,11 @@
         if !inherited || !self.interference.has_restored_demand() {
             self.record_demand(&spec, &images);
         }
+        let canceller = (id, spec.tenant.clone());
         let key = self.jobs.insert(Job::new(id, spec, images, now, inherited));
         self.by_id.insert(id, key);
         self.open_jobs.push(key);
-        if self.pending_cancels.remove(&id).is_some() {
+        if self.pending_cancels.remove(&canceller).is_some() {
             self.cancel_job(key);
         }
         key
@@ -95,18 +96,12 @@
         }
     }
 
-    /// Cancels a workflow and orders its runs to stop.
+    /// Cancels a workflow without a tenant and orders its runs to stop.
     pub fn cancel(&mut self, id: WorkflowId, now: MonoMs) {
-        match self.by_id.get(&id).copied() {
-            Some(key) => self.cancel_job(key),
-            None if self.note_submission(id) => {}
-            None => {
-                self.pending_cancels.insert(id, now);
-            }
-        }
+        self.cancel_by(id, None, now);
     }
 
-    fn cancel_job(&mut self, key: JobKey) {
+    pub(super) fn cancel_job(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
         if job.ended.is_some() || job.cancelled {
             return;
@@ -253,11 +248,21 @@
     /// Number of open workflows of a queue without a started task, excluding those with a schedule.
     #[must_use]
     pub fn count_waiting(&self, queue: &str) -> u32 {
+        self.count_waiting_if(queue, |_| true)
+    }
+
+    /// Number of such workflows whose tenant meets a condition.
+    pub(super) fn count_waiting_if(
+        &self,
+        queue: &str,
+        counts: impl Fn(Option<&Arc<str>>) -> bool,
+    ) -> u32 {
         let waiting = self.jobs.values().filter(|job| {
             !job.started
                 && job.is_open()
                 && job.spec.schedule.is_none()
                 && *job.spec.queue == *queue
+                && counts(job.spec.tenant.as_ref())
         });
         u32::try_from(waiting.count()).unwrap_or(u32::MAX)
     }
@@ -526,6 +531,7 @@
         ended: job.ended.map(|(state, _)| state),
         ended_ms: job.ended.map(|(_, at_ms)| at_ms),
         failure: job.failure.clone(),
+        tenant: job.spec.tenant.clone(),
         steps,
     }
 }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -25,6 +25,7 @@
 mod listing;
 mod occurrences;
 mod overdue;
+mod ownership;
 mod pacing;
 mod placement;
 mod plan;
@@ -56,6 +57,7 @@
     job::{Job, Phase, TaskKey},
     lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     listing::Listing,
+    ownership::Owned,
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
     worker::Worker,
@@ -153,7 +155,7 @@
     departed: HashSet<Arc<str>>,
     orders: Vec<Order>,
     /// Cancellations that were read before the submission of their workflow.
-    pending_cancels: HashMap<WorkflowId, MonoMs>,
+    pending_cancels: HashMap<ownership::Canceller, MonoMs>,
     /// Time by which every lease granted in an earlier term has expired.
     failover_complete_at: MonoMs,
     /// Whether leases of earlier terms were waited out because some worker did not report.
--- a/hemlocksaddle-shard/src/configuration.rs
+++ b/hemlocksaddle-shard/src/configuration.rs
@@ -3,16 +3,18 @@
 //! While a process runs, a configuration is never replaced by an older version.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
 };
 
 use foldhash::HashSet;
 use hemlocksaddle_node::wait::Signal;
+use hemlocksaddle_policy::keys::{KeyTable, SECRET_BYTES};
 use hemlocksaddle_types::{clock::Millis, name::DataCentre, workflow::Catalogue};
 use serde_json::json;
 
 use crate::{
+    caller::Caller,
     event::Event,
     node::Env,
     ports::{OperatorRecord, Record, StoreError, Stream},
@@ -29,6 +31,10 @@
 pub(crate) struct Configuration {
     env: Rc<Env>,
     catalogue: RefCell<Option<Rc<Catalogue>>>,
+    /// Keys of the tenants in the catalogue; `None` without tenants.
+    keys: RefCell<Option<KeyTable>>,
+    /// Random secret of this process, which the keys are indexed under; drawn for the first ones.
+    secret: OnceCell<[u8; SECRET_BYTES]>,
     closed: RefCell<HashSet<DataCentre>>,
     next: Cell<u64>,
     pub(crate) changed: Signal,
@@ -39,6 +45,8 @@
         Rc::new(Configuration {
             env,
             catalogue: RefCell::default(),
+            keys: RefCell::default(),
+            secret: OnceCell::new(),
             closed: RefCell::default(),
             next: Cell::new(0),
             changed: Signal::default(),
@@ -49,6 +57,33 @@
         self.catalogue.borrow().clone()
     }
 
+    /// Identifies a caller by its key; `None` if the key is not known.
+    pub(crate) fn caller(&self, key: &[u8]) -> Option<Caller> {
+        let keys = self.keys.borrow();
+        let (digest, tenant) = keys.as_ref()?.find(key)?;
+        Some(Caller::new(tenant.clone(), digest))
+    }
+
+    /// Whether the key of a caller, if it has one, still belongs to its tenant.
+    pub(crate) fn is_known(&self, caller: &Caller) -> bool {
+        let keys = self.keys.borrow();
+        match (caller.key(), keys.as_ref()) {
+            (Some(key), Some(keys)) => keys.tenant(key) == caller.tenant(),
+            // Without tenants, no key is needed.
+            (Some(_), None) | (None, _) => true,
+        }
+    }
+
+    fn secret(&self) -> &[u8; SECRET_BYTES] {
+        self.secret.get_or_init(|| {
+            let mut secret = [0; SECRET_BYTES];
+            for bytes in secret.chunks_mut(size_of::<u64>()) {
+                bytes.copy_from_slice(&self.env.ports.runtime.random().to_ne_bytes());
+            }
+            secret
+        })
+    }
+
     pub(crate) fn closed(&self) -> HashSet<DataCentre> {
         self.closed.borrow().clone()
     }
@@ -126,10 +161,17 @@
         if catalogue.version <= known {
             return;
         }
-        let inputs = json!({
+        let tenants = &catalogue.tenants;
+        let keys = (!tenants.is_empty()).then(|| KeyTable::new(self.secret(), tenants));
+        let mut inputs = json!({
             "version": catalogue.version, "before": known, "queues": catalogue.queues.len(),
         });
+        if let Some(keys) = &keys {
+            inputs["tenants"] = json!(tenants.len());
+            inputs["keys"] = json!(keys.len());
+        }
         self.env.event(Event::Configured, &inputs);
+        self.keys.replace(keys);
         self.catalogue.replace(Some(Rc::new(catalogue)));
         self.changed.notify();
     }
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -112,6 +112,10 @@
     Cancelled = 43, "cancelled";
     /// State of a workflow was requested and is not known.
     StateUnknown = 44, "state unknown";
+    /// Submission is not run, because another tenant has submitted a workflow under its id.
+    IdInUse = 45, "id in use";
+    /// Calls were refused because they carry no known key.
+    CallsRefused = 46, "calls refused";
     /// Start of a task was ordered; the worker's answer is logged.
     StartAnswered = 50, "start answered";
     /// Stop of a run was ordered.
--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -13,7 +13,8 @@
     clock::{Millis, MonoMs},
     hash::stable_hash,
     workflow::{
-        Catalogue, Failure, ShardRequest, ShardResponse, State, Submission, Workflow, WorkflowId,
+        Catalogue, Failure, Queue, ShardRequest, ShardResponse, State, Submission, Workflow,
+        WorkflowId,
     },
 };
 use serde_json::json;
@@ -21,6 +22,7 @@
 use std::sync::Arc;
 
 use crate::{
+    caller::{Caller, RefusedCalls},
     claims::Claims,
     configuration::Configuration,
     event::Event,
@@ -55,6 +57,8 @@
     Unknown,
     /// Certainly not stored; the store takes no record of this size.
     TooLarge,
+    /// Cancellation without effect: the caller has no such workflow.
+    NotFound,
 }
 
 /// Outcome of a state query.
@@ -70,6 +74,9 @@
     Unavailable,
 }
 
+/// Counts of waiting workflows with their times, by queue and tenant.
+type WaitingCounts = HashMap<(Arc<str>, Option<Arc<str>>), (MonoMs, u32)>;
+
 /// Interface for callers.
 pub struct Frontend {
     env: Rc<Env>,
@@ -77,7 +84,8 @@
     claims: Rc<Claims>,
     links: Rc<Links>,
     owners: Rc<Owners>,
-    waiting_cache: RefCell<HashMap<Arc<str>, (MonoMs, u32)>>,
+    waiting_cache: RefCell<WaitingCounts>,
+    refused_calls: RefusedCalls,
     open_requests: Cell<u32>,
     /// Times of the graceful shutdown, once it has begun.
     shutdown: Cell<Option<Shutdown>>,
@@ -99,6 +107,7 @@
             links,
             owners,
             waiting_cache: RefCell::new(HashMap::new()),
+            refused_calls: RefusedCalls::default(),
             open_requests: Cell::new(0),
             shutdown: Cell::new(None),
             shutdown_begun: Signal::default(),
@@ -111,6 +120,41 @@
         self.configuration.catalogue()
     }
 
+    fn has_tenants(&self) -> bool {
+        let catalogue = self.catalogue();
+        catalogue.is_some_and(|catalogue| !catalogue.tenants.is_empty())
+    }
+
+    /// Identifies the caller of a queue by the key that it presents; `None` if it has to be refused.
+    ///
+    /// The configuration in force decides: without tenants, and on a public queue, no key is needed.
+    #[must_use]
+    pub fn identify(&self, queue: &Queue, key: Option<&[u8]>) -> Option<Caller> {
+        let caller = key.and_then(|key| self.configuration.caller(key));
+        if caller.is_some() || queue.public || !self.has_tenants() {
+            return Some(caller.unwrap_or_default());
+        }
+        let reason = match key {
+            Some(_) => "unknown key",
+            None => "no key",
+        };
+        self.refused_calls.record(&self.env, &queue.name, reason);
+        None
+    }
+
+    /// Whether the key that a caller was identified by is still in the configuration.
+    ///
+    /// The body of a request may take longer to arrive than a change of the configuration.
+    #[must_use]
+    pub fn is_still_known(&self, queue: &Queue, caller: &Caller) -> bool {
+        let is_known = self.configuration.is_known(caller);
+        if !is_known {
+            let reason = "unknown key";
+            self.refused_calls.record(&self.env, &queue.name, reason);
+        }
+        is_known
+    }
+
     /// Returns the wall-clock time.
     #[must_use]
     pub fn wall(&self) -> hemlocksaddle_types::clock::WallMs {
@@ -165,14 +209,17 @@
     pub async fn submit(&self, id: WorkflowId, workflow: Workflow) -> Submitted {
         let started_at = self.env.now();
         let queue = workflow.queue.clone();
+        let tenant = workflow.tenant.clone();
         let submission = Submission::Accepted(Box::new(workflow));
-        let outcome = self.store(id, Key::Accepted(id), &submission).await;
+        let outcome = self.store(id, &submission).await;
         let took_ms = self.env.now().since(started_at);
         let (event, label) = match outcome {
             Submitted::Accepted => (Event::Accepted, "accepted"),
             Submitted::Unavailable => (Event::Refused, "refused"),
             Submitted::Unknown => (Event::OutcomeUnknown, "unknown"),
             Submitted::TooLarge => (Event::Refused, "too large"),
+            // Only a cancellation is answered so.
+            Submitted::NotFound => (Event::Refused, "refused"),
         };
         self.env
             .metrics
@@ -183,21 +230,24 @@
             .metrics
             .accept_s
             .observe(took_ms.0 as f64 / 1_000.0);
-        let inputs = json!({
+        let mut inputs = json!({
             "workflow": id.to_string(), "queue": &*queue, "took_ms": took_ms.0,
             "version": self.catalogue().map(|catalogue| catalogue.version),
             "shard": self.shard(id),
         });
+        if let Some(tenant) = tenant {
+            inputs["tenant"] = json!(&*tenant);
+        }
         self.env.event(event, &inputs);
         outcome
     }
 
-    async fn store(&self, id: WorkflowId, key: Key, submission: &Submission) -> Submitted {
+    async fn store(&self, id: WorkflowId, submission: &Submission) -> Submitted {
         let Some(shard) = self.shard(id).filter(|_| !self.refuses()) else {
             return Submitted::Unavailable;
         };
         let attempts = RefCell::new(SubmissionAttempts::default());
-        let stored = self.try_to_store(shard, id, key, submission, &attempts);
+        let stored = self.try_to_store(shard, id, submission, &attempts);
         match self.until_shutdown(stored).await {
             Some(outcome) => outcome,
             None if attempts.borrow().may_be_stored() => Submitted::Unknown,
@@ -209,12 +259,12 @@
         &self,
         shard: u32,
         id: WorkflowId,
-        key: Key,
         submission: &Submission,
         attempts: &RefCell<SubmissionAttempts>,
     ) -> Submitted {
         let started_at = self.env.now();
-        let record = match record::encode(key.text(), submission) {
+        let is_cancellation = !matches!(submission, Submission::Accepted(_));
+        let record = match record::encode(Key::of(id, submission).text(), submission) {
             Ok(record) => record,
             Err(cause) => {
                 let inputs = json!({ "workflow": id.to_string(), "cause": cause.to_string() });
@@ -245,6 +295,12 @@
                         Some(CallOutcome::Answered(ShardResponse::Stored)) => {
                             return Submitted::Accepted;
                         }
+                        Some(CallOutcome::Answered(ShardResponse::State(None))) => {
+                            return Submitted::NotFound;
+                        }
+                        Some(CallOutcome::Answered(ShardResponse::Refused(_))) => {
+                            return attempts.refused();
+                        }
                         Some(
                             CallOutcome::Answered(ShardResponse::StoreUnknown)
                             | CallOutcome::NoAnswer,
@@ -257,6 +313,10 @@
                     let term = self.claims.claim(shard).map(|claim| claim.term);
                     attempts.last_asked = Some((term, self.env.now()));
                 }
+                // Only the owner knows whether the caller may cancel the workflow.
+                Action::Append if is_cancellation && self.has_tenants() => {
+                    self.env.sleep(RETRY_MS).await;
+                }
                 Action::Append => {
                     let records = vec![record.clone()];
                     let append =
@@ -278,8 +338,7 @@
                     self.env.sleep(RETRY_MS).await;
                 }
                 Action::Wait => self.env.sleep(RETRY_MS).await,
-                Action::GiveUp if attempts.borrow().maybe_stored => return Submitted::Unknown,
-                Action::GiveUp => return Submitted::Unavailable,
+                Action::GiveUp => return attempts.borrow().refused(),
             }
         }
     }
@@ -304,12 +363,16 @@
         }
     }
 
-    /// Returns the state of a workflow.
-    pub async fn state(&self, id: WorkflowId) -> StateLookup {
+    /// Returns the state of a workflow that its caller may see.
+    pub async fn state(&self, id: WorkflowId, caller: &Caller) -> StateLookup {
         let Some(shard) = self.shard(id) else {
             return StateLookup::Unavailable;
         };
-        match self.call_owner(shard, ShardRequest::State(shard, id)).await {
+        let request = match caller.tenant() {
+            Some(tenant) => ShardRequest::TenantState(shard, id, tenant.clone()),
+            None => ShardRequest::State(shard, id),
+        };
+        match self.call_owner(shard, request).await {
             Some(ShardResponse::State(Some(state))) => StateLookup::State(state),
             Some(ShardResponse::Failed(failure)) => StateLookup::Failed(failure),
             Some(ShardResponse::State(None)) => {
@@ -325,20 +388,25 @@
         }
     }
 
-    /// Cancels a workflow.
-    pub async fn cancel(&self, id: WorkflowId) -> Submitted {
-        let outcome = self
-            .store(id, Key::Cancelled(id), &Submission::Cancelled)
-            .await;
+    /// Cancels a workflow that its caller may see.
+    pub async fn cancel(&self, id: WorkflowId, caller: &Caller) -> Submitted {
+        let submission = match caller.tenant() {
+            Some(tenant) => Submission::CancelledBy(tenant.clone()),
+            None => Submission::Cancelled,
+        };
+        let outcome = self.store(id, &submission).await;
         let inputs = json!({ "workflow": id.to_string(), "outcome": format!("{outcome:?}") });
         self.env.event(Event::Cancelled, &inputs);
         outcome
     }
 
-    /// Returns the number of waiting workflows of a queue; `None` if an owner does not answer.
-    pub async fn waiting(&self, queue: &Arc<str>) -> Option<u32> {
+    /// Returns the number of waiting workflows of a queue that a caller may see; `None` if an owner does not
+    /// answer.
+    pub async fn waiting(&self, queue: &Arc<str>, caller: &Caller) -> Option<u32> {
         let now = self.env.now();
-        let cached = self.waiting_cache.borrow().get(queue).copied();
+        let tenant = caller.tenant();
+        let counted = (queue.clone(), tenant.cloned());
+        let cached = self.waiting_cache.borrow().get(&counted).copied();
         if let Some((at, count)) = cached
             && now.since(at) < WAITING_CACHE_MS
         {
@@ -347,17 +415,20 @@
         let shards = self.claims.layout()?.shards;
         let mut count = 0;
         for shard in 0..shards {
-            match self
-                .call_owner(shard, ShardRequest::Waiting(shard, queue.clone()))
-                .await
-            {
+            let queue = queue.clone();
+            let request = match tenant {
+                Some(tenant) => ShardRequest::TenantWaiting(shard, queue, tenant.clone()),
+                None => ShardRequest::Waiting(shard, queue),
+            };
+            match self.call_owner(shard, request).await {
                 Some(ShardResponse::Waiting(waiting)) => count += waiting,
                 _ => return None,
             }
         }
-        self.waiting_cache
-            .borrow_mut()
-            .insert(queue.clone(), (now, count));
+        let mut cache = self.waiting_cache.borrow_mut();
+        // Counts of tenants that do not ask any more are dropped.
+        cache.retain(|_, (at, _)| now.since(*at) < WAITING_CACHE_MS);
+        cache.insert(counted, (now, count));
         Some(count)
     }
 
@@ -429,6 +500,15 @@
     fn may_be_stored(&self) -> bool {
         self.maybe_stored || self.in_flight
     }
+
+    /// Outcome without a further attempt.
+    fn refused(&self) -> Submitted {
+        if self.maybe_stored {
+            Submitted::Unknown
+        } else {
+            Submitted::Unavailable
+        }
+    }
 }
 
 /// Counts a request as in progress until it is dropped.
--- a/hemlocksaddle-shard/src/group_commit.rs
+++ b/hemlocksaddle-shard/src/group_commit.rs
@@ -59,10 +59,7 @@
 impl Owner {
     /// Stores a submission, in one append with others that are pending.
     pub(crate) async fn store(&self, id: WorkflowId, submission: &Submission) -> ShardResponse {
-        let key = match submission {
-            Submission::Accepted(_) => Key::Accepted(id),
-            Submission::Cancelled => Key::Cancelled(id),
-        };
+        let key = Key::of(id, submission);
         let record = match record::encode(key.text(), submission) {
             Ok(record) => record,
             Err(cause) => {
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -18,6 +18,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod caller;
 pub mod event;
 pub mod frontend;
 pub mod metrics;
@@ -39,6 +40,7 @@
 mod retention;
 mod saving;
 mod snapshot;
+mod tenants;
 mod waiting;
 mod worker_poll;
 
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -20,6 +20,8 @@
     registry: Registry,
     /// Submissions by outcome.
     pub submissions: IntCounterVec,
+    /// Refused calls by reason.
+    pub refused_calls: IntCounterVec,
     /// Orders to workers by kind and answer.
     pub orders: IntCounterVec,
     /// Calls to the store by operation and outcome.
@@ -114,6 +116,11 @@
                 "Submissions by outcome.",
                 &["outcome"],
             )?,
+            refused_calls: counter(
+                "shard_refused_calls_total",
+                "Calls refused for their key or tenant, by reason.",
+                &["reason"],
+            )?,
             orders: counter(
                 "shard_orders_total",
                 "Orders to workers.",
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -36,6 +36,7 @@
     node::Env,
     ports::{Record, StoreError, Stream},
     recovery::Origin,
+    tenants::Storing,
     worker_poll::WorkerClock,
 };
 
@@ -65,7 +66,7 @@
 pub(crate) struct Owner {
     pub(crate) env: Rc<Env>,
     pub(crate) claims: Rc<Claims>,
-    configuration: Rc<Configuration>,
+    pub(crate) configuration: Rc<Configuration>,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) shard: u32,
     shards: u32,
@@ -91,6 +92,10 @@
     pub(crate) stored_parts: RefCell<HashMap<WorkflowId, Vec<Arc<str>>>>,
     /// Number of generations of further parts that this owner has written.
     pub(crate) generations: Cell<u32>,
+    /// Keys of records in the submissions that name a tenant, or are not of the workflow's tenant.
+    pub(crate) tenant_keys: RefCell<HashMap<WorkflowId, Vec<Arc<str>>>>,
+    /// Submissions that are being stored.
+    pub(crate) storing: Storing,
     submissions_read_at: Cell<MonoMs>,
     /// Offset of the submissions up to which no fence of a later term was met.
     pub(crate) submissions_read_to: Cell<u64>,
@@ -143,6 +148,8 @@
             progress_sequence: Cell::new(0),
             stored_parts: RefCell::new(HashMap::new()),
             generations: Cell::new(0),
+            tenant_keys: RefCell::new(HashMap::new()),
+            storing: Storing::default(),
             submissions_read_at: Cell::new(MonoMs(0)),
             submissions_read_to: Cell::new(0),
             interference_due: Cell::new(false),
@@ -496,31 +503,21 @@
         if !self.ready.get() || self.ended.get() {
             return ShardResponse::NotOwner;
         }
-        if let ShardRequest::Store(_, id, submission) = request {
-            return self.store(id, &submission).await;
-        }
-        let scheduler = self.scheduler.borrow();
         match request {
-            ShardRequest::State(_, id) => match scheduler.state(id) {
-                Some(State::Failed) => {
-                    let failure = scheduler.failure(id).cloned();
-                    ShardResponse::Failed(failure.map(Box::new))
-                }
-                Some(state) => ShardResponse::State(Some(state)),
-                None if self.submissions_are_fresh() => ShardResponse::State(None),
-                None => ShardResponse::NotOwner,
-            },
-            ShardRequest::Waiting(_, queue) => {
-                ShardResponse::Waiting(scheduler.count_waiting(&queue))
+            ShardRequest::Store(_, id, submission) => self.store_checked(id, submission).await,
+            ShardRequest::State(_, id) => self.state_for(id, None),
+            ShardRequest::TenantState(_, id, tenant) => self.state_for(id, Some(&tenant)),
+            ShardRequest::Waiting(_, queue) => self.count_waiting_for(&queue, None),
+            ShardRequest::TenantWaiting(_, queue, tenant) => {
+                self.count_waiting_for(&queue, Some(&tenant))
+            }
+            ShardRequest::Ownership(_) | ShardRequest::Offer(..) | ShardRequest::Delegate(..) => {
+                ShardResponse::NotOwner
             }
-            ShardRequest::Store(..)
-            | ShardRequest::Ownership(_)
-            | ShardRequest::Offer(..)
-            | ShardRequest::Delegate(..) => ShardResponse::NotOwner,
         }
     }
 
-    fn submissions_are_fresh(&self) -> bool {
+    pub(crate) fn submissions_are_fresh(&self) -> bool {
         self.env.now().since(self.submissions_read_at.get()) < MAX_READ_AGE_MS
     }
 }
--- a/hemlocksaddle-shard/src/parts.rs
+++ b/hemlocksaddle-shard/src/parts.rs
@@ -19,6 +19,9 @@
 /// Largest encoded size of a part without its items and without the reason of a failure.
 const PART_BYTES: usize = 250;
 
+/// Largest encoded size of the field with the tenant's name without the name.
+const TENANT_BYTES: usize = 10;
+
 /// Largest encoded size of the fields of a step without their items.
 const STEP_BYTES: usize = 140;
 
@@ -108,8 +111,10 @@
     let failure = progress.failure.as_ref();
     let workers = failure.map_or(&[][..], |failure| failure.workers());
     let reason_bytes = workers.iter().map(|name| name.len() + RUN_BYTES);
+    let tenant = progress.tenant.as_ref();
+    let tenant_bytes = tenant.map_or(0, |name| name.len() + TENANT_BYTES);
     let mut parts = Parts {
-        bytes: PART_BYTES + reason_bytes.sum::<usize>(),
+        bytes: PART_BYTES + tenant_bytes + reason_bytes.sum::<usize>(),
         parts: vec![progress],
         max_bytes,
     };
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -6,8 +6,9 @@
 use hemlocksaddle_types::{
     clock::Millis,
     error::{Error, ErrorKind, Result},
+    hash::stable_hash,
     name::NodeName,
-    workflow::WorkflowId,
+    workflow::{Submission, WorkflowId},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -72,11 +73,31 @@
     pub(crate) term: u64,
 }
 
+/// Tenant in a key, as a hash of its name: a name may have characters that keys do not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TenantTag(u64);
+
+impl TenantTag {
+    pub(crate) fn of(tenant: &str) -> TenantTag {
+        TenantTag(stable_hash(&[tenant.as_bytes()]))
+    }
+
+    fn parse(text: &str) -> Option<TenantTag> {
+        let tag = u64::from_str_radix(text, 16);
+        tag.ok().filter(|_| text.len() == 16).map(TenantTag)
+    }
+}
+
 /// Key in the submissions or progress stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Key {
     Accepted(WorkflowId),
     Cancelled(WorkflowId),
+    /// Submission of a tenant. Its key is its own, since the newest record of a key replaces all others: nobody
+    /// else's record under the same id may replace it.
+    AcceptedOf(WorkflowId, TenantTag),
+    /// Cancellation by a tenant.
+    CancelledBy(WorkflowId, TenantTag),
     Fence,
     Progress(WorkflowId),
     /// Further part of a progress, with its generation and number.
@@ -86,10 +107,35 @@
 }
 
 impl Key {
+    /// Key of a record in the submissions stream.
+    pub(crate) fn of(id: WorkflowId, submission: &Submission) -> Key {
+        match submission {
+            Submission::Accepted(workflow) => match &workflow.tenant {
+                Some(tenant) => Key::AcceptedOf(id, TenantTag::of(tenant)),
+                None => Key::Accepted(id),
+            },
+            Submission::Cancelled => Key::Cancelled(id),
+            Submission::CancelledBy(tenant) => Key::CancelledBy(id, TenantTag::of(tenant)),
+        }
+    }
+
+    /// Workflow that a record of the submissions stream is about.
+    pub(crate) fn submitted(&self) -> Option<WorkflowId> {
+        match self {
+            Key::Accepted(id)
+            | Key::Cancelled(id)
+            | Key::AcceptedOf(id, _)
+            | Key::CancelledBy(id, _) => Some(*id),
+            _ => None,
+        }
+    }
+
     pub(crate) fn text(&self) -> Arc<str> {
         match self {
             Key::Accepted(id) => format!("{ACCEPTED_PREFIX}{id}"),
             Key::Cancelled(id) => format!("{CANCELLED_PREFIX}{id}"),
+            Key::AcceptedOf(id, tag) => format!("{ACCEPTED_PREFIX}{id}/{:016x}", tag.0),
+            Key::CancelledBy(id, tag) => format!("{CANCELLED_PREFIX}{id}/{:016x}", tag.0),
             Key::Fence => FENCE_KEY.to_owned(),
             Key::Progress(id) => format!("{PROGRESS_PREFIX}{id}"),
             Key::ProgressPart(id, generation, number) => {
@@ -109,10 +155,16 @@
             return Some(Key::Fence);
         }
         if let Some(id) = text.strip_prefix(ACCEPTED_PREFIX) {
-            return id.parse().ok().map(Key::Accepted);
+            return match id.split_once('/') {
+                Some((id, tag)) => Some(Key::AcceptedOf(id.parse().ok()?, TenantTag::parse(tag)?)),
+                None => id.parse().ok().map(Key::Accepted),
+            };
         }
         if let Some(id) = text.strip_prefix(CANCELLED_PREFIX) {
-            return id.parse().ok().map(Key::Cancelled);
+            return match id.split_once('/') {
+                Some((id, tag)) => Some(Key::CancelledBy(id.parse().ok()?, TenantTag::parse(tag)?)),
+                None => id.parse().ok().map(Key::Cancelled),
+            };
         }
         if let Some(id) = text.strip_prefix(PROGRESS_PREFIX) {
             let Some((id, part)) = id.split_once('/') else {
--- a/hemlocksaddle-shard/src/recovery.rs
+++ b/hemlocksaddle-shard/src/recovery.rs
@@ -22,6 +22,7 @@
     ports::{Conditions, Record, Result, StoreError, Stream, Writer},
     record::{self, Fence, Key},
     snapshot::Snapshot,
+    tenants::superseded,
 };
 
 /// How an owner came to know a submission.
@@ -92,8 +93,13 @@
             return Err(StoreError::Fenced);
         }
         self.apply_interference(&progress);
+        let superseded = superseded(&submissions, &progress);
         for record in submissions.records() {
-            self.apply_submission(record, Origin::Recovery);
+            match Key::parse(&record.key).and_then(|key| key.submitted()) {
+                // Its record is deleted with those of the workflow that has the id.
+                Some(id) if superseded.contains(&record.key) => self.note_key(id, record),
+                _ => self.apply_submission(record, Origin::Recovery),
+            }
         }
         self.apply_progress(&progress);
         self.apply_listings(workers.records().cloned().map(Some).collect());
@@ -218,8 +224,18 @@
         if key == Some(Key::Fence) {
             return;
         }
-        match (key, record::decode::<Submission>(&record.key, value)) {
-            (Some(Key::Accepted(id)), Ok(Submission::Accepted(spec))) => {
+        let submission = match record::decode::<Submission>(&record.key, value) {
+            Ok(submission) => submission,
+            Err(cause) => return self.log_unreadable(record, &cause.to_string()),
+        };
+        let id = key.as_ref().and_then(Key::submitted);
+        let Some(id) = id.filter(|&id| key == Some(Key::of(id, &submission))) else {
+            return self.log_unreadable(record, "key and value do not match");
+        };
+        self.note_key(id, record);
+        match submission {
+            Submission::Accepted(spec) if self.is_id_in_use(id, &spec) => {}
+            Submission::Accepted(spec) => {
                 let mut scheduler = self.scheduler.borrow_mut();
                 match origin {
                     Origin::Recovery => scheduler.accept(id, *spec, now, true),
@@ -227,11 +243,11 @@
                     Origin::Unconfirmed => scheduler.accept_unconfirmed(id, *spec, now),
                 };
             }
-            (Some(Key::Cancelled(id)), Ok(Submission::Cancelled)) => {
-                self.scheduler.borrow_mut().cancel(id, now);
+            Submission::Cancelled => self.scheduler.borrow_mut().cancel(id, now),
+            Submission::CancelledBy(tenant) => {
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.cancel_by(id, Some(&tenant), now);
             }
-            (_, Ok(_)) => self.log_unreadable(record, "key and value do not match"),
-            (_, Err(cause)) => self.log_unreadable(record, &cause.to_string()),
         }
     }
 
--- a/hemlocksaddle-shard/src/retention.rs
+++ b/hemlocksaddle-shard/src/retention.rs
@@ -6,7 +6,7 @@
 //! durable, so a deletion may be carried out late or by a predecessor without notice of its successor. The
 //! progress is deleted after the retention time.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use hemlocksaddle_types::{clock::Millis, workflow::WorkflowId};
 use serde_json::json;
@@ -52,14 +52,20 @@
 
     /// Deletes the records of workflows in the submissions.
     async fn delete_submissions_of(&self, ids: &[WorkflowId]) -> Result<()> {
-        let records: Vec<Record> = ids
-            .iter()
-            .flat_map(|&id| [deletion(Key::Accepted(id)), deletion(Key::Cancelled(id))])
-            .collect();
+        let keys: Vec<_> = ids.iter().map(|&id| (id, self.take_keys(id))).collect();
+        let records = keys.iter().flat_map(|(_, keys)| keys);
+        let records: Vec<Record> = records.map(|key| deletion(key.clone())).collect();
         let count = records.len();
-        let end = self.delete(Stream::Submissions, records).await?;
-        self.extend_read(end, count);
-        Ok(())
+        match self.delete(Stream::Submissions, records).await {
+            Ok(end) => {
+                self.extend_read(end, count);
+                Ok(())
+            }
+            Err(error) => {
+                self.put_back_keys(keys);
+                Err(error)
+            }
+        }
     }
 
     /// Appends deletions to a stream; returns the offset of their end.
@@ -91,7 +97,7 @@
             if self.delete_submissions_of(&old).await.is_ok() {
                 let mut progress: Vec<Record> = Vec::new();
                 for &id in &old {
-                    progress.push(deletion(Key::Progress(id)));
+                    progress.push(deletion(Key::Progress(id).text()));
                     progress.extend(self.take_deletions_of_parts(id));
                 }
                 // Logged; see above.
@@ -102,9 +108,6 @@
 }
 
 /// Record that deletes a key.
-fn deletion(key: Key) -> Record {
-    Record {
-        key: key.text(),
-        value: None,
-    }
+fn deletion(key: Arc<str>) -> Record {
+    Record { key, value: None }
 }
--- a/hemlocksaddle-shard/tests/catalogue.rs
+++ b/hemlocksaddle-shard/tests/catalogue.rs
@@ -47,6 +47,7 @@
         .delegated_calls
         .with_label_values(&["answered"])
         .inc();
+    metrics.refused_calls.with_label_values(&["no key"]).inc();
     metrics.waiting_tasks.with_label_values(&["room"]).set(1);
     metrics.plan_work.with_label_values(&["plans"]).inc();
     let text = String::from_utf8(metrics.text().expect("text")).expect("text");
--- a/hemlocksaddle-shard/tests/large_progress.rs
+++ b/hemlocksaddle-shard/tests/large_progress.rs
@@ -157,6 +157,7 @@
         ended: Some(State::Failed),
         ended_ms: Some(WallMs(u64::MAX)),
         failure: None,
+        tenant: Some("t".repeat(128).into()),
         done: (0..10_000).map(|n| (2 * n, 2 * n + 1)).collect(),
         steps: (0..5).map(|number| step(u32::MAX - number)).collect(),
         further: None,
--- a/hemlocksaddle-shard/tests/shutdown.rs
+++ b/hemlocksaddle-shard/tests/shutdown.rs
@@ -10,7 +10,7 @@
 
 use googletest::prelude::*;
 use hemlocksaddle_fakes::runtime::ENVIRONMENT;
-use hemlocksaddle_shard::frontend::Submitted;
+use hemlocksaddle_shard::{caller::Caller, frontend::Submitted};
 use hemlocksaddle_types::{
     clock::Millis,
     workflow::{State, WorkflowId},
@@ -74,7 +74,8 @@
         self.queries.push(answered.clone());
         let node = deployment.node(at).expect("node");
         deployment.sim.spawn(ENVIRONMENT, async move {
-            node.frontend.state(WorkflowId(id)).await;
+            let caller = Caller::default();
+            node.frontend.state(WorkflowId(id), &caller).await;
             answered.set(true);
         });
     }
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use hemlocksaddle_policy::workflow::Listing;
 use hemlocksaddle_shard::{
     Node, Settings,
+    caller::Caller,
     frontend::{StateLookup, Submitted},
     node::Ports,
     ports::{Formats, OperatorRecord, Record, Stream},
@@ -57,7 +58,7 @@
     /// Nodes whose requests to others are lost.
     loses_requests: RefCell<BTreeMap<usize, Rc<Cell<bool>>>>,
     pub(crate) connections: Rc<Connections>,
-    catalogue: Catalogue,
+    catalogue: Rc<RefCell<Catalogue>>,
 }
 
 /// Longest key of a record that the platform's store takes.
@@ -65,14 +66,14 @@
 
 /// Decoder of operator and worker records in the fake store; the key alone identifies them.
 struct FakeFormats {
-    catalogue: Catalogue,
+    catalogue: Rc<RefCell<Catalogue>>,
     fleet: Rc<FakeFleet>,
 }
 
 impl Formats for FakeFormats {
     fn operator_record(&self, record: &Record) -> Result<OperatorRecord, String> {
         match &*record.key {
-            "config" => Ok(OperatorRecord::Catalogue(self.catalogue.clone())),
+            "config" => Ok(OperatorRecord::Catalogue(self.catalogue.borrow().clone())),
             other => Err(format!("unknown key {other}")),
         }
     }
@@ -177,7 +178,7 @@
             stores: RefCell::default(),
             loses_requests: RefCell::default(),
             connections: Rc::default(),
-            catalogue: catalogue(),
+            catalogue: Rc::new(RefCell::new(catalogue())),
             sim,
         };
         deployment.store.put_config();
@@ -185,6 +186,15 @@
         deployment
     }
 
+    /// Changes the configuration and writes it with the next version.
+    pub(crate) fn configure(&self, change: impl FnOnce(&mut Catalogue)) {
+        let mut catalogue = self.catalogue.borrow_mut();
+        change(&mut catalogue);
+        catalogue.version += 1;
+        drop(catalogue);
+        self.store.put_config();
+    }
+
     /// Starts a node, or restarts it after it was killed.
     pub(crate) fn start(&self, number: usize) {
         self.start_with_share(number, 0.25);
@@ -344,12 +354,16 @@
 
     pub(crate) fn cancel(&self, at: usize, id: u64) -> Submitted {
         let node = self.node(at).expect("node");
-        self.sim.block_on(node.frontend.cancel(WorkflowId(id)))
+        let caller = Caller::default();
+        self.sim
+            .block_on(node.frontend.cancel(WorkflowId(id), &caller))
     }
 
     pub(crate) fn state(&self, at: usize, id: u64) -> StateLookup {
         let node = self.node(at).expect("node");
-        self.sim.block_on(node.frontend.state(WorkflowId(id)))
+        let caller = Caller::default();
+        self.sim
+            .block_on(node.frontend.state(WorkflowId(id), &caller))
     }
 
     /// Polls until a workflow has ended and returns its final state; `None` after the timeout.
--- a/hemlocksaddle-types/src/lib.rs
+++ b/hemlocksaddle-types/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod record;
 pub mod request;
 pub mod resources;
+pub mod tenant;
 pub mod unit;
 pub mod worker;
 pub mod workflow;
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -377,6 +377,9 @@
     pub done: Vec<(u32, u32)>,
     /// Progress of the steps that have any.
     pub steps: Vec<StepProgress>,
+    /// Name of the tenant that submitted the workflow; the submission may be deleted before the progress.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<Arc<str>>,
     /// Further records that hold the rest; `None` if there are none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub further: Option<FurtherParts>,
@@ -396,8 +399,10 @@
 pub enum Submission {
     /// Workflow was submitted and accepted.
     Accepted(Box<Workflow>),
-    /// Workflow was cancelled by its caller.
+    /// Workflow without a tenant was cancelled by its caller.
     Cancelled,
+    /// Workflow was cancelled by a caller of this tenant; without effect on work of others.
+    CancelledBy(Arc<str>),
 }
 
 /// Configuration of a queue.
@@ -440,7 +445,7 @@
 
 /// SHA-256 digest of a tenant's key.
 ///
-/// The key itself is not kept.
+/// The key itself is not kept; see [`crate::tenant`].
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KeyDigest(pub [u8; 32]);
 
@@ -519,6 +524,10 @@
     Offer(u32, Offer),
     /// Asks a delegate to carry out a call to a worker; sent by the owner.
     Delegate(u32, Box<DelegatedCall>),
+    /// Asks for the state of a workflow for a caller of a tenant.
+    TenantState(u32, WorkflowId, Arc<str>),
+    /// Asks for the number of a queue's accepted workflows of a tenant without a started task.
+    TenantWaiting(u32, Arc<str>, Arc<str>),
 }
 
 impl ShardRequest {
@@ -531,7 +540,9 @@
             | ShardRequest::Store(shard, _, _)
             | ShardRequest::Ownership(shard)
             | ShardRequest::Offer(shard, _)
-            | ShardRequest::Delegate(shard, _) => *shard,
+            | ShardRequest::Delegate(shard, _)
+            | ShardRequest::TenantState(shard, ..)
+            | ShardRequest::TenantWaiting(shard, ..) => *shard,
         }
     }
 }
@@ -557,4 +568,13 @@
     NotOwner,
     /// Answer to a delegated call.
     Delegated(DelegatedAnswer),
+    /// Submission is not stored, and is not to be stored without the owner either.
+    Refused(Refusal),
+}
+
+/// Why an owner refuses a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// Another tenant has submitted a workflow under the id.
+    IdInUse,
 }
