Refuse work at the door that a tenant cannot run in time

Cause: a tenant that sends several times what it may run fills its own queue, and all further submissions end when they are worth nothing to their callers.

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod routing;
 pub mod shutdown;
 pub mod take_over;
+pub mod tenant_admission;
 pub mod workflow;
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 //! or before every worker has reported, a completed earlier run that is reported later
 //! is not acknowledged; the result of the later run counts.
 
+mod backlog;
 mod capacity;
 mod consolidation;
 mod crash;
@@ -52,6 +53,7 @@
 pub use hemlocksaddle_types::delegation::{End, EndKind, Report, StartAnswer, TaskStatus};
 
 pub use self::{
+    backlog::TenantLoads,
     crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -13,8 +13,8 @@
     clock::{Millis, MonoMs},
     hash::stable_hash,
     workflow::{
-        Catalogue, Failure, Queue, ShardRequest, ShardResponse, State, Submission, Workflow,
-        WorkflowId,
+        Catalogue, Failure, Queue, Refusal, ShardRequest, ShardResponse, State, Submission,
+        Workflow, WorkflowId,
     },
 };
 use serde_json::json;
@@ -57,6 +57,11 @@
     Unknown,
     /// Certainly not stored; the store takes no record of this size.
     TooLarge,
+    /// Certainly not stored; the tenant has more accepted work than it can run in time.
+    OverQuota {
+        /// Time after which there is probably room, in seconds.
+        retry_after_s: u32,
+    },
     /// Cancellation without effect: the caller has no such workflow.
     NotFound,
 }
@@ -218,6 +223,7 @@
             Submitted::Unavailable => (Event::Refused, "refused"),
             Submitted::Unknown => (Event::OutcomeUnknown, "unknown"),
             Submitted::TooLarge => (Event::Refused, "too large"),
+            Submitted::OverQuota { .. } => (Event::Refused, "over quota"),
             // Only a cancellation is answered so.
             Submitted::NotFound => (Event::Refused, "refused"),
         };
@@ -238,6 +244,9 @@
         if let Some(tenant) = tenant {
             inputs["tenant"] = json!(&*tenant);
         }
+        if let Submitted::OverQuota { retry_after_s } = outcome {
+            inputs["retry_after_s"] = json!(retry_after_s);
+        }
         self.env.event(event, &inputs);
         outcome
     }
@@ -298,8 +307,13 @@
                         Some(CallOutcome::Answered(ShardResponse::State(None))) => {
                             return Submitted::NotFound;
                         }
-                        Some(CallOutcome::Answered(ShardResponse::Refused(_))) => {
-                            return attempts.refused();
+                        Some(CallOutcome::Answered(ShardResponse::Refused(refusal))) => {
+                            return match refusal {
+                                Refusal::OverQuota { retry_after_s } if !attempts.maybe_stored => {
+                                    Submitted::OverQuota { retry_after_s }
+                                }
+                                _ => attempts.refused(),
+                            };
                         }
                         Some(
                             CallOutcome::Answered(ShardResponse::StoreUnknown)
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod parts;
 pub mod ports;
 
+mod admission;
 mod claims;
 mod configuration;
 mod delegate;
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -27,6 +27,7 @@
 use std::sync::Arc;
 
 use crate::{
+    admission::Admission,
     claims::{Claims, Handover},
     configuration::Configuration,
     dispatcher::Dispatcher,
@@ -36,7 +37,7 @@
     node::Env,
     ports::{Record, StoreError, Stream},
     recovery::Origin,
-    tenants::Storing,
+    tenants::{CatchUp, Storing},
     worker_poll::WorkerClock,
 };
 
@@ -69,7 +70,7 @@
     pub(crate) configuration: Rc<Configuration>,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) shard: u32,
-    shards: u32,
+    pub(crate) shards: u32,
     pub(crate) term: u64,
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(crate) clocks: RefCell<HashMap<WorkerKey, WorkerClock>>,
@@ -96,7 +97,9 @@
     pub(crate) tenant_keys: RefCell<HashMap<WorkflowId, Vec<Arc<str>>>>,
     /// Submissions that are being stored.
     pub(crate) storing: Storing,
-    submissions_read_at: Cell<MonoMs>,
+    pub(crate) catch_up: CatchUp,
+    pub(crate) admission: Admission,
+    pub(crate) submissions_read_at: Cell<MonoMs>,
     /// Offset of the submissions up to which no fence of a later term was met.
     pub(crate) submissions_read_to: Cell<u64>,
     pub(crate) interference_due: Cell<bool>,
@@ -150,6 +153,8 @@
             generations: Cell::new(0),
             tenant_keys: RefCell::new(HashMap::new()),
             storing: Storing::default(),
+            catch_up: CatchUp::default(),
+            admission: Admission::default(),
             submissions_read_at: Cell::new(MonoMs(0)),
             submissions_read_to: Cell::new(0),
             interference_due: Cell::new(false),
--- a/hemlocksaddle-shard/src/tenants.rs
+++ b/hemlocksaddle-shard/src/tenants.rs
@@ -8,12 +8,16 @@
 //! submissions without knowing this. The records of each tenant have keys of their own, so that none replaces
 //! another's, and the owner leaves out all but the first.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use foldhash::{HashMap, HashMapExt, HashSet};
 use hemlocksaddle_policy::workflow::Owned;
 use hemlocksaddle_types::{
-    clock::{Millis, WallMs},
+    clock::{Millis, MonoMs, WallMs},
     workflow::{Progress, Refusal, ShardResponse, State, Submission, Workflow, WorkflowId},
 };
 use serde_json::json;
@@ -53,6 +57,23 @@
     }
 }
 
+/// Reads of the submissions up to their end.
+#[derive(Default)]
+pub(crate) struct CatchUp {
+    is_reading: Rc<Cell<bool>>,
+    /// Time at which the latest read was sent whose records are all applied.
+    read_at: Cell<MonoMs>,
+}
+
+/// Marks a read as in progress until it is dropped.
+struct ReadingGuard(Rc<Cell<bool>>);
+
+impl Drop for ReadingGuard {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
 /// Effect that a cancellation may have.
 enum Cancellation {
     /// Workflow is not known.
@@ -125,6 +146,14 @@
                 let Some(_storing) = self.begin_to_store(id, workflow) else {
                     return ShardResponse::Refused(Refusal::IdInUse);
                 };
+                // A refusal is true only if no earlier attempt has stored the submission.
+                if let Err(retry_after_s) = self.admit(id, workflow)
+                    && self.catch_up().await
+                    && self.scheduler.borrow().tenant_of(id) == Owned::Unknown
+                {
+                    self.count_refused("over quota");
+                    return ShardResponse::Refused(Refusal::OverQuota { retry_after_s });
+                }
                 return self.store(id, &submission).await;
             }
             Submission::Cancelled => None,
@@ -165,12 +194,31 @@
     }
 
     /// Waits until all that the submissions hold now is applied; returns whether that succeeded.
+    ///
+    /// Callers that wait at the same time share a read.
     async fn catch_up(&self) -> bool {
         let asked_at = self.env.now();
+        while !self.ended.get() && self.env.now().since(asked_at) < CATCH_UP_LIMIT_MS {
+            let read_at = self.catch_up.read_at.get();
+            if self.submissions_read_at.get().max(read_at) > asked_at {
+                return true;
+            }
+            if !self.catch_up.is_reading.replace(true) {
+                let _reading = ReadingGuard(self.catch_up.is_reading.clone());
+                return self.read_and_catch_up(asked_at).await;
+            }
+            self.env.sleep(CATCH_UP_POLL_MS).await;
+        }
+        false
+    }
+
+    async fn read_and_catch_up(&self, asked_at: MonoMs) -> bool {
+        let sent_at = self.env.now();
         let from = self.submissions_read_to.get();
         let read = self
             .env
             .read(Stream::Submissions, self.shard, from, Millis(0));
+        // A failure is an event of its own.
         let Ok(tail) = read.await else {
             return false;
         };
@@ -180,6 +228,7 @@
             }
             self.env.sleep(CATCH_UP_POLL_MS).await;
         }
+        self.catch_up.read_at.set(sent_at);
         !self.ended.get()
     }
 
--- a/hemlocksaddle-shard/tests/tenants.rs
+++ b/hemlocksaddle-shard/tests/tenants.rs
@@ -401,13 +401,13 @@
     deployment.set_store_silent(0, true);
     deployment.configure(|catalogue| catalogue.tenants[0] = tenant("a", &["key-c"]));
     deployment.sim.run_for(CONFIG_APPLY_MS);
-    for at in 1..NODES {
+    for (at, caller) in connected.iter().enumerate().skip(1) {
         expect_that!(is_known(at, "key-a"), eq(false));
         expect_that!(is_known(at, "key-c"), eq(true));
         let frontend = &node(&deployment, at).frontend;
         let catalogue = frontend.catalogue().expect("configuration");
         let queue = catalogue.queue("queue").expect("queue");
-        expect_that!(frontend.is_still_known(queue, &connected[at]), eq(false));
+        expect_that!(frontend.is_still_known(queue, caller), eq(false));
     }
     // A node that cannot read the store keeps the configuration that it has.
     expect_that!(
@@ -469,3 +469,54 @@
     );
     expect_that!(text, not(contains_substring("key-")));
 }
+
+/// Load: a tenant sends several times what it may run (`hot_tenant`). Guards against its work that is accepted
+/// although it ends too late, a refusal of work that runs, or of a repeated submission, and against another
+/// tenant that is refused as well.
+#[gtest]
+fn a_tenant_is_refused_what_it_cannot_run_in_time() {
+    let deployment = Deployment::without_nodes(8, 3);
+    deployment.configure(|catalogue| {
+        add_tenants(catalogue);
+        // Two tasks of one core at a time; work is worth nothing 5,250 ms after its submission.
+        catalogue.tenants[0].cap.cpu_milli = 2_000;
+    });
+    (0..NODES).for_each(|number| deployment.start(number));
+    deployment.wait_for_owner();
+    let a = caller(&deployment, 0, "key-a");
+    let mut accepted = 0;
+    let mut refused = Vec::new();
+    for id in 1..=40 {
+        match submit(&deployment, id as usize % NODES, id, of(Some("a"), 1)) {
+            Submitted::Accepted => accepted += 1,
+            Submitted::OverQuota { retry_after_s } => refused.push((id, retry_after_s)),
+            other => panic!("{other:?}"),
+        }
+    }
+    // The work before the last accepted one takes at most 4,250 ms, and what the owner has done meanwhile.
+    expect_that!(accepted, all![ge(9), le(20)]);
+    expect_that!(refused, not(is_empty()));
+    for (id, retry_after_s) in &refused {
+        expect_that!(*retry_after_s, all![ge(1), le(60)]);
+        let expected = StateLookup::NotFound;
+        expect_that!(state(&deployment, 0, *id, &a), eq(&expected));
+    }
+    expect_that!(
+        submit(&deployment, 0, 1, of(Some("a"), 1)),
+        eq(Submitted::Accepted)
+    );
+    for id in 101..=110 {
+        expect_that!(
+            submit(&deployment, 0, id, of(Some("b"), 1)),
+            eq(Submitted::Accepted)
+        );
+    }
+    deployment.sim.run_for(Millis(10_000));
+    expect_that!(deployment.fleet.starts(), eq(accepted + 10));
+    // There is room again.
+    let (id, _) = refused[0];
+    expect_that!(
+        submit(&deployment, 0, id, of(Some("a"), 1)),
+        eq(Submitted::Accepted)
+    );
+}
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -577,4 +577,9 @@
 pub enum Refusal {
     /// Another tenant has submitted a workflow under the id.
     IdInUse,
+    /// Tenant has more accepted work than it can run in time.
+    OverQuota {
+        /// Time after which there is probably room, in seconds.
+        retry_after_s: u32,
+    },
 }
