Keep keys out of the Debug form of records

Cause: the record of a configuration and its parsed form hold keys as text, and their derived `Debug` would show them. Work without a declared run time and target was refused as if it were worthless at once.

Work of which nothing is declared is accepted.

--- a/hemlocksaddle-policy/src/tenant_admission.rs
+++ b/hemlocksaddle-policy/src/tenant_admission.rs
@@ -198,7 +198,8 @@
 /// `spread` is a random number from 0 to 1, which spreads the retries of refused callers over twice the time.
 #[must_use]
 pub fn decide(lines: &[Line], request: &Request, spread: f64) -> Decision {
-    if request.is_useful_any_time {
+    // Without a run time and a target, nothing tells when the work is worth nothing.
+    if request.is_useful_any_time || request.worthless_after == Millis(0) {
         return Decision::Accept;
     }
     let excess = lines.iter().map(|line| {
--- a/hemlocksaddle-policy/tests/tenant_admission.rs
+++ b/hemlocksaddle-policy/tests/tenant_admission.rs
@@ -93,6 +93,8 @@
         decide(&[line(1_000, Rate::default())], &check(), 0.0),
         eq(ACCEPT)
     );
+    let undeclared = Request::default();
+    expect_that!(decide(&[line(1_000, rate)], &undeclared, 0.0), eq(ACCEPT));
     // A share counts as well, and long-running tasks take part of either.
     let share = Rate::of_share(&cores(1_000), 1, 40, &Resources::default());
     expect_that!(share.cpu_milli, some(eq(25_000)));
--- a/hemlocksaddle-shard/src/ports.rs
+++ b/hemlocksaddle-shard/src/ports.rs
@@ -1,6 +1,6 @@
 //! Interfaces (ports) that a node of the shard crate requires from the platform.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use bytes::Bytes;
 use hemlocksaddle_node::ports::PortFuture;
@@ -60,7 +60,9 @@
 }
 
 /// Keyed record of a compacted stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+///
+/// Its `Debug` form has the size of the value only: a configuration holds keys of tenants.
+#[derive(Clone, PartialEq, Eq)]
 pub struct Record {
     /// Key; a later record with the same key replaces this one.
     pub key: Arc<str>,
@@ -68,6 +70,15 @@
     pub value: Option<Bytes>,
 }
 
+impl fmt::Debug for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Record")
+            .field("key", &self.key)
+            .field("value_bytes", &self.value.as_ref().map(Bytes::len))
+            .finish()
+    }
+}
+
 /// Writer identity for fencing and deduplication; only the highest epoch may append.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Writer {
