Keep an outcome from a later submission of another tenant

Cause: a submission that a node stores without an owner, under an id of another tenant's ended workflow, was restored with that workflow's outcome by a new owner, and took its place.

Change: a new owner drops such a submission if the progress under its id names another tenant, and deletes its record.

Measured: the tests of the policy crate pass; the extended test fails without the change.

--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -117,6 +117,11 @@
         let Some(&key) = self.by_id.get(&id) else {
             return self.restore_ended(id, progress);
         };
+        if self.remove_foreign(key, progress) {
+            self.restore_ended(id, progress);
+            self.note_submission(id);
+            return;
+        }
         let job = &mut self.jobs[key];
         job.occurrences.restore_done(&progress.done);
         job.started |= !progress.done.is_empty();
@@ -337,7 +342,7 @@
         self.remove_open(key);
     }
 
-    fn remove_open(&mut self, key: JobKey) {
+    pub(super) fn remove_open(&mut self, key: JobKey) {
         self.open_jobs.retain(|&open| open != key);
     }
 
--- a/hemlocksaddle-policy/src/workflow/ownership.rs
+++ b/hemlocksaddle-policy/src/workflow/ownership.rs
@@ -5,9 +5,12 @@
 
 use std::sync::Arc;
 
-use hemlocksaddle_types::{clock::MonoMs, workflow::WorkflowId};
+use hemlocksaddle_types::{
+    clock::MonoMs,
+    workflow::{Progress, WorkflowId},
+};
 
-use super::Scheduler;
+use super::{JobKey, Scheduler};
 
 /// Workflow that was cancelled, and the tenant whose caller did so.
 pub(super) type Canceller = (WorkflowId, Option<Arc<str>>);
@@ -63,6 +66,24 @@
         }
     }
 
+    /// Removes a restored workflow under an id of which progress tells that another tenant's workflow has ended;
+    /// returns whether it did.
+    ///
+    /// The other submission is deleted by then, and a node without an owner has stored this one later.
+    pub(super) fn remove_foreign(&mut self, key: JobKey, progress: &Progress) -> bool {
+        let job = &self.jobs[key];
+        // Owners of earlier versions store progress without a tenant.
+        let is_other = progress.tenant.is_some() && progress.tenant != job.spec.tenant;
+        if !is_other || progress.ended.is_none() {
+            return false;
+        }
+        self.by_id.remove(&job.id);
+        self.jobs.remove(key);
+        self.remove_open(key);
+        self.cancelled_jobs.retain(|&cancelled| cancelled != key);
+        true
+    }
+
     /// Number of open workflows of a queue and a tenant without a started task, excluding those with a
     /// schedule; without a tenant, of those that have none.
     #[must_use]
--- a/hemlocksaddle-policy/tests/ownership.rs
+++ b/hemlocksaddle-policy/tests/ownership.rs
@@ -63,7 +63,8 @@
 }
 
 /// Guards against an outcome that is shown to other tenants once only it is kept, also by a successor that has
-/// read nothing else, and against a count that includes the work of other tenants.
+/// read nothing else or meets another tenant's submission under its id, and against a count that includes the
+/// work of other tenants.
 #[gtest]
 fn the_tenant_of_a_workflow_is_known_until_it_is_forgotten() {
     let mut harness = Harness::with_workers(1, 16_000);
@@ -88,8 +89,18 @@
         eq(3)
     );
     let mut successor = Harness::with_workers(1, 16_000);
-    successor.restore(progress);
+    successor.restore(progress.clone());
     let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
+    // Another tenant's submission under the id was stored without an owner.
+    let mut met = Harness::with_workers(1, 16_000);
+    accept(&mut met, 1, Some("b"));
+    met.restore(progress.clone());
+    expect_that!(met.scheduler.tenant_of(WorkflowId(1)), eq(Owned::By(&a)));
+    expect_that!(met.state(1), some(eq(State::Completed)));
+    expect_that!(met.starts(), is_empty());
+    let now = met.now();
+    let taken = met.scheduler.take_ended_submissions(10, now);
+    expect_that!(taken, elements_are![eq(&WorkflowId(1))]);
     for scheduler in [&harness.scheduler, &successor.scheduler] {
         expect_that!(scheduler.tenant_of(WorkflowId(1)), eq(Owned::By(&a)));
         expect_that!(scheduler.tenant_of(WorkflowId(2)), eq(Owned::ByNone));
