--- a/hemlocksaddle-policy/src/workflow/ended.rs
+++ b/hemlocksaddle-policy/src/workflow/ended.rs
@@ -75,7 +75,8 @@
             return;
         }
         if let Some(mut ended) = EndedWorkflow::from_progress(progress) {
-            ended.has_submission = self.pending_cancels.remove(&id).is_some();
+            let canceller = (id, ended.tenant.clone());
+            ended.has_submission = self.pending_cancels.remove(&canceller).is_some();
             self.ended.insert(id, ended);
         }
     }
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -77,11 +77,12 @@
             self.record_demand(&spec, &images);
         }
         let tenant = spec.tenant.clone();
+        let canceller = (id, tenant.clone());
         let key = self.jobs.insert(Job::new(id, spec, images, now, inherited));
         self.jobs[key].tenant = tenant.map(|name| self.tenancy.enter(&name));
         self.by_id.insert(id, key);
         self.open_jobs.push(key);
-        if self.take_pending_cancel(key) {
+        if self.pending_cancels.remove(&canceller).is_some() {
             self.cancel_job(key);
         }
         key
@@ -97,6 +98,11 @@
         }
     }
 
+    /// Cancels a workflow without a tenant and orders its runs to stop.
+    pub fn cancel(&mut self, id: WorkflowId, now: MonoMs) {
+        self.cancel_by(id, None, now);
+    }
+
     pub(super) fn cancel_job(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
         if job.ended.is_some() || job.cancelled {
@@ -113,6 +119,11 @@
         let Some(&key) = self.by_id.get(&id) else {
             return self.restore_ended(id, progress);
         };
+        if self.remove_foreign(key, progress) {
+            self.restore_ended(id, progress);
+            self.note_submission(id);
+            return;
+        }
         let job = &mut self.jobs[key];
         job.occurrences.restore_done(&progress.done);
         job.started |= !progress.done.is_empty();
@@ -241,6 +252,28 @@
         }
     }
 
+    /// Number of open workflows of a queue without a started task, excluding those with a schedule.
+    #[must_use]
+    pub fn count_waiting(&self, queue: &str) -> u32 {
+        self.count_waiting_if(queue, |_| true)
+    }
+
+    /// Number of such workflows whose tenant meets a condition.
+    pub(super) fn count_waiting_if(
+        &self,
+        queue: &str,
+        counts: impl Fn(Option<&Arc<str>>) -> bool,
+    ) -> u32 {
+        let waiting = self.jobs.values().filter(|job| {
+            !job.started
+                && job.is_open()
+                && job.spec.schedule.is_none()
+                && *job.spec.queue == *queue
+                && counts(job.spec.tenant.as_ref())
+        });
+        u32::try_from(waiting.count()).unwrap_or(u32::MAX)
+    }
+
     /// Removes workflows that ended more than `keep_ended_ms` ago; returns their ids.
     pub fn forget_ended(&mut self, wall: WallMs) -> Vec<WorkflowId> {
         let keep_ms = self.limits.keep_ended_ms;
@@ -313,7 +346,7 @@
         self.remove_open(key);
     }
 
-    fn remove_open(&mut self, key: JobKey) {
+    pub(super) fn remove_open(&mut self, key: JobKey) {
         self.open_jobs.retain(|&open| open != key);
     }
 
@@ -509,7 +542,7 @@
         ended: job.ended.map(|(state, _)| state),
         ended_ms: job.ended.map(|(_, at_ms)| at_ms),
         failure: job.failure.clone(),
-        tenant: job.ended.and_then(|_| job.spec.tenant.clone()),
+        tenant: job.spec.tenant.clone(),
         steps,
     }
 }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 //! or before every worker has reported, a completed earlier run that is reported later
 //! is not acknowledged; the result of the later run counts.
 
+mod backlog;
 mod capacity;
 mod consolidation;
 mod crash;
@@ -25,6 +26,7 @@
 mod listing;
 mod occurrences;
 mod overdue;
+mod ownership;
 mod pacing;
 mod placement;
 mod plan;
@@ -52,11 +54,13 @@
 pub use hemlocksaddle_types::delegation::{End, EndKind, Report, StartAnswer, TaskStatus};
 
 pub use self::{
+    backlog::TenantLoads,
     crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
     lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     listing::Listing,
+    ownership::Owned,
     tenancy::{TenantUse, TenantUses},
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
@@ -157,7 +161,7 @@
     departed: HashSet<Arc<str>>,
     orders: Vec<Order>,
     /// Cancellations that were read before the submission of their workflow.
-    pending_cancels: HashMap<WorkflowId, tenancy::PendingCancel>,
+    pending_cancels: HashMap<ownership::Canceller, MonoMs>,
     /// Time by which every lease granted in an earlier term has expired.
     failover_complete_at: MonoMs,
     /// Whether leases of earlier terms were waited out because some worker did not report.
--- a/hemlocksaddle-policy/src/workflow/tenancy.rs
+++ b/hemlocksaddle-policy/src/workflow/tenancy.rs
@@ -5,7 +5,6 @@
 //! would bring the usage above the tenant's cap; a cap that is lowered stops nothing. Within one
 //! priority, the tenant with the lowest share is served first. `docs/design/tenants.md` gives the reasons.
 
-mod access;
 mod order;
 mod unseen;
 mod usage;
@@ -21,7 +20,6 @@
 
 use super::{Scheduler, TaskKey, TenantKey, WorkerKey, worker::Leftover};
 
-pub(super) use self::access::PendingCancel;
 pub use self::usage::{TenantUse, TenantUses};
 
 /// Resources that a run left on a worker counts for its tenant.
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -470,7 +470,7 @@
     pub fn expire(&mut self, now: MonoMs) {
         let keep_ms = self.limits.keep_ended_ms;
         self.pending_cancels
-            .retain(|_, cancel| now.since(cancel.at) < keep_ms);
+            .retain(|_, read_at| now.since(*read_at) < keep_ms);
         let failover_complete = now >= self.failover_complete_at;
         self.forget_crashes(now);
         for worker in self.workers.values_mut() {
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -18,6 +18,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod caller;
 pub mod event;
 pub mod frontend;
 pub mod metrics;
@@ -25,6 +26,7 @@
 pub mod parts;
 pub mod ports;
 
+mod admission;
 mod claims;
 mod configuration;
 mod delegate;
@@ -41,6 +43,7 @@
 mod saving;
 mod snapshot;
 mod tenant_metrics;
+mod tenants;
 mod waiting;
 mod worker_poll;
 
--- a/hemlocksaddle-shard/tests/support/tenants.rs
+++ b/hemlocksaddle-shard/tests/support/tenants.rs
@@ -62,8 +62,8 @@
 }
 
 impl Deployment {
-    /// Configures tenants by name and cap in tasks, for nodes that are started from now on.
-    pub(crate) fn configure_tenants(&mut self, tenants: &[(&str, u64)]) {
+    /// Configures tenants by name and cap in tasks.
+    pub(crate) fn configure_tenants(&self, tenants: &[(&str, u64)]) {
         let tenant = |&(name, tasks): &(&str, u64)| Tenant {
             name: name.into(),
             keys: Vec::new(),
@@ -73,7 +73,7 @@
                 ..Resources::default()
             },
         };
-        self.catalogue.tenants = tenants.iter().map(tenant).collect();
+        self.configure(|catalogue| catalogue.tenants = tenants.iter().map(tenant).collect());
         let caps = tenants
             .iter()
             .map(|&(name, tasks)| (name.to_owned(), tasks));
