--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backoff;
 pub mod checkpoint;
 pub mod congestion;
+pub mod connections;
 pub mod delegation;
 pub mod failure_attribution;
 pub mod fairness;
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -24,7 +24,7 @@
     clock::{Millis, WallMs},
     name::{DataCentre, NodeName},
     resources::Resources,
-    workflow::{Catalogue, Pool, Queue, Schedule, State, Step, Workflow, WorkflowId},
+    workflow::{Catalogue, ClientLimits, Pool, Queue, Schedule, State, Step, Workflow, WorkflowId},
 };
 
 use self::peers::{Connections, FakePeers};
@@ -154,6 +154,7 @@
             standby: false,
         }],
         max_body_bytes: 1 << 18,
+        client_limits: ClientLimits::default(),
         tenants: Vec::new(),
     }
 }
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -463,6 +463,17 @@
     pub cap: Resources,
 }
 
+/// Limits of clients' connections; 0 is a limit that the configuration does not set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientLimits {
+    /// Maximum size of a request's head in bytes.
+    pub max_head_bytes: usize,
+    /// Time for a head.
+    pub head_ms: Millis,
+    /// Time for which a connection may be unused.
+    pub idle_ms: Millis,
+}
+
 /// Queues, pools and limits of the current configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalogue {
@@ -474,6 +485,9 @@
     pub pools: Vec<Pool>,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// Limits of clients' connections.
+    #[serde(default)]
+    pub client_limits: ClientLimits,
     /// All tenants; if there are none, calls need no key.
     #[serde(default)]
     pub tenants: Vec<Tenant>,
