Bound what clients and servers outside the limits take from a node

Clients made a process run out of memory: heads and bodies without end, chunks of one byte, which kept a read buffer each, and connections that took all descriptors.

Each listener has a gate that carries out the policy: a slot for each connection, claims before a body is read, time limits by phase, closing the one that has held most for longest. Bodies are copied into one buffer as they arrive. Readiness and metrics have few slots of their own. Unauthenticated peers are bounded by the descriptors, and the oldest makes way, so that silent ones do not lock peers out. Answers of workers and of the store have limits each and together.

--- a/hemlocksaddle-adapters/src/http.rs
+++ b/hemlocksaddle-adapters/src/http.rs
@@ -14,14 +14,18 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
 use hemlocksaddle_node::ports::{PortError, Result};
+use hemlocksaddle_policy::connections::AnswerLimits;
 use hemlocksaddle_types::clock::Millis;
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::http1::{SendRequest, handshake},
+};
 
 use crate::runtime::duration;
 
@@ -31,7 +35,7 @@
 /// Maximum number of idle connections per address.
 const MAX_IDLE: usize = 8;
 
-/// Maximum size of a response body in bytes.
+/// Maximum size of a response body in bytes, unless the client is created with another.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
 /// Response whose body has been read completely.
@@ -97,12 +101,57 @@
 }
 
 /// Client that keeps idle connections per address.
-#[derive(Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    limits: AnswerLimits,
+    /// Bytes of the response bodies that arrive now.
+    arriving_bytes: Cell<usize>,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::new(AnswerLimits {
+            answer_bytes: MAX_RESPONSE_BYTES,
+            total_bytes: usize::MAX,
+        })
+    }
+}
+
+/// Bytes of a response body that arrives, given back on drop.
+struct Arriving<'a> {
+    client: &'a Client,
+    bytes: usize,
+}
+
+impl Arriving<'_> {
+    /// Adds bytes; `false` if that exceeds a limit.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let arriving = &self.client.arriving_bytes;
+        arriving.set(arriving.get() + bytes);
+        let limits = self.client.limits;
+        self.bytes <= limits.answer_bytes && arriving.get() <= limits.total_bytes
+    }
+}
+
+impl Drop for Arriving<'_> {
+    fn drop(&mut self) {
+        let arriving = &self.client.arriving_bytes;
+        arriving.set(arriving.get() - self.bytes);
+    }
 }
 
 impl Client {
+    /// Creates a client with limits of response bodies; a call whose response exceeds one has no response.
+    #[must_use]
+    pub fn new(limits: AnswerLimits) -> Client {
+        Client {
+            idle: RefCell::default(),
+            limits,
+            arriving_bytes: Cell::new(0),
+        }
+    }
+
     /// Sends a call and waits for the complete response, at most for `timeout`.
     ///
     /// # Errors
@@ -149,14 +198,12 @@
             };
             let status = response.status();
             let etag = response.headers().get(header::ETAG).cloned();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-            match body.collect().await {
-                Ok(body) => ExchangeOutcome::Complete(Response {
-                    status,
-                    etag,
-                    body: body.to_bytes(),
-                }),
-                Err(_) => ExchangeOutcome::NoResponse,
+            match self.read_body(response.into_body()).await {
+                Ok(body) => ExchangeOutcome::Complete(Response { status, etag, body }),
+                Err(cause) => {
+                    log::warn!(target: "hemlocksaddle", "answer of {address} is dropped: {cause}");
+                    ExchangeOutcome::NoResponse
+                }
             }
         };
         let Ok(outcome) = compio::time::timeout_at(deadline, exchange).await else {
@@ -169,6 +216,31 @@
         outcome
     }
 
+    /// Reads a response body within the limits.
+    ///
+    /// Bytes are copied into one buffer as they arrive, unless they arrive as one part: a part keeps the
+    /// read buffer that it arrived in, which may be many times as large.
+    async fn read_body(&self, mut body: Incoming) -> std::result::Result<Bytes, String> {
+        let mut bytes = BytesMut::new();
+        let mut arriving = Arriving {
+            client: self,
+            bytes: 0,
+        };
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|cause| cause.to_string())?.into_data() else {
+                continue;
+            };
+            if !arriving.add(data.len()) {
+                return Err(format!("{} bytes exceed a limit", arriving.bytes));
+            }
+            if bytes.is_empty() && body.is_end_stream() {
+                return Ok(data);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
--- a/hemlocksaddle-adapters/src/peers/mod.rs
+++ b/hemlocksaddle-adapters/src/peers/mod.rs
@@ -9,13 +9,24 @@
 pub mod key;
 mod link;
 
-use std::{cell::Cell, net::SocketAddr, pin::Pin, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use compio::{
     io::compat::AsyncStream,
     net::{TcpListener, TcpStream},
 };
-use futures_util::FutureExt;
+use futures_channel::oneshot;
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+};
 use hemlocksaddle_node::ports::{PeerAddress, PeerLink, Peers, PortError, PortFuture, Result};
 use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
@@ -29,8 +40,8 @@
 /// Equal to the time without messages after which the node replaces a connection.
 const SETUP_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// Maximum number of unauthenticated connections; further ones are closed immediately.
-const MAX_PENDING: usize = 64;
+/// Maximum number of unauthenticated connections, if the process has enough descriptors and memory.
+pub const MAX_PENDING: usize = 64;
 
 /// Delay after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -79,23 +90,31 @@
 }
 
 /// Accepts connections of peers and passes the authenticated ones to `on_link`, until dropped.
-pub async fn listen(listener: TcpListener, key: PeerKey, on_link: impl Fn(PeerLink) + 'static) {
+///
+/// Above `max_pending` unauthenticated connections, the oldest is closed: a peer proves its key within two
+/// round trips, and others that keep their connections must not lock it out.
+pub async fn listen(
+    listener: TcpListener,
+    key: PeerKey,
+    max_pending: usize,
+    on_link: impl Fn(PeerLink) + 'static,
+) {
     let on_link = Rc::new(on_link);
-    let pending = Rc::new(Cell::new(0));
+    let pending = Rc::new(Pending::default());
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
             compio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let Some(slot) = PendingSlot::acquire(&pending) else {
-            continue;
-        };
+        let (number, closed) = pending.add(max_pending);
         let key = key.clone();
         let on_link = Rc::clone(&on_link);
+        let pending = Rc::clone(&pending);
         let setup = async move {
-            let link = compio::time::timeout(SETUP_TIMEOUT, accept(tcp, &key)).await;
-            drop(slot);
-            if let Ok(Ok(link)) = link {
+            let accepting = compio::time::timeout(SETUP_TIMEOUT, accept(tcp, &key)).boxed_local();
+            let link = select(accepting, closed).await;
+            pending.remove(number);
+            if let Either::Left((Ok(Ok(link)), _)) = link {
                 on_link(link);
             }
         };
@@ -111,21 +130,27 @@
     Ok(link::link(socket))
 }
 
-/// Slot for one unauthenticated connection, released on drop.
-struct PendingSlot(Rc<Cell<usize>>);
+/// Unauthenticated connections by number, the oldest first; dropping a sender closes its connection.
+#[derive(Default)]
+struct Pending {
+    next: Cell<u64>,
+    open: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
+}
 
-impl PendingSlot {
-    fn acquire(count: &Rc<Cell<usize>>) -> Option<PendingSlot> {
-        if count.get() >= MAX_PENDING {
-            return None;
+impl Pending {
+    fn add(&self, max_pending: usize) -> (u64, oneshot::Receiver<()>) {
+        let mut open = self.open.borrow_mut();
+        while open.len() >= max_pending {
+            open.pop_first();
         }
-        count.set(count.get() + 1);
-        Some(PendingSlot(Rc::clone(count)))
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (closer, closed) = oneshot::channel();
+        open.insert(number, closer);
+        (number, closed)
     }
-}
 
-impl Drop for PendingSlot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+    fn remove(&self, number: u64) {
+        self.open.borrow_mut().remove(&number);
     }
 }
--- a/hemlocksaddle-adapters/tests/peers.rs
+++ b/hemlocksaddle-adapters/tests/peers.rs
@@ -6,7 +6,7 @@
 use futures_channel::mpsc;
 use futures_util::{SinkExt, StreamExt};
 use googletest::prelude::*;
-use hemlocksaddle_adapters::peers::{WebSocketPeers, key::PeerKey, listen};
+use hemlocksaddle_adapters::peers::{MAX_PENDING, WebSocketPeers, key::PeerKey, listen};
 use hemlocksaddle_node::ports::{PeerAddress, PeerLink, Peers, PortError};
 use hemlocksaddle_types::{
     clock::Millis,
@@ -32,7 +32,7 @@
     let on_link = move |link| {
         let _ = accepted.unbounded_send(link);
     };
-    compio::runtime::spawn(listen(listener, key(with), on_link)).detach();
+    compio::runtime::spawn(listen(listener, key(with), MAX_PENDING, on_link)).detach();
     (peer(address), links)
 }
 
@@ -128,3 +128,17 @@
     let connected = WebSocketPeers::new(key(KEY)).connect(&peer(address)).await;
     assert_that!(connected.err(), some(eq(PortError::NotSent)));
 }
+
+/// Load: more silent connections than may be unauthenticated at the same time. Guards against peers that are locked out for as
+/// long as others keep such connections.
+#[compio::test]
+async fn silent_connections_do_not_lock_peers_out() {
+    let (address, mut links) = accepting(KEY).await;
+    let mut silent = Vec::new();
+    for _ in 0..2 * MAX_PENDING {
+        silent.push(TcpStream::connect(address.address).await.expect("connects"));
+    }
+    let peers = WebSocketPeers::new(key(KEY));
+    assert_that!(peers.connect(&address).await.is_ok(), eq(true));
+    assert_that!(links.next().await.is_some(), eq(true));
+}
--- a/hemlocksaddle-daemon/src/program.rs
+++ b/hemlocksaddle-daemon/src/program.rs
@@ -90,6 +90,7 @@
     compio::runtime::spawn(peers::listen(
         peers_listener,
         file.peer_key.clone(),
+        peers::MAX_PENDING,
         on_link,
     ))
     .detach();
--- a/hemlocksaddle-daemon/src/shards.rs
+++ b/hemlocksaddle-daemon/src/shards.rs
@@ -59,24 +59,32 @@
     let metrics = bind(addresses.metrics, "metrics").await?;
     let ports = Ports {
         runtime: Rc::new(CompioRuntime::new()),
-        store: LogStore::new(addresses.store, file.node.link_kbps),
+        store: LogStore::new(
+            addresses.store,
+            file.node.link_kbps,
+            file.process.store_answers(),
+        ),
         formats: Rc::new(PlatformFormats),
-        fleet: HttpFleet::new(),
+        fleet: HttpFleet::new(file.process.worker_answers()),
     };
     let node = Node::new(file.node.clone(), ports).wrap_err("metrics cannot be registered")?;
     node.start();
-    let server = Server::new(node.clone(), file.caller_connections);
-    let probe_server = Server::new(node.clone(), file.caller_connections);
-    compio::runtime::spawn(server.clone().serve(callers, Service::Callers)).detach();
-    compio::runtime::spawn(probe_server.clone().serve(ready, Service::Ready)).detach();
-    compio::runtime::spawn(probe_server.serve(metrics, Service::Metrics)).detach();
-    compio::runtime::spawn(serve_peers(node.clone(), peers_listener)).detach();
+    let limits = file.process;
+    let caller_limits = limits.callers(file.caller_connections);
+    let server = Server::new(node.clone(), Service::Callers, caller_limits);
+    let ready_server = Server::new(node.clone(), Service::Ready, limits.probes());
+    let metrics_server = Server::new(node.clone(), Service::Metrics, limits.probes());
+    compio::runtime::spawn(server.clone().serve(callers)).detach();
+    compio::runtime::spawn(ready_server.serve(ready)).detach();
+    compio::runtime::spawn(metrics_server.serve(metrics)).detach();
+    let pending = limits.pending_peers();
+    compio::runtime::spawn(serve_peers(node.clone(), peers_listener, pending)).detach();
     wait_for_stop(&path, &node, &mut signals).await;
     stop(&node, &server, file.grace_ms).await;
     Ok(())
 }
 
-async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
+async fn serve_peers(node: Rc<Node>, listener: TcpListener, max_pending: usize) {
     let key = match PeerKey::try_from(&*node.peer_key().await) {
         Ok(key) => key,
         Err(cause) => {
@@ -86,7 +94,10 @@
     };
     node.set_peers(Rc::new(WebSocketPeers::new(key.clone())));
     let acceptor = node.clone();
-    peers::listen(listener, key, move |link| acceptor.accept_peer(link)).await;
+    peers::listen(listener, key, max_pending, move |link| {
+        acceptor.accept_peer(link)
+    })
+    .await;
 }
 
 /// Waits for SIGTERM or SIGINT; on SIGHUP, validates the settings file and logs the result.
--- a/hemlocksaddle-daemon/tests/untrusted_clients.rs
+++ b/hemlocksaddle-daemon/tests/untrusted_clients.rs
@@ -88,6 +88,22 @@
     node.check(&crowd);
 }
 
+/// Load: 60 clients with complete bodies of the largest legal size and as many steps as fit in them. Guards against
+/// what a body becomes when it is parsed.
+#[gtest]
+fn complete_bodies_of_many_steps() {
+    let _alone = alone();
+    let node = Node::start();
+    let step = r#"{"count":1},"#;
+    let steps = step.repeat(SUBMISSION_BYTES / step.len() - 10);
+    let body = format!(r#"{{"spec":"","steps":[{steps}{{"count":1}}]}}"#);
+    let crowd = Crowd::start(&node, Listener::Callers, 60, |number| {
+        let head = post(number, &format!("content-length: {}\r\n", body.len()));
+        vec![(head + &body).into_bytes()]
+    });
+    node.check(&crowd);
+}
+
 /// Load: 40 clients with bodies of the largest legal size in pieces of 40 bytes, all one byte short.
 /// Guards against a buffer for each piece, which takes many times the piece's size.
 #[gtest]
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -128,6 +128,10 @@
     DelegatesChosen = 60, "delegates chosen";
     /// Delegate does not answer or cannot be reached.
     DelegateLost = 61, "delegate lost";
+    /// Connections of clients outside the limits were closed, or closed in favour of others.
+    ConnectionsClosed = 70, "connections closed";
+    /// Requests were refused because of their bodies: too large, incomplete, or no memory for them.
+    BodiesRefused = 71, "bodies refused";
     /// Lines were dropped because of the rate limit.
     LinesDropped = 90, "lines dropped";
     /// Invariant was violated; the action was not carried out.
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod claims;
 mod configuration;
+mod connections;
 mod delegate;
 mod dispatcher;
 mod failure_detector;
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -50,6 +50,14 @@
     pub waiting_tasks: IntGaugeVec,
     /// Longest wait of a task, 0 while none has waited long.
     pub longest_wait_s: Gauge,
+    /// Connections of clients that the node closed, by listener and reason.
+    pub closed_connections: IntCounterVec,
+    /// Requests refused because of their bodies, by listener and reason.
+    pub refused_bodies: IntCounterVec,
+    /// Bytes that clients' connections hold, by listener.
+    pub connection_bytes: IntGaugeVec,
+    /// Bytes that clients' connections may still take, by listener.
+    pub connection_bytes_left: IntGaugeVec,
 }
 
 impl Metrics {
@@ -86,6 +94,11 @@
             &["reason"],
         )?;
         registry.register(Box::new(waiting_tasks.clone()))?;
+        let gauge = |name: &str, help: &str, labels: &[&str]| {
+            let vector = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
         let longest_wait_s = Gauge::new(
             "shard_longest_wait_seconds",
             "Longest wait of a task, 0 while none has waited long.",
@@ -104,6 +117,26 @@
             delegates,
             waiting_tasks,
             longest_wait_s,
+            closed_connections: counter(
+                "shard_closed_connections_total",
+                "Connections of clients that the node closed, by listener and reason.",
+                &["listener", "reason"],
+            )?,
+            refused_bodies: counter(
+                "shard_refused_bodies_total",
+                "Requests refused because of their bodies, by listener and reason.",
+                &["listener", "reason"],
+            )?,
+            connection_bytes: gauge(
+                "shard_connection_bytes",
+                "Bytes that connections of clients hold.",
+                &["listener"],
+            )?,
+            connection_bytes_left: gauge(
+                "shard_connection_bytes_left",
+                "Bytes that connections of clients may still take.",
+                &["listener"],
+            )?,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -305,7 +305,7 @@
 
 /// Node of a deployment.
 pub struct Node {
-    env: Rc<Env>,
+    pub(crate) env: Rc<Env>,
     claims: Rc<Claims>,
     configuration: Rc<Configuration>,
     links: Rc<Links>,
--- a/hemlocksaddle-shard/tests/catalogue.rs
+++ b/hemlocksaddle-shard/tests/catalogue.rs
@@ -49,6 +49,12 @@
         .inc();
     metrics.waiting_tasks.with_label_values(&["room"]).set(1);
     metrics.plan_work.with_label_values(&["plans"]).inc();
+    for counter in [&metrics.closed_connections, &metrics.refused_bodies] {
+        counter.with_label_values(&["callers", "memory"]).inc();
+    }
+    for gauge in [&metrics.connection_bytes, &metrics.connection_bytes_left] {
+        gauge.with_label_values(&["callers"]).set(1);
+    }
     let text = String::from_utf8(metrics.text().expect("text")).expect("text");
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let rendered: BTreeSet<String> = types
