--- a/hemlocksaddle-daemon/tests/untrusted_clients.rs
+++ b/hemlocksaddle-daemon/tests/untrusted_clients.rs
@@ -32,6 +32,39 @@
     )
 }
 
+/// Load: single requests at each limit and one byte above. Guards against a legal request that is refused, and
+/// against one over a limit that gets no true answer.
+#[gtest]
+fn requests_at_the_limits_are_served() {
+    let _alone = alone();
+    let node = Node::start();
+    let head = format!(
+        "GET /soak/{:016x} HTTP/1.1\r\nhost: {}\r\nconnection: close\r\nx-filler: ",
+        0xffff,
+        store::HOST
+    );
+    let filler = |bytes: usize| "a".repeat(bytes - head.len());
+    let body = |length: usize| {
+        post(
+            1,
+            &format!("content-length: {length}\r\nconnection: close\r\n"),
+        )
+    };
+    let cases = [
+        (format!("{head}{}\r\n\r\n", filler(16_380)), "200"),
+        (format!("{head}{}", filler(16_384)), "431"),
+        (
+            body(SUBMISSION_BYTES) + &" ".repeat(SUBMISSION_BYTES),
+            "400",
+        ),
+        (body(SUBMISSION_BYTES + 1), "413"),
+    ];
+    for (request, status) in cases {
+        let answer = node.call(Listener::Callers, &request, status);
+        expect_that!(answer, some(eq(status)));
+    }
+}
+
 /// Bytes of heads that stay below the size at which the HTTP library closes a connection by itself.
 const HEAD_BYTES: usize = 380_000;
 
--- a/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
+++ b/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
@@ -142,7 +142,7 @@
     }
 
     /// Repeats a request on new connections until its answer has the status.
-    fn call(&self, listener: Listener, request: &str, status: &str) -> Option<String> {
+    pub(crate) fn call(&self, listener: Listener, request: &str, status: &str) -> Option<String> {
         let started = Instant::now();
         while started.elapsed() < TEST_TIMEOUT {
             if let Some(answer) = attempt(self.address(listener), request)
