--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catch_up;
 pub mod checkpoint;
 pub mod congestion;
+pub mod connections;
 pub mod delegation;
 pub mod failure_attribution;
 pub mod fairness;
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -8,8 +8,8 @@
 use std::{net::SocketAddr, ops::RangeInclusive};
 
 use hemlocksaddle_policy::workflow::{
-    End, EndKind, Limits, Listing, Order, Phase, Report, Scheduler, Start, StartAnswer, TaskStatus,
-    Waiting, WorkerKey,
+    End, EndKind, Limits, Listing, Order, Owned, Phase, Report, Scheduler, Start, StartAnswer,
+    TaskStatus, Waiting, WorkerKey,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
@@ -311,7 +311,12 @@
     }
 
     pub(crate) fn cancel(&mut self, id: u64) {
-        self.scheduler.cancel(WorkflowId(id), self.now);
+        let id = WorkflowId(id);
+        let tenant = match self.scheduler.tenant_of(id) {
+            Owned::By(tenant) => Some(tenant.clone()),
+            Owned::ByNone | Owned::Unknown => None,
+        };
+        self.scheduler.cancel_by(id, tenant.as_deref(), self.now);
     }
 
     /// Start orders that the scheduler gives now; stop orders are kept for [`Harness::stops`].
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -29,6 +29,7 @@
 mod admission;
 mod claims;
 mod configuration;
+mod connections;
 mod delegate;
 mod dispatcher;
 mod failure_detector;
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -26,7 +26,7 @@
     clock::{Millis, WallMs},
     name::{DataCentre, NodeName},
     resources::Resources,
-    workflow::{Catalogue, Pool, Queue, Schedule, State, Step, Workflow, WorkflowId},
+    workflow::{Catalogue, ClientLimits, Pool, Queue, Schedule, State, Step, Workflow, WorkflowId},
 };
 
 use self::peers::{Connections, FakePeers};
@@ -156,6 +156,7 @@
             standby: false,
         }],
         max_body_bytes: 1 << 18,
+        client_limits: ClientLimits::default(),
         tenants: Vec::new(),
     }
 }
@@ -368,14 +369,14 @@
 
     pub(crate) fn cancel(&self, at: usize, id: u64) -> Submitted {
         let node = self.node(at).expect("node");
-        let caller = Caller::default();
+        let caller = self.caller_of(&node, id);
         self.sim
             .block_on(node.frontend.cancel(WorkflowId(id), &caller))
     }
 
     pub(crate) fn state(&self, at: usize, id: u64) -> StateLookup {
         let node = self.node(at).expect("node");
-        let caller = Caller::default();
+        let caller = self.caller_of(&node, id);
         self.sim
             .block_on(node.frontend.state(WorkflowId(id), &caller))
     }
--- a/hemlocksaddle-shard/tests/support/tenants.rs
+++ b/hemlocksaddle-shard/tests/support/tenants.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::RefCell, collections::BTreeMap};
 
-use hemlocksaddle_shard::frontend::Submitted;
+use hemlocksaddle_shard::{Node, caller::Caller, frontend::Submitted};
 use hemlocksaddle_types::{
     resources::Resources,
-    workflow::{Step, TaskName, Tenant, Workflow, WorkflowId},
+    workflow::{KeyDigest, Step, TaskName, Tenant, Workflow, WorkflowId},
 };
 
 use super::{Deployment, FakeFleet, Outcome, TASK_CPU_MILLI, workflow};
@@ -62,11 +62,11 @@
 }
 
 impl Deployment {
-    /// Configures tenants by name and cap in tasks.
+    /// Configures tenants by name, which is also their key, and cap in tasks.
     pub(crate) fn configure_tenants(&self, tenants: &[(&str, u64)]) {
         let tenant = |&(name, tasks): &(&str, u64)| Tenant {
             name: name.into(),
-            keys: Vec::new(),
+            keys: vec![KeyDigest::of(name.as_bytes())],
             weight: 1,
             cap: Resources {
                 cpu_milli: tasks * TASK_CPU_MILLI,
@@ -80,6 +80,18 @@
         self.fleet.tenants.caps.replace(caps.collect());
     }
 
+    /// Caller that submitted a workflow, as a node identifies it now.
+    pub(super) fn caller_of(&self, node: &Node, id: u64) -> Caller {
+        let of_workflow = self.fleet.tenants.of_workflow.borrow();
+        let tenant = of_workflow.get(&WorkflowId(id));
+        let caller = tenant.and_then(|tenant| {
+            let catalogue = node.frontend.catalogue()?;
+            let queue = catalogue.queue("queue")?;
+            node.frontend.identify(queue, Some(tenant.as_bytes()))
+        });
+        caller.unwrap_or_default()
+    }
+
     fn workflow_of(&self, tenant: &str, id: u64, steps: Vec<Step>) -> Workflow {
         let mut of_workflow = self.fleet.tenants.of_workflow.borrow_mut();
         of_workflow.insert(WorkflowId(id), tenant.to_owned());
