--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -17,7 +17,6 @@
 use hemlocksaddle_policy::workflow::Listing;
 use hemlocksaddle_shard::{
     Node, Settings,
-    caller::Caller,
     frontend::{StateLookup, Submitted},
     node::Ports,
     ports::{Formats, OperatorRecord, Record, Stream},
