--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -76,10 +76,13 @@
         if !inherited || !self.interference.has_restored_demand() {
             self.record_demand(&spec, &images);
         }
+        let tenant = spec.tenant.clone();
+        let canceller = (id, tenant.clone());
         let key = self.jobs.insert(Job::new(id, spec, images, now, inherited));
+        self.jobs[key].tenant = tenant.map(|name| self.tenancy.enter(&name));
         self.by_id.insert(id, key);
         self.open_jobs.push(key);
-        if self.pending_cancels.remove(&id).is_some() {
+        if self.pending_cancels.remove(&canceller).is_some() {
             self.cancel_job(key);
         }
         key
@@ -95,18 +98,12 @@
         }
     }
 
-    /// Cancels a workflow and orders its runs to stop.
+    /// Cancels a workflow without a tenant and orders its runs to stop.
     pub fn cancel(&mut self, id: WorkflowId, now: MonoMs) {
-        match self.by_id.get(&id).copied() {
-            Some(key) => self.cancel_job(key),
-            None if self.note_submission(id) => {}
-            None => {
-                self.pending_cancels.insert(id, now);
-            }
-        }
+        self.cancel_by(id, None, now);
     }
 
-    fn cancel_job(&mut self, key: JobKey) {
+    pub(super) fn cancel_job(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
         if job.ended.is_some() || job.cancelled {
             return;
@@ -122,6 +119,11 @@
         let Some(&key) = self.by_id.get(&id) else {
             return self.restore_ended(id, progress);
         };
+        if self.remove_foreign(key, progress) {
+            self.restore_ended(id, progress);
+            self.note_submission(id);
+            return;
+        }
         let job = &mut self.jobs[key];
         job.occurrences.restore_done(&progress.done);
         job.started |= !progress.done.is_empty();
@@ -253,11 +255,21 @@
     /// Number of open workflows of a queue without a started task, excluding those with a schedule.
     #[must_use]
     pub fn count_waiting(&self, queue: &str) -> u32 {
+        self.count_waiting_if(queue, |_| true)
+    }
+
+    /// Number of such workflows whose tenant meets a condition.
+    pub(super) fn count_waiting_if(
+        &self,
+        queue: &str,
+        counts: impl Fn(Option<&Arc<str>>) -> bool,
+    ) -> u32 {
         let waiting = self.jobs.values().filter(|job| {
             !job.started
                 && job.is_open()
                 && job.spec.schedule.is_none()
                 && *job.spec.queue == *queue
+                && counts(job.spec.tenant.as_ref())
         });
         u32::try_from(waiting.count()).unwrap_or(u32::MAX)
     }
@@ -271,7 +283,9 @@
         });
         let old: Vec<_> = old.map(|(key, job)| (key, job.id)).collect();
         for (key, id) in &old {
-            self.jobs.remove(*key);
+            if let Some(job) = self.jobs.remove(*key) {
+                self.tenancy.leave(job.tenant);
+            }
             self.by_id.remove(id);
             self.unsaved.remove(key);
         }
@@ -332,7 +346,7 @@
         self.remove_open(key);
     }
 
-    fn remove_open(&mut self, key: JobKey) {
+    pub(super) fn remove_open(&mut self, key: JobKey) {
         self.open_jobs.retain(|&open| open != key);
     }
 
@@ -383,6 +397,7 @@
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
+        let (tenant, demand) = (job.tenant, job.step(key).demand);
         let long_running = job.step(key).long_running;
         let state = job.step_state(key);
         let task = &mut state.tasks[key.index];
@@ -399,6 +414,7 @@
         task.phase = Phase::Waiting;
         state.waiting += 1;
         job.placed -= 1;
+        self.tenancy.release(tenant, demand);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.remove(key);
         }
@@ -526,6 +542,7 @@
         ended: job.ended.map(|(state, _)| state),
         ended_ms: job.ended.map(|(_, at_ms)| at_ms),
         failure: job.failure.clone(),
+        tenant: job.spec.tenant.clone(),
         steps,
     }
 }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 //! or before every worker has reported, a completed earlier run that is reported later
 //! is not acknowledged; the result of the later run counts.
 
+mod backlog;
 mod capacity;
 mod consolidation;
 mod crash;
@@ -25,6 +26,7 @@
 mod listing;
 mod occurrences;
 mod overdue;
+mod ownership;
 mod pacing;
 mod placement;
 mod plan;
@@ -33,6 +35,7 @@
 mod report;
 mod restart;
 mod tasks;
+mod tenancy;
 mod waiting;
 mod withheld;
 mod work;
@@ -51,11 +54,14 @@
 pub use hemlocksaddle_types::delegation::{End, EndKind, Report, StartAnswer, TaskStatus};
 
 pub use self::{
+    backlog::TenantLoads,
     crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
     lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     listing::Listing,
+    ownership::Owned,
+    tenancy::{TenantUse, TenantUses},
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
     worker::Worker,
@@ -66,6 +72,8 @@
     pub struct JobKey;
     /// Key of one incarnation of a worker in the scheduler.
     pub struct WorkerKey;
+    /// Key of a tenant in the scheduler.
+    pub struct TenantKey;
 }
 
 /// Longest time that a worker holds a report request until a run ends (long poll).
@@ -153,7 +161,7 @@
     departed: HashSet<Arc<str>>,
     orders: Vec<Order>,
     /// Cancellations that were read before the submission of their workflow.
-    pending_cancels: HashMap<WorkflowId, MonoMs>,
+    pending_cancels: HashMap<ownership::Canceller, MonoMs>,
     /// Time by which every lease granted in an earlier term has expired.
     failover_complete_at: MonoMs,
     /// Whether leases of earlier terms were waited out because some worker did not report.
@@ -182,6 +190,7 @@
     crashes: Vec<Crash>,
     /// Work of the plans that is not reported yet.
     work: WorkCounts,
+    tenancy: tenancy::Tenancy,
 }
 
 impl Scheduler {
@@ -220,6 +229,7 @@
             losses: Vec::new(),
             crashes: Vec::new(),
             work: WorkCounts::default(),
+            tenancy: tenancy::Tenancy::default(),
         }
     }
 
@@ -233,6 +243,7 @@
             }
         }
         let unguarded = catalogue.pools.iter().filter(|pool| !pool.admission_check);
+        self.tenancy.configure(&catalogue.tenants);
         self.unguarded_pools = unguarded.map(|pool| pool.name.clone()).collect();
     }
 
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -1,21 +1,21 @@
 //! Test harness: a scheduler with workers whose reports the test makes up.
 
+mod configuration;
 mod crashes;
 mod schedules;
+mod tenants;
 
 use std::{net::SocketAddr, ops::RangeInclusive};
 
 use hemlocksaddle_policy::workflow::{
-    End, EndKind, Limits, Listing, Order, Phase, Report, Scheduler, Start, StartAnswer, TaskStatus,
-    Waiting, WorkerKey,
+    End, EndKind, Limits, Listing, Order, Owned, Phase, Report, Scheduler, Start, StartAnswer,
+    TaskStatus, Waiting, WorkerKey,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::DataCentre,
     resources::Resources,
-    workflow::{
-        Catalogue, Pool, Progress, Queue, Run, State, Step, TaskName, Workflow, WorkflowId,
-    },
+    workflow::{Catalogue, Progress, Queue, Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
 /// Target tail latency of long-running tasks in the tests.
@@ -121,8 +121,18 @@
     ///
     /// Leases of earlier terms expire `failover_complete_ms` from now.
     pub(crate) fn unreported(count: usize, cpu_milli: u64, failover_complete_ms: u64) -> Harness {
+        Harness::of_term(2, count, cpu_milli, failover_complete_ms)
+    }
+
+    /// Like [`Harness::unreported`], in another term.
+    pub(crate) fn of_term(
+        term: u64,
+        count: usize,
+        cpu_milli: u64,
+        failover_complete_ms: u64,
+    ) -> Harness {
         let now = MonoMs(START_MS);
-        let mut scheduler = Scheduler::new(limits(), 2, now + Millis(failover_complete_ms));
+        let mut scheduler = Scheduler::new(limits(), term, now + Millis(failover_complete_ms));
         let later = Queue {
             name: "later".into(),
             priority: 1,
@@ -228,20 +238,6 @@
         self.scheduler.list_workers(listed, self.now);
     }
 
-    /// Configures the workers' pool as one that does not check whether a task fits.
-    pub(crate) fn unguard_pool(&mut self) {
-        self.scheduler.configure(&Catalogue {
-            version: 2,
-            queues: vec![queue()],
-            pools: vec![Pool {
-                name: "pool".into(),
-                admission_check: false,
-                standby: false,
-            }],
-            ..Catalogue::default()
-        });
-    }
-
     /// Announces that the worker of a start leaves.
     pub(crate) fn drain(&mut self, start: &Start) {
         let number = self.number_of(start);
@@ -315,7 +311,12 @@
     }
 
     pub(crate) fn cancel(&mut self, id: u64) {
-        self.scheduler.cancel(WorkflowId(id), self.now);
+        let id = WorkflowId(id);
+        let tenant = match self.scheduler.tenant_of(id) {
+            Owned::By(tenant) => Some(tenant.clone()),
+            Owned::ByNone | Owned::Unknown => None,
+        };
+        self.scheduler.cancel_by(id, tenant.as_deref(), self.now);
     }
 
     /// Start orders that the scheduler gives now; stop orders are kept for [`Harness::stops`].
@@ -397,20 +398,6 @@
         self.report(self.workers[number], &report);
     }
 
-    /// Configures a further queue with a limit of attempts.
-    pub(crate) fn configure_queue(&mut self, name: &str, max_attempts: u32) {
-        let further = Queue {
-            name: name.into(),
-            max_attempts,
-            ..queue()
-        };
-        self.scheduler.configure(&Catalogue {
-            version: 3,
-            queues: vec![queue(), further],
-            ..Catalogue::default()
-        });
-    }
-
     pub(crate) fn report_idle(&mut self, number: usize) {
         let report = Report {
             sent_at: self.now,
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -118,6 +118,10 @@
     Cancelled = 43, "cancelled";
     /// State of a workflow was requested and is not known.
     StateUnknown = 44, "state unknown";
+    /// Submission is not run, because another tenant has submitted a workflow under its id.
+    IdInUse = 45, "id in use";
+    /// Calls were refused because they carry no known key.
+    CallsRefused = 46, "calls refused";
     /// Start of a task was ordered; the worker's answer is logged.
     StartAnswered = 50, "start answered";
     /// Stop of a run was ordered.
@@ -134,6 +138,10 @@
     DelegatesChosen = 60, "delegates chosen";
     /// Delegate does not answer or cannot be reached.
     DelegateLost = 61, "delegate lost";
+    /// Connections of clients outside the limits were closed, or closed in favour of others.
+    ConnectionsClosed = 70, "connections closed";
+    /// Requests were refused because of their bodies: too large, incomplete, or no memory for them.
+    BodiesRefused = 71, "bodies refused";
     /// Lines were dropped because of the rate limit.
     LinesDropped = 90, "lines dropped";
     /// Invariant was violated; the action was not carried out.
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -18,6 +18,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod caller;
 pub mod event;
 pub mod frontend;
 pub mod metrics;
@@ -25,8 +26,10 @@
 pub mod parts;
 pub mod ports;
 
+mod admission;
 mod claims;
 mod configuration;
+mod connections;
 mod delegate;
 mod dispatcher;
 mod failure_detector;
@@ -40,6 +43,8 @@
 mod retention;
 mod saving;
 mod snapshot;
+mod tenant_metrics;
+mod tenants;
 mod waiting;
 mod worker_poll;
 
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -7,6 +7,8 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::tenant_metrics::TenantMetrics;
+
 /// Bucket bounds of the latency histograms, from one store append to a caller's time limit.
 const LATENCY_BOUNDS_S: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
@@ -20,6 +22,8 @@
     registry: Registry,
     /// Submissions by outcome.
     pub submissions: IntCounterVec,
+    /// Refused calls by reason.
+    pub refused_calls: IntCounterVec,
     /// Orders to workers by kind and answer.
     pub orders: IntCounterVec,
     /// Calls to the store by operation and outcome.
@@ -54,6 +58,16 @@
     pub waiting_tasks: IntGaugeVec,
     /// Longest wait of a task, 0 while none has waited long.
     pub longest_wait_s: Gauge,
+    /// What tenants use.
+    pub tenants: TenantMetrics,
+    /// Connections of clients that the node closed, by listener and reason.
+    pub closed_connections: IntCounterVec,
+    /// Requests refused because of their bodies, by listener and reason.
+    pub refused_bodies: IntCounterVec,
+    /// Bytes that clients' connections hold, by listener.
+    pub connection_bytes: IntGaugeVec,
+    /// Bytes that clients' connections may still take, by listener.
+    pub connection_bytes_left: IntGaugeVec,
 }
 
 impl Metrics {
@@ -90,6 +104,11 @@
             &["reason"],
         )?;
         registry.register(Box::new(waiting_tasks.clone()))?;
+        let gauge = |name: &str, help: &str, labels: &[&str]| {
+            let vector = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
         let longest_wait_s = Gauge::new(
             "shard_longest_wait_seconds",
             "Longest wait of a task, 0 while none has waited long.",
@@ -115,7 +134,9 @@
             "Shards offered to another node because they were not recovered in time.",
         )?;
         registry.register(Box::new(shards_given_up.clone()))?;
+        let tenants = TenantMetrics::new(&registry)?;
         Ok(Metrics {
+            tenants,
             unrecovered_s,
             shards_given_up,
             worker_crashes,
@@ -123,6 +144,26 @@
             delegates,
             waiting_tasks,
             longest_wait_s,
+            closed_connections: counter(
+                "shard_closed_connections_total",
+                "Connections of clients that the node closed, by listener and reason.",
+                &["listener", "reason"],
+            )?,
+            refused_bodies: counter(
+                "shard_refused_bodies_total",
+                "Requests refused because of their bodies, by listener and reason.",
+                &["listener", "reason"],
+            )?,
+            connection_bytes: gauge(
+                "shard_connection_bytes",
+                "Bytes that connections of clients hold.",
+                &["listener"],
+            )?,
+            connection_bytes_left: gauge(
+                "shard_connection_bytes_left",
+                "Bytes that connections of clients may still take.",
+                &["listener"],
+            )?,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
@@ -133,6 +174,11 @@
                 "Submissions by outcome.",
                 &["outcome"],
             )?,
+            refused_calls: counter(
+                "shard_refused_calls_total",
+                "Calls refused for their key or tenant, by reason.",
+                &["reason"],
+            )?,
             orders: counter(
                 "shard_orders_total",
                 "Orders to workers.",
@@ -175,6 +221,7 @@
             ("checked runs", work.checked_runs),
             ("compared workers", work.compared_workers),
             ("headrooms", work.headrooms),
+            ("tenant turns", work.tenant_turns),
         ];
         for (kind, count) in kinds {
             self.plan_work.with_label_values(&[kind]).inc_by(count);
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -28,6 +28,7 @@
 use std::sync::Arc;
 
 use crate::{
+    admission::Admission,
     claims::{Claims, Handover},
     configuration::Configuration,
     dispatcher::Dispatcher,
@@ -38,6 +39,7 @@
     ports::{Record, StoreError, Stream},
     recovery::Origin,
     recovery_watch::RecoveryWaits,
+    tenants::{FreshRead, Storing},
     worker_poll::WorkerClock,
 };
 
@@ -67,10 +69,10 @@
 pub(crate) struct Owner {
     pub(crate) env: Rc<Env>,
     pub(crate) claims: Rc<Claims>,
-    configuration: Rc<Configuration>,
+    pub(crate) configuration: Rc<Configuration>,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) shard: u32,
-    shards: u32,
+    pub(crate) shards: u32,
     pub(crate) term: u64,
     pub(crate) scheduler: RefCell<Scheduler>,
     pub(crate) clocks: RefCell<HashMap<WorkerKey, WorkerClock>>,
@@ -93,7 +95,13 @@
     pub(crate) stored_parts: RefCell<HashMap<WorkflowId, Vec<Arc<str>>>>,
     /// Number of generations of further parts that this owner has written.
     pub(crate) generations: Cell<u32>,
-    submissions_read_at: Cell<MonoMs>,
+    /// Keys of records in the submissions that name a tenant, or are not of the workflow's tenant.
+    pub(crate) tenant_keys: RefCell<HashMap<WorkflowId, Vec<Arc<str>>>>,
+    /// Submissions that are being stored.
+    pub(crate) storing: Storing,
+    pub(crate) fresh_read: FreshRead,
+    pub(crate) admission: Admission,
+    pub(crate) submissions_read_at: Cell<MonoMs>,
     /// Offset of the submissions up to which no fence of a later term was met.
     pub(crate) submissions_read_to: Cell<u64>,
     pub(crate) interference_due: Cell<bool>,
@@ -125,9 +133,11 @@
             keep_ended_ms: env.settings.keep_ended_ms,
         };
         let dispatcher = Dispatcher::new(env.clone(), links, shard, term);
+        let mut scheduler = Scheduler::new(limits, term, failover_complete_at);
+        scheduler.set_cap_share(shard, shards);
         Rc::new(Owner {
             dispatcher,
-            scheduler: RefCell::new(Scheduler::new(limits, term, failover_complete_at)),
+            scheduler: RefCell::new(scheduler),
             env,
             claims,
             configuration,
@@ -147,6 +157,10 @@
             progress_sequence: Cell::new(0),
             stored_parts: RefCell::new(HashMap::new()),
             generations: Cell::new(0),
+            tenant_keys: RefCell::new(HashMap::new()),
+            storing: Storing::default(),
+            fresh_read: FreshRead::default(),
+            admission: Admission::default(),
             submissions_read_at: Cell::new(MonoMs(0)),
             submissions_read_to: Cell::new(0),
             interference_due: Cell::new(false),
@@ -540,31 +554,21 @@
         if !self.ready.get() || self.ended.get() {
             return ShardResponse::NotOwner;
         }
-        if let ShardRequest::Store(_, id, submission) = request {
-            return self.store(id, &submission).await;
-        }
-        let scheduler = self.scheduler.borrow();
         match request {
-            ShardRequest::State(_, id) => match scheduler.state(id) {
-                Some(State::Failed) => {
-                    let failure = scheduler.failure(id).cloned();
-                    ShardResponse::Failed(failure.map(Box::new))
-                }
-                Some(state) => ShardResponse::State(Some(state)),
-                None if self.submissions_are_fresh() => ShardResponse::State(None),
-                None => ShardResponse::NotOwner,
-            },
-            ShardRequest::Waiting(_, queue) => {
-                ShardResponse::Waiting(scheduler.count_waiting(&queue))
+            ShardRequest::Store(_, id, submission) => self.store_checked(id, submission).await,
+            ShardRequest::State(_, id) => self.state_for(id, None),
+            ShardRequest::TenantState(_, id, tenant) => self.state_for(id, Some(&tenant)),
+            ShardRequest::Waiting(_, queue) => self.count_waiting_for(&queue, None),
+            ShardRequest::TenantWaiting(_, queue, tenant) => {
+                self.count_waiting_for(&queue, Some(&tenant))
+            }
+            ShardRequest::Ownership(_) | ShardRequest::Offer(..) | ShardRequest::Delegate(..) => {
+                ShardResponse::NotOwner
             }
-            ShardRequest::Store(..)
-            | ShardRequest::Ownership(_)
-            | ShardRequest::Offer(..)
-            | ShardRequest::Delegate(..) => ShardResponse::NotOwner,
         }
     }
 
-    fn submissions_are_fresh(&self) -> bool {
+    pub(crate) fn submissions_are_fresh(&self) -> bool {
         self.env.now().since(self.submissions_read_at.get()) < MAX_READ_AGE_MS
     }
 }
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -4,6 +4,7 @@
 mod node_fleet;
 mod peers;
 pub(crate) mod store;
+mod tenants;
 
 use std::{
     cell::{Cell, RefCell},
@@ -24,7 +25,7 @@
     clock::{Millis, WallMs},
     name::{DataCentre, NodeName},
     resources::Resources,
-    workflow::{Catalogue, Pool, Queue, Schedule, State, Step, Workflow, WorkflowId},
+    workflow::{Catalogue, ClientLimits, Pool, Queue, Schedule, State, Step, Workflow, WorkflowId},
 };
 
 use self::peers::{Connections, FakePeers};
@@ -57,7 +58,7 @@
     /// Nodes whose requests to others are lost.
     loses_requests: RefCell<BTreeMap<usize, Rc<Cell<bool>>>>,
     pub(crate) connections: Rc<Connections>,
-    catalogue: Catalogue,
+    catalogue: Rc<RefCell<Catalogue>>,
 }
 
 /// Longest key of a record that the platform's store takes.
@@ -65,14 +66,14 @@
 
 /// Decoder of operator and worker records in the fake store; the key alone identifies them.
 struct FakeFormats {
-    catalogue: Catalogue,
+    catalogue: Rc<RefCell<Catalogue>>,
     fleet: Rc<FakeFleet>,
 }
 
 impl Formats for FakeFormats {
     fn operator_record(&self, record: &Record) -> Result<OperatorRecord, String> {
         match &*record.key {
-            "config" => Ok(OperatorRecord::Catalogue(self.catalogue.clone())),
+            "config" => Ok(OperatorRecord::Catalogue(self.catalogue.borrow().clone())),
             other => Err(format!("unknown key {other}")),
         }
     }
@@ -154,6 +155,7 @@
             standby: false,
         }],
         max_body_bytes: 1 << 18,
+        client_limits: ClientLimits::default(),
         tenants: Vec::new(),
     }
 }
@@ -177,7 +179,7 @@
             stores: RefCell::default(),
             loses_requests: RefCell::default(),
             connections: Rc::default(),
-            catalogue: catalogue(),
+            catalogue: Rc::new(RefCell::new(catalogue())),
             sim,
         };
         deployment.store.put_config();
@@ -185,6 +187,15 @@
         deployment
     }
 
+    /// Changes the configuration and writes it with the next version.
+    pub(crate) fn configure(&self, change: impl FnOnce(&mut Catalogue)) {
+        let mut catalogue = self.catalogue.borrow_mut();
+        change(&mut catalogue);
+        catalogue.version += 1;
+        drop(catalogue);
+        self.store.put_config();
+    }
+
     /// Starts a node, or restarts it after it was killed.
     pub(crate) fn start(&self, number: usize) {
         self.start_with_share(number, 0.25);
@@ -340,11 +351,15 @@
 
     /// Submits a workflow at a node, without waiting for the outcome.
     pub(crate) fn submit_in_background(&self, at: usize, id: u64, steps: Vec<Step>) -> Outcome {
+        self.submit_workflow_in_background(at, id, workflow(steps))
+    }
+
+    fn submit_workflow_in_background(&self, at: usize, id: u64, workflow: Workflow) -> Outcome {
         let outcome = Outcome::default();
         if let Some(node) = self.node(at) {
             let outcome = outcome.clone();
             self.sim.spawn(ENVIRONMENT, async move {
-                let submitted = node.frontend.submit(WorkflowId(id), workflow(steps)).await;
+                let submitted = node.frontend.submit(WorkflowId(id), workflow).await;
                 outcome.set(Some(submitted));
             });
         }
@@ -353,12 +368,16 @@
 
     pub(crate) fn cancel(&self, at: usize, id: u64) -> Submitted {
         let node = self.node(at).expect("node");
-        self.sim.block_on(node.frontend.cancel(WorkflowId(id)))
+        let caller = self.caller_of(&node, id);
+        self.sim
+            .block_on(node.frontend.cancel(WorkflowId(id), &caller))
     }
 
     pub(crate) fn state(&self, at: usize, id: u64) -> StateLookup {
         let node = self.node(at).expect("node");
-        self.sim.block_on(node.frontend.state(WorkflowId(id)))
+        let caller = self.caller_of(&node, id);
+        self.sim
+            .block_on(node.frontend.state(WorkflowId(id), &caller))
     }
 
     /// Polls until a workflow has ended and returns its final state; `None` after the timeout.
--- a/hemlocksaddle-types/src/workflow.rs
+++ b/hemlocksaddle-types/src/workflow.rs
@@ -377,6 +377,9 @@
     pub done: Vec<(u32, u32)>,
     /// Progress of the steps that have any.
     pub steps: Vec<StepProgress>,
+    /// Name of the tenant that submitted the workflow; the submission may be deleted before the progress.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<Arc<str>>,
     /// Further records that hold the rest; `None` if there are none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub further: Option<FurtherParts>,
@@ -396,8 +399,10 @@
 pub enum Submission {
     /// Workflow was submitted and accepted.
     Accepted(Box<Workflow>),
-    /// Workflow was cancelled by its caller.
+    /// Workflow without a tenant was cancelled by its caller.
     Cancelled,
+    /// Workflow was cancelled by a caller of this tenant; without effect on work of others.
+    CancelledBy(Arc<str>),
 }
 
 /// Configuration of a queue.
@@ -440,7 +445,7 @@
 
 /// SHA-256 digest of a tenant's key.
 ///
-/// The key itself is not kept.
+/// The key itself is not kept; see [`crate::tenant`].
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KeyDigest(pub [u8; 32]);
 
@@ -463,6 +468,17 @@
     pub cap: Resources,
 }
 
+/// Limits of clients' connections; 0 is a limit that the configuration does not set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientLimits {
+    /// Maximum size of a request's head in bytes.
+    pub max_head_bytes: usize,
+    /// Time for a head.
+    pub head_ms: Millis,
+    /// Time for which a connection may be unused.
+    pub idle_ms: Millis,
+}
+
 /// Queues, pools and limits of the current configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalogue {
@@ -474,6 +490,9 @@
     pub pools: Vec<Pool>,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// Limits of clients' connections.
+    #[serde(default)]
+    pub client_limits: ClientLimits,
     /// All tenants; if there are none, calls need no key.
     #[serde(default)]
     pub tenants: Vec<Tenant>,
@@ -519,6 +538,10 @@
     Offer(u32, Offer),
     /// Asks a delegate to carry out a call to a worker; sent by the owner.
     Delegate(u32, Box<DelegatedCall>),
+    /// Asks for the state of a workflow for a caller of a tenant.
+    TenantState(u32, WorkflowId, Arc<str>),
+    /// Asks for the number of a queue's accepted workflows of a tenant without a started task.
+    TenantWaiting(u32, Arc<str>, Arc<str>),
 }
 
 impl ShardRequest {
@@ -531,7 +554,9 @@
             | ShardRequest::Store(shard, _, _)
             | ShardRequest::Ownership(shard)
             | ShardRequest::Offer(shard, _)
-            | ShardRequest::Delegate(shard, _) => *shard,
+            | ShardRequest::Delegate(shard, _)
+            | ShardRequest::TenantState(shard, ..)
+            | ShardRequest::TenantWaiting(shard, ..) => *shard,
         }
     }
 }
@@ -557,4 +582,18 @@
     NotOwner,
     /// Answer to a delegated call.
     Delegated(DelegatedAnswer),
+    /// Submission is not stored, and is not to be stored without the owner either.
+    Refused(Refusal),
+}
+
+/// Why an owner refuses a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// Another tenant has submitted a workflow under the id.
+    IdInUse,
+    /// Tenant has more accepted work than it can run in time.
+    OverQuota {
+        /// Time after which there is probably room, in seconds.
+        retry_after_s: u32,
+    },
 }
