--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -112,6 +112,8 @@
     pub(super) started_clock_ms: Option<u64>,
     /// Progress of the run in percent, as last reported.
     pub percent: u8,
+    /// Progress at which a report showed a run that this owner did not order; `None` if it ordered the run.
+    pub(super) adopted_percent: Option<u8>,
     /// Time at which the progress last changed.
     pub progressed_at: MonoMs,
     /// Share of its processors that the run may use, in percent.
@@ -145,6 +147,7 @@
             ordered_at: MonoMs(0),
             started_clock_ms: None,
             percent: 0,
+            adopted_percent: None,
             progressed_at: MonoMs(0),
             pace: FULL_PACE,
             pace_unknown: false,
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -26,12 +26,15 @@
 mod occurrences;
 mod overdue;
 mod pacing;
+mod packing;
 mod placement;
 mod plan;
 mod ranges;
 mod ranking;
 mod report;
+mod reservation;
 mod restart;
+mod run_time;
 mod tasks;
 mod waiting;
 mod withheld;
@@ -56,6 +59,7 @@
     job::{Job, Phase, TaskKey},
     lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     listing::Listing,
+    reservation::ReservedRoom,
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
     worker::Worker,
@@ -83,6 +87,8 @@
 pub struct Limits {
     /// Time for which an ended workflow stays visible.
     pub keep_ended_ms: Millis,
+    /// Whether room is reserved for tasks that fit nowhere, and kept of use for the sizes that wait.
+    pub reservations: bool,
 }
 
 /// Order to a worker.
@@ -180,6 +186,9 @@
     losses: Vec<crash::Loss>,
     /// Crashes that are not logged yet.
     crashes: Vec<Crash>,
+    run_times: run_time::RunTimes,
+    reservations: reservation::Reservations,
+    packing: packing::Packing,
     /// Work of the plans that is not reported yet.
     work: WorkCounts,
 }
@@ -219,6 +228,9 @@
             crashed_at: HashMap::new(),
             losses: Vec::new(),
             crashes: Vec::new(),
+            run_times: run_time::RunTimes::default(),
+            reservations: reservation::Reservations::default(),
+            packing: packing::Packing::default(),
             work: WorkCounts::default(),
         }
     }
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -4,7 +4,7 @@
 //! best-effort images. Interference depends on the pair of images, so such a worker
 //! suits more best-effort images than a mixed one, and some workers keep no
 //! long-running task at all. Other tasks that reserve processors go to the worker
-//! with the smallest committed share. Best-effort tasks go where the expected tails
+//! with the smallest committed share, or to the fullest one while larger tasks find no room. Best-effort tasks go where the expected tails
 //! of the long-running tasks stay below their targets, and among those workers to
 //! the one with the most idle processors. A task that may have crashed a worker is kept
 //! apart from other starts where possible, so that a further crash shows its cause.
@@ -95,6 +95,8 @@
     Rack,
     /// The worker has as many tasks of the step as it may have.
     TasksPerWorker,
+    /// The room is reserved for a more urgent task.
+    Reserved,
     /// The task would interfere with long-running tasks.
     Interference,
 }
@@ -181,7 +183,7 @@
     list: Vec<Candidate>,
     /// Capacity that the tasks being placed may use.
     pub(super) capacity_rule: CapacityRule,
-    now: MonoMs,
+    pub(super) now: MonoMs,
     /// Steps that fit nowhere.
     pub(super) unplaced: Vec<Unplaced>,
     /// Workers compared as places for a task.
@@ -300,6 +302,9 @@
                 continue;
             }
             let mut obstacle = self.obstacle(worker, &wanted, candidates.capacity_rule);
+            if obstacle.is_none() && self.is_reserved(worker_key, &wanted, candidates.now) {
+                obstacle = Some(Obstacle::Reserved);
+            }
             if obstacle.is_none() && wanted.step.best_effort {
                 let place = self.place(candidates, index, &wanted);
                 let cost = place.and_then(|p| self.add_interference(candidates, p, &wanted));
@@ -344,7 +349,8 @@
             && !candidates.list[index].held
             && self
                 .obstacle(worker, wanted, candidates.capacity_rule)
-                .is_none();
+                .is_none()
+            && !self.is_reserved(worker_key, wanted, now);
         if !allowed {
             return None;
         }
@@ -388,6 +394,13 @@
             && self.left_below_limit(worker, key, step) > 1
     }
 
+    /// Whether a worker could run a task if it were free.
+    pub(super) fn may_have_room(&self, worker: &Worker, key: TaskKey, step: &Step) -> bool {
+        worker.has_label(step)
+            && step.demand.fits_in(&worker.listing.capacity)
+            && self.left_below_limit(worker, key, step) > 0
+    }
+
     /// Whether a worker could run a task if it had enough processors free.
     pub(super) fn lacks_only_processors(&self, worker: &Worker, key: TaskKey) -> bool {
         let step = self.jobs[key.job].step(key);
@@ -410,7 +423,11 @@
         }
         let used = cpu_share(worker.committed.cpu_milli + step.demand.cpu_milli, worker);
         if !step.long_running {
-            return remote + used;
+            return if self.fits_best(step) {
+                remote - used
+            } else {
+                remote + used
+            };
         }
         let image = self.jobs[key.job].image(key);
         let others = worker
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -82,6 +82,7 @@
         let ready = self.ready(now, wall);
         self.keep_path_for_reports(now);
         let mut candidates = self.candidates(now);
+        self.refresh_reservations(now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
         self.place_before_short(&ready, &mut candidates, now);
@@ -91,6 +92,7 @@
             }
             self.work.steps += 1;
             self.place_step(step, &mut candidates, now);
+            self.reserve(step, &mut candidates, now);
         }
         self.consolidate(&candidates, now);
         self.work.plans += 1;
@@ -308,6 +310,7 @@
     }
 
     fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run, now: MonoMs) {
+        self.count_reserved_start(key, worker, now);
         let name = self.name(key);
         let failover_complete = self.is_failover_complete(now);
         let job = &mut self.jobs[key.job];
@@ -346,6 +349,7 @@
         task.waiting_since = Some(waiting_since);
         let is_suspect = task.is_suspect();
         task.percent = 0;
+        task.adopted_percent = None;
         task.pace = FULL_PACE;
         task.pace_unknown = false;
         task.halted_at = None;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -100,7 +100,9 @@
         }
         match end.kind {
             EndKind::Done => {
-                if !current {
+                if current {
+                    self.observe_run_time(key, now);
+                } else {
                     self.stop_superseded(key, now);
                 }
                 self.complete_task(key);
@@ -258,6 +260,7 @@
             task.checkpoint.clone_from(&status.checkpoint);
         }
         if adopted {
+            task.adopted_percent = Some(status.percent);
             task.pace = FULL_PACE;
             task.pace_unknown = false;
             task.halted_at = None;
@@ -489,7 +492,7 @@
 }
 
 /// Resources that a run of a step occupies on its worker.
-fn occupied(step: &Step) -> Resources {
+pub(super) fn occupied(step: &Step) -> Resources {
     let cpu_milli = if step.best_effort {
         0
     } else {
--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -18,6 +18,7 @@
     capacity::CapacityRule,
     job::StepState,
     placement::{Candidates, Obstacle, Unusable},
+    reservation::ReservedRoom,
 };
 
 /// Wait from which a long-running task is reported: the platform's limit while two such tasks
@@ -81,6 +82,8 @@
     RoomForOne = "room for one",
     /// The workers with room have as many tasks of the step as they may have.
     TasksPerWorker = "tasks per worker",
+    /// The workers with room keep it for a more urgent task.
+    Reserved = "reserved",
     /// The task would interfere with long-running tasks wherever there is room.
     Interference = "interference",
     /// A member of the gang fits, but not all of them.
@@ -150,6 +153,8 @@
     pub demand: Resources,
     /// Workers of its pool.
     pub capacity: PoolCapacity,
+    /// Room that is reserved for the step.
+    pub reservation: Option<ReservedRoom>,
 }
 
 /// Tasks that have waited beyond their threshold.
@@ -346,6 +351,7 @@
             reason,
             demand: step.demand,
             capacity,
+            reservation: self.reserved_room(key, now),
         }
     }
 
@@ -398,6 +404,7 @@
             Some(Obstacle::Room | Obstacle::Rack) => self.room_reason(key, obstacles),
             Some(Obstacle::RecentPeak) => WaitReason::RecentPeak,
             Some(Obstacle::TasksPerWorker) => WaitReason::TasksPerWorker,
+            Some(Obstacle::Reserved) => WaitReason::Reserved,
             Some(Obstacle::Interference) => WaitReason::Interference,
         }
     }
--- a/hemlocksaddle-policy/src/workflow/work.rs
+++ b/hemlocksaddle-policy/src/workflow/work.rs
@@ -19,6 +19,8 @@
     pub compared_workers: u64,
     /// Workers whose headroom for best-effort tasks was computed.
     pub headrooms: u64,
+    /// Runs whose end was estimated for a reservation.
+    pub estimated_runs: u64,
 }
 
 impl Scheduler {
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -1,6 +1,7 @@
 //! Test harness: a scheduler with workers whose reports the test makes up.
 
 mod crashes;
+pub(crate) mod fleet;
 mod schedules;
 
 use std::{net::SocketAddr, ops::RangeInclusive};
@@ -70,9 +71,10 @@
     }
 }
 
-fn limits() -> Limits {
+fn limits(reservations: bool) -> Limits {
     Limits {
         keep_ended_ms: Millis(120_000),
+        reservations,
     }
 }
 
@@ -121,8 +123,26 @@
     ///
     /// Leases of earlier terms expire `failover_complete_ms` from now.
     pub(crate) fn unreported(count: usize, cpu_milli: u64, failover_complete_ms: u64) -> Harness {
+        Harness::unreported_with(count, cpu_milli, failover_complete_ms, false)
+    }
+
+    /// Scheduler with or without reservations whose workers have all reported.
+    pub(crate) fn with_reservations(count: usize, cpu_milli: u64, reservations: bool) -> Harness {
+        let mut harness = Harness::unreported_with(count, cpu_milli, 0, reservations);
+        (0..count).for_each(|number| harness.report_idle(number));
+        harness
+    }
+
+    /// Scheduler with or without reservations whose workers have not reported.
+    pub(crate) fn unreported_with(
+        count: usize,
+        cpu_milli: u64,
+        failover_complete_ms: u64,
+        reservations: bool,
+    ) -> Harness {
         let now = MonoMs(START_MS);
-        let mut scheduler = Scheduler::new(limits(), 2, now + Millis(failover_complete_ms));
+        let limits = limits(reservations);
+        let mut scheduler = Scheduler::new(limits, 2, now + Millis(failover_complete_ms));
         let later = Queue {
             name: "later".into(),
             priority: 1,
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -50,6 +50,8 @@
     pub waiting_tasks: IntGaugeVec,
     /// Longest wait of a task, 0 while none has waited long.
     pub longest_wait_s: Gauge,
+    /// Processors that reservations keep idle, in thousandths of a core.
+    pub reserved_cpu_milli: IntGauge,
 }
 
 impl Metrics {
@@ -91,6 +93,11 @@
             "Longest wait of a task, 0 while none has waited long.",
         )?;
         registry.register(Box::new(longest_wait_s.clone()))?;
+        let reserved_cpu_milli = IntGauge::new(
+            "shard_reserved_cpu_milli",
+            "Processors that reservations keep idle, in thousandths of a core.",
+        )?;
+        registry.register(Box::new(reserved_cpu_milli.clone()))?;
         let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
         registry.register(Box::new(worker_crashes.clone()))?;
         let given_up = IntCounter::new(
@@ -104,6 +111,7 @@
             delegates,
             waiting_tasks,
             longest_wait_s,
+            reserved_cpu_milli,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
@@ -156,6 +164,7 @@
             ("checked runs", work.checked_runs),
             ("compared workers", work.compared_workers),
             ("headrooms", work.headrooms),
+            ("estimated runs", work.estimated_runs),
         ];
         for (kind, count) in kinds {
             self.plan_work.with_label_values(&[kind]).inc_by(count);
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -62,6 +62,8 @@
     pub lease_ms: Millis,
     /// Retention time of ended workflows.
     pub keep_ended_ms: Millis,
+    /// Whether owners reserve room for tasks that fit nowhere.
+    pub reservations: bool,
     /// Largest record that the store takes, with its key.
     pub max_record_bytes: usize,
     /// Largest append that the store takes.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -119,6 +119,7 @@
         let failover_complete_at = claims.earlier_leases_expired_at(shard, term);
         let limits = Limits {
             keep_ended_ms: env.settings.keep_ended_ms,
+            reservations: env.settings.reservations,
         };
         let dispatcher = Dispatcher::new(env.clone(), links, shard, term);
         Rc::new(Owner {
--- a/hemlocksaddle-shard/src/waiting.rs
+++ b/hemlocksaddle-shard/src/waiting.rs
@@ -1,8 +1,8 @@
 //! Log lines and metrics about tasks that have waited long.
 
-use hemlocksaddle_policy::workflow::{WaitReason, Waiting, WaitingStep};
+use hemlocksaddle_policy::workflow::{ReservedRoom, WaitReason, Waiting, WaitingStep};
 use hemlocksaddle_types::clock::Millis;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::{event::Event, owner::Owner};
 
@@ -24,7 +24,10 @@
             return;
         }
         self.waiting_reported_at.set(now);
-        let waiting = self.scheduler.borrow().waiting(now, interval);
+        let scheduler = self.scheduler.borrow();
+        let waiting = scheduler.waiting(now, interval);
+        self.set_reserved(scheduler.reserved_cpu_milli());
+        drop(scheduler);
         self.count_waiting(&waiting);
         // Logged at the threshold and at each doubling of it, which bounds the lines of a step.
         for step in waiting.steps.iter().filter(|step| step.has_doubled) {
@@ -35,6 +38,12 @@
     /// Resets the metrics when ownership ends.
     pub(crate) fn clear_waiting(&self) {
         self.count_waiting(&Waiting::default());
+        self.set_reserved(0);
+    }
+
+    fn set_reserved(&self, cpu_milli: u64) {
+        let gauge = &self.env.metrics.reserved_cpu_milli;
+        gauge.set(i64::try_from(cpu_milli).unwrap_or(i64::MAX));
     }
 
     fn count_waiting(&self, waiting: &Waiting) {
@@ -51,6 +60,18 @@
             .set(waiting.longest.0 as f64 / 1_000.0);
     }
 
+    fn describe(&self, room: &ReservedRoom) -> Value {
+        let scheduler = self.scheduler.borrow();
+        let worker = scheduler.worker(room.worker);
+        json!({
+            "worker": worker.map(|worker| worker.listing.name.to_string()),
+            "expected_in_ms": room.expected_in.0, "kept_for_ms": room.kept_for.0,
+            "awaited_runs": room.awaited_runs,
+            "last_run": room.last_run.map(|run| run.to_string()),
+            "reservations": room.reservations,
+        })
+    }
+
     fn log_waiting(&self, step: &WaitingStep, start_budget: u32) {
         let workers = &step.capacity;
         let inputs = json!({
@@ -70,6 +91,7 @@
                 "started_meanwhile": workers.started_meanwhile,
                 "started_less_urgent": workers.started_less_urgent,
             },
+            "reservation": step.reservation.as_ref().map(|room| self.describe(room)),
         });
         self.env.event(Event::TaskWaits, &inputs);
     }
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -207,6 +207,7 @@
             link_kbps,
             lease_ms: Millis(self.fleet.max_lease_ms.get()),
             keep_ended_ms: Millis(120_000),
+            reservations: false,
             max_record_bytes: self.store.max_record_bytes.get(),
             max_append_bytes: store::RECORDS_PER_APPEND * self.store.max_record_bytes.get(),
         };
