--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -33,6 +33,7 @@
 mod ranking;
 mod report;
 mod reservation;
+mod reserved;
 mod restart;
 mod run_time;
 mod tasks;
@@ -187,7 +188,7 @@
     /// Crashes that are not logged yet.
     crashes: Vec<Crash>,
     run_times: run_time::RunTimes,
-    reservations: reservation::Reservations,
+    reservations: reserved::Reservations,
     packing: packing::Packing,
     /// Work of the plans that is not reported yet.
     work: WorkCounts,
@@ -229,7 +230,7 @@
             losses: Vec::new(),
             crashes: Vec::new(),
             run_times: run_time::RunTimes::default(),
-            reservations: reservation::Reservations::default(),
+            reservations: reserved::Reservations::default(),
             packing: packing::Packing::default(),
             work: WorkCounts::default(),
         }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -82,7 +82,7 @@
         let ready = self.ready(now, wall);
         self.keep_path_for_reports(now);
         let mut candidates = self.candidates(now);
-        self.refresh_reservations(now);
+        self.refresh_reservations(&candidates, now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
         self.place_before_short(&ready, &mut candidates, now);
@@ -203,7 +203,9 @@
             let Some((ranking, (place, worker))) = taken else {
                 if !is_ruled_out {
                     let unplaced = Unplaced::new(step, image, pool, rule);
-                    candidates.unplaced.extend(unplaced);
+                    candidates
+                        .unplaced
+                        .extend(self.unless_reserved(unplaced, step));
                 }
                 if step.best_effort {
                     self.blocked.push(Blocked {
--- a/hemlocksaddle-policy/src/workflow/ranking.rs
+++ b/hemlocksaddle-policy/src/workflow/ranking.rs
@@ -119,6 +119,17 @@
     demand: Resources,
     /// Image of a best-effort step; the others need no headroom.
     image: Option<ImageId>,
+    /// Class of the run time below which a step may still use reserved room.
+    run_class: u32,
+}
+
+/// Class of the run time of a step: powers of two, so that few steps are compared again.
+fn run_class(step: &Step) -> u32 {
+    if step.long_running {
+        u32::MAX
+    } else {
+        step.expected_run_ms.checked_ilog2().unwrap_or(0)
+    }
 }
 
 impl Unplaced {
@@ -135,9 +146,16 @@
             capacity_rule,
             demand: step.demand,
             image: step.best_effort.then_some(image),
+            run_class: 0,
         })
     }
 
+    /// Does not rule out steps with shorter runs, which may end before reserved room is needed.
+    pub(super) fn except_shorter(mut self, step: &Step) -> Unplaced {
+        self.run_class = run_class(step);
+        self
+    }
+
     /// Whether a step fits nowhere either, since it needs at least as much in the same place.
     pub(super) fn rules_out(
         &self,
@@ -151,6 +169,7 @@
         same_rule
             && self.image == step.best_effort.then_some(image)
             && self.demand.fits_in(&step.demand)
+            && self.run_class <= run_class(step)
             && *self.pool == *pool
             && (self.required_label.is_none() || self.required_label == step.required_label)
     }
--- a/hemlocksaddle-policy/src/workflow/reservation.rs
+++ b/hemlocksaddle-policy/src/workflow/reservation.rs
@@ -7,38 +7,30 @@
 //! reserved room, or with tasks that certainly end before the reservation starts. Steps
 //! that are served earlier are not bound by it.
 //!
-//! Reservations are bounded to a small share of the processors, and each ends after the time that its task can wait without
-//! being late. When a worker becomes unusable, or its room comes later than that, the
+//! Reservations are bounded to a small share of the processors. Each is kept for twice the
+//! time by which its room was expected, and no longer than its workflow is worth something
+//! to its caller. When a worker becomes unusable, or its room comes later than that, the
 //! reservation is dropped, its worker avoided for a time, and another one chosen.
 //! Nothing is stored: a new owner reserves anew from what waits and runs.
 
-use foldhash::HashMap;
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     resources::Resources,
     workflow::{Queue, Step, TaskName, Workflow},
 };
-use slotmap::SecondaryMap;
 
 use super::{
     Phase, Scheduler, TaskKey, Worker, WorkerKey,
     placement::{Candidates, Wanted},
     plan::ReadyStep,
+    ranking::Unplaced,
     report::occupied,
+    reserved::{PoolShare, Reservation},
 };
 
-/// Number of workers of which one may have a reservation.
-const WORKERS_PER_RESERVATION: usize = 4;
-
-/// Maximum share of the processors of a pool that are reserved, in percent.
+/// Shortest time for which a reservation is kept after its room was expected.
 ///
-/// Bounds what wrong estimates can keep idle. On 48 workers at 94% use, 3% reduced the mean wait of urgent
-/// tasks of 5.1 cores beside tasks of 3.5 cores from 461 to 183 ms and the use by 0.1%; 1% reduced the wait
-/// to 275 ms.
-const MAX_RESERVED_PERCENT: u64 = 3;
-
-/// Shortest time for which a reservation is kept; reports and orders take as long while the owner is
-/// slow.
+/// Reports and orders take as long while the owner is slow.
 const MIN_HOLD_MS: Millis = Millis(250);
 
 /// Longest time for which a reservation is kept: the time for which callers wait for a response.
@@ -47,12 +39,20 @@
 /// Multiple of its completion target after which a workflow is worth nothing to its caller.
 const WORTHLESS_AFTER_TARGETS: f64 = 3.0;
 
+/// Maximum number of reservations for workflows that are worth nothing any more.
+const MAX_WORTHLESS: usize = 1;
+
 /// Minimum time between two estimates of when reserved room will be free.
 const CHECK_INTERVAL_MS: Millis = Millis(50);
 
 /// Minimum time between two plans that search for room.
 const SEARCH_INTERVAL_MS: Millis = Millis(20);
 
+/// Time after which room is searched again for a step for which there was none.
+///
+/// A step that no worker can take, as for its label, would otherwise use up the searches of all plans.
+const RETRY_INTERVAL_MS: Millis = Millis(200);
+
 /// Maximum number of steps for which one plan searches for room; each compares all workers once.
 const MAX_SEARCHES: u32 = 2;
 
@@ -62,60 +62,6 @@
 /// Delay of a run outside the rack of its data, as a share of its declared run time.
 const REMOTE_DELAY: f64 = 0.5;
 
-/// Room for a task on a worker.
-#[derive(Clone, Copy, Debug)]
-struct Reservation {
-    /// First task of the step that it is for.
-    step: TaskKey,
-    demand: Resources,
-    /// Time at which the room is expected to be free.
-    start_at: MonoMs,
-    /// Time until which the reservation is kept.
-    until: MonoMs,
-    /// Resources that are in use when the reservation starts, apart from those reserved.
-    kept: Resources,
-    checked_at: MonoMs,
-    /// Whether the step that is being served comes after that of the reservation.
-    in_force: bool,
-}
-
-/// Reservations of all steps.
-#[derive(Debug, Default)]
-pub(super) struct Reservations {
-    by_worker: SecondaryMap<WorkerKey, Reservation>,
-    /// Workers with a reservation, by the first task of the step.
-    by_step: HashMap<TaskKey, Vec<WorkerKey>>,
-    /// Workers where room did not become free in time, and until when they are avoided.
-    avoided: SecondaryMap<WorkerKey, MonoMs>,
-    next_search_at: MonoMs,
-    /// Searches that the current plan may still make.
-    searches_left: u32,
-}
-
-impl Reservations {
-    fn insert(&mut self, worker: WorkerKey, reservation: Reservation) {
-        self.by_worker.insert(worker, reservation);
-        let of_step = self.by_step.entry(reservation.step).or_default();
-        of_step.push(worker);
-    }
-
-    fn remove(&mut self, worker: WorkerKey) {
-        let Some(reservation) = self.by_worker.remove(worker) else {
-            return;
-        };
-        if let Some(of_step) = self.by_step.get_mut(&reservation.step) {
-            of_step.retain(|other| *other != worker);
-            if of_step.is_empty() {
-                self.by_step.remove(&reservation.step);
-            }
-        }
-    }
-
-    fn count(&self, step: TaskKey) -> usize {
-        self.by_step.get(&step).map_or(0, Vec::len)
-    }
-}
-
 /// Reservation of a waiting step, for its diagnosis.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReservedRoom {
@@ -163,18 +109,16 @@
     ends_ms.into_iter().max().unwrap_or(0)
 }
 
-/// Time for which a workflow that became due at `due_at` keeps a reservation; `None` if it is worth
-/// nothing any more.
-fn hold_time(workflow: &Workflow, queue: &Queue, due_at: MonoMs, now: MonoMs) -> Option<Millis> {
-    let chain_ms = longest_chain_ms(workflow) as f64;
-    let target_ms = queue.stretch * chain_ms + queue.target_completion_ms.0 as f64;
-    let age_ms = now.since(due_at).0 as f64;
+/// Time for which a workflow that became due at `due_at` is worth something to its caller.
+fn useful_for(workflow: &Workflow, queue: &Queue, due_at: MonoMs, now: MonoMs) -> Millis {
     // Scheduled work is of use at any time.
-    if workflow.schedule.is_none() && age_ms > target_ms * WORTHLESS_AFTER_TARGETS {
-        return None;
+    if workflow.schedule.is_some() {
+        return MAX_HOLD_MS;
     }
-    let slack = Millis((target_ms - chain_ms).max(0.0) as u64);
-    Some(slack.clamp(MIN_HOLD_MS, MAX_HOLD_MS))
+    let chain_ms = longest_chain_ms(workflow) as f64;
+    let target_ms = queue.stretch * chain_ms + queue.target_completion_ms.0 as f64;
+    let worthless_at = due_at + Millis((target_ms * WORTHLESS_AFTER_TARGETS) as u64);
+    worthless_at.since(now)
 }
 
 impl Scheduler {
@@ -190,11 +134,13 @@
     }
 
     /// Drops reservations that are of no use, and updates the others; none binds until its step is served.
-    pub(super) fn refresh_reservations(&mut self, now: MonoMs) {
+    pub(super) fn refresh_reservations(&mut self, candidates: &Candidates, now: MonoMs) {
         if !self.limits.reservations {
             return;
         }
         self.packing.record_waiting(0, now);
+        self.reservations.retry_at.retain(|_, at| *at > now);
+        self.share_pools(candidates);
         let is_search_due = now >= self.reservations.next_search_at;
         self.reservations.searches_left = if is_search_due { MAX_SEARCHES } else { 0 };
         let avoided = &mut self.reservations.avoided;
@@ -213,6 +159,28 @@
         }
     }
 
+    fn share_pools(&mut self, candidates: &Candidates) {
+        let mut shares: Vec<PoolShare> = Vec::new();
+        for worker in candidates.keys() {
+            let listing = &self.workers[worker].listing;
+            let known = shares.iter_mut().find(|share| share.pool == listing.pool);
+            if let Some(share) = known {
+                let all_milli = share.cpu_milli;
+                share.cpu_milli = all_milli.saturating_add(listing.capacity.cpu_milli);
+                share.workers += 1;
+                continue;
+            }
+            shares.push(PoolShare {
+                pool: listing.pool.clone(),
+                cpu_milli: listing.capacity.cpu_milli,
+                workers: 1,
+                reserved_milli: 0,
+                reserved_workers: 0,
+            });
+        }
+        self.reservations.shares = shares;
+    }
+
     fn refresh_reservation(&mut self, worker_key: WorkerKey, now: MonoMs) {
         let Some(mut reservation) = self.reservations.by_worker.get(worker_key).copied() else {
             return;
@@ -257,70 +225,105 @@
         }
         let spec = self.jobs[ready.job].spec.clone();
         let step = &spec.steps[usize::from(ready.step)];
-        if may_reserve(step) && self.waiting_of(ready.key(0)) > 0 {
-            self.packing.record_waiting(step.demand.cpu_milli, now);
-            self.search_room(ready, step, candidates, now);
+        if !may_reserve(step) {
+            return;
         }
-        let Some(workers) = self.reservations.by_step.get(&ready.key(0)) else {
+        let first = ready.key(0);
+        let Some(next) = self.jobs[ready.job].first_waiting(first) else {
             return;
         };
-        for &worker in workers {
-            if let Some(reservation) = self.reservations.by_worker.get_mut(worker) {
-                reservation.in_force = true;
-            }
+        let key = ready.key(next);
+        let task = self.jobs[ready.job].task(key);
+        if !task.is_some_and(|task| ready.may_start(task, now)) {
+            return;
+        }
+        self.packing.record_waiting(step.demand.cpu_milli, now);
+        self.reservations.bind(first, &ready.queue.pool);
+        if self.search_room(ready, key, step, candidates, now) {
+            self.reservations.bind(first, &ready.queue.pool);
         }
     }
 
+    /// What a step that fits nowhere rules out while some room is reserved.
+    pub(super) fn unless_reserved(
+        &self,
+        unplaced: Option<Unplaced>,
+        step: &Step,
+    ) -> Option<Unplaced> {
+        let unplaced = unplaced?;
+        let mut shares = self.reservations.shares.iter();
+        Some(match shares.any(|share| share.reserved_workers > 0) {
+            true => unplaced.except_shorter(step),
+            false => unplaced,
+        })
+    }
+
+    /// Adds reservations for a step; returns whether there are any.
     fn search_room(
         &mut self,
         ready: &ReadyStep,
+        key: TaskKey,
         step: &Step,
         candidates: &mut Candidates,
         now: MonoMs,
-    ) {
+    ) -> bool {
         let first = ready.key(0);
+        let pool = &ready.queue.pool;
         let waiting = self.waiting_of(first) as usize;
         let missing = waiting.saturating_sub(self.reservations.count(first));
-        let all = candidates.len().div_ceil(WORKERS_PER_RESERVATION);
+        let missing = missing.min(self.reservations.left_in_pool(pool, step.demand.cpu_milli));
         let is_possible = self.reservations.searches_left > 0
-            && self.reservations.by_worker.len() < all
-            && missing > 0;
+            && missing > 0
+            && !self.reservations.retry_at.contains_key(&first);
         if !is_possible {
-            return;
+            return false;
         }
         let due_at = self.jobs[ready.job].occurrences[first.occurrence].due_at;
-        let Some(hold) = hold_time(&self.jobs[ready.job].spec, &ready.queue, due_at, now) else {
-            return;
+        let useful = useful_for(&self.jobs[ready.job].spec, &ready.queue, due_at, now);
+        let is_worthless = useful == Millis(0);
+        // It still gets room in the end, but not the reservations of work that is worth something.
+        let missing = if is_worthless {
+            missing.min(MAX_WORTHLESS.saturating_sub(self.reservations.worthless))
+        } else {
+            missing
         };
-        let next = self.jobs[ready.job].first_waiting(first);
-        let Some(key) = next.map(|index| ready.key(index)) else {
-            return;
-        };
-        let task = self.jobs[ready.job].task(key);
-        let may_start = task.is_some_and(|task| ready.may_start(task, now));
-        let wanted = self.wanted(key, &ready.queue.pool, None);
-        if !may_start || !wanted.is_some_and(|wanted| wanted.is_plain()) {
-            return;
+        let is_plain = self
+            .wanted(key, pool, None)
+            .is_some_and(|wanted| wanted.is_plain());
+        if missing == 0 || !is_plain {
+            return false;
         }
         self.reservations.searches_left -= 1;
         self.reservations.next_search_at = now + SEARCH_INTERVAL_MS;
-        let until = now + hold;
-        let rooms = self.soonest_rooms(key, step, &ready.queue.pool, until, candidates);
-        for (worker, room) in rooms.into_iter().take(missing) {
+        let until = now
+            + match is_worthless {
+                true => MAX_HOLD_MS,
+                false => useful.clamp(MIN_HOLD_MS, MAX_HOLD_MS),
+            };
+        let rooms = self.soonest_rooms(key, step, pool, until, candidates);
+        if rooms.is_empty() {
+            let retry_at = now + RETRY_INTERVAL_MS;
+            self.reservations.retry_at.insert(first, retry_at);
+        }
+        for &(worker, room) in rooms.iter().take(missing) {
             let reservation = Reservation {
                 step: first,
                 demand: step.demand,
                 start_at: room.at,
-                until,
+                until: until.min(room.at + room.at.since(now).max(MIN_HOLD_MS)),
                 kept: room.kept,
                 checked_at: now,
                 in_force: false,
+                is_worthless,
             };
             self.reservations.insert(worker, reservation);
         }
+        !rooms.is_empty()
     }
 
-    /// Workers where a task will fit by `until`, soonest first, as many as may still be reserved.
+    /// Workers where a task will fit by `until`, soonest first.
+    ///
+    /// The reservations of steps that are served later may be replaced.
     fn soonest_rooms(
         &mut self,
         key: TaskKey,
@@ -331,28 +334,17 @@
     ) -> Vec<(WorkerKey, Room)> {
         candidates.compared_workers += candidates.len() as u64;
         let now = candidates.now;
-        let (mut pool_milli, mut reserved_milli) = (0, 0);
+        let first = first_of(key);
         let mut pieces = Vec::new();
         for worker_key in candidates.keys() {
             let worker = &self.workers[worker_key];
-            if *worker.listing.pool != *pool {
-                continue;
-            }
-            pool_milli += worker.listing.capacity.cpu_milli;
-            if let Some(reservation) = self.reservations.by_worker.get(worker_key) {
-                reserved_milli += reservation.demand.cpu_milli;
-                continue;
-            }
-            let is_avoided = self.reservations.avoided.contains_key(worker_key);
-            if !is_avoided && self.may_have_room(worker, key, step) {
+            let reservation = self.reservations.by_worker.get(worker_key);
+            let is_taken = reservation.is_some_and(|of| of.in_force || of.step == first)
+                || self.reservations.avoided.contains_key(worker_key);
+            if !is_taken && *worker.listing.pool == *pool && self.may_have_room(worker, key, step) {
                 pieces.push((worker.free().cpu_milli, worker_key));
             }
         }
-        let max_milli = pool_milli * MAX_RESERVED_PERCENT / 100;
-        let left_milli = max_milli.saturating_sub(reserved_milli);
-        let max = left_milli / step.demand.cpu_milli.max(1);
-        // A small pool has one at least.
-        let max = max.max(u64::from(reserved_milli == 0));
         if pieces.len() > MAX_EXAMINED_WORKERS {
             pieces.select_nth_unstable_by(MAX_EXAMINED_WORKERS, |a, b| b.cmp(a));
             pieces.truncate(MAX_EXAMINED_WORKERS);
@@ -376,7 +368,6 @@
             rooms.push((runs_from, worker_key, room));
         }
         rooms.sort_by_key(|(runs_from, worker, _)| (*runs_from, *worker));
-        rooms.truncate(max as usize);
         let rooms = rooms.into_iter();
         rooms.map(|(_, worker, room)| (worker, room)).collect()
     }
--- a/hemlocksaddle-policy/tests/reservations.rs
+++ b/hemlocksaddle-policy/tests/reservations.rs
@@ -4,8 +4,8 @@
 mod workflow_support;
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::workflow::{EndKind, StartAnswer};
-use hemlocksaddle_types::workflow::Step;
+use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
+use hemlocksaddle_types::{clock::Millis, workflow::Step};
 use workflow_support::{
     Harness, best_effort,
     fleet::{Fleet, LATER, TICK_MS, URGENT, mean, timed},
@@ -96,36 +96,47 @@
 /// times as long as declared.
 #[gtest]
 fn a_large_task_starts_although_runs_take_three_times_as_long() {
-    let mut fleet = Fleet::of_32_cores(4, true, 1.3);
-    fleet.slowness = 3;
-    fleet.pass(100, keep_full);
-    let large = fleet.accept(URGENT, timed(1, 12_000, 800));
+    let time = |reservations| {
+        let mut fleet = Fleet::of_32_cores(4, reservations, 1.3);
+        fleet.slowness = 3;
+        // Full, and no run has ended that would tell.
+        fleet.pass(500, keep_full);
+        assert_that!(fleet.used_core_s, gt(3.0 * 126.0));
+        let large = fleet.accept(URGENT, timed(1, 12_000, 800));
+        time_to_start(&mut fleet, large, 1, 20_000)
+    };
+    expect_that!(time(false), eq(20_000));
     // It is worth nothing after three times its target.
-    expect_that!(time_to_start(&mut fleet, large, 1, 20_000), lt(3 * 1_450));
+    expect_that!(time(true), lt(3 * 1_450));
 }
 
 /// Guards against a reservation that waits for a worker whose runs hang.
 #[gtest]
 fn a_reservation_leaves_a_worker_that_hangs() {
     for hung in 0..4 {
-        let mut fleet = full_fleet(true);
-        fleet.hung = Some(hung);
-        let large = fleet.accept(URGENT, timed(1, 12_000, 800));
-        expect_that!(time_to_start(&mut fleet, large, 1, 20_000), lt(1_450));
-        let started = fleet.started.iter().find(|task| task.workflow == large);
-        expect_that!(started.map(|task| task.worker), some(ne(hung)));
+        let run = |reservations| {
+            let mut fleet = full_fleet(reservations);
+            fleet.hung = Some(hung);
+            let large = fleet.accept(URGENT, timed(1, 12_000, 800));
+            let time = time_to_start(&mut fleet, large, 1, 20_000);
+            let started = fleet.started.iter().find(|task| task.workflow == large);
+            (time, started.map(|task| task.worker))
+        };
+        let ((off, _), (on, worker)) = (run(false), run(true));
+        expect_that!(on, all![lt(off), lt(1_450)]);
+        expect_that!(worker, some(ne(hung)));
     }
 }
 
-/// Two workers of 4 cores; runs of 1.5 cores that may wait fill both, and one on each ends in a second. Nothing
-/// but small tasks and a task of 4 cores wait.
+/// Fills two workers of 4 cores with tasks of 1.5 cores, so that small tasks fit beside them and a task of
+/// 4 cores does not.
 fn two_full_workers(harness: &mut Harness) {
-    harness.accept_in(1, LATER, vec![timed(4, 1_500, 1_000)]);
+    harness.accept_in(1, LATER, vec![timed(4, 1_500, 600)]);
     let starts = harness.starts();
     assert_that!(starts.len(), eq(4));
     harness.answer_all(&starts, StartAnswer::Accepted);
     harness.accept(2, vec![timed(1, 4_000, 1_000)]);
-    harness.accept_in(3, LATER, vec![timed(8, 1_000, 5_000)]);
+    harness.accept_in(3, LATER, vec![timed(8, 1_000, 600)]);
 }
 
 /// Workers on which the small waiting tasks start now.
@@ -170,13 +181,13 @@
     let mut before = Harness::with_reservations(2, 4_000, true);
     two_full_workers(&mut before);
     let mut harness = Harness::unreported_with(2, 4_000, 0, true);
-    harness.accept_inherited_in(1, LATER, vec![timed(4, 1_500, 1_000)]);
+    harness.accept_inherited_in(1, LATER, vec![timed(4, 1_500, 600)]);
     for number in 0..2 {
         let runs = before.runs_on(number, 1);
         harness.report_runs(number, &runs, 40);
     }
     harness.accept(2, vec![timed(1, 4_000, 1_000)]);
-    harness.accept_in(3, LATER, vec![timed(8, 1_000, 5_000)]);
+    harness.accept_in(3, LATER, vec![timed(8, 1_000, 600)]);
     expect_that!(small_starts(&mut harness).len(), eq(1));
     expect_that!(harness.scheduler.reserved_cpu_milli(), eq(1_000));
 }
@@ -205,7 +216,7 @@
     harness.accept_in(5, LATER, vec![long_running(1, 1_000, "a")]);
     let service = harness.starts().remove(0);
     harness.answer(&service, StartAnswer::Accepted);
-    harness.accept_in(1, LATER, vec![timed(5, 1_300, 1_000)]);
+    harness.accept_in(1, LATER, vec![timed(5, 1_300, 600)]);
     let starts = harness.starts();
     harness.answer_all(&starts, StartAnswer::Accepted);
     harness.accept(2, vec![timed(1, 4_000, 1_000)]);
@@ -217,9 +228,8 @@
     harness.accept_in(4, LATER, vec![best_effort(1, 50, "b")]);
     let starts = harness.starts();
     let reserved = 1 - harness.number_of(&service);
-    let is_gang_there = |start: &hemlocksaddle_policy::workflow::Start| {
-        start.name.workflow.0 == 3 && harness.number_of(start) == reserved
-    };
+    let is_gang_there =
+        |start: &Start| start.name.workflow.0 == 3 && harness.number_of(start) == reserved;
     expect_that!(starts.iter().any(is_gang_there), eq(false));
     expect_that!(
         starts.iter().any(|start| start.name.workflow.0 == 4),
@@ -236,15 +246,13 @@
     let starts = harness.starts();
     harness.answer_all(&starts, StartAnswer::Accepted);
     harness.accept(2, vec![timed(1, 4_000, 20_000)]);
-    harness.accept_in(3, LATER, vec![timed(1, 1_000, 5_000)]);
     for _ in 0..100 {
+        harness.starts_again_later();
         harness.advance(100);
         let worker = harness.workers[0];
-        harness.scheduler.extend_lease(
-            worker,
-            harness.now() + hemlocksaddle_types::clock::Millis(6_000),
-        );
-        harness.starts_again_later();
+        harness
+            .scheduler
+            .extend_lease(worker, harness.now() + Millis(6_000));
     }
     let waiting = harness.waiting();
     let large = waiting.steps.iter().find(|step| step.task.workflow.0 == 2);
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Deployment of nodes on virtual time, with an in-memory store, fake workers and connections.
 
 mod fleet;
+pub(crate) mod kept_lines;
 mod node_fleet;
 mod peers;
 mod store;
@@ -57,6 +58,8 @@
     /// Nodes whose requests to others are lost.
     loses_requests: RefCell<BTreeMap<usize, Rc<Cell<bool>>>>,
     pub(crate) connections: Rc<Connections>,
+    /// Setting of the nodes that are started from now on.
+    pub(crate) reservations: Cell<bool>,
     catalogue: Catalogue,
 }
 
@@ -177,6 +180,7 @@
             stores: RefCell::default(),
             loses_requests: RefCell::default(),
             connections: Rc::default(),
+            reservations: Cell::new(false),
             catalogue: catalogue(),
             sim,
         };
@@ -207,7 +211,7 @@
             link_kbps,
             lease_ms: Millis(self.fleet.max_lease_ms.get()),
             keep_ended_ms: Millis(120_000),
-            reservations: false,
+            reservations: self.reservations.get(),
             max_record_bytes: self.store.max_record_bytes.get(),
             max_append_bytes: store::RECORDS_PER_APPEND * self.store.max_record_bytes.get(),
         };
--- a/hemlocksaddle-shard/tests/waiting.rs
+++ b/hemlocksaddle-shard/tests/waiting.rs
@@ -3,48 +3,15 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
-use std::sync::Mutex;
-
 use googletest::prelude::*;
 use hemlocksaddle_types::{clock::Millis, resources::Resources, workflow::Step};
-use log::{LevelFilter, Metadata, Record};
-use serde_json::Value;
-use support::{Deployment, step};
-
-/// Logger that keeps all lines.
-struct Kept(Mutex<Vec<String>>);
-
-impl log::Log for Kept {
-    fn enabled(&self, _: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        let mut lines = self.0.lock().expect("lines");
-        lines.push(record.args().to_string());
-    }
-
-    fn flush(&self) {}
-}
-
-static KEPT: Kept = Kept(Mutex::new(Vec::new()));
-
-/// Inputs of the kept lines of an event.
-fn lines_of(number: u64) -> Vec<Value> {
-    let lines = KEPT.0.lock().expect("lines");
-    let parsed = lines.iter().filter_map(|line| {
-        let line: Value = serde_json::from_str(line).ok()?;
-        (line["event"] == number).then(|| line["inputs"].clone())
-    });
-    parsed.collect()
-}
+use support::{Deployment, kept_lines, kept_lines::lines_of, step};
 
 /// Load pattern: a task that no worker has room for, beside others that run. Guards against a wait
 /// of which neither log nor metrics tell the reason, and against a line for each look.
 #[gtest]
 fn a_task_without_room_is_logged_and_counted_with_its_reason() {
-    log::set_logger(&KEPT).expect("first logger");
-    log::set_max_level(LevelFilter::Info);
+    kept_lines::keep();
     let deployment = Deployment::new(1, 3, 2);
     deployment.wait_for_owner();
     let large = Step {
