Test reservations beside the data and in a closed data centre

Cause: the preference for the rack of the data and the evacuation had no test. Change: two cases, without network.

--- a/hemlocksaddle-policy/tests/reservations.rs
+++ b/hemlocksaddle-policy/tests/reservations.rs
@@ -148,10 +148,10 @@
 }
 
 /// Guards against small tasks that take the room of a reservation, and against room that stays reserved on a
-/// worker that starts to drain or does not answer.
+/// worker that starts to drain or does not answer, or in a data centre that is closed.
 #[gtest]
 fn a_reservation_moves_off_a_worker_that_leaves_or_is_silent() {
-    for is_draining in [true, false] {
+    for fault in ["drains", "silent", "closed"] {
         let mut harness = Harness::with_reservations(2, 4_000, true);
         two_full_workers(&mut harness);
         let [open] = small_starts(&mut harness)[..] else {
@@ -160,10 +160,10 @@
         };
         let reserved = 1 - open;
         expect_that!(harness.scheduler.reserved_cpu_milli(), eq(1_000));
-        if is_draining {
-            harness.drain_worker(reserved);
-        } else {
-            harness.silence(harness.workers[reserved]);
+        match fault {
+            "drains" => harness.drain_worker(reserved),
+            "silent" => harness.silence(harness.workers[reserved]),
+            _ => harness.close_alone(reserved),
         }
         harness.advance(30);
         expect_that!(small_starts(&mut harness), is_empty());
@@ -192,6 +192,26 @@
     expect_that!(harness.scheduler.reserved_cpu_milli(), eq(1_000));
 }
 
+/// Guards against a reservation on a worker that is far from the task's data, where one beside them has room
+/// hardly later.
+#[gtest]
+fn room_is_reserved_beside_the_data() {
+    for beside in 0..2 {
+        let mut harness = Harness::with_reservations(2, 4_000, true);
+        let mut listed = harness.roster();
+        listed[beside].labels = vec!["kind".into(), "data".into()];
+        harness.scheduler.list_workers(listed, harness.now());
+        two_full_workers(&mut harness);
+        harness.cancel(2);
+        let near = Step {
+            data_rack: Some("data".into()),
+            ..timed(1, 4_000, 1_000)
+        };
+        harness.accept(5, vec![near]);
+        expect_that!(small_starts(&mut harness), elements_are![eq(&(1 - beside))]);
+    }
+}
+
 /// Guards against room that stays idle although a task would have ended before it is needed.
 #[gtest]
 fn tasks_that_end_before_the_reservation_use_its_room() {
--- a/hemlocksaddle-policy/tests/workflow_support/fleet.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/fleet.rs
@@ -5,6 +5,7 @@
 use hemlocksaddle_policy::workflow::{End, EndKind, Report, Start, StartAnswer, TaskStatus};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
+    name::DataCentre,
     workflow::{Run, Step, TaskName, WorkflowId},
 };
 use rand::{Rng, SeedableRng};
@@ -178,6 +179,16 @@
         self.scheduler.list_workers(listed, self.now);
     }
 
+    /// Lists a worker in a data centre of its own, which is closed.
+    pub(crate) fn close_alone(&mut self, number: usize) {
+        let closed = DataCentre::try_from("closed").expect("name");
+        let mut listed = self.roster();
+        listed[number].data_centre = closed.clone();
+        self.scheduler.list_workers(listed, self.now);
+        self.scheduler
+            .close_data_centres(std::iter::once(closed).collect());
+    }
+
     /// Runs of a workflow on a worker, by index of the task.
     pub(crate) fn runs_on(&self, number: usize, id: u64) -> Vec<(TaskName, Run)> {
         let job = self.scheduler.job(WorkflowId(id)).expect("workflow");
