Check a configuration before it is sent

Cause: nodes accept a configuration whose entries can never match or whose limits contradict each other; an operator sees it only in the effects.

--- a/hemlocksaddle-cli/src/args.rs
+++ b/hemlocksaddle-cli/src/args.rs
@@ -28,6 +28,8 @@
 pub enum Command {
     /// Check a document.
     Check(Check),
+    /// Check a configuration.
+    CheckConfiguration(CheckConfiguration),
     /// Publish a document.
     Publish(Publish),
     /// Show the current documents.
@@ -59,6 +61,18 @@
     pub file: PathBuf,
 }
 
+/// check a configuration without sending it; exit code 1 if there are findings, 2 if it cannot be read
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "check-config")]
+pub struct CheckConfiguration {
+    /// path of the configuration record
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// path of the record in force, to show the changes
+    #[argh(option)]
+    pub in_force: Option<PathBuf>,
+}
+
 /// publish a document; fails if its current revision is not the expected one
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "publish")]
--- a/hemlocksaddle-cli/src/command.rs
+++ b/hemlocksaddle-cli/src/command.rs
@@ -48,7 +48,7 @@
     }
     let client = Client::new(args.node)?;
     match args.command {
-        Command::Check(_) => unreachable!("handled above"),
+        Command::Check(_) | Command::CheckConfiguration(_) => unreachable!("handled before"),
         Command::Publish(publish) => run_publish(&client, json, &publish).await,
         Command::Documents(documents) => {
             let path = match documents.service {
--- a/hemlocksaddle-cli/src/main.rs
+++ b/hemlocksaddle-cli/src/main.rs
@@ -6,7 +6,11 @@
 
 use argh::FromArgs;
 
-use hemlocksaddle_cli::{args::Args, command, error::ErrorKind};
+use hemlocksaddle_cli::{
+    args::{Args, Command},
+    command, configuration,
+    error::{Error, ErrorKind},
+};
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -22,6 +26,15 @@
             return ExitCode::from(2);
         }
     };
+    if let Command::CheckConfiguration(arguments) = &args.command {
+        return match configuration::check(arguments, args.json) {
+            Ok(checked) => {
+                println!("{}", checked.output);
+                checked.exit_code()
+            }
+            Err(error) => fail(&error),
+        };
+    }
     let runtime = match compio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -34,12 +47,14 @@
             println!("{}", text.trim_end());
             ExitCode::SUCCESS
         }
-        Err(error) => {
-            eprintln!("{error}");
-            if error.kind() == ErrorKind::Usage {
-                eprintln!("run hemlocksaddle --help for usage");
-            }
-            ExitCode::from(error.exit_code())
-        }
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &Error) -> ExitCode {
+    eprintln!("{error}");
+    if error.kind() == ErrorKind::Usage {
+        eprintln!("run hemlocksaddle --help for usage");
     }
+    ExitCode::from(error.exit_code())
 }
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod backoff;
+pub mod catalogue_check;
 pub mod checkpoint;
 pub mod congestion;
 pub mod delegation;
