--- a/hemlocksaddle-policy/src/workflow/reservation.rs
+++ b/hemlocksaddle-policy/src/workflow/reservation.rs
@@ -104,7 +104,8 @@
     for step in &workflow.steps {
         let dependencies = step.depends_on.iter();
         let start_ms = dependencies.filter_map(|&on| ends_ms.get(usize::from(on)).copied());
-        ends_ms.push(start_ms.max().unwrap_or(0) + step.expected_run_ms);
+        let start_ms = start_ms.max().unwrap_or(0);
+        ends_ms.push(start_ms.saturating_add(step.expected_run_ms));
     }
     ends_ms.into_iter().max().unwrap_or(0)
 }
--- a/hemlocksaddle-policy/tests/workflow_support/fleet.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/fleet.rs
@@ -1,17 +1,19 @@
-//! Fleet in virtual time: runs end after a time that the test gives.
+//! Fleet in virtual time: runs end after a time that the test gives; with or without reservations.
 
 use std::collections::BTreeMap;
 
-use hemlocksaddle_policy::workflow::{End, EndKind, Report, Start, StartAnswer, TaskStatus};
+use hemlocksaddle_policy::workflow::{
+    End, EndKind, Limits, Listing, Report, Scheduler, Start, StartAnswer, TaskStatus,
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     name::DataCentre,
-    workflow::{Run, Step, TaskName, WorkflowId},
+    workflow::{Catalogue, Queue, Run, Step, TaskName, WorkflowId},
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::{Harness, LEASE_MS, name, step};
+use super::{Harness, LEASE_MS, START_MS, listing, name, queue, step};
 
 /// Time between two plans.
 pub(crate) const TICK_MS: u64 = 10;
@@ -171,7 +173,56 @@
     }
 }
 
+fn limits(reservations: bool) -> Limits {
+    Limits {
+        keep_ended_ms: Millis(120_000),
+        reservations,
+    }
+}
+
 impl Harness {
+    /// Scheduler with or without reservations whose workers have all reported.
+    pub(crate) fn with_reservations(count: usize, cpu_milli: u64, reservations: bool) -> Harness {
+        let mut harness = Harness::unreported_with(count, cpu_milli, 0, reservations);
+        (0..count).for_each(|number| harness.report_idle(number));
+        harness
+    }
+
+    /// Scheduler with or without reservations whose workers have not reported.
+    pub(crate) fn unreported_with(
+        count: usize,
+        cpu_milli: u64,
+        failover_complete_ms: u64,
+        reservations: bool,
+    ) -> Harness {
+        let now = MonoMs(START_MS);
+        let limits = limits(reservations);
+        let mut scheduler = Scheduler::new(limits, 2, now + Millis(failover_complete_ms));
+        let later = Queue {
+            name: "later".into(),
+            priority: 1,
+            ..queue()
+        };
+        scheduler.configure(&Catalogue {
+            version: 1,
+            queues: vec![queue(), later],
+            ..Catalogue::default()
+        });
+        let listings: Vec<Listing> = (0..count).map(|n| listing(n, cpu_milli)).collect();
+        let workers = scheduler.list_workers(listings.clone(), now);
+        // A predecessor used all of them.
+        scheduler.restore_roster(listings);
+        Harness {
+            scheduler,
+            workers,
+            now,
+            ends: Vec::new(),
+            stops: Vec::new(),
+            starts: Vec::new(),
+            paces: Vec::new(),
+        }
+    }
+
     /// Announces that a worker leaves.
     pub(crate) fn drain_worker(&mut self, number: usize) {
         let mut listed = self.roster();
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -7,7 +7,7 @@
 use std::{net::SocketAddr, ops::RangeInclusive};
 
 use hemlocksaddle_policy::workflow::{
-    End, EndKind, Limits, Listing, Order, Phase, Report, Scheduler, Start, StartAnswer, TaskStatus,
+    End, EndKind, Listing, Order, Phase, Report, Scheduler, Start, StartAnswer, TaskStatus,
     Waiting, WorkerKey,
 };
 use hemlocksaddle_types::{
@@ -71,13 +71,6 @@
     }
 }
 
-fn limits(reservations: bool) -> Limits {
-    Limits {
-        keep_ended_ms: Millis(120_000),
-        reservations,
-    }
-}
-
 fn listing(number: usize, cpu_milli: u64) -> Listing {
     Listing {
         name: format!("w{number}").into(),
@@ -126,48 +119,6 @@
         Harness::unreported_with(count, cpu_milli, failover_complete_ms, false)
     }
 
-    /// Scheduler with or without reservations whose workers have all reported.
-    pub(crate) fn with_reservations(count: usize, cpu_milli: u64, reservations: bool) -> Harness {
-        let mut harness = Harness::unreported_with(count, cpu_milli, 0, reservations);
-        (0..count).for_each(|number| harness.report_idle(number));
-        harness
-    }
-
-    /// Scheduler with or without reservations whose workers have not reported.
-    pub(crate) fn unreported_with(
-        count: usize,
-        cpu_milli: u64,
-        failover_complete_ms: u64,
-        reservations: bool,
-    ) -> Harness {
-        let now = MonoMs(START_MS);
-        let limits = limits(reservations);
-        let mut scheduler = Scheduler::new(limits, 2, now + Millis(failover_complete_ms));
-        let later = Queue {
-            name: "later".into(),
-            priority: 1,
-            ..queue()
-        };
-        scheduler.configure(&Catalogue {
-            version: 1,
-            queues: vec![queue(), later],
-            ..Catalogue::default()
-        });
-        let listings: Vec<Listing> = (0..count).map(|n| listing(n, cpu_milli)).collect();
-        let workers = scheduler.list_workers(listings.clone(), now);
-        // A predecessor used all of them.
-        scheduler.restore_roster(listings);
-        Harness {
-            scheduler,
-            workers,
-            now,
-            ends: Vec::new(),
-            stops: Vec::new(),
-            starts: Vec::new(),
-            paces: Vec::new(),
-        }
-    }
-
     /// Listings of all workers, as a roster stores them.
     pub(crate) fn roster(&self) -> Vec<Listing> {
         let worker = |&key| self.scheduler.worker(key).expect("worker").listing.clone();
