--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -28,12 +28,16 @@
 mod overdue;
 mod ownership;
 mod pacing;
+mod packing;
 mod placement;
 mod plan;
 mod ranges;
 mod ranking;
 mod report;
+mod reservation;
+mod reserved;
 mod restart;
+mod run_time;
 mod tasks;
 mod tenancy;
 mod waiting;
@@ -61,6 +65,7 @@
     lifecycle::{MAX_SAVED_WORKFLOWS, Unsaved},
     listing::Listing,
     ownership::Owned,
+    reservation::ReservedRoom,
     tenancy::{TenantUse, TenantUses},
     waiting::{PoolCapacity, WaitReason, Waiting, WaitingStep},
     work::WorkCounts,
@@ -91,6 +96,8 @@
 pub struct Limits {
     /// Time for which an ended workflow stays visible.
     pub keep_ended_ms: Millis,
+    /// Whether room is reserved for tasks that fit nowhere, and kept of use for the sizes that wait.
+    pub reservations: bool,
 }
 
 /// Order to a worker.
@@ -188,6 +195,9 @@
     losses: Vec<crash::Loss>,
     /// Crashes that are not logged yet.
     crashes: Vec<Crash>,
+    run_times: run_time::RunTimes,
+    reservations: reserved::Reservations,
+    packing: packing::Packing,
     /// Work of the plans that is not reported yet.
     work: WorkCounts,
     tenancy: tenancy::Tenancy,
@@ -228,6 +238,9 @@
             crashed_at: HashMap::new(),
             losses: Vec::new(),
             crashes: Vec::new(),
+            run_times: run_time::RunTimes::default(),
+            reservations: reserved::Reservations::default(),
+            packing: packing::Packing::default(),
             work: WorkCounts::default(),
             tenancy: tenancy::Tenancy::default(),
         }
--- a/hemlocksaddle-policy/src/workflow/tenancy/order.rs
+++ b/hemlocksaddle-policy/src/workflow/tenancy/order.rs
@@ -121,6 +121,7 @@
             }
             self.work.steps += 1;
             self.place_step(step, 0, candidates, now);
+            self.reserve(step, candidates, now);
         }
     }
 
@@ -151,6 +152,7 @@
                     lane.from = from;
                     break;
                 }
+                self.reserve(&steps[lane.step], candidates, now);
                 (lane.from, has_more) = (0, false);
                 if let Some(next) = following[lane.step] {
                     (lane.step, has_more) = (next, true);
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -2,20 +2,21 @@
 
 mod configuration;
 mod crashes;
+pub(crate) mod fleet;
 mod schedules;
 mod tenants;
 
 use std::{net::SocketAddr, ops::RangeInclusive};
 
 use hemlocksaddle_policy::workflow::{
-    End, EndKind, Limits, Listing, Order, Owned, Phase, Report, Scheduler, Start, StartAnswer,
-    TaskStatus, Waiting, WorkerKey,
+    End, EndKind, Listing, Order, Owned, Phase, Report, Scheduler, Start, StartAnswer, TaskStatus,
+    Waiting, WorkerKey,
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     name::DataCentre,
     resources::Resources,
-    workflow::{Catalogue, Progress, Queue, Run, State, Step, TaskName, Workflow, WorkflowId},
+    workflow::{Progress, Queue, Run, State, Step, TaskName, Workflow, WorkflowId},
 };
 
 /// Target tail latency of long-running tasks in the tests.
@@ -70,12 +71,6 @@
     }
 }
 
-fn limits() -> Limits {
-    Limits {
-        keep_ended_ms: Millis(120_000),
-    }
-}
-
 fn listing(number: usize, cpu_milli: u64) -> Listing {
     Listing {
         name: format!("w{number}").into(),
@@ -131,31 +126,13 @@
         cpu_milli: u64,
         failover_complete_ms: u64,
     ) -> Harness {
-        let now = MonoMs(START_MS);
-        let mut scheduler = Scheduler::new(limits(), term, now + Millis(failover_complete_ms));
-        let later = Queue {
-            name: "later".into(),
-            priority: 1,
-            ..queue()
-        };
-        scheduler.configure(&Catalogue {
-            version: 1,
-            queues: vec![queue(), later],
-            ..Catalogue::default()
-        });
-        let listings: Vec<Listing> = (0..count).map(|n| listing(n, cpu_milli)).collect();
-        let workers = scheduler.list_workers(listings.clone(), now);
-        // A predecessor used all of them.
-        scheduler.restore_roster(listings);
-        Harness {
-            scheduler,
-            workers,
-            now,
-            ends: Vec::new(),
-            stops: Vec::new(),
-            starts: Vec::new(),
-            paces: Vec::new(),
-        }
+        Harness::with_limits(
+            fleet::limits(false),
+            term,
+            count,
+            cpu_milli,
+            failover_complete_ms,
+        )
     }
 
     /// Listings of all workers, as a roster stores them.
