--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -88,6 +88,7 @@
         self.keep_path_for_reports(now);
         self.count_unseen_runs(now, wall);
         let mut candidates = self.candidates(now);
+        self.refresh_reservations(&candidates, now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
         self.place_before_short(&ready, &mut candidates, now);
@@ -208,7 +209,9 @@
             let Some((ranking, (place, worker))) = taken else {
                 if !is_ruled_out {
                     let unplaced = Unplaced::new(step, image, pool, rule);
-                    candidates.unplaced.extend(unplaced);
+                    candidates
+                        .unplaced
+                        .extend(self.unless_reserved(unplaced, step));
                 }
                 if step.best_effort {
                     self.blocked.push(Blocked {
@@ -319,6 +322,7 @@
     }
 
     fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run, now: MonoMs) {
+        self.count_reserved_start(key, worker, now);
         let name = self.name(key);
         let failover_complete = self.is_failover_complete(now);
         let job = &mut self.jobs[key.job];
@@ -357,6 +361,7 @@
         task.waiting_since = Some(waiting_since);
         let is_suspect = task.is_suspect();
         task.percent = 0;
+        task.adopted_percent = None;
         task.pace = FULL_PACE;
         task.pace_unknown = false;
         task.halted_at = None;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -103,7 +103,9 @@
         }
         match end.kind {
             EndKind::Done => {
-                if !current {
+                if current {
+                    self.observe_run_time(key, now);
+                } else {
                     self.stop_superseded(key, now);
                 }
                 self.complete_task(key);
@@ -261,6 +263,7 @@
             task.checkpoint.clone_from(&status.checkpoint);
         }
         if adopted {
+            task.adopted_percent = Some(status.percent);
             task.pace = FULL_PACE;
             task.pace_unknown = false;
             task.halted_at = None;
@@ -499,7 +502,7 @@
 }
 
 /// Resources that a run of a step occupies on its worker.
-fn occupied(step: &Step) -> Resources {
+pub(super) fn occupied(step: &Step) -> Resources {
     let cpu_milli = if step.best_effort {
         0
     } else {
--- a/hemlocksaddle-policy/src/workflow/work.rs
+++ b/hemlocksaddle-policy/src/workflow/work.rs
@@ -21,6 +21,8 @@
     pub headrooms: u64,
     /// Turns of tenants, each of which takes one entry from a heap.
     pub tenant_turns: u64,
+    /// Runs whose end was estimated for a reservation.
+    pub estimated_runs: u64,
 }
 
 impl Scheduler {
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -68,6 +68,8 @@
     pub connection_bytes: IntGaugeVec,
     /// Bytes that clients' connections may still take, by listener.
     pub connection_bytes_left: IntGaugeVec,
+    /// Processors that reservations keep idle, in thousandths of a core.
+    pub reserved_cpu_milli: IntGauge,
 }
 
 impl Metrics {
@@ -114,6 +116,11 @@
             "Longest wait of a task, 0 while none has waited long.",
         )?;
         registry.register(Box::new(longest_wait_s.clone()))?;
+        let reserved_cpu_milli = IntGauge::new(
+            "shard_reserved_cpu_milli",
+            "Processors that reservations keep idle, in thousandths of a core.",
+        )?;
+        registry.register(Box::new(reserved_cpu_milli.clone()))?;
         let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
         registry.register(Box::new(worker_crashes.clone()))?;
         let given_up = IntCounter::new(
@@ -164,6 +171,7 @@
                 "Bytes that connections of clients may still take.",
                 &["listener"],
             )?,
+            reserved_cpu_milli,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
@@ -222,6 +230,7 @@
             ("compared workers", work.compared_workers),
             ("headrooms", work.headrooms),
             ("tenant turns", work.tenant_turns),
+            ("estimated runs", work.estimated_runs),
         ];
         for (kind, count) in kinds {
             self.plan_work.with_label_values(&[kind]).inc_by(count);
