Keep the platform's names in the platform's folder

Cause: tests of the check of configurations and of untrusted clients had names of the platform outside platform/.

--- a/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
+++ b/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
@@ -66,13 +66,10 @@
         let runtime = compio::runtime::Runtime::new().expect("runtime");
         runtime.block_on(async {
             let store = Rc::new(store::Store::default());
-            let worker = serde_json::json!({
-                "service": "pool", "addr": "127.0.0.1:9", "state": "ready", "zone": "a",
-                "labels": ["kind", "rack"], "capacity": { "cpu": 1_000, "memMb": 1_000, "gpu": 0 }, "born": 1,
-            });
-            store.put("keyed.servers", "w1", &worker.to_string());
+            store.put_worker("w1", "pool");
             store.put_config("pool");
-            send.send(server::start(store).await.expect("binds")).expect("awaited");
+            send.send(server::start(store).await.expect("binds"))
+                .expect("awaited");
             std::future::pending::<()>().await;
         });
     });
