Keep one copy of the time for which a result is of use

Cause: the longest chain of steps, the completion target and its multiple after which a result is worth nothing were computed in three modules. Change: one module, usefulness, that the three use. Result: the tests of the policy crate pass unchanged, but for one import.

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod take_over;
 pub mod tenant_admission;
 pub mod unserved;
+pub mod usefulness;
 pub mod workflow;
--- a/hemlocksaddle-policy/src/tenant_admission.rs
+++ b/hemlocksaddle-policy/src/tenant_admission.rs
@@ -15,8 +15,7 @@
     workflow::{Queue, Step, Workflow},
 };
 
-/// Multiple of the completion target beyond which work is worth nothing.
-const WORTHLESS_FACTOR: u64 = 3;
+use crate::usefulness::{is_useful_any_time, longest_chain, useful_for};
 
 /// Multiple of its cap up to which a tenant's long-running work is accepted: two generations of it while it is
 /// replaced, several times over.
@@ -147,26 +146,17 @@
     #[must_use]
     pub fn new(workflow: &Workflow, queue: &Queue) -> Request {
         let mut request = Request::default();
-        // Steps depend on earlier ones only.
-        let mut ends: Vec<u64> = Vec::with_capacity(workflow.steps.len());
         for step in &workflow.steps {
-            let dependencies = step.depends_on.iter();
-            let ready = dependencies.filter_map(|&index| ends.get(usize::from(index)));
-            let ready = ready.copied().max().unwrap_or_default();
-            ends.push(ready.saturating_add(step.expected_run_ms));
             if step.long_running {
                 request.long_running += demand_of(step.tasks, step);
-                request.is_useful_any_time = true;
             } else {
                 let time = Millis(step.expected_run_ms);
                 request.work.add_tasks(step.tasks, &step.demand, time);
             }
         }
-        request.is_useful_any_time |= workflow.schedule.is_some();
-        request.chain = Millis(ends.into_iter().max().unwrap_or_default());
-        let stretched = (request.chain.0 as f64 * queue.stretch).max(0.0) as u64;
-        let target = stretched.saturating_add(queue.target_completion_ms.0);
-        request.worthless_after = Millis(target.saturating_mul(WORTHLESS_FACTOR));
+        request.is_useful_any_time = is_useful_any_time(workflow);
+        request.chain = longest_chain(&workflow.steps);
+        request.worthless_after = useful_for(workflow, queue);
         request
     }
 }
--- a/hemlocksaddle-policy/src/unserved.rs
+++ b/hemlocksaddle-policy/src/unserved.rs
@@ -6,13 +6,13 @@
 
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
-    workflow::{Queue, Step, Workflow},
+    workflow::{Queue, Workflow},
 };
 
-use crate::take_over::OWNERSHIP_LEASE_MS;
-
-/// Multiple of its completion target after which the result of a workflow is worth nothing to its caller.
-const USEFUL_TARGETS: f64 = 3.0;
+use crate::{
+    take_over::OWNERSHIP_LEASE_MS,
+    usefulness::{is_useful_any_time, longest_chain, useful_for},
+};
 
 /// Shortest and longest time after which a refused caller is asked to retry.
 ///
@@ -51,35 +51,16 @@
     }
 }
 
-/// Declared run time of the longest chain of dependent steps.
-#[must_use]
-pub fn longest_chain(steps: &[Step]) -> Millis {
-    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-    for step in steps {
-        let before = step.depends_on.iter();
-        let before = before.filter_map(|&index| ends.get(usize::from(index)));
-        let start = before.max().copied().unwrap_or(0);
-        ends.push(start.saturating_add(step.expected_run_ms));
-    }
-    Millis(ends.into_iter().max().unwrap_or(0))
-}
-
-/// Whether the result of a workflow is useful at any time.
-fn is_useful_late(workflow: &Workflow) -> bool {
-    workflow.schedule.is_some() || workflow.steps.iter().any(|step| step.long_running)
-}
-
 /// Time after which the caller of a refused workflow should retry; `None` if the workflow is to be stored.
 ///
 /// `unserved_for` is the time for which no owner is known that starts work of the shard.
 #[must_use]
 pub fn refuse_until(workflow: &Workflow, queue: &Queue, unserved_for: Millis) -> Option<Millis> {
-    if unserved_for == Millis(0) || is_useful_late(workflow) {
+    if unserved_for == Millis(0) || is_useful_any_time(workflow) {
         return None;
     }
     let chain = longest_chain(&workflow.steps);
-    let target_ms = queue.stretch * chain.0 as f64 + queue.target_completion_ms.0 as f64;
-    let expected_ms = unserved_for.0.saturating_add(chain.0) as f64;
+    let expected = Millis(unserved_for.0.saturating_add(chain.0));
     let (shortest, longest) = RETRY_AFTER_MS;
-    (expected_ms > USEFUL_TARGETS * target_ms).then(|| unserved_for.clamp(shortest, longest))
+    (expected > useful_for(workflow, queue)).then(|| unserved_for.clamp(shortest, longest))
 }
--- a/hemlocksaddle-policy/src/workflow/reservation.rs
+++ b/hemlocksaddle-policy/src/workflow/reservation.rs
@@ -19,6 +19,8 @@
     workflow::{Queue, Step, TaskName, Workflow},
 };
 
+use crate::usefulness::useful_for;
+
 use super::{
     Phase, Scheduler, TaskKey, Worker, WorkerKey,
     placement::{Candidates, Wanted},
@@ -36,9 +38,6 @@
 /// Longest time for which a reservation is kept: the time for which callers wait for a response.
 const MAX_HOLD_MS: Millis = Millis(3_000);
 
-/// Multiple of its completion target after which a workflow is worth nothing to its caller.
-const WORTHLESS_AFTER_TARGETS: f64 = 3.0;
-
 /// Maximum number of reservations for workflows that are worth nothing any more.
 const MAX_WORTHLESS: usize = 1;
 
@@ -98,28 +97,13 @@
     !step.long_running && !step.best_effort && !step.gang && step.expected_run_ms > 0
 }
 
-/// Declared run time of the longest chain of dependent steps.
-fn longest_chain_ms(workflow: &Workflow) -> u64 {
-    let mut ends_ms: Vec<u64> = Vec::with_capacity(workflow.steps.len());
-    for step in &workflow.steps {
-        let dependencies = step.depends_on.iter();
-        let start_ms = dependencies.filter_map(|&on| ends_ms.get(usize::from(on)).copied());
-        let start_ms = start_ms.max().unwrap_or(0);
-        ends_ms.push(start_ms.saturating_add(step.expected_run_ms));
-    }
-    ends_ms.into_iter().max().unwrap_or(0)
-}
-
-/// Time for which a workflow that became due at `due_at` is worth something to its caller.
-fn useful_for(workflow: &Workflow, queue: &Queue, due_at: MonoMs, now: MonoMs) -> Millis {
+/// Time for which a workflow that became due at `due_at` is still worth something to its caller.
+fn useful_from_now(workflow: &Workflow, queue: &Queue, due_at: MonoMs, now: MonoMs) -> Millis {
     // Scheduled work is of use at any time.
     if workflow.schedule.is_some() {
         return MAX_HOLD_MS;
     }
-    let chain_ms = longest_chain_ms(workflow) as f64;
-    let target_ms = queue.stretch * chain_ms + queue.target_completion_ms.0 as f64;
-    let worthless_at = due_at + Millis((target_ms * WORTHLESS_AFTER_TARGETS) as u64);
-    worthless_at.since(now)
+    (due_at + useful_for(workflow, queue)).since(now)
 }
 
 impl Scheduler {
@@ -281,7 +265,7 @@
             return false;
         }
         let due_at = self.jobs[ready.job].occurrences[first.occurrence].due_at;
-        let useful = useful_for(&self.jobs[ready.job].spec, &ready.queue, due_at, now);
+        let useful = useful_from_now(&self.jobs[ready.job].spec, &ready.queue, due_at, now);
         let is_worthless = useful == Millis(0);
         // It still gets room in the end, but not the reservations of work that is worth something.
         let missing = if is_worthless {
--- a/hemlocksaddle-policy/tests/unserved.rs
+++ b/hemlocksaddle-policy/tests/unserved.rs
@@ -1,7 +1,10 @@
 //! Submissions to a shard whose owner has not recovered.
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::unserved::{Served, longest_chain, refuse_until};
+use hemlocksaddle_policy::{
+    unserved::{Served, refuse_until},
+    usefulness::longest_chain,
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     workflow::{Queue, Schedule, Step, Workflow},
