--- a/hemlocksaddle-daemon/src/main.rs
+++ b/hemlocksaddle-daemon/src/main.rs
@@ -20,9 +20,6 @@
     /// run a node that owns shards of workflows on a managed platform
     #[argh(switch)]
     shards: bool,
-    /// memory of the process in megabytes, in place of `[limits] memory_mb`; only with --shards
-    #[argh(option)]
-    memory_mb: Option<f64>,
     /// check the settings file and exit
     #[argh(switch)]
     check: bool,
@@ -59,12 +56,7 @@
 
 /// Checks the settings and runs a node that owns workflow shards.
 fn run_shards(arguments: Arguments) -> ExitCode {
-    let file = hemlocksaddle_platform::settings::File::load(&arguments.settings);
-    let file = file.and_then(|file| match arguments.memory_mb {
-        Some(memory_mb) => file.with_memory(memory_mb),
-        None => Ok(file),
-    });
-    let file = match file {
+    let file = match hemlocksaddle_platform::settings::File::load(&arguments.settings) {
         Ok(file) => file,
         Err(error) => {
             eprintln!("{error}");
