Assign distinct ports to the nodes of process tests

The test bound port 0 five times and closed each listener before the next, so that a port could be assigned twice, and both tests of the file used the same IP address.

Change: all ports of a node are bound before any is closed, each node has its own IP address, no other process is forked between binding and start, and connecting fails if the process has ended. The support of the untrusted clients' tests bound its ports in the same way.

--- a/hemlocksaddle-daemon/tests/planned_stop.rs
+++ b/hemlocksaddle-daemon/tests/planned_stop.rs
@@ -7,6 +7,10 @@
     io::{Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU8, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -36,13 +40,22 @@
 impl Node {
     fn start(grace_s: u32) -> Node {
         let directory = TempDir::new().expect("directory");
-        // An IP address of its own, so that nothing else is assigned the ports in the meantime.
+        // A process that is forked meanwhile would keep the listeners open until it runs its program.
+        static START: Mutex<()> = Mutex::new(());
+        let _guard = START.lock().unwrap_or_else(PoisonError::into_inner);
+        // An IP address of its own, also among the tests of this process, so that nothing else is assigned the
+        // ports in the meantime.
+        static NODES: AtomicU8 = AtomicU8::new(0);
         let [.., high, low] = std::process::id().to_be_bytes();
-        let host = Ipv4Addr::new(127, 1 + high % 254, low, 200);
-        let [callers, ready, peers, metrics, store] = std::array::from_fn(|_| {
-            let listener = TcpListener::bind((host, 0)).expect("bind");
-            listener.local_addr().expect("address")
-        });
+        let last = 200 + NODES.fetch_add(1, Ordering::Relaxed);
+        let host = Ipv4Addr::new(127, 1 + high % 254, low, last);
+        // All are bound before any is closed: a port that is free again may be assigned once more.
+        let listeners: [TcpListener; 5] =
+            std::array::from_fn(|_| TcpListener::bind((host, 0)).expect("bind"));
+        let [callers, ready, peers, metrics, store] = listeners
+            .each_ref()
+            .map(|listener| listener.local_addr().expect("address"));
+        drop(listeners);
         let text = format!(
             "[node]\nname = n1\ndata_centre = a\ncallers = {callers}\nready = {ready}\n\
              peers = {peers}\nmetrics = {metrics}\ncpu_share = 0.5\nlink_mbps = 1000\n\
@@ -62,8 +75,10 @@
     }
 
     /// Opens a connection, as soon as the process listens.
-    fn connect(&self) -> TcpStream {
+    fn connect(&mut self) -> TcpStream {
         loop {
+            let ended = self.child.try_wait().expect("a child");
+            assert_that!(ended, none(), "the process runs");
             if let Ok(stream) = TcpStream::connect(self.callers) {
                 stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("set");
                 return stream;
--- a/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
+++ b/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
@@ -84,10 +84,13 @@
         // An IP address of its own, so that nothing else is assigned the ports in the meantime.
         let [.., high, low] = std::process::id().to_be_bytes();
         let host = Ipv4Addr::new(127, 1 + high % 254, low, 201);
-        let addresses @ [callers, ready, peers, metrics] = std::array::from_fn(|_| {
-            let listener = TcpListener::bind((host, 0)).expect("bind");
-            listener.local_addr().expect("address")
-        });
+        // All are bound before any is closed: a port that is free again may be assigned once more.
+        let listeners: [TcpListener; 4] =
+            std::array::from_fn(|_| TcpListener::bind((host, 0)).expect("bind"));
+        let addresses @ [callers, ready, peers, metrics] = listeners
+            .each_ref()
+            .map(|listener| listener.local_addr().expect("address"));
+        drop(listeners);
         let text = format!(
             "[node]\nname = n1\ndata_centre = a\ncallers = {callers}\nready = {ready}\n\
              peers = {peers}\nmetrics = {metrics}\ncpu_share = 0.5\nlink_mbps = 1000\n\
