Decide from earlier attempts whether a submission may be refused

A caller repeats a submission of unknown outcome under the same id. A refusal of the retry is wrong if an earlier attempt has been stored, and nothing knew of earlier attempts.

Not used by nodes yet.

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod keys;
 pub mod placement;
 pub mod recovery_watch;
+pub mod retries;
 pub mod retry;
 pub mod routing;
 pub mod shutdown;
