Refuse only submissions of which no earlier attempt is stored

Cause: a retry has the id of its first attempt and may come to any node. A node that refuses new work, because no owner serves the shard or because the store is unavailable to it, answered 503 although an earlier attempt had been stored or might be. Two tenants that used one id while no owner served were both answered 200, and one was dropped.

Change: each node remembers its own attempts for 3.5 s after their end and answers a retry that it would refuse with 200 or 504. While a shard is unserved, nodes read its submissions from the end on, at most 10 times a second and with a quarter of their link. An id is refused only if it has been read for 3.5 s and by a read that was sent after the attempt arrived; one that is stored is answered 200, one that another tenant uses 503 (event 45). Otherwise it is stored as usual. These reads do not count for the store's health. New events 47 and 48, metric shard_recognised_retries_total.

Work that is useful for less than 3.75 s is now stored until a node can tell that its id is absent.

The catalogue test sets the new metric, as it does the others.

--- a/hemlocksaddle-policy/src/retries.rs
+++ b/hemlocksaddle-policy/src/retries.rs
@@ -17,13 +17,15 @@
 /// with a margin for the way of the retry and for clocks with a rate error of 3%.
 pub const RETRY_WINDOW_MS: Millis = Millis(3_500);
 
-/// Time for which a shard has to be unserved before nodes follow its submissions; most changes of owner take less.
+/// Time for which a shard has to be unserved before nodes follow its submissions, so that a change of owner with a
+/// short recovery adds no reads to the store.
 pub const FOLLOW_AFTER_MS: Millis = Millis(250);
 
 /// Longest time for which a submission waits until it is known whether its id is stored.
 ///
-/// Enough for two answers of a slow store (300 ms each), and leaves most of the time budget to store it.
-pub const LOOKUP_LIMIT_MS: Millis = Millis(700);
+/// Enough for the pause between two reads and two answers of a slow store (300 ms each), and leaves most of the time
+/// budget to store it.
+pub const LOOKUP_LIMIT_MS: Millis = Millis(900);
 
 /// Shortest pause between two reads of the submissions, so that tens of nodes do not saturate a partition.
 const READ_INTERVAL_MS: Millis = Millis(100);
@@ -34,10 +36,11 @@
 /// Number of consecutive reads without reaching the end of the stream after which the records between are left out.
 const MAX_READS_BEHIND: u32 = 3;
 
-/// Largest number of ids that are kept of a shard, in 2 MB; 35 submissions a second for nearly 10 min.
+/// Largest number of ids that are kept of a shard, at about 110 bytes each; those of 35 submissions a second for
+/// nearly 10 min.
 const MAX_STORED_IDS: usize = 20_000;
 
-/// Largest number of ended attempts that a node remembers: 1,000 a second, several times what a node can store.
+/// Largest number of ended attempts that a node remembers: 1,170 a second.
 const MAX_ATTEMPTS: usize = 4_096;
 
 /// Submission as its attempts share it: the id, and the tenant as a hash of its name.
@@ -120,14 +123,14 @@
         }
     }
 
-    /// What is known of the earlier attempts of a submission of which one attempt, the caller's, is under way.
+    /// What is known of the attempts of a submission, without those that the caller itself has begun.
     #[must_use]
-    pub fn earlier(&self, key: SubmissionKey, now: MonoMs) -> AttemptEnd {
+    pub fn earlier(&self, key: SubmissionKey, own: u32, now: MonoMs) -> AttemptEnd {
         let attempted = self.by_key.get(&key).copied().unwrap_or_default();
         let is_incomplete = self.incomplete_until.is_some_and(|until| now < until);
         if attempted.is_stored {
             AttemptEnd::Stored
-        } else if attempted.open > 1 || attempted.ended > 0 || is_incomplete {
+        } else if attempted.open > own || attempted.ended > 0 || is_incomplete {
             AttemptEnd::Unknown
         } else {
             AttemptEnd::NotStored
--- a/hemlocksaddle-policy/tests/retries.rs
+++ b/hemlocksaddle-policy/tests/retries.rs
@@ -32,13 +32,13 @@
         let first = key(1, Some(7));
         attempts.begin(first);
         attempts.begin(first);
-        let under_way = attempts.earlier(first, MonoMs(0));
+        let under_way = attempts.earlier(first, 1, MonoMs(0));
         expect_that!(under_way, eq(AttemptEnd::Unknown), "{end:?}");
         attempts.end(first, end, MonoMs(1_000));
         let last = MonoMs(1_000) + RETRY_WINDOW_MS;
-        expect_that!(attempts.earlier(first, last), eq(expected));
+        expect_that!(attempts.earlier(first, 1, last), eq(expected));
         for other in [key(1, None), key(1, Some(8)), key(2, Some(7))] {
-            let earlier = attempts.earlier(other, MonoMs(1_000));
+            let earlier = attempts.earlier(other, 0, MonoMs(1_000));
             expect_that!(earlier, eq(AttemptEnd::NotStored));
         }
         attempts.end(first, AttemptEnd::NotStored, last);
@@ -59,9 +59,15 @@
     let left_out = key(0, None);
     attempts.begin(left_out);
     let within = MonoMs(9) + RETRY_WINDOW_MS;
-    expect_that!(attempts.earlier(left_out, within), eq(AttemptEnd::Unknown));
+    expect_that!(
+        attempts.earlier(left_out, 1, within),
+        eq(AttemptEnd::Unknown)
+    );
     let after = MonoMs(10) + RETRY_WINDOW_MS;
-    expect_that!(attempts.earlier(left_out, after), eq(AttemptEnd::NotStored));
+    expect_that!(
+        attempts.earlier(left_out, 1, after),
+        eq(AttemptEnd::NotStored)
+    );
 }
 
 /// Failure: no owner serves. Guards against an id that counts as absent before that is certain, and against one that
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -122,6 +122,10 @@
     IdInUse = 45, "id in use";
     /// Calls were refused because they carry no known key.
     CallsRefused = 46, "calls refused";
+    /// Submission was not refused, because an earlier attempt is stored or may be.
+    RetryRecognised = 47, "retry recognised";
+    /// Submissions of a shard without an owner that starts work are followed, or are not any more.
+    SubmissionsFollowed = 48, "submissions followed";
     /// Start of a task was ordered; the worker's answer is logged.
     StartAnswered = 50, "start answered";
     /// Stop of a run was ordered.
--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -7,6 +7,7 @@
 use hemlocksaddle_node::wait::{Signal, within};
 use hemlocksaddle_policy::{
     intake::{Action, STORE_UNAVAILABLE_MS, SUBMISSION_TIMEOUT_MS, SubmissionState},
+    retries::{UnservedAnswer, answer_unserved},
     shutdown::Shutdown,
     unserved::refuse_until,
 };
@@ -33,6 +34,8 @@
     parts::record_bytes,
     ports::{Conditions, Stream},
     record::{self, Key},
+    retries::{Attempt, Retries, SubmissionAttempts, log_recognised, submission_key},
+    tenants::log_id_in_use,
 };
 
 /// Pause between two attempts.
@@ -92,6 +95,7 @@
     claims: Rc<Claims>,
     links: Rc<Links>,
     owners: Rc<Owners>,
+    retries: Rc<Retries>,
     waiting_cache: RefCell<WaitingCounts>,
     refused_calls: RefusedCalls,
     open_requests: Cell<u32>,
@@ -107,6 +111,7 @@
         claims: Rc<Claims>,
         links: Rc<Links>,
         owners: Rc<Owners>,
+        retries: Rc<Retries>,
     ) -> Rc<Frontend> {
         Rc::new(Frontend {
             env,
@@ -114,6 +119,7 @@
             claims,
             links,
             owners,
+            retries,
             waiting_cache: RefCell::new(HashMap::new()),
             refused_calls: RefusedCalls::default(),
             open_requests: Cell::new(0),
@@ -218,13 +224,16 @@
         let started_at = self.env.now();
         let queue = workflow.queue.clone();
         let tenant = workflow.tenant.clone();
-        let outcome = match self.refuse_unserved(id, &workflow) {
-            Some(refused) => refused,
+        let attempt = self.retries.begin(submission_key(id, tenant.as_ref()));
+        let outcome = match self.answer_unserved(&attempt, &workflow).await {
+            Some(answered) => answered,
             None => {
                 let submission = Submission::Accepted(Box::new(workflow));
-                self.store(id, &submission).await
+                let (started_at, progress) = (attempt.started_at, &attempt.progress);
+                self.store(id, &submission, started_at, progress).await
             }
         };
+        let outcome = attempt.finish(outcome);
         let took_ms = self.env.now().since(started_at);
         let (event, label) = match outcome {
             Submitted::Accepted => (Event::Accepted, "accepted"),
@@ -260,25 +269,55 @@
         outcome
     }
 
-    /// Refuses a workflow whose result would come too late because no owner starts work of its shard.
+    /// Answers a workflow whose result would come too late because no owner starts work of its shard, or whose id
+    /// another tenant uses; `None` if it is to be stored.
     ///
-    /// Nothing has been sent for it yet, so that it is certainly not stored.
-    fn refuse_unserved(&self, id: WorkflowId, workflow: &Workflow) -> Option<Submitted> {
-        let unserved_for = self.claims.unserved_for(self.shard(id)?);
+    /// It is refused only if no earlier attempt has stored it. Nothing has been sent for this one.
+    async fn answer_unserved(&self, attempt: &Attempt, workflow: &Workflow) -> Option<Submitted> {
+        let key = attempt.key;
+        let shard = self.shard(key.id)?;
+        let unserved_for = self.claims.unserved_for(shard);
+        if unserved_for == Millis(0) || self.refuses() {
+            return None;
+        }
         let catalogue = self.catalogue()?;
         let mut queues = catalogue.queues.iter();
         let queue = queues.find(|queue| queue.name == workflow.queue)?;
-        let after = refuse_until(workflow, queue, unserved_for)?;
-        let after_s = u32::try_from(after.0.div_ceil(1_000)).unwrap_or(u32::MAX);
-        Some(Submitted::Unserved(after_s))
+        let after = refuse_until(workflow, queue, unserved_for);
+        if after.is_none() && !self.retries.is_used_by_other(shard, key) {
+            return None;
+        }
+        let lookup = self.until_shutdown(self.retries.lookup(shard, key)).await?;
+        match answer_unserved(after, lookup) {
+            UnservedAnswer::Store => None,
+            UnservedAnswer::AlreadyStored => {
+                log_recognised(&self.env, key, "stream", Submitted::Accepted);
+                Some(Submitted::Accepted)
+            }
+            UnservedAnswer::Refuse(after) => {
+                let after_s = u32::try_from(after.0.div_ceil(1_000)).unwrap_or(u32::MAX);
+                Some(Submitted::Unserved(after_s))
+            }
+            UnservedAnswer::IdInUse => {
+                attempt.progress.borrow_mut().is_id_in_use = true;
+                let tenant = workflow.tenant.as_deref();
+                log_id_in_use(&self.env, key.id, tenant, shard);
+                Some(Submitted::Unavailable)
+            }
+        }
     }
 
-    async fn store(&self, id: WorkflowId, submission: &Submission) -> Submitted {
+    async fn store(
+        &self,
+        id: WorkflowId,
+        submission: &Submission,
+        started_at: MonoMs,
+        attempts: &RefCell<SubmissionAttempts>,
+    ) -> Submitted {
         let Some(shard) = self.shard(id).filter(|_| !self.refuses()) else {
             return Submitted::Unavailable;
         };
-        let attempts = RefCell::new(SubmissionAttempts::default());
-        let stored = self.try_to_store(shard, id, submission, &attempts);
+        let stored = self.try_to_store(shard, id, submission, started_at, attempts);
         match self.until_shutdown(stored).await {
             Some(outcome) => outcome,
             None if attempts.borrow().may_be_stored() => Submitted::Unknown,
@@ -291,9 +330,9 @@
         shard: u32,
         id: WorkflowId,
         submission: &Submission,
+        started_at: MonoMs,
         attempts: &RefCell<SubmissionAttempts>,
     ) -> Submitted {
-        let started_at = self.env.now();
         let is_cancellation = !matches!(submission, Submission::Accepted(_));
         let record = match record::encode(Key::of(id, submission).text(), submission) {
             Ok(record) => record,
@@ -334,7 +373,11 @@
                                 Refusal::OverQuota { retry_after_s } if !attempts.maybe_stored => {
                                     Submitted::OverQuota { retry_after_s }
                                 }
-                                _ => attempts.refused(),
+                                Refusal::IdInUse => {
+                                    attempts.is_id_in_use = true;
+                                    attempts.refused()
+                                }
+                                Refusal::OverQuota { .. } => attempts.refused(),
                             };
                         }
                         Some(
@@ -429,7 +472,8 @@
             Some(tenant) => Submission::CancelledBy(tenant.clone()),
             None => Submission::Cancelled,
         };
-        let outcome = self.store(id, &submission).await;
+        let attempts = RefCell::default();
+        let outcome = self.store(id, &submission, self.env.now(), &attempts).await;
         let inputs = json!({ "workflow": id.to_string(), "outcome": format!("{outcome:?}") });
         self.env.event(Event::Cancelled, &inputs);
         outcome
@@ -518,34 +562,6 @@
     }
 }
 
-/// Progress of storing a submission.
-#[derive(Default)]
-struct SubmissionAttempts {
-    /// Whether an attempt without an answer may have stored it.
-    maybe_stored: bool,
-    /// Whether an attempt waits for its answer.
-    in_flight: bool,
-    /// Term of the owner that failed to store it, and the time of the failure.
-    last_asked: Option<(Option<u64>, MonoMs)>,
-    /// Time at which the first failed append was sent.
-    append_failing_since: Option<MonoMs>,
-}
-
-impl SubmissionAttempts {
-    fn may_be_stored(&self) -> bool {
-        self.maybe_stored || self.in_flight
-    }
-
-    /// Outcome without a further attempt.
-    fn refused(&self) -> Submitted {
-        if self.maybe_stored {
-            Submitted::Unknown
-        } else {
-            Submitted::Unavailable
-        }
-    }
-}
-
 /// Counts a request as in progress until it is dropped.
 pub struct RequestGuard(Rc<Frontend>);
 
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -41,6 +41,7 @@
 mod recovery;
 mod recovery_watch;
 mod retention;
+mod retries;
 mod saving;
 mod snapshot;
 mod tenant_metrics;
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -22,6 +22,8 @@
     registry: Registry,
     /// Submissions by outcome.
     pub submissions: IntCounterVec,
+    /// Submissions that were not refused because of an earlier attempt, by who knew it and by answer.
+    pub recognised_retries: IntCounterVec,
     /// Refused calls by reason.
     pub refused_calls: IntCounterVec,
     /// Orders to workers by kind and answer.
@@ -156,6 +158,11 @@
                 "Connections of clients that the node closed, by listener and reason.",
                 &["listener", "reason"],
             )?,
+            recognised_retries: counter(
+                "shard_recognised_retries_total",
+                "Submissions not refused because of an earlier attempt, by who knew it and by answer.",
+                &["known_by", "answer"],
+            )?,
             refused_bodies: counter(
                 "shard_refused_bodies_total",
                 "Requests refused because of their bodies, by listener and reason.",
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -30,6 +30,7 @@
     metrics::Metrics,
     owner::Owner,
     ports::{Fleet, Formats, Store},
+    retries::Retries,
 };
 
 /// Duration of a store failure after which the node reports itself as not ready.
@@ -160,6 +161,7 @@
     configuration: Rc<Configuration>,
     links: Rc<Links>,
     owners: Rc<Owners>,
+    retries: Rc<Retries>,
     /// Interface for callers.
     pub frontend: Rc<Frontend>,
 }
@@ -189,12 +191,14 @@
             owners: RefCell::new(HashMap::new()),
             delegate: Delegate::new(env.clone()),
         });
+        let retries = Retries::new(env.clone(), claims.clone());
         let frontend = Frontend::new(
             env.clone(),
             configuration.clone(),
             claims.clone(),
             links.clone(),
             owners.clone(),
+            retries.clone(),
         );
         Ok(Rc::new(Node {
             env,
@@ -202,6 +206,7 @@
             configuration,
             links,
             owners,
+            retries,
             frontend,
         }))
     }
@@ -217,6 +222,7 @@
         self.env.spawn(self.configuration.clone().follow());
         self.env.spawn(self.claims.clone().follow());
         self.env.spawn(self.claims.clone().claim_vacant());
+        self.env.spawn(self.retries.clone().watch());
         self.env.spawn(probe_owners(
             self.env.clone(),
             self.claims.clone(),
--- a/hemlocksaddle-shard/src/node/store_calls.rs
+++ b/hemlocksaddle-shard/src/node/store_calls.rs
@@ -9,6 +9,7 @@
 use crate::{
     event::Event,
     ports::{Conditions, Record, Result, StoreError, Stream, Tail},
+    record::Key,
 };
 
 /// Timeout of a call to the store, beyond the wait of a read.
@@ -136,6 +137,26 @@
         self.with_timeout("read", self.page_timeout(), read).await
     }
 
+    /// Returns the offset after the last record of a shard's submissions.
+    ///
+    /// Like the reads that follow, it does not count for the store's health: whether submissions are refused
+    /// because the store is unavailable must not depend on reads that only serve to refuse them.
+    pub(crate) async fn submissions_end(&self, shard: u32) -> Result<u64> {
+        // No key of a submission follows that of the fence, so the page is empty.
+        let after = Some(Key::Fence.text());
+        let page = self.ports.store.newest(Stream::Submissions, shard, after);
+        let page = self.with_timeout_aside("newest", STORE_TIMEOUT_MS, page);
+        Ok(page.await?.end)
+    }
+
+    /// Reads submissions from an offset on; does not wait for new ones.
+    pub(crate) async fn read_submissions_aside(&self, shard: u32, from: u64) -> Result<Tail> {
+        let store = &self.ports.store;
+        let read = store.read(Stream::Submissions, shard, from, Millis(0));
+        self.with_timeout_aside("read", self.page_timeout(), read)
+            .await
+    }
+
     async fn read_timed(
         &self,
         stream: Stream,
@@ -188,6 +209,18 @@
         call: &str,
         limit: Millis,
         future: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        let answer = self.with_timeout_aside(call, limit, future).await;
+        self.track_store_health(call, answer.as_ref().err().copied());
+        answer
+    }
+
+    /// Limits the time of a call whose outcome does not count for the store's health.
+    async fn with_timeout_aside<T>(
+        &self,
+        call: &str,
+        limit: Millis,
+        future: impl Future<Output = Result<T>>,
     ) -> Result<T> {
         let answer = hemlocksaddle_node::wait::within(&*self.ports.runtime, limit, future).await;
         let answer = answer.unwrap_or(Err(StoreError::Unknown));
@@ -201,7 +234,6 @@
             .store_calls
             .with_label_values(&[call, outcome])
             .inc();
-        self.track_store_health(call, answer.as_ref().err().copied());
         answer
     }
 
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -91,6 +91,10 @@
         TenantTag(stable_hash(&[tenant.as_bytes()]))
     }
 
+    pub(crate) fn value(self) -> u64 {
+        self.0
+    }
+
     fn parse(text: &str) -> Option<TenantTag> {
         let tag = u64::from_str_radix(text, 16);
         tag.ok().filter(|_| text.len() == 16).map(TenantTag)
--- a/hemlocksaddle-shard/src/tenants.rs
+++ b/hemlocksaddle-shard/src/tenants.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     event::Event,
+    node::Env,
     owner::Owner,
     ports::{Record, Stream},
     record::{self, Key, TenantTag},
@@ -262,11 +263,7 @@
     }
 
     fn log_id_in_use(&self, id: WorkflowId, workflow: &Workflow) {
-        self.count_refused("id in use");
-        let inputs = json!({
-            "workflow": id.to_string(), "tenant": workflow.tenant.as_deref(), "shard": self.shard,
-        });
-        self.env.event(Event::IdInUse, &inputs);
+        log_id_in_use(&self.env, id, workflow.tenant.as_deref(), self.shard);
     }
 
     /// Notes the key of a record of the submissions that is not one of a workflow without a tenant.
@@ -328,6 +325,14 @@
     }
 }
 
+/// Logs and counts a submission that is not run because another tenant uses its id.
+pub(crate) fn log_id_in_use(env: &Env, id: WorkflowId, tenant: Option<&str>, shard: u32) {
+    let refused = &env.metrics.refused_calls;
+    refused.with_label_values(&["id in use"]).inc();
+    let inputs = json!({ "workflow": id.to_string(), "tenant": tenant, "shard": shard });
+    env.event(Event::IdInUse, &inputs);
+}
+
 /// Keys of submissions whose id belongs to a workflow of another tenant.
 ///
 /// Pages are ordered by key, so the order in which the predecessor applied them is not known. Progress under the
--- a/hemlocksaddle-shard/tests/catalogue.rs
+++ b/hemlocksaddle-shard/tests/catalogue.rs
@@ -48,6 +48,8 @@
         .with_label_values(&["answered"])
         .inc();
     metrics.refused_calls.with_label_values(&["no key"]).inc();
+    let recognised = &metrics.recognised_retries;
+    recognised.with_label_values(&["node", "unknown"]).inc();
     metrics.waiting_tasks.with_label_values(&["room"]).set(1);
     metrics.unrecovered_s.with_label_values(&["0"]).set(1.0);
     metrics.plan_work.with_label_values(&["plans"]).inc();
