Let owners recognise retries that they cannot store

Cause: an owner that the store does not answer refused every submission as not stored, also a retry of a workflow that it knew, and one whose earlier append had got no answer and whose first caller had left.

Change: an owner answers a submission under an id of a workflow that it knows, of the same tenant, as stored, without an append. It remembers its attempts as nodes do: a retry that it cannot store is answered as unknown while an earlier attempt is pending, or for 3.5 s after one that may be stored. A refusal for a tenant's quota takes this into account.

--- a/hemlocksaddle-shard/src/group_commit.rs
+++ b/hemlocksaddle-shard/src/group_commit.rs
@@ -21,11 +21,13 @@
 
 use crate::{
     event::Event,
+    frontend::Submitted,
     owner::Owner,
     parts::record_bytes,
     ports::{Conditions, Record, Stream},
     record::{self, Key},
     recovery::Origin,
+    retries::Attempt,
 };
 
 /// Largest number of submissions in one append.
@@ -43,9 +45,29 @@
     queued_at: MonoMs,
     /// Whether an append that contained it ended with an unknown outcome.
     maybe_stored: bool,
+    /// `None` for a cancellation.
+    attempt: Option<Attempt>,
     reply: oneshot::Sender<ShardResponse>,
 }
 
+impl PendingSubmission {
+    fn set_maybe_stored(&mut self) {
+        self.maybe_stored = true;
+        if let Some(attempt) = &self.attempt {
+            attempt.progress.borrow_mut().maybe_stored = true;
+        }
+    }
+}
+
+/// Answer to a submission of which this attempt is certainly not stored.
+fn not_stored(attempt: Option<&Attempt>) -> ShardResponse {
+    match attempt.map(|attempt| attempt.finish(Submitted::Unavailable)) {
+        Some(Submitted::Accepted) => ShardResponse::Stored,
+        Some(Submitted::Unknown) => ShardResponse::StoreUnknown,
+        _ => ShardResponse::NotStored,
+    }
+}
+
 /// Number of the first pending submissions that fit into one append.
 fn batch_size(pending: &[PendingSubmission], max_bytes: usize) -> usize {
     let mut bytes = 0;
@@ -58,7 +80,12 @@
 
 impl Owner {
     /// Stores a submission, in one append with others that are pending.
-    pub(crate) async fn store(&self, id: WorkflowId, submission: &Submission) -> ShardResponse {
+    pub(crate) async fn store(
+        &self,
+        id: WorkflowId,
+        submission: &Submission,
+        attempt: Option<Attempt>,
+    ) -> ShardResponse {
         let key = Key::of(id, submission);
         let record = match record::encode(key.text(), submission) {
             Ok(record) => record,
@@ -70,7 +97,7 @@
         };
         let is_too_large = record_bytes(&record) > self.env.settings.max_record_bytes;
         if is_too_large || self.env.store_failing_for() >= STORE_UNAVAILABLE_MS {
-            return ShardResponse::NotStored;
+            return not_stored(attempt.as_ref());
         }
         let (reply, answer) = oneshot::channel();
         self.pending_submissions
@@ -79,6 +106,7 @@
                 record,
                 queued_at: self.env.now(),
                 maybe_stored: false,
+                attempt,
                 reply,
             });
         self.pending_changed.notify();
@@ -108,7 +136,9 @@
                 Ok(end) => self.acknowledge(batch, end),
                 Err(error) => {
                     if !error.is_certain() {
-                        batch.iter_mut().for_each(|item| item.maybe_stored = true);
+                        batch
+                            .iter_mut()
+                            .for_each(PendingSubmission::set_maybe_stored);
                     }
                     self.refuse_or_requeue(batch);
                     self.env.sleep(RETRY_MS).await;
@@ -136,6 +166,9 @@
         };
         for item in batch {
             self.apply_submission(&item.record, origin);
+            if let Some(attempt) = &item.attempt {
+                attempt.finish(Submitted::Accepted);
+            }
             let _ = item.reply.send(ShardResponse::Stored);
         }
         self.changed.notify();
@@ -159,7 +192,8 @@
         for item in batch {
             let abandoned = item.reply.is_canceled();
             if !item.maybe_stored && !abandoned && now.since(item.queued_at) >= REFUSE_AFTER_MS {
-                let _ = item.reply.send(ShardResponse::NotStored);
+                let answer = not_stored(item.attempt.as_ref());
+                let _ = item.reply.send(answer);
             } else if !abandoned {
                 kept.push(item);
             }
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -39,6 +39,7 @@
     ports::{Record, StoreError, Stream},
     recovery::Origin,
     recovery_watch::RecoveryWaits,
+    retries::SharedAttempts,
     tenants::{FreshRead, Storing},
     worker_poll::WorkerClock,
 };
@@ -99,6 +100,7 @@
     pub(crate) tenant_keys: RefCell<HashMap<WorkflowId, Vec<Arc<str>>>>,
     /// Submissions that are being stored.
     pub(crate) storing: Storing,
+    pub(crate) attempts: SharedAttempts,
     pub(crate) fresh_read: FreshRead,
     pub(crate) admission: Admission,
     pub(crate) submissions_read_at: Cell<MonoMs>,
@@ -160,6 +162,7 @@
             generations: Cell::new(0),
             tenant_keys: RefCell::new(HashMap::new()),
             storing: Storing::default(),
+            attempts: SharedAttempts::default(),
             fresh_read: FreshRead::default(),
             admission: Admission::default(),
             submissions_read_at: Cell::new(MonoMs(0)),
--- a/hemlocksaddle-shard/src/tenants.rs
+++ b/hemlocksaddle-shard/src/tenants.rs
@@ -15,7 +15,10 @@
 };
 
 use foldhash::{HashMap, HashMapExt, HashSet};
-use hemlocksaddle_policy::workflow::Owned;
+use hemlocksaddle_policy::{
+    retries::{AttemptEnd, SubmissionKey},
+    workflow::Owned,
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     workflow::{Progress, Refusal, ShardResponse, State, Submission, Workflow, WorkflowId},
@@ -28,6 +31,7 @@
     owner::Owner,
     ports::{Record, Stream},
     record::{self, Key, TenantTag},
+    retries::{Attempt, submission_key},
     snapshot::Snapshot,
 };
 
@@ -147,15 +151,24 @@
                 let Some(_storing) = self.begin_to_store(id, workflow) else {
                     return ShardResponse::Refused(Refusal::IdInUse);
                 };
-                // A refusal is true only if no earlier attempt has stored the submission.
+                let tenant = workflow.tenant.as_ref();
+                let tenant_name = tenant.map(|tenant| &**tenant);
+                if self.scheduler.borrow().belongs_to(id, tenant_name) {
+                    // Stored by an earlier attempt; its retry is answered also while nothing can be stored.
+                    return ShardResponse::Stored;
+                }
+                let key = submission_key(id, tenant);
+                // A refusal is true only if no earlier attempt has stored the submission, or still may.
                 if let Err(retry_after_s) = self.admit(id, workflow)
                     && self.read_latest().await
                     && self.scheduler.borrow().tenant_of(id) == Owned::Unknown
+                    && !self.may_have_stored(key)
                 {
                     self.count_refused("over quota");
                     return ShardResponse::Refused(Refusal::OverQuota { retry_after_s });
                 }
-                return self.store(id, &submission).await;
+                let attempt = Attempt::begin(&self.env, &self.attempts, "owner", key);
+                return self.store(id, &submission, Some(attempt)).await;
             }
             Submission::Cancelled => None,
             Submission::CancelledBy(tenant) => Some(tenant.clone()),
@@ -163,7 +176,7 @@
         let mut effect = self.cancellation(id, caller.as_ref());
         if matches!(effect, Cancellation::Unknown) {
             if caller.is_none() && self.has_tenants() != Some(true) {
-                return self.store(id, &submission).await;
+                return self.store(id, &submission, None).await;
             }
             // A workflow that is not known looks the same as one of another tenant, so that a caller
             // cannot tell them apart. Its submission may be on its way through the stream.
@@ -173,7 +186,7 @@
             effect = self.cancellation(id, caller.as_ref());
         }
         match effect {
-            Cancellation::Record(record) => self.store(id, &record).await,
+            Cancellation::Record(record) => self.store(id, &record, None).await,
             Cancellation::Unknown => ShardResponse::State(None),
             Cancellation::Foreign => {
                 self.count_refused("other tenant");
@@ -182,6 +195,12 @@
         }
     }
 
+    /// Whether an attempt that was admitted earlier may have stored a submission, or still may.
+    fn may_have_stored(&self, key: SubmissionKey) -> bool {
+        let attempts = self.attempts.borrow();
+        attempts.earlier(key, 0, self.env.now()) != AttemptEnd::NotStored
+    }
+
     fn cancellation(&self, id: WorkflowId, caller: Option<&Arc<str>>) -> Cancellation {
         let scheduler = self.scheduler.borrow();
         match scheduler.tenant_of(id) {
--- a/hemlocksaddle-shard/tests/retries.rs
+++ b/hemlocksaddle-shard/tests/retries.rs
@@ -6,7 +6,10 @@
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
+use std::{cell::Cell, rc::Rc};
+
 use googletest::prelude::*;
+use hemlocksaddle_fakes::runtime::ENVIRONMENT;
 use hemlocksaddle_shard::{frontend::Submitted, ports::Stream};
 use hemlocksaddle_types::{
     clock::Millis,
@@ -168,6 +171,50 @@
     }
 }
 
+/// Failure: the store is unavailable to all after the work was stored. Guards against a refusal by an owner that
+/// knows the workflow, and against one by a node that has stored it.
+#[gtest]
+fn a_retry_of_stored_work_is_accepted_while_the_store_is_unavailable() {
+    let deployment = Deployment::new(4, 3, WORKERS);
+    deployment.wait_for_owner();
+    let owner = deployment.owner().expect("owner");
+    let first = deployment.submit(owner, 1, vec![step(1)]);
+    assert_that!(first, eq(Submitted::Accepted));
+    deployment.store.down.set(true);
+    deployment.sim.run_for(Millis(600));
+    for at in 0..3 {
+        let retried = deployment.submit(at, 1, vec![step(1)]);
+        expect_that!(retried, eq(Submitted::Accepted), "at {at}");
+        let refused = deployment.submit(at, 10 + at as u64, vec![step(1)]);
+        expect_that!(refused, eq(Submitted::Unavailable), "at {at}");
+    }
+    expect_that!(deployment.fleet.starts(), eq(1));
+}
+
+/// Failure: the owner's append gets no answer, and the first node's caller leaves. Guards against a refusal by the owner
+/// of a retry that comes through another node.
+#[gtest]
+fn an_owner_does_not_refuse_a_retry_whose_append_got_no_answer() {
+    let deployment = Deployment::new(5, 3, WORKERS);
+    deployment.wait_for_owner();
+    let owner = deployment.owner().expect("owner");
+    let (first, second) = ((owner + 1) % 3, (owner + 2) % 3);
+    deployment.store.reset.set(true);
+    let outcome: Rc<Cell<Option<Submitted>>> = Rc::default();
+    let (node, kept) = (deployment.node(first).expect("node"), outcome.clone());
+    deployment.sim.spawn(ENVIRONMENT, async move {
+        let submit = node.frontend.submit(WorkflowId(1), workflow(vec![step(1)]));
+        kept.set(Some(submit.await));
+    });
+    deployment.sim.run_for(Millis(600));
+    let retried = deployment.submit(second, 1, vec![step(1)]);
+    expect_that!(retried, eq(Submitted::Unknown));
+    let refused = deployment.submit(second, 2, vec![step(1)]);
+    expect_that!(refused, eq(Submitted::Unavailable));
+    deployment.sim.run_for(Millis(3_000));
+    expect_that!(outcome.get(), some(eq(Submitted::Unknown)));
+}
+
 /// Failure: two tenants use one id while no owner serves. Guards against work that is answered as accepted and
 /// dropped at the recovery.
 #[gtest]
