Follow submissions beside a store with slow pages

Cause: a node learns the end of the submissions from an empty page of newest records. Where pages take longer than 1.2 s, which is also why an owner does not recover, the request timed out and the node never refused anything.

Change: the request may take 5 s. The node counts from its answer, so a late one only delays refusals.

--- a/hemlocksaddle-shard/src/node/store_calls.rs
+++ b/hemlocksaddle-shard/src/node/store_calls.rs
@@ -18,6 +18,11 @@
 /// for each, and short enough to detect a silent connection before the ownership lease expires.
 const STORE_TIMEOUT_MS: Millis = Millis(1_200);
 
+/// Timeout of the request for the end of the submissions, of which the answer may come late without harm.
+///
+/// A store that answers requests for pages too late for recovery would otherwise keep nodes from following them.
+const SUBMISSIONS_END_TIMEOUT_MS: Millis = Millis(5_000);
+
 /// Maximum size of a page of newest records on the wire, encoded in base64.
 const MAX_PAGE_BYTES: u64 = 1_400_000;
 
@@ -145,7 +150,7 @@
         // No key of a submission follows that of the fence, so the page is empty.
         let after = Some(Key::Fence.text());
         let page = self.ports.store.newest(Stream::Submissions, shard, after);
-        let page = self.with_timeout_aside("newest", STORE_TIMEOUT_MS, page);
+        let page = self.with_timeout_aside("newest", SUBMISSIONS_END_TIMEOUT_MS, page);
         Ok(page.await?.end)
     }
 
--- a/hemlocksaddle-shard/tests/retries.rs
+++ b/hemlocksaddle-shard/tests/retries.rs
@@ -45,12 +45,18 @@
 
 /// Deployment in which no owner recovers, and a node that refuses new short work.
 fn refusing(seed: u64, link_kbps: u32, record_us: u64) -> (Deployment, usize) {
+    refusing_beside(seed, link_kbps, record_us, Millis(0))
+}
+
+/// As [`refusing`], with the time that a page of newest records takes.
+fn refusing_beside(seed: u64, link_kbps: u32, record_us: u64, page: Millis) -> (Deployment, usize) {
     let deployment = Deployment::without_nodes(seed, WORKERS);
     (0..3).for_each(|number| deployment.start_with(number, 0.25, link_kbps));
     deployment.wait_for_owner();
     let owner = deployment.owner().expect("owner");
     (0..3).for_each(|number| {
         deployment.set_stream_silent(number, Some(Stream::Workers));
+        deployment.set_page_time(number, page);
         let link = &deployment.store_of(number).record_us;
         link.set(record_us);
     });
@@ -83,12 +89,14 @@
     });
 }
 
-/// Failure: no owner recovers, beside a store that answers in 4 ms or in 300 ms. Guards against a refusal at one
+/// Failure: no owner recovers, beside a store that answers in 4 ms or in 300 ms, or with pages that take 2 s, so that
+/// a recovery times out. Guards against a refusal at one
 /// node of what another node has stored, and against work that is stored although nobody has submitted it before.
 #[gtest]
 fn a_retry_of_stored_work_is_accepted_while_no_owner_serves() {
-    for (seed, latency_factor) in [(1, 1), (2, 1), (3, 75), (4, 75)] {
-        let (deployment, other) = refusing(seed, FAST_LINK_KBPS, 0);
+    for (seed, latency_factor, page_ms) in [(1, 1, 0), (2, 1, 2_000), (3, 75, 0), (4, 75, 0)] {
+        let page = Millis(page_ms);
+        let (deployment, other) = refusing_beside(seed, FAST_LINK_KBPS, 0, page);
         let stored = deployment.submit(LATE, 1, vec![step(1)]);
         assert_that!(stored, eq(Submitted::Accepted), "seed {seed}");
         deployment.store.latency_factor.set(latency_factor);
