--- a/hemlocksaddle-shard/src/node/store_calls.rs
+++ b/hemlocksaddle-shard/src/node/store_calls.rs
@@ -9,6 +9,7 @@
 use crate::{
     event::Event,
     ports::{Conditions, Record, Result, StoreError, Stream, Tail},
+    record::Key,
 };
 
 /// Timeout of a call to the store, beyond the wait of a read.
@@ -17,6 +18,11 @@
 /// for each, and short enough to detect a silent connection before the ownership lease expires.
 const STORE_TIMEOUT_MS: Millis = Millis(1_200);
 
+/// Timeout of the request for the end of the submissions, of which the answer may come late without harm.
+///
+/// A store that answers requests for pages too late for recovery would otherwise keep nodes from following them.
+const SUBMISSIONS_END_TIMEOUT_MS: Millis = Millis(5_000);
+
 /// Maximum size of a page of newest records on the wire, encoded in base64.
 const MAX_PAGE_BYTES: u64 = 1_400_000;
 
@@ -136,6 +142,26 @@
         self.with_timeout("read", self.page_timeout(), read).await
     }
 
+    /// Returns the offset after the last record of a shard's submissions.
+    ///
+    /// Like the reads that follow, it does not count for the store's health: whether submissions are refused
+    /// because the store is unavailable must not depend on reads that only serve to refuse them.
+    pub(crate) async fn submissions_end(&self, shard: u32) -> Result<u64> {
+        // No key of a submission follows that of the fence, so the page is empty.
+        let after = Some(Key::Fence.text());
+        let page = self.ports.store.newest(Stream::Submissions, shard, after);
+        let page = self.with_timeout_aside("newest", SUBMISSIONS_END_TIMEOUT_MS, page);
+        Ok(page.await?.end)
+    }
+
+    /// Reads submissions from an offset on; does not wait for new ones.
+    pub(crate) async fn read_submissions_aside(&self, shard: u32, from: u64) -> Result<Tail> {
+        let store = &self.ports.store;
+        let read = store.read(Stream::Submissions, shard, from, Millis(0));
+        self.with_timeout_aside("read", self.page_timeout(), read)
+            .await
+    }
+
     async fn read_timed(
         &self,
         stream: Stream,
@@ -188,6 +214,18 @@
         call: &str,
         limit: Millis,
         future: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        let answer = self.with_timeout_aside(call, limit, future).await;
+        self.track_store_health(call, answer.as_ref().err().copied());
+        answer
+    }
+
+    /// Limits the time of a call whose outcome does not count for the store's health.
+    async fn with_timeout_aside<T>(
+        &self,
+        call: &str,
+        limit: Millis,
+        future: impl Future<Output = Result<T>>,
     ) -> Result<T> {
         let answer = hemlocksaddle_node::wait::within(&*self.ports.runtime, limit, future).await;
         let answer = answer.unwrap_or(Err(StoreError::Unknown));
@@ -201,7 +239,6 @@
             .store_calls
             .with_label_values(&[call, outcome])
             .inc();
-        self.track_store_health(call, answer.as_ref().err().copied());
         answer
     }
 
--- a/hemlocksaddle-shard/src/tenants.rs
+++ b/hemlocksaddle-shard/src/tenants.rs
@@ -15,7 +15,10 @@
 };
 
 use foldhash::{HashMap, HashMapExt, HashSet};
-use hemlocksaddle_policy::workflow::Owned;
+use hemlocksaddle_policy::{
+    retries::{AttemptEnd, SubmissionKey},
+    workflow::Owned,
+};
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
     workflow::{Progress, Refusal, ShardResponse, State, Submission, Workflow, WorkflowId},
@@ -24,9 +27,11 @@
 
 use crate::{
     event::Event,
+    node::Env,
     owner::Owner,
     ports::{Record, Stream},
     record::{self, Key, TenantTag},
+    retries::{Attempt, submission_key},
     snapshot::Snapshot,
 };
 
@@ -146,15 +151,24 @@
                 let Some(_storing) = self.begin_to_store(id, workflow) else {
                     return ShardResponse::Refused(Refusal::IdInUse);
                 };
-                // A refusal is true only if no earlier attempt has stored the submission.
+                let tenant = workflow.tenant.as_ref();
+                let tenant_name = tenant.map(|tenant| &**tenant);
+                if self.scheduler.borrow().belongs_to(id, tenant_name) {
+                    // Stored by an earlier attempt; its retry is answered also while nothing can be stored.
+                    return ShardResponse::Stored;
+                }
+                let key = submission_key(id, tenant);
+                // A refusal is true only if no earlier attempt has stored the submission, or still may.
                 if let Err(retry_after_s) = self.admit(id, workflow)
                     && self.read_latest().await
                     && self.scheduler.borrow().tenant_of(id) == Owned::Unknown
+                    && !self.may_have_stored(key)
                 {
                     self.count_refused("over quota");
                     return ShardResponse::Refused(Refusal::OverQuota { retry_after_s });
                 }
-                return self.store(id, &submission).await;
+                let attempt = Attempt::begin(&self.env, &self.attempts, "owner", key);
+                return self.store(id, &submission, Some(attempt)).await;
             }
             Submission::Cancelled => None,
             Submission::CancelledBy(tenant) => Some(tenant.clone()),
@@ -162,7 +176,7 @@
         let mut effect = self.cancellation(id, caller.as_ref());
         if matches!(effect, Cancellation::Unknown) {
             if caller.is_none() && self.has_tenants() != Some(true) {
-                return self.store(id, &submission).await;
+                return self.store(id, &submission, None).await;
             }
             // A workflow that is not known looks the same as one of another tenant, so that a caller
             // cannot tell them apart. Its submission may be on its way through the stream.
@@ -172,7 +186,7 @@
             effect = self.cancellation(id, caller.as_ref());
         }
         match effect {
-            Cancellation::Record(record) => self.store(id, &record).await,
+            Cancellation::Record(record) => self.store(id, &record, None).await,
             Cancellation::Unknown => ShardResponse::State(None),
             Cancellation::Foreign => {
                 self.count_refused("other tenant");
@@ -181,6 +195,12 @@
         }
     }
 
+    /// Whether an attempt that was admitted earlier may have stored a submission, or still may.
+    fn may_have_stored(&self, key: SubmissionKey) -> bool {
+        let attempts = self.attempts.borrow();
+        attempts.earlier(key, 0, self.env.now()) != AttemptEnd::NotStored
+    }
+
     fn cancellation(&self, id: WorkflowId, caller: Option<&Arc<str>>) -> Cancellation {
         let scheduler = self.scheduler.borrow();
         match scheduler.tenant_of(id) {
@@ -262,11 +282,7 @@
     }
 
     fn log_id_in_use(&self, id: WorkflowId, workflow: &Workflow) {
-        self.count_refused("id in use");
-        let inputs = json!({
-            "workflow": id.to_string(), "tenant": workflow.tenant.as_deref(), "shard": self.shard,
-        });
-        self.env.event(Event::IdInUse, &inputs);
+        log_id_in_use(&self.env, id, workflow.tenant.as_deref(), self.shard);
     }
 
     /// Notes the key of a record of the submissions that is not one of a workflow without a tenant.
@@ -328,6 +344,14 @@
     }
 }
 
+/// Logs and counts a submission that is not run because another tenant uses its id.
+pub(crate) fn log_id_in_use(env: &Env, id: WorkflowId, tenant: Option<&str>, shard: u32) {
+    let refused = &env.metrics.refused_calls;
+    refused.with_label_values(&["id in use"]).inc();
+    let inputs = json!({ "workflow": id.to_string(), "tenant": tenant, "shard": shard });
+    env.event(Event::IdInUse, &inputs);
+}
+
 /// Keys of submissions whose id belongs to a workflow of another tenant.
 ///
 /// Pages are ordered by key, so the order in which the predecessor applied them is not known. Progress under the
