Decide how long a successor waits for workers that the claim names

Tasks that last wait for the leases of workers which do not report, 8.3 s after the last renewal, although the predecessor knew when they end.

The scheduler tells which workers have not answered for a second and when all leases on them end, and takes such times from a predecessor. LeaseGate tells to whom leases may be granted while records that name workers may be the latest stored ones. The shard does not use either yet.

--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod shutdown;
 pub mod take_over;
 pub mod tenant_admission;
+pub mod unreached;
 pub mod unserved;
 pub mod usefulness;
 pub mod workflow;
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -40,6 +40,7 @@
 mod run_time;
 mod tasks;
 mod tenancy;
+mod unreached;
 mod waiting;
 mod withheld;
 mod work;
@@ -171,6 +172,8 @@
     pending_cancels: HashMap<ownership::Canceller, MonoMs>,
     /// Time by which every lease granted in an earlier term has expired.
     failover_complete_at: MonoMs,
+    /// Earlier times by which those on some workers have expired, by name.
+    earlier_leases: HashMap<Arc<str>, MonoMs>,
     /// Whether leases of earlier terms were waited out because some worker did not report.
     missing_reports: bool,
     open_jobs: Vec<JobKey>,
@@ -224,6 +227,7 @@
             orders: Vec::new(),
             pending_cancels: HashMap::new(),
             failover_complete_at,
+            earlier_leases: HashMap::new(),
             missing_reports: false,
             open_jobs: Vec::new(),
             cancelled_jobs: Vec::new(),
@@ -323,18 +327,6 @@
         Run((self.term.saturating_sub(1)) * RUNS_PER_TERM + 1)
     }
 
-    /// Whether every worker that a predecessor may have used has reported in this term, or all
-    /// earlier leases have expired.
-    #[must_use]
-    pub fn is_failover_complete(&self, now: MonoMs) -> bool {
-        now >= self.failover_complete_at || self.all_reported()
-    }
-
-    fn all_reported(&self) -> bool {
-        let mut workers = self.workers.values();
-        workers.all(|worker| !worker.inherited || worker.reported_at.is_some())
-    }
-
     fn task_key(&self, name: TaskName) -> Option<TaskKey> {
         let job = *self.by_id.get(&name.workflow)?;
         let key = TaskKey {
--- a/hemlocksaddle-policy/src/workflow/withheld.rs
+++ b/hemlocksaddle-policy/src/workflow/withheld.rs
@@ -57,13 +57,14 @@
     ///
     /// Leases of a predecessor have expired by the end of the failover.
     pub fn assume_earlier_lease(&mut self, key: WorkerKey, until: MonoMs) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            let until = if worker.inherited {
-                until.min(self.failover_complete_at)
-            } else {
-                until
-            };
-            worker.lease_until = worker.lease_until.max(until);
-        }
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let until = if worker.inherited {
+            until.min(self.earlier_leases_expired_at(worker))
+        } else {
+            until
+        };
+        self.extend_lease(key, until);
     }
 }
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -471,31 +471,25 @@
         let keep_ms = self.limits.keep_ended_ms;
         self.pending_cancels
             .retain(|_, read_at| now.since(*read_at) < keep_ms);
-        let failover_complete = now >= self.failover_complete_at;
         self.forget_crashes(now);
         for worker in self.workers.values_mut() {
             worker.release_ends(now);
         }
-        let expired = |worker: &Worker| {
-            now > worker.lease_until && (failover_complete || worker.reported_at.is_some())
-        };
-        let keys: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                let is_gone = !worker.listed && !worker.may_have_crashed(now);
-                expired(worker) && (worker.tasks() > 0 || is_gone)
-            })
+        let workers = self.workers.iter();
+        let expired: Vec<WorkerKey> = workers
+            .filter(|(_, worker)| self.leases_have_expired(worker, now))
             .map(|(key, _)| key)
             .collect();
+        let mut keys = Vec::new();
         let mut ended = Vec::new();
-        for worker in self.workers.values_mut().filter(|worker| expired(worker)) {
-            ended.extend(
-                worker
-                    .leftovers
-                    .iter_mut()
-                    .filter_map(|run| run.charge.take()),
-            );
+        for &key in &expired {
+            let worker = &mut self.workers[key];
+            let is_gone = !worker.listed && !worker.may_have_crashed(now);
+            if worker.tasks() > 0 || is_gone {
+                keys.push(key);
+            }
+            let leftovers = worker.leftovers.iter_mut();
+            ended.extend(leftovers.filter_map(|run| run.charge.take()));
         }
         self.release_charges(ended);
         for key in keys {
@@ -509,10 +503,17 @@
         }
         let workers = self.workers.values();
         let left = workers.filter(|worker| {
-            worker.rostered && (worker.is_vacant() || (!worker.listed && expired(worker)))
+            let has_left = !worker.listed && self.leases_have_expired(worker, now);
+            worker.rostered && (worker.is_vacant() || has_left)
         });
-        self.departed
-            .extend(left.map(|worker| worker.listing.name.clone()));
+        let left: Vec<_> = left.map(|worker| worker.listing.name.clone()).collect();
+        self.departed.extend(left);
+    }
+
+    /// Whether all leases on a worker, of any term, have certainly expired.
+    fn leases_have_expired(&self, worker: &Worker, now: MonoMs) -> bool {
+        let has_reported = worker.reported_at.is_some();
+        now > worker.lease_until && (has_reported || now >= self.earlier_leases_expired_at(worker))
     }
 
     /// Records that the runs on a worker have ended in a way that is not known.
