--- a/hemlocksaddle-policy/src/unreached.rs
+++ b/hemlocksaddle-policy/src/unreached.rs
@@ -8,26 +8,40 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use hemlocksaddle_types::clock::Millis;
+use crate::workflow::Listing;
 
 /// Largest number of workers that a claim names; with more of them it names none.
 ///
 /// 64 names of 12 characters take 1.2 kB in each renewal, 0.7% of a link of 2 Mbit/s.
 pub const MAX_UNREACHED: usize = 64;
 
-/// Time without an answer after which a worker is named.
-///
-/// Covers a repeated call after a lost answer. A named worker that answers again waits for the next renewal before
-/// its lease is renewed.
-pub const UNREACHED_AFTER_MS: Millis = Millis(1_000);
+/// Process of a worker.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Process {
+    /// Name of the worker.
+    pub name: Arc<str>,
+    /// Time at which the process started, in milliseconds.
+    pub born_ms: u64,
+}
+
+impl Process {
+    /// Process that a listing describes.
+    #[must_use]
+    pub fn of(listing: &Listing) -> Process {
+        Process {
+            name: listing.name.clone(),
+            born_ms: listing.born_ms,
+        }
+    }
+}
 
 /// Leases that an owner withholds, as a record of its claim says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Withheld {
     /// Whether no lease has been granted in this term.
     pub from_all: bool,
-    /// Names of workers that get no lease.
-    pub workers: BTreeSet<Arc<str>>,
+    /// Processes that get no lease.
+    pub workers: BTreeSet<Process>,
 }
 
 impl Withheld {
@@ -40,8 +54,23 @@
         }
     }
 
-    fn includes(&self, worker: &str) -> bool {
-        self.from_all || self.workers.contains(worker)
+    /// Whether a process gets no lease.
+    ///
+    /// A successor takes a worker as the process that the durable roster lists. Until this is the given one, it gets no
+    /// lease either if an earlier process of its name is named.
+    #[must_use]
+    pub fn includes(&self, process: &Process, is_rostered: bool) -> bool {
+        if self.from_all || self.workers.is_empty() || is_rostered {
+            return self.from_all || self.workers.contains(process);
+        }
+        let first = Process {
+            born_ms: 0,
+            ..process.clone()
+        };
+        let mut same_name = self.workers.range(first..);
+        same_name
+            .next()
+            .is_some_and(|other| other.name == process.name)
     }
 
     fn add(&mut self, other: Withheld) {
@@ -87,15 +116,12 @@
         self.stored.add(attempts);
     }
 
-    /// Whether a lease may be granted to a worker, by a report request or an order to start.
-    #[must_use]
-    pub fn may_grant(&self, worker: &str) -> bool {
-        !self.stored.includes(worker) && !self.attempts.includes(worker)
-    }
-
-    /// Whether leases may be granted at all.
+    /// Whether a lease may be granted to a process, by a report request or an order to start.
     #[must_use]
-    pub fn is_open(&self) -> bool {
-        !self.stored.from_all && !self.attempts.from_all
+    pub fn may_grant(&self, process: &Process, is_rostered: bool) -> bool {
+        let withheld = [&self.stored, &self.attempts];
+        !withheld
+            .iter()
+            .any(|withheld| withheld.includes(process, is_rostered))
     }
 }
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -56,6 +56,8 @@
 };
 use slotmap::{SlotMap, new_key_type};
 
+use crate::unreached::Process;
+
 pub use hemlocksaddle_types::delegation::{End, EndKind, Report, StartAnswer, TaskStatus};
 
 pub use self::{
@@ -172,8 +174,8 @@
     pending_cancels: HashMap<ownership::Canceller, MonoMs>,
     /// Time by which every lease granted in an earlier term has expired.
     failover_complete_at: MonoMs,
-    /// Earlier times by which those on some workers have expired, by name.
-    earlier_leases: HashMap<Arc<str>, MonoMs>,
+    /// Earlier times by which those on some processes have expired.
+    earlier_leases: HashMap<Process, MonoMs>,
     /// Whether leases of earlier terms were waited out because some worker did not report.
     missing_reports: bool,
     open_jobs: Vec<JobKey>,
--- a/hemlocksaddle-policy/src/workflow/unreached.rs
+++ b/hemlocksaddle-policy/src/workflow/unreached.rs
@@ -10,17 +10,20 @@
 use hemlocksaddle_types::clock::MonoMs;
 
 use super::{Scheduler, Worker};
-use crate::unreached::{MAX_UNREACHED, UNREACHED_AFTER_MS};
+use crate::unreached::{MAX_UNREACHED, Process};
 
 impl Scheduler {
-    /// Sets the times by which all leases of earlier terms on the given workers have expired.
-    pub fn set_earlier_leases(&mut self, expired_at: HashMap<Arc<str>, MonoMs>) {
+    /// Sets the times by which all leases of earlier terms on the given processes have expired.
+    pub fn set_earlier_leases(&mut self, expired_at: HashMap<Process, MonoMs>) {
         self.earlier_leases = expired_at;
     }
 
     /// Time by which all leases of earlier terms on a worker have expired.
     pub(super) fn earlier_leases_expired_at(&self, worker: &Worker) -> MonoMs {
-        let named = self.earlier_leases.get(&worker.listing.name).copied();
+        let named = self
+            .earlier_leases
+            .get(&Process::of(&worker.listing))
+            .copied();
         let at = named.unwrap_or(self.failover_complete_at);
         at.min(self.failover_complete_at)
     }
@@ -51,23 +54,26 @@
         until
     }
 
-    /// Names of the workers that have not answered for long, with the time by which all leases on them, of any
-    /// term, have expired; none if there are too many to be named.
+    /// Workers that did not answer the last call, or have not reported since a predecessor named them,
+    /// with the time by which all leases on them, of any term, have expired; none if there are too many to be
+    /// named.
     ///
     /// Holds as long as this owner grants them no lease. A successor knows only workers in the roster.
     #[must_use]
-    pub fn unreached(&self, now: MonoMs) -> Vec<(Arc<str>, MonoMs)> {
-        let silent_for_long = |worker: &&Worker| {
-            let since = worker.silent_since;
-            worker.rostered && since.is_some_and(|since| now.since(since) >= UNREACHED_AFTER_MS)
+    pub fn unreached(&self) -> Vec<(Process, MonoMs)> {
+        let is_unreached = |worker: &&Worker| {
+            let was_named = self
+                .earlier_leases
+                .contains_key(&Process::of(&worker.listing));
+            worker.rostered && (worker.is_silent() || worker.is_awaited() && was_named)
         };
-        let unreached = self.workers.values().filter(silent_for_long);
+        let unreached = self.workers.values().filter(is_unreached);
         let until = unreached.map(|worker| {
             let mut until = worker.lease_until;
             if worker.reported_at.is_none() {
                 until = until.max(self.earlier_leases_expired_at(worker));
             }
-            (worker.listing.name.clone(), until)
+            (Process::of(&worker.listing), until)
         });
         let until: Vec<_> = until.take(MAX_UNREACHED + 1).collect();
         if until.len() > MAX_UNREACHED {
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -8,7 +8,7 @@
 //! renewals by the previous owner.
 
 mod layout;
-mod own;
+pub(crate) mod own;
 
 use std::{
     cell::{Cell, RefCell},
@@ -459,6 +459,7 @@
             let longest = OWNERSHIP_LEASE_MS + self.env.settings.lease_ms;
             claim.leases_end_within_ms.unwrap_or(longest)
         });
+        let earlier_unreached = earlier.as_ref().map(|claim| claim.unreached.clone());
         let unrecovered = earlier.as_ref().map_or(0, |claim| claim.unrecovered_terms);
         let unrecovered_terms = unrecovered.saturating_add(1);
         let first = self.first_sequence();
@@ -468,9 +469,11 @@
             own_claim.attempts.send(sent_at);
             own_claim.earlier_read_at = earlier_read_at;
             own_claim.earlier_leases_end_within = earlier_leases_end_within;
+            own_claim.earlier_unreached = earlier_unreached.unwrap_or_default();
             own_claim.unrecovered_terms = unrecovered_terms;
         }
-        let claim = self.own_claim(shard, term, None);
+        let leases = self.terms_before_recovery(shard, term);
+        let claim = self.own_claim(shard, term, None, &leases);
         let made = self.append_claim(shard, &claim, first, Some(end)).await;
         self.claiming.set(false);
         if made.as_ref().is_err_and(|error| error.is_certain()) {
--- a/hemlocksaddle-shard/src/claims/own.rs
+++ b/hemlocksaddle-shard/src/claims/own.rs
@@ -1,9 +1,16 @@
 //! This node's own claims: their records, leases and renewals.
 
-use std::cell::{Cell, RefMut};
+use std::{
+    cell::{Cell, RefMut},
+    sync::Arc,
+};
 
-use hemlocksaddle_policy::take_over::{
-    AppendAttempts, ClockReading, failover_complete_at, leases_end_within, leases_expired_at,
+use foldhash::HashMap;
+use hemlocksaddle_policy::{
+    take_over::{
+        AppendAttempts, ClockReading, failover_complete_at, leases_end_within, leases_expired_at,
+    },
+    unreached::{Process, Withheld},
 };
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
@@ -13,11 +20,11 @@
 use super::{Claims, Handover};
 use crate::{
     ports::{Conditions, Result, StoreError, Stream, Writer},
-    record::{self, Claim},
+    record::{self, Claim, FORMAT},
 };
 
 /// This node's latest claim of a shard.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct OwnClaim {
     term: u64,
     pub(super) attempts: AppendAttempts,
@@ -26,10 +33,43 @@
     /// Time after the last record before the claim within which earlier leases end; `None` if there was no
     /// such record.
     pub(super) earlier_leases_end_within: Option<Millis>,
+    /// Workers that this record names, with the time after it within which earlier leases on them end.
+    pub(super) earlier_unreached: Vec<(Arc<str>, u64, Millis)>,
     /// Number of consecutive terms that have not recovered, this one included; 0 once it has.
     pub(super) unrecovered_terms: u32,
 }
 
+impl OwnClaim {
+    /// Returns the time by which all leases of earlier terms have expired; `None` if there was no earlier claim.
+    fn earlier_leases_expired_at(&self) -> Option<MonoMs> {
+        let end_within = self.earlier_leases_end_within?;
+        Some(leases_expired_at(self.earlier_read_at?, end_within))
+    }
+}
+
+/// What a record of an own claim says about leases of workers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeaseTerms {
+    /// Whether no lease has been granted in this term.
+    pub(crate) none_granted: bool,
+    /// Names of workers that get no lease, with the time by which all leases on them have expired.
+    pub(crate) unreached: Vec<(Process, MonoMs)>,
+}
+
+impl LeaseTerms {
+    /// Leases that the owner must not grant from the sending of the record.
+    pub(crate) fn withheld(&self) -> Withheld {
+        Withheld {
+            from_all: self.none_granted,
+            workers: self
+                .unreached
+                .iter()
+                .map(|(name, _)| name.clone())
+                .collect(),
+        }
+    }
+}
+
 impl Claims {
     /// Returns the record of an own claim, which replaces that of another term.
     pub(super) fn own_claim_record(&self, shard: u32, term: u64) -> RefMut<'_, OwnClaim> {
@@ -46,8 +86,8 @@
 
     fn latest_own_claim(&self, shard: u32, term: u64) -> Option<OwnClaim> {
         let own_claims = self.own_claims.borrow();
-        let latest = own_claims.get(&shard).copied();
-        latest.filter(|latest| latest.term == term)
+        let latest = own_claims.get(&shard).filter(|latest| latest.term == term);
+        latest.cloned()
     }
 
     /// Returns the time from which the ownership lease of this node's claim runs.
@@ -62,24 +102,51 @@
     /// Returns the time by which all workers' leases granted before this node's claim have expired.
     pub(crate) fn earlier_leases_expired_at(&self, shard: u32, term: u64) -> MonoMs {
         let claim = self.latest_own_claim(shard, term);
-        let known = claim.and_then(|claim| {
-            let end_within = claim.earlier_leases_end_within?;
-            Some(leases_expired_at(claim.earlier_read_at?, end_within))
-        });
+        let known = claim.and_then(|claim| claim.earlier_leases_expired_at());
         known.unwrap_or_else(|| {
             failover_complete_at(None, self.env.now(), self.env.settings.lease_ms)
         })
     }
 
-    /// Returns the time after a renewal of this node's claim within which all workers' leases end; `None`
-    /// while longer ones of an earlier term may last.
-    fn leases_end_within(&self, shard: u32, term: u64) -> Option<Millis> {
+    /// Returns the names of workers that the claim before this node's named, with the time by which all leases
+    /// granted before this node's claim have expired on them.
+    pub(crate) fn earlier_unreached(&self, shard: u32, term: u64) -> HashMap<Process, MonoMs> {
+        let Some(claim) = self.latest_own_claim(shard, term) else {
+            return HashMap::default();
+        };
+        let Some(read_at) = claim.earlier_read_at else {
+            return HashMap::default();
+        };
+        let named = claim.earlier_unreached.into_iter();
+        named
+            .map(|(name, born_ms, end_within)| {
+                (
+                    Process { name, born_ms },
+                    leases_expired_at(read_at, end_within),
+                )
+            })
+            .collect()
+    }
+
+    /// Returns what the records of this node's claim say about leases until it has recovered: it grants none.
+    pub(crate) fn terms_before_recovery(&self, shard: u32, term: u64) -> LeaseTerms {
+        LeaseTerms {
+            none_granted: true,
+            unreached: self.earlier_unreached(shard, term).into_iter().collect(),
+        }
+    }
+
+    /// Returns the time after a record of this node's claim within which all workers' leases end, those of earlier
+    /// terms included.
+    fn leases_end_within(&self, shard: u32, term: u64, none_granted: bool) -> Option<Millis> {
         let claim = self.latest_own_claim(shard, term)?;
         let end_within = leases_end_within(self.env.settings.lease_ms);
-        let earlier = claim.earlier_leases_end_within;
-        let is_longest = earlier.is_none_or(|earlier| earlier <= end_within)
-            || self.env.now() >= self.earlier_leases_expired_at(shard, term);
-        is_longest.then_some(end_within)
+        let Some(expired_at) = claim.earlier_leases_expired_at() else {
+            return Some(end_within);
+        };
+        let earlier = expired_at.since(self.env.now());
+        let granted = if none_granted { Millis(0) } else { end_within };
+        Some(granted.max(earlier))
     }
 
     /// Returns the sequence number of a term's first append.
@@ -93,7 +160,15 @@
         stable_hash(&[settings.node.as_str().as_bytes(), &started]) >> 32
     }
 
-    pub(super) fn own_claim(&self, shard: u32, term: u64, handover: Option<&Handover>) -> Claim {
+    pub(super) fn own_claim(
+        &self,
+        shard: u32,
+        term: u64,
+        handover: Option<&Handover>,
+        leases: &LeaseTerms,
+    ) -> Claim {
+        let now = self.env.now();
+        let unreached = leases.unreached.iter();
         Claim {
             term,
             node: self.env.settings.node.clone(),
@@ -102,8 +177,12 @@
             cpu_milli: self.env.settings.cpu_milli(),
             released: handover.is_some(),
             successor: handover.and_then(|handover| handover.successor.clone()),
-            leases_end_within_ms: self.leases_end_within(shard, term),
+            leases_end_within_ms: self.leases_end_within(shard, term, leases.none_granted),
             unrecovered_terms: self.unrecovered_terms(shard, term),
+            unreached: unreached
+                .map(|(process, until)| (process.name.clone(), process.born_ms, until.since(now)))
+                .collect(),
+            format: FORMAT,
         }
     }
 
@@ -156,9 +235,10 @@
         shard: u32,
         term: u64,
         handover: Option<&Handover>,
+        leases: &LeaseTerms,
         sequence: &Cell<u64>,
     ) -> Result<()> {
-        let claim = self.own_claim(shard, term, handover);
+        let claim = self.own_claim(shard, term, handover, leases);
         match self.append_claim(shard, &claim, sequence.get(), None).await {
             Ok(_) => {
                 sequence.set(sequence.get() + 1);
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -34,6 +34,7 @@
 mod dispatcher;
 mod failure_detector;
 mod group_commit;
+mod leases;
 mod links;
 mod orders;
 mod owner;
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -120,11 +120,19 @@
 
     /// Sends an order to start; returns the answer and the process that it came from.
     async fn send_start(self: &Rc<Self>, start: &Start) -> (StartAnswer, Process) {
+        self.wait_for_release(start.worker).await;
         let Some(listing) = self.listing(start.worker) else {
             return (StartAnswer::OtherLife, Process::Listed);
         };
         let clock = self.clocks.borrow().get(&start.worker).copied();
-        let Some(clock) = clock.filter(|_| self.holds_lease()) else {
+        let may_grant = |worker: &_| self.may_grant_lease(worker);
+        let may_grant = self
+            .scheduler
+            .borrow()
+            .worker(start.worker)
+            .is_some_and(may_grant);
+        let may_start = self.holds_lease() && may_grant;
+        let Some(clock) = clock.filter(|_| may_start) else {
             return (StartAnswer::NotSent, Process::Listed);
         };
         let lease_until_ms = clock.deadline_in(self.env.now(), START_EXPIRY_MS);
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -14,9 +14,8 @@
 use hemlocksaddle_policy::{
     catch_up::{CatchUp, Next},
     congestion::{LatencyEstimate, StartWindow},
-    take_over::{
-        AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, granted_lease, renew_interval,
-    },
+    take_over::{AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, renew_interval},
+    unreached::LeaseGate,
     workflow::{Limits, Listing, Scheduler, WorkerKey},
 };
 use hemlocksaddle_types::{
@@ -86,9 +85,13 @@
     /// Signals that progress became durable.
     pub(crate) saved: Signal,
     pub(crate) ended: Cell<bool>,
-    ready: Cell<bool>,
+    pub(crate) ready: Cell<bool>,
     /// Sending from which the ownership lease runs.
-    ownership_lease_from: Cell<Option<ClockReading>>,
+    pub(crate) ownership_lease_from: Cell<Option<ClockReading>>,
+    /// Workers to which leases may be granted.
+    pub(crate) lease_gate: RefCell<LeaseGate>,
+    /// Signals that leases may be granted to more workers.
+    pub(crate) leases_released: Signal,
     claim_sequence: Cell<u64>,
     pub(crate) progress_sequence: Cell<u64>,
     /// Keys of the further parts in which the progress of workflows is stored.
@@ -109,7 +112,7 @@
     pub(crate) waiting_reported_at: Cell<MonoMs>,
     handover: RefCell<Option<Handover>>,
     /// Signals a change of what the claim says.
-    claim_changed: Signal,
+    pub(crate) claim_changed: Signal,
     pub(crate) recovery: RecoveryWaits,
     pub(crate) pending_submissions: RefCell<Vec<PendingSubmission>>,
     pub(crate) pending_changed: Signal,
@@ -136,6 +139,7 @@
         let dispatcher = Dispatcher::new(env.clone(), links, shard, term);
         let mut scheduler = Scheduler::new(limits, term, failover_complete_at);
         scheduler.set_cap_share(shard, shards);
+        scheduler.set_earlier_leases(claims.earlier_unreached(shard, term));
         Rc::new(Owner {
             dispatcher,
             scheduler: RefCell::new(scheduler),
@@ -154,6 +158,8 @@
             ended: Cell::new(false),
             ready: Cell::new(false),
             ownership_lease_from,
+            lease_gate: RefCell::new(LeaseGate::after_claim()),
+            leases_released: Signal::default(),
             claim_sequence,
             progress_sequence: Cell::new(0),
             stored_parts: RefCell::new(HashMap::new()),
@@ -174,20 +180,6 @@
         })
     }
 
-    /// Returns whether the ownership lease is valid, so that orders may be sent.
-    pub(crate) fn holds_lease(&self) -> bool {
-        let from = self.ownership_lease_from.get();
-        !self.ended.get() && from.is_some_and(|from| from.lease_is_valid(self.env.clocks()))
-    }
-
-    /// Returns the lease that may be granted to a worker now; `None` without the ownership lease.
-    pub(crate) fn worker_lease(&self) -> Option<Millis> {
-        let from = self.ownership_lease_from.get()?;
-        let now = self.env.clocks();
-        let limit = self.env.settings.lease_ms;
-        self.holds_lease().then(|| granted_lease(limit, from, now))
-    }
-
     /// Records the latency of a worker's answer to a call that was sent at `sent_at`.
     pub(crate) fn record_latency(&self, sent_at: MonoMs) {
         let mut latency = self.latency.get();
@@ -205,6 +197,7 @@
         self.changed.notify();
         self.saved.notify();
         self.pending_changed.notify();
+        self.leases_released.notify();
     }
 
     /// Recovers the shard's state and acts as the owner until it steps down.
@@ -317,14 +310,17 @@
             let lease_from = attempts.send(sent_at);
             let seen = self.claim_changed.count();
             let handover = self.handover.borrow().clone();
+            let leases = self.withhold_leases();
             let renewed = self.claims.renew(
                 self.shard,
                 self.term,
                 handover.as_ref(),
+                &leases,
                 &self.claim_sequence,
             );
             match renewed.await {
                 Ok(()) => {
+                    self.renewal_stored();
                     self.ownership_lease_from.set(Some(lease_from));
                     attempts = AppendAttempts::default();
                     if lease_from != sent_at {
@@ -335,6 +331,7 @@
                 Err(StoreError::Fenced) => return self.step_down("claim is fenced"),
                 Err(StoreError::OutOfSequence(expected)) => {
                     attempts = AppendAttempts::default();
+                    self.lease_gate.borrow_mut().out_of_sequence();
                     self.log_out_of_sequence(Stream::Claims, expected);
                     self.env.sleep(RETRY_MS).await;
                     continue;
--- a/hemlocksaddle-shard/src/record.rs
+++ b/hemlocksaddle-shard/src/record.rs
@@ -30,6 +30,11 @@
 /// stored after a fence meets the fence as well.
 const FENCE_KEY: &str = "fence";
 
+/// Version of the records that this version of the program reads and writes.
+///
+/// A node does not claim a shard whose owner writes a later one.
+pub(crate) const FORMAT: u32 = 1;
+
 /// Parameters of a deployment, fixed at its first start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Layout {
@@ -67,6 +72,15 @@
     /// An owner of an earlier version counts as recovered.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub(crate) unrecovered_terms: u32,
+    /// Workers that get no lease while this record is the latest: name, start time of the process in milliseconds,
+    /// and time after the record within which all leases on it end, of any term. A tuple, to be short.
+    ///
+    /// None of an owner of an earlier version, nor of one that does not reach many workers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) unreached: Vec<(Arc<str>, u64, Millis)>,
+    /// Version of the records in the streams, [`FORMAT`] at this version; 0 of an earlier one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub(crate) format: u32,
 }
 
 fn is_zero(count: &u32) -> bool {
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -126,6 +126,9 @@
             if self.has_unsaved_ends(key) {
                 self.wait_for_save(key).await;
             }
+            if !silent && !is_new {
+                self.wait_for_release(key).await;
+            }
             let (is_shared, is_over_target) = {
                 let scheduler = self.scheduler.borrow();
                 let worker = scheduler.worker(key);
@@ -339,14 +342,14 @@
         // Read before the check, because the process may be stopped after it.
         let now = self.env.now();
         // Without the ownership lease, a successor may already be waiting for this lease to expire.
-        let lease = self.worker_lease()?;
-        {
+        let lease = {
             let scheduler = self.scheduler.borrow();
             let worker = scheduler.worker(key)?;
             if worker.is_doubted() || !worker.may_renew_lease() {
                 return None;
             }
-        }
+            self.worker_lease(worker)?
+        };
         let clock = *self.clocks.borrow().get(&key)?;
         let until_ms = clock.deadline_in(now, lease);
         let passed_by = clock.passed_by(until_ms);
@@ -409,6 +412,7 @@
     pub(crate) fn start_polling(self: &Rc<Self>, workers: Vec<WorkerKey>) {
         let lease = WorkerClock::new(0, self.env.now()).passed_by(self.env.settings.lease_ms.0);
         for &key in &workers {
+            self.release_soon(key);
             let mut scheduler = self.scheduler.borrow_mut();
             let runs = scheduler.worker(key).map_or(0, |worker| worker.tasks());
             if runs > 0 {
