Show the wait for first reports, and refuse shards of a later format

Nothing showed for which workers a new owner waits and until when, apart from tasks that wait. Events 62 and 63 and two metrics tell it. A node does not claim a shard whose owner writes records of a later format version than its own (event 64).

--- a/hemlocksaddle-policy/src/unreached.rs
+++ b/hemlocksaddle-policy/src/unreached.rs
@@ -12,7 +12,7 @@
 
 /// Largest number of workers that a claim names; with more of them it names none.
 ///
-/// 64 names of 12 characters take 1.2 kB in each renewal, 0.7% of a link of 2 Mbit/s.
+/// 64 entries with names of 12 characters take 1.7 kB in each renewal, 1% of a link of 2 Mbit/s.
 pub const MAX_UNREACHED: usize = 64;
 
 /// Process of a worker.
--- a/hemlocksaddle-shard/src/claims.rs
+++ b/hemlocksaddle-shard/src/claims.rs
@@ -35,7 +35,7 @@
     event::Event,
     node::Env,
     ports::{Record, Result, StoreError, Stream},
-    record::{self, Claim, LAYOUT_KEY, Layout},
+    record::{self, Claim, FORMAT, LAYOUT_KEY, Layout},
     snapshot::Snapshots,
 };
 
@@ -106,6 +106,8 @@
     /// Time at which the process ends at the latest, once it is about to stop.
     pub(crate) exit_by: Cell<Option<MonoMs>>,
     pub(crate) owned: Cell<u64>,
+    /// Shard and term that were not claimed because of the version of the records.
+    refused: Cell<Option<(u32, u64)>>,
     /// State of a shard that was offered to this node.
     snapshots: RefCell<Option<(u32, Snapshots)>>,
 }
@@ -124,6 +126,7 @@
             stopping: Cell::new(false),
             exit_by: Cell::new(None),
             owned: Cell::new(0),
+            refused: Cell::default(),
             snapshots: RefCell::default(),
         })
     }
@@ -314,6 +317,11 @@
         let observed = self.observed.borrow();
         let observed = observed.get(&shard);
         let term = observed.map_or(0, |observed| observed.claim.term);
+        let format = observed.map_or(0, |observed| observed.claim.format);
+        if format > FORMAT {
+            self.refuse_format(shard, term, format);
+            return false;
+        }
         let view = ShardView {
             // Before the layout is known no node can claim, so that time must not count.
             read_since: read_since.max(self.layout_since.get()),
@@ -323,6 +331,16 @@
             .should_claim(&view, self.env.now())
     }
 
+    /// Logs, once a term, that a shard is not claimed because this node may not understand its records.
+    fn refuse_format(&self, shard: u32, term: u64, format: u32) {
+        if self.refused.replace(Some((shard, term))) != Some((shard, term)) {
+            let inputs = json!({
+                "shard": shard, "term": term, "format": format, "own_format": FORMAT,
+            });
+            self.env.event(Event::FormatRefused, &inputs);
+        }
+    }
+
     /// Whether this node, which is about to stop, has read the state of a shard that is offered to it, and has
     /// time to own it.
     fn may_claim_last(&self, shard: u32) -> bool {
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -138,6 +138,12 @@
     DelegatesChosen = 60, "delegates chosen";
     /// Delegate does not answer or cannot be reached.
     DelegateLost = 61, "delegate lost";
+    /// Inherited tasks wait for the first reports of some workers.
+    ReportsAwaited = 62, "reports awaited";
+    /// Every worker has reported, or all earlier leases on it have expired.
+    FailoverComplete = 63, "failover complete";
+    /// Shard is not claimed, because its owner writes records of a later version.
+    FormatRefused = 64, "format refused";
     /// Connections of clients outside the limits were closed, or closed in favour of others.
     ConnectionsClosed = 70, "connections closed";
     /// Requests were refused because of their bodies: too large, incomplete, or no memory for them.
--- a/hemlocksaddle-shard/src/leases.rs
+++ b/hemlocksaddle-shard/src/leases.rs
@@ -9,9 +9,11 @@
     unreached::Process,
     workflow::{Worker, WorkerKey},
 };
-use hemlocksaddle_types::clock::Millis;
+use hemlocksaddle_types::clock::{Millis, MonoMs};
 
-use crate::{claims::own::LeaseTerms, owner::Owner};
+use serde_json::json;
+
+use crate::{claims::own::LeaseTerms, event::Event, owner::Owner};
 
 /// Longest time for which a report request or an order to start waits until the worker may get a lease.
 ///
@@ -19,6 +21,29 @@
 /// a second without renewing its lease, and the task would be placed elsewhere.
 const MAX_RELEASE_WAIT_MS: Millis = Millis(500);
 
+/// Maximum number of workers in the log line of awaited reports; the longest waits come first.
+const MAX_LOGGED_WORKERS: usize = 16;
+
+/// Log of the wait for first reports.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AwaitedLog {
+    since: MonoMs,
+    /// Time after which the wait is logged next.
+    next_after: Millis,
+    /// Whether the end of the wait is not logged yet.
+    is_open: bool,
+}
+
+impl AwaitedLog {
+    pub(crate) fn new(since: MonoMs) -> AwaitedLog {
+        AwaitedLog {
+            since,
+            next_after: Millis(0),
+            is_open: false,
+        }
+    }
+}
+
 impl Owner {
     /// Returns whether the ownership lease is valid, so that orders may be sent.
     pub(crate) fn holds_lease(&self) -> bool {
@@ -94,4 +119,52 @@
         };
         let _ = within(&*self.env.ports.runtime, MAX_RELEASE_WAIT_MS, released).await;
     }
+
+    /// Logs and counts the workers for whose first report this owner waits, and until when.
+    ///
+    /// The line is repeated whenever the time since the claim has doubled.
+    pub(crate) fn report_awaited(&self) {
+        let now = self.env.now();
+        let awaited = self.scheduler.borrow().awaited_reports(now);
+        let longest = awaited
+            .first()
+            .map_or(Millis(0), |(_, until)| until.since(now));
+        self.set_awaited(awaited.len(), longest);
+        let mut log = self.awaited_log.get();
+        let waited = now.since(log.since);
+        if !awaited.is_empty() && waited >= log.next_after {
+            log.next_after = waited + waited;
+            log.is_open = true;
+            let workers = awaited.iter().take(MAX_LOGGED_WORKERS);
+            let workers = workers.map(
+                |(worker, until)| json!({ "worker": &**worker, "within_ms": until.since(now).0 }),
+            );
+            let inputs = json!({
+                "shard": self.shard, "term": self.term, "waited_ms": waited.0,
+                "unreported": awaited.len(), "within_ms": longest.0,
+                "workers": workers.collect::<Vec<_>>(),
+            });
+            self.env.event(Event::ReportsAwaited, &inputs);
+        }
+        if awaited.is_empty() && log.is_open {
+            log.is_open = false;
+            let inputs = json!({
+                "shard": self.shard, "term": self.term, "waited_ms": waited.0,
+            });
+            self.env.event(Event::FailoverComplete, &inputs);
+        }
+        self.awaited_log.set(log);
+    }
+
+    /// Resets the metrics when ownership ends.
+    pub(crate) fn clear_awaited(&self) {
+        self.set_awaited(0, Millis(0));
+    }
+
+    fn set_awaited(&self, workers: usize, longest: Millis) {
+        let metrics = &self.env.metrics;
+        let workers = i64::try_from(workers).unwrap_or(i64::MAX);
+        metrics.awaited_reports.set(workers);
+        metrics.awaited_reports_s.set(longest.0 as f64 / 1_000.0);
+    }
 }
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -70,6 +70,10 @@
     pub connection_bytes_left: IntGaugeVec,
     /// Processors that reservations keep idle, in thousandths of a core.
     pub reserved_cpu_milli: IntGauge,
+    /// Workers for whose first report the owner waits.
+    pub awaited_reports: IntGauge,
+    /// Time until the last of these waits ends, 0 without any.
+    pub awaited_reports_s: Gauge,
 }
 
 impl Metrics {
@@ -121,6 +125,16 @@
             "Processors that reservations keep idle, in thousandths of a core.",
         )?;
         registry.register(Box::new(reserved_cpu_milli.clone()))?;
+        let awaited_reports = IntGauge::new(
+            "shard_awaited_reports",
+            "Workers for whose first report the owner waits.",
+        )?;
+        registry.register(Box::new(awaited_reports.clone()))?;
+        let awaited_reports_s = Gauge::new(
+            "shard_awaited_reports_seconds",
+            "Time until the last wait for a first report ends, 0 without any.",
+        )?;
+        registry.register(Box::new(awaited_reports_s.clone()))?;
         let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
         registry.register(Box::new(worker_crashes.clone()))?;
         let given_up = IntCounter::new(
@@ -172,6 +186,8 @@
                 &["listener"],
             )?,
             reserved_cpu_milli,
+            awaited_reports,
+            awaited_reports_s,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -33,6 +33,7 @@
     dispatcher::Dispatcher,
     event::Event,
     group_commit::PendingSubmission,
+    leases::AwaitedLog,
     links::Links,
     node::Env,
     ports::{Record, StoreError, Stream},
@@ -90,6 +91,8 @@
     pub(crate) ownership_lease_from: Cell<Option<ClockReading>>,
     /// Workers to which leases may be granted.
     pub(crate) lease_gate: RefCell<LeaseGate>,
+    /// Log of the wait for first reports.
+    pub(crate) awaited_log: Cell<AwaitedLog>,
     /// Signals that leases may be granted to more workers.
     pub(crate) leases_released: Signal,
     claim_sequence: Cell<u64>,
@@ -159,6 +162,7 @@
             ready: Cell::new(false),
             ownership_lease_from,
             lease_gate: RefCell::new(LeaseGate::after_claim()),
+            awaited_log: Cell::new(AwaitedLog::new(now)),
             leases_released: Signal::default(),
             claim_sequence,
             progress_sequence: Cell::new(0),
--- a/hemlocksaddle-shard/src/waiting.rs
+++ b/hemlocksaddle-shard/src/waiting.rs
@@ -29,6 +29,7 @@
         self.set_reserved(scheduler.reserved_cpu_milli());
         drop(scheduler);
         self.count_waiting(&waiting);
+        self.report_awaited();
         self.report_tenants();
         // Logged at the threshold and at each doubling of it, which bounds the lines of a step.
         for step in waiting.steps.iter().filter(|step| step.has_doubled) {
@@ -39,6 +40,7 @@
     /// Resets the metrics when ownership ends.
     pub(crate) fn clear_waiting(&self) {
         self.count_waiting(&Waiting::default());
+        self.clear_awaited();
         self.clear_tenants();
         self.set_reserved(0);
     }
--- a/hemlocksaddle-shard/tests/lease_waits.rs
+++ b/hemlocksaddle-shard/tests/lease_waits.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use hemlocksaddle_shard::frontend::Submitted;
 use hemlocksaddle_types::{clock::Millis, workflow::Step};
-use support::{Deployment, LEASE_MS, step};
+use support::{Deployment, LEASE_MS, kept_lines, kept_lines::lines_of, step};
 
 /// Number of nodes, of which up to three own the shard in turn.
 const NODES: usize = 5;
@@ -233,3 +233,31 @@
         expect_that!(*fleet.violations.borrow(), is_empty());
     }
 }
+
+/// Load pattern: a worker is lost, and the owner is killed. Guards against a wait of which neither log nor metrics tell
+/// for which worker it is, and how long it lasts.
+#[gtest]
+fn the_wait_for_a_lost_worker_is_logged_and_counted() {
+    let mut lost = lose_worker(1);
+    kept_lines::keep();
+    lost.change_owner(Ending::Killed);
+    lost.deployment.sim.run_for(Millis(1_500));
+    let successor = *lost.owners.last().expect("owner");
+    let metrics = lost
+        .deployment
+        .node(successor)
+        .expect("node")
+        .metrics_text();
+    let metrics = String::from_utf8(metrics.expect("metrics")).expect("text");
+    expect_that!(metrics, contains_substring("shard_awaited_reports 1\n"));
+    let no_wait = contains_substring("shard_awaited_reports_seconds 0\n");
+    expect_that!(metrics, not(no_wait));
+    let is_own = |line: &serde_json::Value| {
+        let worker = line["workers"][0]["worker"].as_str();
+        worker == Some(&*lost.worker.to_string())
+    };
+    expect_that!(lines_of(62).iter().any(is_own), eq(true));
+    lost.run_again_at();
+    lost.deployment.sim.run_for(Millis(1_100));
+    expect_that!(lines_of(63), not(is_empty()));
+}
--- a/hemlocksaddle-shard/tests/support/store.rs
+++ b/hemlocksaddle-shard/tests/support/store.rs
@@ -179,7 +179,7 @@
         self.put_value(stream, key, Some(Bytes::from_static(b"-")));
     }
 
-    fn put_value(&self, stream: Stream, key: &str, value: Option<Bytes>) {
+    pub(crate) fn put_value(&self, stream: Stream, key: &str, value: Option<Bytes>) {
         let record = Record {
             key: key.into(),
             value,
