--- a/hemlocksaddle-shard/tests/lease_waits.rs
+++ b/hemlocksaddle-shard/tests/lease_waits.rs
@@ -261,3 +261,49 @@
     lost.deployment.sim.run_for(Millis(1_100));
     expect_that!(lines_of(63), not(is_empty()));
 }
+
+/// Load pattern: workers that are lost and answer again, owners that are killed, stopped, paused or cut off from the
+/// store, and answers of the store that are lost, in random order for half a minute. Guards against two runs of a
+/// task, and against tasks that do not run afterwards.
+#[gtest]
+fn nothing_runs_twice_while_workers_and_owners_come_and_go() {
+    for seed in 1..=30 {
+        let lost = lose_worker(seed);
+        let (deployment, sim) = (&lost.deployment, &lost.deployment.sim);
+        let mut silent = None;
+        for _ in 0..40 {
+            let worker = sim.below(3) as usize;
+            let owner = deployment.owner().unwrap_or(0);
+            match sim.below(10) {
+                0..=2 => deployment.fleet.set_unreachable(worker, true),
+                3..=5 => deployment.fleet.set_unreachable(worker, false),
+                6 => {
+                    deployment.kill(owner);
+                    deployment.start(owner);
+                    silent = silent.filter(|&node| node != owner);
+                }
+                7 => deployment.pause(owner, Millis(300 + sim.below(2_500))),
+                8 if silent.is_none() => {
+                    deployment.set_store_silent(owner, true);
+                    silent = Some(owner);
+                }
+                8 => deployment.set_store_silent(silent.take().unwrap_or(0), false),
+                _ => {
+                    let loses = &deployment.store.lose_answers;
+                    loses.set(!loses.get());
+                }
+            }
+            sim.run_for(Millis(100 + sim.below(1_300)));
+        }
+        deployment.store.lose_answers.set(false);
+        (0..3).for_each(|number| deployment.fleet.set_unreachable(number, false));
+        if let Some(node) = silent {
+            deployment.set_store_silent(node, false);
+        }
+        sim.run_for(Millis(25_000));
+        let violations = deployment.fleet.violations.borrow();
+        expect_that!(*violations, is_empty(), "seed {seed}");
+        let running = deployment.fleet.running();
+        expect_that!(running, eq(TASKS as usize), "seed {seed}");
+    }
+}
