Bound the connections that are opened to workers

Cause: workers reset connections above their limit of 64. A worker that leaves orders unanswered may hold the connection of each until it carries it out, up to 20 s late, and orders were repeated to it without a bound. Nodes that no longer called a worker kept up to 8 idle connections to it, since idle ones were only looked at on the next call to the address. A call that timed out closed all idle connections to the worker, and each answered stop requested a report of its own.

Change: hemlocksaddle_policy::worker_connections decides which repeats, idle connections and additional reports are allowed. From 16 unanswered orders in 20 s, one repeat a second is sent to the worker until it answers; first orders are never held. Idle connections are closed 5 s after their last answer without a further call, and those that answered since a lost call was sent are kept. Reports after stops are requested once, and once more for what came meanwhile.

--- a/hemlocksaddle-adapters/src/http.rs
+++ b/hemlocksaddle-adapters/src/http.rs
@@ -11,14 +11,15 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
-    time::{Duration, Instant},
+    rc::{Rc, Weak},
+    time::Instant,
 };
 
 use bytes::{Bytes, BytesMut};
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
 use hemlocksaddle_node::ports::{PortError, Result};
-use hemlocksaddle_policy::connections::AnswerLimits;
+use hemlocksaddle_policy::{connections::AnswerLimits, worker_connections::IdleRules};
 use hemlocksaddle_types::clock::Millis;
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -29,12 +30,6 @@
 
 use crate::runtime::duration;
 
-/// Time after which an idle connection is not reused.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(5_000);
-
-/// Maximum number of idle connections per address.
-const MAX_IDLE: usize = 8;
-
 /// Maximum size of a response body in bytes, unless the client is created with another.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
@@ -71,23 +66,32 @@
 }
 
 impl Connection {
-    fn is_reusable(&self) -> bool {
-        !self.sender.is_closed() && self.idle_since.elapsed() < IDLE_TIMEOUT
+    fn is_reusable(&self, rules: IdleRules) -> bool {
+        !self.sender.is_closed() && rules.is_reusable(elapsed(self.idle_since))
     }
 }
 
-/// Closes the idle connections to an address when an exchange times out or its future is dropped.
+fn elapsed(since: Instant) -> Millis {
+    Millis(u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Closes idle connections to an address when an exchange times out or its future is dropped.
 struct EvictIdleOnDrop<'a> {
     client: &'a Client,
     address: SocketAddr,
+    sent_at: Instant,
     disarmed: Cell<bool>,
 }
 
 impl Drop for EvictIdleOnDrop<'_> {
     fn drop(&mut self) {
-        if !self.disarmed.get() {
-            self.client.idle.borrow_mut().remove(&self.address);
+        if self.disarmed.get() {
+            return;
         }
+        let (rules, waited) = (self.client.idle.rules, elapsed(self.sent_at));
+        self.client.idle.retain(self.address, |connection| {
+            rules.survives_lost_call(elapsed(connection.idle_since), waited)
+        });
     }
 }
 
@@ -100,9 +104,81 @@
     NoResponse,
 }
 
+/// Idle connections by address.
+struct Idle {
+    rules: IdleRules,
+    connections: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    cleanup_scheduled: Cell<bool>,
+}
+
+impl Idle {
+    fn new(rules: IdleRules) -> Rc<Idle> {
+        Rc::new(Idle {
+            rules,
+            connections: RefCell::default(),
+            cleanup_scheduled: Cell::new(false),
+        })
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        self.retain(address, |connection| connection.is_reusable(self.rules));
+        let mut connections = self.connections.borrow_mut();
+        connections.get_mut(&address)?.pop()
+    }
+
+    fn put(self: &Rc<Self>, address: SocketAddr, mut connection: Connection) {
+        self.retain(address, |connection| connection.is_reusable(self.rules));
+        let mut all = self.connections.borrow_mut();
+        let connections = all.entry(address).or_default();
+        if self.rules.keeps_another(connections.len()) {
+            connection.idle_since = Instant::now();
+            connections.push(connection);
+        }
+        drop(all);
+        self.schedule_cleanup();
+    }
+
+    fn retain(&self, address: SocketAddr, keep: impl Fn(&Connection) -> bool) {
+        let mut all = self.connections.borrow_mut();
+        if let Some(connections) = all.get_mut(&address) {
+            connections.retain(keep);
+            if connections.is_empty() {
+                all.remove(&address);
+            }
+        }
+    }
+
+    /// Closes connections after their time, even if there are no further calls.
+    fn schedule_cleanup(self: &Rc<Self>) {
+        if self.cleanup_scheduled.replace(true) {
+            return;
+        }
+        let pause = duration(self.rules.keep_ms);
+        let idle = Rc::downgrade(self);
+        compio::runtime::spawn(async move {
+            loop {
+                compio::time::sleep(pause).await;
+                let Some(idle) = Weak::upgrade(&idle) else {
+                    return;
+                };
+                let mut all = idle.connections.borrow_mut();
+                all.retain(|_, connections| {
+                    connections.retain(|connection| connection.is_reusable(idle.rules));
+                    !connections.is_empty()
+                });
+                if all.is_empty() {
+                    idle.cleanup_scheduled.set(false);
+                    return;
+                }
+            }
+        })
+        .detach();
+    }
+}
+
 /// Client that keeps idle connections per address.
 pub struct Client {
-    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    idle: Rc<Idle>,
     limits: AnswerLimits,
     /// Bytes of the response bodies that arrive now.
     arriving_bytes: Cell<usize>,
@@ -145,8 +221,14 @@
     /// Creates a client with limits of response bodies; a call whose response exceeds one has no response.
     #[must_use]
     pub fn new(limits: AnswerLimits) -> Client {
+        Client::with_idle_rules(limits, IdleRules::default())
+    }
+
+    /// Creates a client with limits of response bodies and rules for idle connections.
+    #[must_use]
+    pub fn with_idle_rules(limits: AnswerLimits, rules: IdleRules) -> Client {
         Client {
-            idle: RefCell::default(),
+            idle: Idle::new(rules),
             limits,
             arriving_bytes: Cell::new(0),
         }
@@ -159,7 +241,7 @@
     /// `NotSent` if no byte was written, `Unknown` if there is no complete response.
     pub async fn call(&self, call: Call, timeout: Millis) -> Result<Response> {
         let deadline = Instant::now() + duration(timeout);
-        while let Some(connection) = self.take_idle(call.address) {
+        while let Some(connection) = self.idle.take(call.address) {
             match self.exchange(connection, call.clone(), deadline).await {
                 ExchangeOutcome::Complete(response) => return Ok(response),
                 ExchangeOutcome::NotSent => {}
@@ -192,6 +274,7 @@
         let guard = EvictIdleOnDrop {
             client: self,
             address,
+            sent_at: Instant::now(),
             disarmed: Cell::new(false),
         };
         let exchange = async {
@@ -215,7 +298,7 @@
         };
         guard.disarmed.set(true);
         if let ExchangeOutcome::Complete(_) = outcome {
-            self.put_idle(address, connection);
+            self.idle.put(address, connection);
         }
         outcome
     }
@@ -244,27 +327,6 @@
         }
         Ok(bytes.freeze())
     }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&address)?;
-        connections.retain(Connection::is_reusable);
-        let connection = connections.pop();
-        if connections.is_empty() {
-            idle.remove(&address);
-        }
-        connection
-    }
-
-    fn put_idle(&self, address: SocketAddr, mut connection: Connection) {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(address).or_default();
-        connections.retain(Connection::is_reusable);
-        if connections.len() < MAX_IDLE {
-            connection.idle_since = Instant::now();
-            connections.push(connection);
-        }
-    }
 }
 
 async fn connect(address: SocketAddr) -> Result<Connection> {
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod tenant_admission;
 pub mod unserved;
 pub mod usefulness;
+pub mod worker_connections;
 pub mod workflow;
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -46,6 +46,7 @@
 mod tenant_metrics;
 mod tenants;
 mod waiting;
+mod worker_calls;
 mod worker_poll;
 
 pub use node::{Node, Settings};
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -99,7 +99,8 @@
             if !self.scheduler.borrow().is_start_pending(&start) {
                 return;
             }
-            if unanswered >= MAX_UNANSWERED {
+            // A held repeat would hold the task: the order to stop has to be answered before it starts elsewhere.
+            if unanswered >= MAX_UNANSWERED || !self.may_repeat(start.worker) {
                 self.scheduler.borrow_mut().abandon_start(&start);
                 self.changed.notify();
                 return;
@@ -112,6 +113,19 @@
         !self.ended.get() && scheduler.worker(worker).is_some_and(|w| w.is_silent())
     }
 
+    /// Whether an order may be repeated at a worker now; if so, the repeat counts as sent.
+    fn may_repeat(&self, worker: WorkerKey) -> bool {
+        self.worker_calls.take_repeat(worker, self.env.now())
+    }
+
+    /// Records whether an order was answered; one that was not sent opened no connection.
+    fn record_order(&self, worker: WorkerKey, unsent: bool, answered: bool) {
+        if !unsent {
+            let now = self.env.now();
+            self.worker_calls.record_order(worker, answered, now);
+        }
+    }
+
     /// Timeout of an order, from the latency of recent answers.
     fn answer_timeout(&self) -> Millis {
         let latency = self.latency.get();
@@ -152,6 +166,8 @@
             self.update_window(|window| window.lost(sent_at, now));
         }
         let answer = timed.value;
+        let unsent = answer == StartAnswer::NotSent;
+        self.record_order(start.worker, unsent, answer != StartAnswer::Unknown);
         let process = self.check_answer(start.worker, &listing, &timed, sent_at);
         let inputs = json!({
             "task": start.name.to_string(), "run": start.run.0, "worker": &*listing.name,
@@ -175,12 +191,13 @@
 
     async fn stop(self: Rc<Self>, worker: WorkerKey, task: TaskName, run: Run) {
         let mut pause = RESEND_MS;
+        let mut is_repeat = false;
         loop {
             let listing = self.listing(worker);
             let Some(listing) = listing.filter(|_| !self.ended.get()) else {
                 return;
             };
-            if self.is_silent(worker) {
+            if self.is_silent(worker) || (is_repeat && !self.may_repeat(worker)) {
                 if !self.scheduler.borrow().is_stop_pending(worker, task, run) {
                     return;
                 }
@@ -190,6 +207,10 @@
             let timeout = self.answer_timeout();
             let answer = self.dispatcher.stop(&listing, task, run, timeout).await;
             self.count_order("stop", &format!("{answer:?}"));
+            is_repeat = true;
+            let unsent = answer == Err(WorkerError::NotSent);
+            let answered = answer != Err(WorkerError::Unknown);
+            self.record_order(worker, unsent, answered);
             let inputs = json!({
                 "task": task.to_string(), "run": run.0, "worker": &*listing.name,
                 "term": self.term, "answer": format!("{answer:?}"),
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -40,6 +40,7 @@
     recovery::Origin,
     recovery_watch::RecoveryWaits,
     tenants::{FreshRead, Storing},
+    worker_calls::WorkerCalls,
     worker_poll::WorkerClock,
 };
 
@@ -113,6 +114,7 @@
     pub(crate) recovery: RecoveryWaits,
     pub(crate) pending_submissions: RefCell<Vec<PendingSubmission>>,
     pub(crate) pending_changed: Signal,
+    pub(crate) worker_calls: WorkerCalls,
 }
 
 impl Owner {
@@ -171,6 +173,7 @@
             recovery: RecoveryWaits::default(),
             pending_submissions: RefCell::default(),
             pending_changed: Signal::default(),
+            worker_calls: WorkerCalls::default(),
         })
     }
 
--- a/hemlocksaddle-shard/src/worker_poll.rs
+++ b/hemlocksaddle-shard/src/worker_poll.rs
@@ -121,7 +121,7 @@
         let mut early_answers = 0;
         while !self.ended.get() {
             let Some(listing) = self.listing(key) else {
-                return;
+                return self.worker_calls.forget(key);
             };
             if self.has_unsaved_ends(key) {
                 self.wait_for_save(key).await;
@@ -268,15 +268,21 @@
 
     /// Requests a report immediately, in addition to a request that may be waiting.
     pub(crate) fn fetch_report_now(self: &Rc<Self>, key: WorkerKey) {
+        if !self.worker_calls.ask_report(key) {
+            return;
+        }
         let owner = self.clone();
         self.env.spawn(async move {
-            let Some(listing) = owner.listing(key) else {
-                return;
-            };
-            if let Err(WorkerError::Fenced) =
-                owner.fetch_report(key, &listing, Millis(0), true).await
-            {
-                owner.step_down("worker has seen a higher term");
+            loop {
+                if let Some(listing) = owner.listing(key)
+                    && let Err(WorkerError::Fenced) =
+                        owner.fetch_report(key, &listing, Millis(0), true).await
+                {
+                    owner.step_down("worker has seen a higher term");
+                }
+                if !owner.worker_calls.report_ended(key) {
+                    return;
+                }
             }
         });
     }
--- a/hemlocksaddle-shard/tests/support/fleet.rs
+++ b/hemlocksaddle-shard/tests/support/fleet.rs
@@ -17,7 +17,10 @@
     workflow::{Run, TaskName, WorkflowId},
 };
 
-use super::{FakeStore, LEASE_MS, TASK_CPU_MILLI, node_fleet::NodeFleet, tenants::FleetTenants};
+use super::{
+    FakeStore, LEASE_MS, TASK_CPU_MILLI, node_fleet::NodeFleet, tenants::FleetTenants,
+    unanswered::Unanswered,
+};
 
 /// Default run time of a task.
 const RUN_MS: u64 = 1_000;
@@ -41,7 +44,7 @@
 const CRASH_DELAY_MS: Millis = Millis(8);
 
 /// Time for which a connection without answers stays open.
-const HANG_MS: Millis = Millis(10_000);
+pub(super) const HANG_MS: Millis = Millis(10_000);
 
 /// Time for which a crashed worker is away.
 const AWAY_MS: Millis = Millis(3_100);
@@ -122,6 +125,7 @@
     pub(crate) unguarded: Cell<bool>,
     pub(super) workers: RefCell<Vec<Worker>>,
     pub(super) tenants: FleetTenants,
+    pub(crate) unanswered: Unanswered,
     /// Violations of the run guarantees: concurrent runs of a task, and starts after its end.
     pub(crate) violations: RefCell<Vec<String>>,
     /// Completed tasks whose end the owner has acknowledged.
@@ -165,6 +169,7 @@
             unguarded: Cell::new(false),
             workers: RefCell::new((0..count).map(|_| Worker::new()).collect()),
             tenants: FleetTenants::default(),
+            unanswered: Unanswered::default(),
             violations: RefCell::default(),
             done: RefCell::default(),
             starts: Cell::new(0),
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod peers;
 pub(crate) mod store;
 mod tenants;
+mod unanswered;
 
 use std::{
     cell::{Cell, RefCell},
--- a/hemlocksaddle-shard/tests/support/node_fleet.rs
+++ b/hemlocksaddle-shard/tests/support/node_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, result};
 
+use hemlocksaddle_fakes::runtime::ENVIRONMENT;
 use hemlocksaddle_node::ports::PortFuture;
 use hemlocksaddle_policy::workflow::{Report, StartAnswer};
 use hemlocksaddle_shard::ports::{Fleet, ReportRequest, StartCall, Timed, WorkerError};
@@ -10,7 +11,7 @@
     workflow::{Run, TaskName},
 };
 
-use super::fleet::{FakeFleet, LATENCY_MS};
+use super::fleet::{FakeFleet, HANG_MS, LATENCY_MS};
 
 /// Workers as one node reaches them; counts its calls.
 ///
@@ -34,20 +35,51 @@
         }
         exists
     }
+
+    /// Takes an order that the worker leaves unanswered, and carries it out later; returns whether it does.
+    async fn is_unanswered(
+        &self,
+        worker: &Endpoint,
+        order: impl FnOnce(Rc<FakeFleet>, Endpoint) -> PortFuture<'static, ()>,
+    ) -> bool {
+        let fleet = &self.fleet;
+        let number = worker.name.parse().expect("worker name is a number");
+        if !fleet.unanswered.takes(number, fleet.sim.now()) {
+            return false;
+        }
+        let late = fleet.sim.sleep(fleet.unanswered.late.get());
+        let order = order(fleet.clone(), worker.clone());
+        fleet.sim.spawn(ENVIRONMENT, async move {
+            late.await;
+            order.await;
+        });
+        fleet.sim.sleep(HANG_MS).await;
+        true
+    }
 }
 
 impl Fleet for NodeFleet {
     fn start(&self, worker: &Endpoint, call: StartCall) -> PortFuture<'_, Timed<StartAnswer>> {
         let worker = worker.clone();
         Box::pin(async move {
-            if self.reaches(&worker).await {
-                return self.fleet.start(&worker, call).await;
-            }
-            Timed {
+            let unanswered = |value| Timed {
                 clock_ms: None,
                 born_ms: None,
-                value: StartAnswer::NotSent,
+                value,
+            };
+            if !self.reaches(&worker).await {
+                return unanswered(StartAnswer::NotSent);
+            }
+            let late = call.clone();
+            let carried_out = self.is_unanswered(&worker, |fleet, worker| {
+                Box::pin(async move {
+                    let _ = fleet.start(&worker, late).await;
+                })
+            });
+            if carried_out.await {
+                return unanswered(StartAnswer::Unknown);
             }
+            self.fleet.start(&worker, call).await
         })
     }
 
@@ -60,10 +92,18 @@
     ) -> PortFuture<'_, result::Result<(), WorkerError>> {
         let worker = worker.clone();
         Box::pin(async move {
-            if self.reaches(&worker).await {
-                return self.fleet.stop(&worker, task, run, term).await;
+            if !self.reaches(&worker).await {
+                return Err(WorkerError::NotSent);
             }
-            Err(WorkerError::NotSent)
+            let carried_out = self.is_unanswered(&worker, |fleet, worker| {
+                Box::pin(async move {
+                    let _ = fleet.stop(&worker, task, run, term).await;
+                })
+            });
+            if carried_out.await {
+                return Err(WorkerError::Unknown);
+            }
+            self.fleet.stop(&worker, task, run, term).await
         })
     }
 
