Make speculative copies of late and unanswered tasks

Cause: a start order that gets no answer holds its task until the stop is answered or the lease of the worker has expired, and a run on a slow worker holds up its workflow. Steps with `speculative` allow a second run, which nothing made use of except restarts.

Change: hemlocksaddle_policy::workflow::copies decides which task gets a second run, when, where and how many. The copy becomes the run of the task; the earlier run stays on its worker as a leftover that is not ordered to stop, with an entry in a table. It counts for the worker's capacity, the tenant's cap and the attempts, and the first of both to complete counts. A leftover whose order may still be carried out is kept until the lease has expired, also across a new process of its worker. New setting `[scheduler] copies`, off if missing; events 58 and 59, metrics shard_copies_total and shard_copied_tasks.

The fake workers now allow a second run of a task, and a start after the acknowledged end of its task if it was ordered before, only where a test says that its steps allow copies; no other test does.

--- a/hemlocksaddle-policy/src/usefulness.rs
+++ b/hemlocksaddle-policy/src/usefulness.rs
@@ -25,13 +25,40 @@
     Millis(ends.into_iter().max().unwrap_or(0))
 }
 
-/// Time from a submission until its result is worth nothing, for work that is not of use at any time.
+/// Declared run time of the longest chain of steps that depend on one, without its own.
 #[must_use]
-pub fn useful_for(workflow: &Workflow, queue: &Queue) -> Millis {
+pub fn longest_chain_after(steps: &[Step], step: usize) -> Millis {
+    // Ends of the steps that depend on it, from its end.
+    let mut ends: Vec<Option<u64>> = vec![None; steps.len()];
+    let mut longest = 0;
+    for (number, after) in steps.iter().enumerate().skip(step) {
+        if number == step {
+            ends[number] = Some(0);
+            continue;
+        }
+        let before = after.depends_on.iter();
+        let before = before.filter_map(|&index| *ends.get(usize::from(index))?);
+        ends[number] = before
+            .max()
+            .map(|start| start.saturating_add(after.expected_run_ms));
+        longest = longest.max(ends[number].unwrap_or(0));
+    }
+    Millis(longest)
+}
+
+/// Time from a submission within which callers expect its result.
+#[must_use]
+pub fn completion_target(workflow: &Workflow, queue: &Queue) -> Millis {
     let chain = longest_chain(&workflow.steps);
     let stretched = (queue.stretch * chain.0 as f64).max(0.0) as u64;
-    let target = stretched.saturating_add(queue.target_completion_ms.0);
-    Millis(target.saturating_mul(USEFUL_TARGETS))
+    Millis(stretched.saturating_add(queue.target_completion_ms.0))
+}
+
+/// Time from a submission until its result is worth nothing, for work that is not of use at any time.
+#[must_use]
+pub fn useful_for(workflow: &Workflow, queue: &Queue) -> Millis {
+    let target = completion_target(workflow, queue);
+    Millis(target.0.saturating_mul(USEFUL_TARGETS))
 }
 
 /// Whether the result of a workflow is of use at any time.
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -347,6 +347,15 @@
         step.tasks.get(name.index)
     }
 
+    pub(super) fn name_of(&self, key: TaskKey) -> TaskName {
+        TaskName {
+            workflow: self.id,
+            occurrence: key.occurrence,
+            step: key.step,
+            index: key.index,
+        }
+    }
+
     pub(super) fn step(&self, key: TaskKey) -> &Step {
         &self.spec.steps[usize::from(key.step)]
     }
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -351,6 +351,7 @@
     }
 
     fn stop_all(&mut self, key: JobKey) {
+        self.stop_earlier_of(key);
         let job = &self.jobs[key];
         let mut placed = Vec::new();
         for (occurrence, state) in job.occurrences.iter() {
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -18,6 +18,7 @@
 mod backlog;
 mod capacity;
 mod consolidation;
+mod copies;
 mod crash;
 mod ended;
 mod interference;
@@ -59,6 +60,7 @@
 
 pub use self::{
     backlog::TenantLoads,
+    copies::{CopyEvent, CopyReason},
     crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
@@ -201,6 +203,7 @@
     /// Work of the plans that is not reported yet.
     work: WorkCounts,
     tenancy: tenancy::Tenancy,
+    copies: copies::Copies,
 }
 
 impl Scheduler {
@@ -243,6 +246,7 @@
             packing: packing::Packing::default(),
             work: WorkCounts::default(),
             tenancy: tenancy::Tenancy::default(),
+            copies: copies::Copies::default(),
         }
     }
 
@@ -356,11 +360,6 @@
     }
 
     fn name(&self, key: TaskKey) -> TaskName {
-        TaskName {
-            workflow: self.jobs[key.job].id,
-            occurrence: key.occurrence,
-            step: key.step,
-            index: key.index,
-        }
+        self.jobs[key.job].name_of(key)
     }
 }
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -167,6 +167,8 @@
     pool: &'a str,
     rack: Option<&'a str>,
     failed_on: Option<WorkerKey>,
+    /// Worker of an earlier run that goes on.
+    earlier_worker: Option<WorkerKey>,
     is_suspect: bool,
     has_crashed: bool,
 }
@@ -174,7 +176,10 @@
 impl Wanted<'_> {
     /// Whether the task has the same costs as the other tasks of its step.
     pub(super) fn is_plain(&self) -> bool {
-        self.failed_on.is_none() && !self.is_suspect && !self.has_crashed
+        self.failed_on.is_none()
+            && self.earlier_worker.is_none()
+            && !self.is_suspect
+            && !self.has_crashed
     }
 }
 
@@ -330,6 +335,7 @@
             pool,
             rack,
             failed_on: task.failed_on,
+            earlier_worker: self.copies.earlier_worker(key),
             is_suspect: task.is_suspect(),
             has_crashed: task.suspicion() > 0,
         })
@@ -347,6 +353,7 @@
         let now = candidates.now;
         let allowed = *worker.listing.pool == *wanted.pool
             && !candidates.list[index].held
+            && wanted.earlier_worker != Some(worker_key)
             && self
                 .obstacle(worker, wanted, candidates.capacity_rule)
                 .is_none()
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -93,6 +93,7 @@
         self.place_overdue(&ready, &mut candidates, now);
         self.place_before_short(&ready, &mut candidates, now);
         self.place_ready(&ready, &mut candidates, now);
+        self.place_copies(&ready, &mut candidates, now);
         self.consolidate(&candidates, now);
         self.work.plans += 1;
         self.work.compared_workers += candidates.compared_workers;
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -94,10 +94,14 @@
             task.crashes.retain(|crash| crash.run != end.run);
         }
         task.unseen_run = false;
+        let is_earlier = self.earlier_run_ended(key, worker, end.run);
+        let job = &mut self.jobs[key.job];
+        let task = job.task_mut(key);
         if end.checkpoint.is_some() && end.kind != EndKind::Done {
             task.checkpoint.clone_from(&end.checkpoint);
         }
-        if end.kind == EndKind::Done && task.restarted.is_some_and(|run| end.run < run) {
+        let is_superseded = !is_earlier && task.restarted.is_some_and(|run| end.run < run);
+        if end.kind == EndKind::Done && is_superseded {
             job.settle(key);
             return self.withhold(worker, end);
         }
@@ -108,6 +112,9 @@
                 } else {
                     self.stop_superseded(key, now);
                 }
+                if is_earlier || self.stop_earlier(key) {
+                    self.copy_decided(key, !is_earlier);
+                }
                 self.complete_task(key);
                 if gang {
                     self.complete_gang(key);
@@ -245,6 +252,10 @@
         if !adopted && !current {
             let occupied = occupied(job.step(key));
             job.settle(key);
+            if wanted && self.copies.is_earlier(key, worker, status.run) {
+                self.keep_leftover(worker, status.task, status.run, Some(occupied), now);
+                return;
+            }
             self.stop_leftover(worker, status.task, status.run, Some(occupied), now);
             return;
         }
@@ -315,6 +326,19 @@
         run: Run,
         demand: Option<Resources>,
         now: MonoMs,
+    ) {
+        self.keep_leftover(worker, task, run, demand, now);
+        self.orders.push(Order::Stop { worker, task, run });
+    }
+
+    /// Counts a run that is not assigned until the worker drops it.
+    fn keep_leftover(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskName,
+        run: Run,
+        demand: Option<Resources>,
+        now: MonoMs,
     ) {
         let charge = self.charge_of(task);
         if let Some(on) = self.workers.get_mut(worker) {
@@ -330,7 +354,6 @@
             }
             self.renew_charges(worker, replaced);
         }
-        self.orders.push(Order::Stop { worker, task, run });
     }
 
     /// Unassigns tasks that a worker's report should list but does not.
--- a/hemlocksaddle-policy/src/workflow/restart.rs
+++ b/hemlocksaddle-policy/src/workflow/restart.rs
@@ -104,9 +104,11 @@
             moved.retain(|(_, assigned)| assigned.may_be_elsewhere());
             moved.iter().for_each(|&(task, _)| old.remove(task));
         }
+        let unstarted = self.take_unstarted(key, now);
         self.remove_worker(key);
         self.departed.remove(&name);
         let new = self.workers.insert(new);
+        self.stop_unstarted(new, unstarted);
         self.by_name.insert(name, new);
         for (task, assigned) in moved {
             self.move_run(task, assigned, new);
--- a/hemlocksaddle-policy/src/workflow/run_time.rs
+++ b/hemlocksaddle-policy/src/workflow/run_time.rs
@@ -90,7 +90,7 @@
         let step = job.step(key);
         let is_timed = !step.long_running && !step.best_effort && step.expected_run_ms > 0;
         let task = job.task(key).filter(|task| task.adopted_percent.is_none());
-        let Some(task) = task.filter(|_| is_timed && self.limits.reservations) else {
+        let Some(task) = task.filter(|_| is_timed && self.learns_run_times()) else {
             return;
         };
         let ratio = now.since(task.ordered_at).0 as f64 / step.expected_run_ms as f64;
@@ -103,6 +103,17 @@
         known.observe(ratio.min(MAX_RATIO));
     }
 
+    fn learns_run_times(&self) -> bool {
+        self.limits.reservations || self.copies.is_on()
+    }
+
+    /// Run time that is expected of a task, and its mean deviation.
+    pub(super) fn typical_run(&self, key: TaskKey) -> Option<(Millis, Millis)> {
+        let time = self.run_time(key)?;
+        let deviation_ms = time.error_ms / CERTAIN_DEVIATIONS;
+        Some((whole(time.expected_ms), whole(deviation_ms)))
+    }
+
     /// Run time of a task that is started now; `None` if it runs until it is stopped or declared none.
     fn run_time(&self, key: TaskKey) -> Option<Estimate> {
         let job = &self.jobs[key.job];
--- a/hemlocksaddle-policy/tests/workflow_support/configuration.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/configuration.rs
@@ -22,6 +22,19 @@
         });
     }
 
+    /// Configures the limit of attempts of the usual queue.
+    pub(crate) fn configure_attempts(&mut self, max_attempts: u32) {
+        let queue = Queue {
+            max_attempts,
+            ..queue()
+        };
+        self.scheduler.configure(&Catalogue {
+            version: 4,
+            queues: vec![queue],
+            ..Catalogue::default()
+        });
+    }
+
     /// Configures a further queue with a limit of attempts.
     pub(crate) fn configure_queue(&mut self, name: &str, max_attempts: u32) {
         let further = Queue {
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -1,6 +1,7 @@
 //! Test harness: a scheduler with workers whose reports the test makes up.
 
 mod configuration;
+pub(crate) mod copies;
 mod crashes;
 pub(crate) mod fleet;
 mod schedules;
@@ -383,6 +384,16 @@
         self.report(self.workers[number], &report);
     }
 
+    /// Reports rows of running tasks.
+    fn report_rows(&mut self, number: usize, running: Vec<TaskStatus>) {
+        let report = Report {
+            sent_at: self.now,
+            running,
+            ends: Vec::new(),
+        };
+        self.report(self.workers[number], &report);
+    }
+
     /// Reports a run of task 0 in step 0 of a workflow.
     pub(crate) fn report_running(&mut self, number: usize, id: u64, run: Run) {
         self.report_progress(number, id, run, 10);
--- a/hemlocksaddle-shard/src/event.rs
+++ b/hemlocksaddle-shard/src/event.rs
@@ -134,6 +134,10 @@
     Ended = 54, "ended";
     /// Task has waited long to be started.
     TaskWaits = 55, "task waits";
+    /// Speculative copy of a task was ordered.
+    CopyOrdered = 58, "copy ordered";
+    /// Task with two runs is done.
+    CopyDecided = 59, "copy decided";
     /// Nodes that carry out the owner's calls to workers were chosen.
     DelegatesChosen = 60, "delegates chosen";
     /// Delegate does not answer or cannot be reached.
@@ -158,6 +162,8 @@
                 | Event::StopOrdered
                 | Event::RunEnded
                 | Event::Paced
+                | Event::CopyOrdered
+                | Event::CopyDecided
         )
     }
 }
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -30,6 +30,7 @@
 mod claims;
 mod configuration;
 mod connections;
+mod copies;
 mod delegate;
 mod dispatcher;
 mod failure_detector;
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -70,6 +70,10 @@
     pub connection_bytes_left: IntGaugeVec,
     /// Processors that reservations keep idle, in thousandths of a core.
     pub reserved_cpu_milli: IntGauge,
+    /// Speculative copies by reason, and tasks with two runs by the run that completed first.
+    pub copies: IntCounterVec,
+    /// Tasks with two runs.
+    pub copied_tasks: IntGauge,
 }
 
 impl Metrics {
@@ -121,6 +125,8 @@
             "Processors that reservations keep idle, in thousandths of a core.",
         )?;
         registry.register(Box::new(reserved_cpu_milli.clone()))?;
+        let copied_tasks = IntGauge::new("shard_copied_tasks", "Tasks with two runs.")?;
+        registry.register(Box::new(copied_tasks.clone()))?;
         let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
         registry.register(Box::new(worker_crashes.clone()))?;
         let given_up = IntCounter::new(
@@ -172,6 +178,12 @@
                 &["listener"],
             )?,
             reserved_cpu_milli,
+            copies: counter(
+                "shard_copies_total",
+                "Speculative copies by reason, and copied tasks by the run that completed first.",
+                &["kind"],
+            )?,
+            copied_tasks,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
--- a/hemlocksaddle-shard/src/node.rs
+++ b/hemlocksaddle-shard/src/node.rs
@@ -54,6 +54,8 @@
     pub keep_ended_ms: Millis,
     /// Whether owners reserve room for tasks that fit nowhere.
     pub reservations: bool,
+    /// Whether owners make speculative copies of tasks of steps that allow them.
+    pub copies: bool,
     /// Largest record that the store takes, with its key.
     pub max_record_bytes: usize,
     /// Largest append that the store takes.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -138,6 +138,7 @@
         let dispatcher = Dispatcher::new(env.clone(), links, shard, term);
         let mut scheduler = Scheduler::new(limits, term, failover_complete_at);
         scheduler.set_cap_share(shard, shards);
+        scheduler.set_copies(env.settings.copies);
         Rc::new(Owner {
             dispatcher,
             scheduler: RefCell::new(scheduler),
@@ -533,6 +534,7 @@
             for order in orders {
                 self.dispatch(order);
             }
+            self.report_copies();
             self.report_waiting();
             let waiting = self.changed.wait_past(seen);
             let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
@@ -544,6 +546,7 @@
             late_s.observe(late_ms as f64 / 1_000.0);
         }
         self.clear_waiting();
+        self.clear_copies();
     }
 
     /// Answers a request of another node or of this node's frontend.
--- a/hemlocksaddle-shard/tests/support/mod.rs
+++ b/hemlocksaddle-shard/tests/support/mod.rs
@@ -62,6 +62,8 @@
     pub(crate) connections: Rc<Connections>,
     /// Setting of the nodes that are started from now on.
     pub(crate) reservations: Cell<bool>,
+    /// Setting of the nodes that are started from now on.
+    pub(crate) copies: Cell<bool>,
     catalogue: Rc<RefCell<Catalogue>>,
 }
 
@@ -184,6 +186,7 @@
             loses_requests: RefCell::default(),
             connections: Rc::default(),
             reservations: Cell::new(false),
+            copies: Cell::new(false),
             catalogue: Rc::new(RefCell::new(catalogue())),
             sim,
         };
@@ -224,6 +227,7 @@
             lease_ms: Millis(self.fleet.max_lease_ms.get()),
             keep_ended_ms: Millis(120_000),
             reservations: self.reservations.get(),
+            copies: self.copies.get(),
             max_record_bytes: self.store.max_record_bytes.get(),
             max_append_bytes: store::RECORDS_PER_APPEND * self.store.max_record_bytes.get(),
         };
--- a/hemlocksaddle-shard/tests/support/node_fleet.rs
+++ b/hemlocksaddle-shard/tests/support/node_fleet.rs
@@ -71,6 +71,9 @@
                 return unanswered(StartAnswer::NotSent);
             }
             let late = call.clone();
+            if !self.fleet.done.borrow().contains_key(&call.task) {
+                self.fleet.unanswered.record_ordered(call.task, call.run);
+            }
             let carried_out = self.is_unanswered(&worker, |fleet, worker| {
                 Box::pin(async move {
                     let _ = fleet.start(&worker, late).await;
