Weigh crashes of workers that hold the earlier run of a copied task

Cause: a run that is set aside for a copy is not assigned to its worker any more, so that the crash of that worker was not held against the task, and a task that crashes each worker that starts it could get a copy before the first crash was known. The room of a copy whose start is unanswered was given away after the next report when the earlier run completed first, although the order could still be carried out.

Change: runs beside a copy are weighed like assigned ones, with the time of their order and the clock of the report that listed them. Tasks on silent workers get no copies. A superseded start that is unanswered counts until the lease of its worker has expired, also where copies are off; the earlier run stops counting when its end is reported. Only orders that no report has shown count as unanswered.

--- a/hemlocksaddle-policy/src/workflow/copies.rs
+++ b/hemlocksaddle-policy/src/workflow/copies.rs
@@ -93,9 +93,13 @@
 
 /// Earlier run of a task that has a copy.
 #[derive(Clone, Copy, Debug)]
-struct Original {
+pub(super) struct Original {
     worker: WorkerKey,
     run: Run,
+    /// Time of the order to start it.
+    pub(super) ordered_at: MonoMs,
+    /// Reading of the worker's clock by which it had started; `None` if it may not have.
+    pub(super) started_clock_ms: Option<u64>,
 }
 
 /// Tasks with two runs.
@@ -119,6 +123,12 @@
         self.originals.get(&key).map(|original| original.worker)
     }
 
+    /// Earlier run of a task, if it has a number.
+    pub(super) fn earlier(&self, key: TaskKey, run: Run) -> Option<&Original> {
+        let original = self.originals.get(&key);
+        original.filter(|original| original.run == run)
+    }
+
     /// Whether a run is the earlier one of a task that has a copy.
     pub(super) fn is_earlier(&self, key: TaskKey, worker: WorkerKey, run: Run) -> bool {
         let original = self.originals.get(&key);
@@ -265,6 +275,10 @@
         let mut late = Vec::new();
         let mut slow = Vec::new();
         for (worker, on) in &self.workers {
+            // The task may have crashed it, and would crash the next one.
+            if on.is_silent() {
+                continue;
+            }
             for (&key, assigned) in &on.tasks {
                 let job = &self.jobs[key.job];
                 if !may_have_copy(job.step(key)) || !job.is_open() {
@@ -428,6 +442,12 @@
         let demand = occupied(job.step(key));
         let state = job.task(key)?;
         let run = state.run;
+        let original = Original {
+            worker,
+            run,
+            ordered_at: state.ordered_at,
+            started_clock_ms: state.started_clock_ms,
+        };
         let is_running = matches!(state.phase, Phase::Running { .. });
         let charge = self.charge_of(task);
         self.unassign(key);
@@ -449,17 +469,30 @@
             self.tenancy.charge(charge.tenant, charge.demand);
         }
         self.renew_charges(worker, replaced);
-        self.copies.originals.insert(key, Original { worker, run });
+        self.copies.originals.insert(key, original);
         Some(run)
     }
 
-    /// Records the end of a run; the earlier one of a task with a copy is forgotten.
+    /// Records that a report listed the earlier run of a task.
+    pub(super) fn earlier_run_listed(&mut self, key: TaskKey, clock_ms: Option<u64>) {
+        if let Some(original) = self.copies.originals.get_mut(&key) {
+            original.started_clock_ms = original.started_clock_ms.or(clock_ms);
+        }
+    }
+
+    /// Records the end of a run; returns whether it is the earlier one of a task with a copy, which is forgotten.
     pub(super) fn earlier_run_ended(&mut self, key: TaskKey, worker: WorkerKey, run: Run) -> bool {
-        let is_earlier = self.copies.is_earlier(key, worker, run);
-        if is_earlier {
-            self.copies.originals.remove(&key);
+        if !self.copies.is_earlier(key, worker, run) {
+            return false;
+        }
+        self.copies.originals.remove(&key);
+        let name = self.name(key);
+        if let Some(on) = self.workers.get_mut(worker) {
+            let is_same = |left: &mut Leftover| (left.task, left.run) == (name, run);
+            let ended: Vec<Leftover> = on.leftovers.extract_if(.., is_same).collect();
+            self.release_charges(ended.iter().filter_map(|left| left.charge));
         }
-        is_earlier
+        true
     }
 
     /// Records that a task with two runs is done.
--- a/hemlocksaddle-policy/src/workflow/crash.rs
+++ b/hemlocksaddle-policy/src/workflow/crash.rs
@@ -402,13 +402,13 @@
         })
     }
 
-    /// Runs that are assigned to a worker that was lost at the given time.
+    /// Runs that are assigned to a worker that was lost at the given time, and those that go on beside a copy.
     fn runs_on<'a>(
         &'a self,
         worker: &'a Worker,
         lost_at: MonoMs,
     ) -> impl Iterator<Item = Suspect> + 'a {
-        worker.tasks.iter().filter_map(move |(&key, assigned)| {
+        let assigned = worker.tasks.iter().filter_map(move |(&key, assigned)| {
             let task = self.jobs.get(key.job)?.task(key)?;
             Some(Suspect {
                 task: key,
@@ -417,7 +417,19 @@
                 age: lost_at.since(task.ordered_at),
                 prior: task.suspicion(),
             })
-        })
+        });
+        let earlier = worker.leftovers.iter().filter_map(move |left| {
+            let key = self.task_key(left.task)?;
+            let earlier = self.copies.earlier(key, left.run)?;
+            Some(Suspect {
+                task: key,
+                run: left.run,
+                survived: worker.survived(earlier.started_clock_ms),
+                age: lost_at.since(earlier.ordered_at),
+                prior: self.jobs[key.job].task(key)?.suspicion(),
+            })
+        });
+        assigned.chain(earlier)
     }
 
     /// Runs on a worker whose tasks may have crashed it.
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -148,9 +148,16 @@
         let job = &self.jobs[key.job];
         let demand = occupied(job.step(key));
         let task = job.task(key);
-        if let Some((worker, run)) = task.and_then(|task| Some((task.phase.worker()?, task.run))) {
-            self.stop_leftover(worker, name, run, Some(demand), now);
-        }
+        let Some(task) = task else { return };
+        let (phase, run) = (task.phase, task.run);
+        let Some(worker) = phase.worker() else { return };
+        let lease_until = self.workers.get(worker).map(|worker| worker.lease_until);
+        let seen_at = match phase {
+            // The order may be carried out later.
+            Phase::Starting { .. } => lease_until.unwrap_or(now).max(now),
+            _ => now,
+        };
+        self.stop_leftover(worker, name, run, Some(demand), seen_at);
     }
 
     fn run_failed(&mut self, worker: WorkerKey, key: TaskKey, run: Run, now: MonoMs, wall: WallMs) {
@@ -253,6 +260,7 @@
             let occupied = occupied(job.step(key));
             job.settle(key);
             if wanted && self.copies.is_earlier(key, worker, status.run) {
+                self.earlier_run_listed(key, clock_ms);
                 self.keep_leftover(worker, status.task, status.run, Some(occupied), now);
                 return;
             }
--- a/hemlocksaddle-policy/tests/copies.rs
+++ b/hemlocksaddle-policy/tests/copies.rs
@@ -413,6 +413,87 @@
     expect_that!(harness.starts().len(), eq(1));
 }
 
+/// Failure: the earlier run completes while the start of the copy is unanswered. Guards against room of the copy's worker
+/// that is given away while the order may still be carried out.
+#[gtest]
+fn the_room_of_an_unanswered_copy_is_kept() {
+    let mut harness = Harness::with_copies(2, 4_000, 1);
+    let (first, copy) = unanswered_with_copy(&mut harness);
+    harness.answer(&copy, StartAnswer::Unknown);
+    harness.end(&first, EndKind::Done);
+    expect_that!(harness.stops(), elements_are![eq(&(copy.name, copy.run))]);
+    harness.advance(100);
+    harness.report_idle(harness.number_of(&copy));
+    harness.report_idle(harness.number_of(&first));
+    harness.accept(2, vec![step(2, 4_000)]);
+    let starts = harness.starts();
+    expect_that!(starts.len(), eq(1));
+    expect_that!(starts[0].worker, eq(first.worker));
+}
+
+/// Failure: a task crashes each worker that starts it, so that its start gets no answer. Guards against a copy that
+/// crashes another worker before the first crash is known.
+#[gtest]
+fn a_start_on_a_worker_that_is_silent_is_not_copied() {
+    let mut harness = Harness::with_copies(4, 16_000, 1);
+    harness.accept(1, vec![speculative(1, 4_000)]);
+    let first = harness.starts().remove(0);
+    harness.renew();
+    harness.silence(first.worker);
+    leave_unanswered(&mut harness, &first);
+    expect_that!(harness.starts(), is_empty());
+}
+
+/// Failure: the same, with a worker whose connections stay open, so that it is taken as silent later. Guards against a
+/// crash that is not held against the task since its run was set aside.
+#[gtest]
+fn the_crash_of_the_worker_of_the_earlier_run_counts_against_the_task() {
+    let mut harness = Harness::with_copies(4, 16_000, 1);
+    let (first, copy) = unanswered_with_copy(&mut harness);
+    harness.answer(&copy, StartAnswer::Unknown);
+    harness.crash(&first, 100);
+    let job = harness
+        .scheduler
+        .job(first.name.workflow)
+        .expect("workflow");
+    let task = job.task_named(first.name).expect("task");
+    let crashed: Vec<_> = task.crashes.iter().map(|crash| crash.run).collect();
+    expect_that!(crashed, elements_are![eq(&first.run)]);
+}
+
+/// Failure: a run whose start got no answer, and which a report has shown since, is moved off a worker that leaves.
+/// Guards against a second run before the first one has stopped.
+#[gtest]
+fn a_run_that_is_being_moved_is_not_taken_as_unanswered() {
+    let mut harness = Harness::with_copies(4, 16_000, 1);
+    let mut asked = speculative(1, 4_000);
+    asked.checkpointed = true;
+    harness.accept(1, vec![asked]);
+    let first = harness.starts().remove(0);
+    harness.answer(&first, StartAnswer::Unknown);
+    harness.advance(100);
+    harness.report_running(harness.number_of(&first), 1, first.run);
+    harness.drain(&first);
+    expect_that!(harness.stops(), elements_are![eq(&(first.name, first.run))]);
+    harness.advance(1_000);
+    expect_that!(harness.starts(), is_empty());
+}
+
+/// Failure: the worker of the earlier run is silent until its lease has expired. Guards against an entry that counts as a
+/// second run for good.
+#[gtest]
+fn an_earlier_run_is_forgotten_when_its_lease_has_expired() {
+    let mut harness = Harness::with_copies(4, 16_000, 1);
+    let (first, copy) = late_with_copy(&mut harness);
+    harness.silence(first.worker);
+    for second in 0..8 {
+        harness.advance(1_000);
+        harness.report_progress(harness.number_of(&copy), 1, copy.run, 20 + second);
+        harness.starts();
+    }
+    expect_that!(harness.scheduler.copied_tasks(), eq(0));
+}
+
 /// Failure: the caller cancels a workflow with two runs. Guards against an earlier run that goes on.
 #[gtest]
 fn both_runs_of_a_cancelled_workflow_are_stopped() {
