Render the metric of copies in the check of the catalogue

Cause: every_metric_is_listed_and_no_other gives each vector of metrics a value, since one without is not rendered, and shard_copies_total had none.

Change: the test counts a copy. tests/catalogue.rs passes.

--- a/hemlocksaddle-shard/tests/catalogue.rs
+++ b/hemlocksaddle-shard/tests/catalogue.rs
@@ -51,6 +51,7 @@
     metrics.waiting_tasks.with_label_values(&["room"]).set(1);
     metrics.unrecovered_s.with_label_values(&["0"]).set(1.0);
     metrics.plan_work.with_label_values(&["plans"]).inc();
+    metrics.copies.with_label_values(&["late"]).inc();
     let uses = TenantUses {
         highest: vec![("tenant".into(), TenantUse::default())],
         ..TenantUses::default()
