--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod unreached;
 pub mod unserved;
 pub mod usefulness;
+pub mod worker_connections;
 pub mod workflow;
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -18,6 +18,7 @@
 mod backlog;
 mod capacity;
 mod consolidation;
+mod copies;
 mod crash;
 mod ended;
 mod interference;
@@ -62,6 +63,7 @@
 
 pub use self::{
     backlog::TenantLoads,
+    copies::{CopyEvent, CopyReason},
     crash::{Crash, LostRun, Outage},
     interference::InterferenceSnapshot,
     job::{Job, Phase, TaskKey},
@@ -206,6 +208,7 @@
     /// Work of the plans that is not reported yet.
     work: WorkCounts,
     tenancy: tenancy::Tenancy,
+    copies: copies::Copies,
 }
 
 impl Scheduler {
@@ -249,6 +252,7 @@
             packing: packing::Packing::default(),
             work: WorkCounts::default(),
             tenancy: tenancy::Tenancy::default(),
+            copies: copies::Copies::default(),
         }
     }
 
@@ -350,11 +354,6 @@
     }
 
     fn name(&self, key: TaskKey) -> TaskName {
-        TaskName {
-            workflow: self.jobs[key.job].id,
-            occurrence: key.occurrence,
-            step: key.step,
-            index: key.index,
-        }
+        self.jobs[key.job].name_of(key)
     }
 }
--- a/hemlocksaddle-shard/src/lib.rs
+++ b/hemlocksaddle-shard/src/lib.rs
@@ -30,6 +30,7 @@
 mod claims;
 mod configuration;
 mod connections;
+mod copies;
 mod delegate;
 mod dispatcher;
 mod failure_detector;
@@ -48,6 +49,7 @@
 mod tenant_metrics;
 mod tenants;
 mod waiting;
+mod worker_calls;
 mod worker_poll;
 
 pub use node::{Node, Settings};
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -76,6 +76,10 @@
     pub awaited_reports: IntGauge,
     /// Time until the last of these waits ends, 0 without any.
     pub awaited_reports_s: Gauge,
+    /// Speculative copies by reason, and tasks with two runs by the run that completed first.
+    pub copies: IntCounterVec,
+    /// Tasks with two runs.
+    pub copied_tasks: IntGauge,
 }
 
 impl Metrics {
@@ -137,6 +141,8 @@
             "Time until the last wait for a first report ends, 0 without any.",
         )?;
         registry.register(Box::new(awaited_reports_s.clone()))?;
+        let copied_tasks = IntGauge::new("shard_copied_tasks", "Tasks with two runs.")?;
+        registry.register(Box::new(copied_tasks.clone()))?;
         let worker_crashes = IntCounter::new("shard_worker_crashes_total", "Crashes of workers.")?;
         registry.register(Box::new(worker_crashes.clone()))?;
         let given_up = IntCounter::new(
@@ -195,6 +201,12 @@
             reserved_cpu_milli,
             awaited_reports,
             awaited_reports_s,
+            copies: counter(
+                "shard_copies_total",
+                "Speculative copies by reason, and copied tasks by the run that completed first.",
+                &["kind"],
+            )?,
+            copied_tasks,
             delegated_calls: counter(
                 "shard_delegated_calls_total",
                 "Calls to delegates by outcome.",
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -41,6 +41,7 @@
     recovery_watch::RecoveryWaits,
     retries::SharedAttempts,
     tenants::{FreshRead, Storing},
+    worker_calls::WorkerCalls,
     worker_poll::WorkerClock,
 };
 
@@ -121,6 +122,7 @@
     pub(crate) recovery: RecoveryWaits,
     pub(crate) pending_submissions: RefCell<Vec<PendingSubmission>>,
     pub(crate) pending_changed: Signal,
+    pub(crate) worker_calls: WorkerCalls,
 }
 
 impl Owner {
@@ -145,6 +147,7 @@
         let mut scheduler = Scheduler::new(limits, term, failover_complete_at);
         scheduler.set_cap_share(shard, shards);
         scheduler.set_earlier_leases(claims.earlier_unreached(shard, term));
+        scheduler.set_copies(env.settings.copies);
         Rc::new(Owner {
             dispatcher,
             scheduler: RefCell::new(scheduler),
@@ -184,6 +187,7 @@
             recovery: RecoveryWaits::default(),
             pending_submissions: RefCell::default(),
             pending_changed: Signal::default(),
+            worker_calls: WorkerCalls::default(),
         })
     }
 
@@ -534,6 +538,7 @@
             for order in orders {
                 self.dispatch(order);
             }
+            self.report_copies();
             self.report_waiting();
             let waiting = self.changed.wait_past(seen);
             let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
@@ -545,6 +550,7 @@
             late_s.observe(late_ms as f64 / 1_000.0);
         }
         self.clear_waiting();
+        self.clear_copies();
     }
 
     /// Answers a request of another node or of this node's frontend.
