Check a start order again after it has waited for the lease of its worker

An order to start waits up to 0.5 s until the claim no longer names its worker. The lease of a worker that did not answer for long has expired, so that the task was unassigned and started elsewhere in that time, and the order was sent all the same.

Change: the lease counts as valid while an order waits, and an order whose task is no longer starting under this run is not sent.

--- a/hemlocksaddle-shard/src/leases.rs
+++ b/hemlocksaddle-shard/src/leases.rs
@@ -102,6 +102,16 @@
         }
     }
 
+    /// Counts the lease of a worker as valid while an order to start waits for its release.
+    ///
+    /// The lease of a worker that did not answer for long has expired, and the task would be unassigned at once.
+    pub(crate) fn hold_for_release(&self, worker: WorkerKey) {
+        if self.is_withheld(worker) {
+            let until = self.env.now() + MAX_RELEASE_WAIT_MS;
+            self.scheduler.borrow_mut().extend_lease(worker, until);
+        }
+    }
+
     /// Waits until a worker that answers may get a lease, for a bounded time.
     pub(crate) async fn wait_for_release(&self, worker: WorkerKey) {
         if !self.is_withheld(worker) {
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -134,7 +134,12 @@
 
     /// Sends an order to start; returns the answer and the process that it came from.
     async fn send_start(self: &Rc<Self>, start: &Start) -> (StartAnswer, Process) {
+        self.hold_for_release(start.worker);
         self.wait_for_release(start.worker).await;
+        // The task may have been cancelled, or have started elsewhere, while its order waited.
+        if !self.scheduler.borrow().is_start_pending(start) {
+            return (StartAnswer::NotSent, Process::Listed);
+        }
         let Some(listing) = self.listing(start.worker) else {
             return (StartAnswer::OtherLife, Process::Listed);
         };
--- a/hemlocksaddle-shard/tests/lease_waits.rs
+++ b/hemlocksaddle-shard/tests/lease_waits.rs
@@ -234,6 +234,31 @@
     }
 }
 
+/// Load pattern: a worker without a lease answers again during a burst, while the store takes 300 ms. Guards against
+/// orders that wait until the worker may get a lease, and are sent although their tasks have started elsewhere.
+#[gtest]
+fn tasks_of_a_burst_start_once_on_a_worker_that_answers_again() {
+    for seed in 1..=8 {
+        let deployment = Deployment::new(seed, NODES, 3);
+        deployment.fleet.run_ms.set(2_000);
+        deployment.wait_for_owner();
+        let node = (deployment.owner().expect("owner") + 1) % NODES;
+        deployment.fleet.set_unreachable(2, true);
+        deployment.sim.run_for(Millis(15_000));
+        deployment.store.latency_factor.set(60);
+        deployment.fleet.set_unreachable(2, false);
+        for id in 1..=20 {
+            let accepted = deployment.submit(node, id, vec![step(4)]);
+            assert_that!(accepted, eq(Submitted::Accepted), "seed {seed}");
+            deployment.sim.run_for(Millis(37));
+        }
+        deployment.sim.run_for(Millis(60_000));
+        let fleet = &deployment.fleet;
+        expect_that!(*fleet.violations.borrow(), is_empty(), "seed {seed}");
+        expect_that!(fleet.starts(), eq(80), "seed {seed}");
+    }
+}
+
 /// Load pattern: a worker is lost, and the owner is killed. Guards against a wait of which neither log nor metrics tell
 /// for which worker it is, and how long it lasts.
 #[gtest]
