Add the protocol of cap shares that move between shards

Cause: with several shards each owner uses cap / n. A tenant whose work is in one shard is held back there while its share in another is idle, and a task larger than cap / n never starts.

Nothing uses it yet.

--- /dev/null
+++ b/hemlocksaddle-policy/src/cap_shares/want.rs
@@ -0,0 +1,63 @@
+//! When a shard reports that a tenant is held back.
+
+use hemlocksaddle_types::{
+    clock::{Millis, MonoMs},
+    resources::Resources,
+};
+
+use super::Want;
+
+/// Time for which a tenant is held back before this is reported; shorter shortages end by themselves.
+const REPORT_AFTER_MS: Millis = Millis(1_000);
+
+/// Time without a shortage after which the report is withdrawn.
+const WITHDRAW_AFTER_MS: Millis = Millis(3_000);
+
+/// Shortest time between two changes of a report.
+const CHANGE_INTERVAL_MS: Millis = Millis(2_000);
+
+/// Change of an amount that is reported, as a divisor of the reported one.
+const CHANGE_DIVISOR: u64 = 4;
+
+/// Report of what a tenant wants in a shard, which changes seldom.
+#[derive(Clone, Debug, Default)]
+pub struct WantReport {
+    reported: Option<Want>,
+    changed_at: MonoMs,
+    /// Time since which the tenant has been held back, or has not while a report stands.
+    since: Option<MonoMs>,
+}
+
+impl WantReport {
+    /// Takes note of the present want; returns what is to be reported.
+    pub fn update(&mut self, now: MonoMs, want: Option<Want>) -> Option<Want> {
+        let is_due = match (&self.reported, &want) {
+            (None, None) => {
+                self.since = None;
+                false
+            }
+            (Some(reported), Some(want)) => {
+                self.since = None;
+                now.since(self.changed_at) >= CHANGE_INTERVAL_MS && differs(reported, want)
+            }
+            (None, Some(_)) => now.since(*self.since.get_or_insert(now)) >= REPORT_AFTER_MS,
+            (Some(_), None) => now.since(*self.since.get_or_insert(now)) >= WITHDRAW_AFTER_MS,
+        };
+        if is_due {
+            self.reported = want;
+            self.changed_at = now;
+            self.since = None;
+        }
+        self.reported
+    }
+}
+
+fn differs(reported: &Want, want: &Want) -> bool {
+    let is_far = |reported: u64, now: u64| reported.abs_diff(now) > reported / CHANGE_DIVISOR;
+    let far = |a: &Resources, b: &Resources| {
+        is_far(a.cpu_milli, b.cpu_milli)
+            || is_far(a.memory_mb, b.memory_mb)
+            || is_far(a.accelerators, b.accelerators)
+    };
+    reported.unit != want.unit || far(&reported.total, &want.total)
+}
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod backoff;
+pub mod cap_shares;
 pub mod catalogue_check;
 pub mod catch_up;
 pub mod checkpoint;
