Take unsaved cap records in turn

Cause: each renewal took the first 32 records, so that records that change often could keep others from being stored. Without tenants, owners of several shards looked through all open workflows at each change of a share record.

Change: renewals take the records in turn, and nothing is looked at without tenants.

Result: the tests of cap shares, tenants and tenant caps of the shard crate pass.

--- a/hemlocksaddle-shard/src/cap_shares.rs
+++ b/hemlocksaddle-shard/src/cap_shares.rs
@@ -65,6 +65,8 @@
     shares: RefCell<HashMap<Arc<str>, Share>>,
     /// Records that are not known to be stored.
     unsaved: RefCell<Vec<Record>>,
+    /// Position in the records that are not stored, from which the next renewal takes some.
+    next_record: Cell<usize>,
     /// Number of rounds that were decided.
     rounds: Cell<u32>,
 }
@@ -84,12 +86,19 @@
     /// Records that are to be appended with the next renewal of the claim.
     pub(crate) fn share_records(&self) -> Vec<Record> {
         let unsaved = self.cap_shares.unsaved.borrow();
-        unsaved.iter().take(MAX_RECORDS).cloned().collect()
+        let count = unsaved.len().min(MAX_RECORDS);
+        // Records that change at each renewal must not keep others from being stored.
+        let from = self.cap_shares.next_record.get();
+        self.cap_shares.next_record.set(from.wrapping_add(count));
+        let from = from % unsaved.len().max(1);
+        let records = unsaved.iter().cycle().skip(from);
+        records.take(count).cloned().collect()
     }
 
     /// Applies the latest records and demand to the limits of tenants, and prepares the records of this shard.
     pub(crate) fn update_shares(&self, tenants: Tenants) {
-        if self.shards <= 1 {
+        if self.shards <= 1 || self.scheduler.borrow().tenants() == 0 {
+            self.cap_shares.unsaved.borrow_mut().clear();
             return;
         }
         let records = &self.claims.shares;
