--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     admission::Admission,
+    cap_shares::CapShares,
     claims::{Claims, Handover},
     configuration::Configuration,
     dispatcher::Dispatcher,
@@ -119,6 +120,7 @@
     handover: RefCell<Option<Handover>>,
     /// Signals a change of what the claim says.
     pub(crate) claim_changed: Signal,
+    pub(crate) cap_shares: CapShares,
     pub(crate) recovery: RecoveryWaits,
     pub(crate) pending_submissions: RefCell<Vec<PendingSubmission>>,
     pub(crate) pending_changed: Signal,
@@ -184,6 +186,7 @@
             waiting_reported_at: Cell::new(now),
             handover: RefCell::default(),
             claim_changed: Signal::default(),
+            cap_shares: CapShares::default(),
             recovery: RecoveryWaits::default(),
             pending_submissions: RefCell::default(),
             pending_changed: Signal::default(),
@@ -232,7 +235,10 @@
         self.ready.set(true);
         self.claims.record_recovery(self.shard, self.term);
         self.claim_changed.notify();
+        // The first plan needs the shares of the caps.
+        self.apply_configuration();
         self.spawn(|owner| owner.follow_configuration());
+        self.spawn(|owner| owner.divide_caps());
         self.spawn(move |owner| owner.follow_submissions(followed.submissions));
         self.spawn(move |owner| owner.follow_workers(followed.workers));
         self.spawn(|owner| owner.save());
@@ -328,6 +334,7 @@
                 handover.as_ref(),
                 &leases,
                 &self.claim_sequence,
+                self.share_records(),
             );
             match renewed.await {
                 Ok(()) => {
@@ -392,19 +399,6 @@
         self.env.metrics.delegates.set(0);
     }
 
-    async fn follow_configuration(self: Rc<Self>) {
-        while !self.ended.get() {
-            let seen = self.configuration.changed.count();
-            if let Some(catalogue) = self.configuration.catalogue() {
-                self.scheduler.borrow_mut().configure(&catalogue);
-            }
-            let closed = self.configuration.closed();
-            self.scheduler.borrow_mut().close_data_centres(closed);
-            self.changed.notify();
-            self.configuration.changed.wait_past(seen).await;
-        }
-    }
-
     async fn follow_submissions(self: Rc<Self>, mut next: u64) {
         while !self.ended.get() {
             let sent_at = self.env.now();
