Forget interference weights by observations of their own image

Cause: each observation of a long-running image decayed the sums of all best-effort images by 0.1%. With hundreds of workers, an image has about a thousand observations a second, so a weight is forgotten within seconds after placement has begun to keep its image away.

Change: the equation of a best-effort image forgets with observations of that image only.

--- a/hemlocksaddle-policy/src/workflow/interference.rs
+++ b/hemlocksaddle-policy/src/workflow/interference.rs
@@ -7,8 +7,10 @@
 //! weight depends on the pair of images. The load varies within seconds and is the
 //! same for all tasks of a step, so tasks without interfering neighbours reveal it;
 //! the weights are stable. For each long-running image the weights are fitted by a
-//! non-negative ridge regression over all best-effort images, with exponential
-//! forgetting and one sweep of coordinate descent per observation.
+//! non-negative ridge regression over all best-effort images, with one sweep of
+//! coordinate descent per observation. The equation of a best-effort image forgets
+//! exponentially, with each observation of that image alone: placement keeps images that
+//! interfere away, so time without observations says nothing against their weights.
 
 use std::sync::Arc;
 
@@ -50,7 +52,7 @@
 /// Ridge penalty of a weight, in squared shares: one observation of a typical task.
 const RIDGE: f64 = 0.015;
 
-/// Factor applied to the sums of older observations with each new one.
+/// Factor applied to the sums of older observations of an image with each new one.
 const FORGETTING_FACTOR: f64 = 0.999;
 
 /// Weight up to which a pair counts as harmless: within the noise of a few hundred observations.
@@ -117,8 +119,12 @@
         }
     }
 
+    /// Adds an observation to the equations of the images that it contains.
+    ///
+    /// The other equations keep their sums. Scaling one equation as a whole does not change its solution.
     fn add(&mut self, shares: &[f64], increase: f64) {
-        for (row, share) in shares.iter().enumerate() {
+        let present = shares.iter().enumerate().filter(|(_, share)| **share > 0.0);
+        for (row, share) in present {
             self.products[row] = self.products[row] * FORGETTING_FACTOR + share * increase;
             for (column, other) in shares.iter().enumerate() {
                 let square = &mut self.squares[row][column];
