Expect unused parts of the test support, and reword some comments

Test files allowed dead code where the house style asks for an expectation, and a few comments and names were not the usual terms.

Comments and two constants reworded.

--- a/hemlocksaddle-policy/tests/best_effort_load.rs
+++ b/hemlocksaddle-policy/tests/best_effort_load.rs
@@ -1,6 +1,6 @@
 //! Best-effort work beside long-running tasks: what is learned of their interference, and at whose cost.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/blocked_behind.rs
+++ b/hemlocksaddle-policy/tests/blocked_behind.rs
@@ -1,6 +1,6 @@
 //! Tasks that wait behind others that cannot be started.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/capacity.rs
+++ b/hemlocksaddle-policy/tests/capacity.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a full fleet whose workers lose and regain a part of their capacity, and
 //! whose pool does not check whether a task fits.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/colocation.rs
+++ b/hemlocksaddle-policy/tests/colocation.rs
@@ -1,6 +1,6 @@
 //! Co-location of long-running and best-effort tasks: which worker each of them gets.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/copies.rs
+++ b/hemlocksaddle-policy/tests/copies.rs
@@ -1,6 +1,6 @@
 //! Speculative copies of tasks whose run is late or may never have started.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/crashes.rs
+++ b/hemlocksaddle-policy/tests/crashes.rs
@@ -4,7 +4,7 @@
 //! milliseconds. The worker is back after some seconds; all its other runs are lost.
 //! Workers also crash for other reasons: one by turns, or all of a data centre at once.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/departures.rs
+++ b/hemlocksaddle-policy/tests/departures.rs
@@ -3,7 +3,7 @@
 //! Load pattern: the fleet is scaled in, or workers are lost, and the owner changes later. A
 //! successor must not wait for reports that cannot come, and must know of runs whose end nobody saw.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/ended.rs
+++ b/hemlocksaddle-policy/tests/ended.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a steady load of short workflows beside changes of owner, so that most workflows in the
 //! store have ended.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/large_workflows.rs
+++ b/hemlocksaddle-policy/tests/large_workflows.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a schedule with a day of due occurrences, or several workflows of the largest size, on few workers;
 //! small workflows come later.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use std::{collections::BTreeMap, fs};
--- a/hemlocksaddle-policy/tests/listings.rs
+++ b/hemlocksaddle-policy/tests/listings.rs
@@ -3,7 +3,7 @@
 //! Load pattern: one listing among those of sound workers that can be decoded, with a text or number that
 //! no worker has.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/lost_runs.rs
+++ b/hemlocksaddle-policy/tests/lost_runs.rs
@@ -3,7 +3,7 @@
 //! Load pattern: the owner's link or a worker's link is congested for longer than a lease. A run
 //! completes, its end cannot be reported, and the task is started again elsewhere.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/ownership.rs
+++ b/hemlocksaddle-policy/tests/ownership.rs
@@ -1,6 +1,6 @@
 //! Tenants of workflows in the scheduler.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use std::sync::Arc;
--- a/hemlocksaddle-policy/tests/packing.rs
+++ b/hemlocksaddle-policy/tests/packing.rs
@@ -1,6 +1,6 @@
 //! Choice of the worker for a small task while a larger one finds no room.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/plan_work.rs
+++ b/hemlocksaddle-policy/tests/plan_work.rs
@@ -1,6 +1,6 @@
 //! Work that a plan takes, counted: an owner plans up to a few hundred times a second.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/reservations.rs
+++ b/hemlocksaddle-policy/tests/reservations.rs
@@ -1,6 +1,6 @@
 //! Room reserved for large short tasks that small ones would otherwise keep out.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/restarts.rs
+++ b/hemlocksaddle-policy/tests/restarts.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a worker's process ends and another takes its name and address, while starts are on
 //! their way. An order to start names only the worker, so that either process may carry it out.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/starvation.rs
+++ b/hemlocksaddle-policy/tests/starvation.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a full fleet whose short tasks come back in waves or queue up, so that all
 //! capacity that becomes free has a short task waiting for it.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/tenant_admission.rs
+++ b/hemlocksaddle-policy/tests/tenant_admission.rs
@@ -3,7 +3,7 @@
 //! Load: one tenant sends 3.5 to 7.5 times its usual work (`hot_tenant`), beside others that send what they
 //! always do.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/tenant_random.rs
+++ b/hemlocksaddle-policy/tests/tenant_random.rs
@@ -4,7 +4,7 @@
 //! carry out orders late, fail, restart and are silent for longer than a lease, while workflows are cancelled, and a
 //! successor takes over every few seconds.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use std::collections::BTreeMap;
--- a/hemlocksaddle-policy/tests/tenant_shares.rs
+++ b/hemlocksaddle-policy/tests/tenant_shares.rs
@@ -1,6 +1,6 @@
 //! Shares of tenants when all capacity is in use, and the work that they take.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use std::collections::BTreeMap;
--- a/hemlocksaddle-policy/tests/tenants.rs
+++ b/hemlocksaddle-policy/tests/tenants.rs
@@ -1,6 +1,6 @@
 //! Caps of tenants, and what a tenant may learn and cancel.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/unreached.rs
+++ b/hemlocksaddle-policy/tests/unreached.rs
@@ -1,6 +1,6 @@
 //! Workers that an owner does not reach, and how long its successor waits for them.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/unread_configuration.rs
+++ b/hemlocksaddle-policy/tests/unread_configuration.rs
@@ -3,7 +3,7 @@
 //! Load pattern: the owner changes while tasks run, and a task fails before the successor has read the
 //! configuration.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/waiting.rs
+++ b/hemlocksaddle-policy/tests/waiting.rs
@@ -3,7 +3,7 @@
 //! Load pattern of each test: a task that cannot start for one reason until its wait is
 //! reported.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/withheld_ends.rs
+++ b/hemlocksaddle-policy/tests/withheld_ends.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a worker is cut off for longer than its lease while its only run completes, so that no run on it
 //! lapses.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-policy/tests/workflow.rs
+++ b/hemlocksaddle-policy/tests/workflow.rs
@@ -1,6 +1,6 @@
 //! Decisions of the scheduler: which tasks start, on which worker, and when they may restart.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/src/cap_shares.rs
+++ b/hemlocksaddle-shard/src/cap_shares.rs
@@ -25,11 +25,11 @@
     record::{self, TenantTag},
 };
 
-/// Longest time between two looks at the demand of tenants.
-const LOOK_INTERVAL_MS: Millis = Millis(500);
+/// Longest time between two checks of the demand of tenants.
+const CHECK_INTERVAL_MS: Millis = Millis(500);
 
-/// Shortest time between two looks, so that one covers the records of several shards.
-const MIN_LOOK_INTERVAL_MS: Millis = Millis(50);
+/// Shortest time between two checks, so that one covers the records of several shards.
+const MIN_CHECK_INTERVAL_MS: Millis = Millis(50);
 
 /// Largest number of records that are appended with a renewal: about 10 kB, which take 40 ms on a link of
 /// 2 Mbit/s.
@@ -78,8 +78,8 @@
             let seen = self.claims.shares.changed.count();
             self.update_shares(Tenants::Active);
             let changed = self.claims.shares.changed.wait_past(seen);
-            let _ = within(&*self.env.ports.runtime, LOOK_INTERVAL_MS, changed).await;
-            self.env.sleep(MIN_LOOK_INTERVAL_MS).await;
+            let _ = within(&*self.env.ports.runtime, CHECK_INTERVAL_MS, changed).await;
+            self.env.sleep(MIN_CHECK_INTERVAL_MS).await;
         }
     }
 
--- a/hemlocksaddle-shard/src/orders.rs
+++ b/hemlocksaddle-shard/src/orders.rs
@@ -99,7 +99,7 @@
             if !self.scheduler.borrow().is_start_pending(&start) {
                 return;
             }
-            // A held repeat would hold the task: the order to stop has to be answered before it starts elsewhere.
+            // Waiting for a delayed repeat would delay the task: it starts elsewhere only after an order to stop was answered.
             if unanswered >= MAX_UNANSWERED || !self.may_repeat(start.worker) {
                 self.scheduler.borrow_mut().abandon_start(&start);
                 self.changed.notify();
--- a/hemlocksaddle-shard/src/retries.rs
+++ b/hemlocksaddle-shard/src/retries.rs
@@ -31,7 +31,7 @@
     record::{Key, TenantTag},
 };
 
-/// Interval at which it is checked whether shards are served.
+/// Interval between checks whether shards are served.
 const CHECK_INTERVAL_MS: Millis = Millis(100);
 
 /// Longest time between two reads: little is left to read once a submission waits for one, and 100 nodes read a
--- a/hemlocksaddle-shard/tests/cap_shares.rs
+++ b/hemlocksaddle-shard/tests/cap_shares.rs
@@ -3,7 +3,7 @@
 //! Load: a tenant sends several times what its cap lets run, all of it to one shard for some seconds and then to the
 //! other. The workers check at each start that the cap holds over both shards.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/copies.rs
+++ b/hemlocksaddle-shard/tests/copies.rs
@@ -1,6 +1,6 @@
 //! Speculative copies, from the setting to the workers.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/crashes.rs
+++ b/hemlocksaddle-shard/tests/crashes.rs
@@ -1,6 +1,6 @@
 //! Tasks that crash their workers, and workers whose capacity changes, while nodes fail.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/delegation.rs
+++ b/hemlocksaddle-shard/tests/delegation.rs
@@ -3,7 +3,7 @@
 //! All nodes have a link that carries the calls to one worker, so that the owner of
 //! twelve workers needs others.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/departures.rs
+++ b/hemlocksaddle-shard/tests/departures.rs
@@ -1,6 +1,6 @@
 //! End-to-end tests of workers that leave before the owner of their shard changes.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/endless_loops.rs
+++ b/hemlocksaddle-shard/tests/endless_loops.rs
@@ -2,7 +2,7 @@
 //!
 //! Failures: answers of the store or of workers that leave a caller where it was.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/format_versions.rs
+++ b/hemlocksaddle-shard/tests/format_versions.rs
@@ -1,6 +1,6 @@
 //! Nodes of different versions that share the streams.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use ciborium::Value;
--- a/hemlocksaddle-shard/tests/growing_streams.rs
+++ b/hemlocksaddle-shard/tests/growing_streams.rs
@@ -3,7 +3,7 @@
 //! Load pattern: hundreds of workers renew their records several hundred times a second, so that each read of
 //! a new owner brings more, while callers submit and the store forgets its history.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use std::{cell::Cell, rc::Rc};
--- a/hemlocksaddle-shard/tests/large_progress.rs
+++ b/hemlocksaddle-shard/tests/large_progress.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a schedule with thousands of occurrences, and workflows with many steps or lost runs on a store
 //! that takes small records.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use bytes::Bytes;
--- a/hemlocksaddle-shard/tests/large_submissions.rs
+++ b/hemlocksaddle-shard/tests/large_submissions.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: many workflows with long texts are submitted at the same moment.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/lease_waits.rs
+++ b/hemlocksaddle-shard/tests/lease_waits.rs
@@ -1,6 +1,6 @@
 //! How long the work of lost workers waits while the owner of its shard changes, once or several times.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/odd_listings.rs
+++ b/hemlocksaddle-shard/tests/odd_listings.rs
@@ -3,7 +3,7 @@
 //! Load pattern: ordinary work on a few workers, and one listing that can be decoded but has a name, text or
 //! numbers far beyond those of any worker.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/ownership.rs
+++ b/hemlocksaddle-shard/tests/ownership.rs
@@ -1,6 +1,6 @@
 //! Duration of an owner's lease, and the wait of its successor for the leases that it granted.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/reserved_room.rs
+++ b/hemlocksaddle-shard/tests/reserved_room.rs
@@ -1,6 +1,6 @@
 //! Room that is reserved: log line, metric, delegates, and changes of owner.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/restarts.rs
+++ b/hemlocksaddle-shard/tests/restarts.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a worker loses power for less than a report request takes to time out. Meanwhile
 //! and until the owner learns of the new process, tasks are started there.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/retention.rs
+++ b/hemlocksaddle-shard/tests/retention.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a steady load of short workflows beside owners that are killed, stopped or suspended, and a
 //! store that loses answers or carries out calls late.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/retries.rs
+++ b/hemlocksaddle-shard/tests/retries.rs
@@ -3,7 +3,7 @@
 //! Failures: lost answers, callers that leave, a store that is unavailable, and owners that do not recover, so that
 //! nodes refuse new submissions.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use std::{cell::Cell, rc::Rc};
--- a/hemlocksaddle-shard/tests/rolling_stops.rs
+++ b/hemlocksaddle-shard/tests/rolling_stops.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a deployment of slow nodes is restarted node by node. An owner that stops goes on until
 //! another node has claimed its shard, and ends with the grace period.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/shard.rs
+++ b/hemlocksaddle-shard/tests/shard.rs
@@ -1,6 +1,6 @@
 //! End-to-end tests of shards: submission, failover and store outages.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use futures_util::future::join_all;
--- a/hemlocksaddle-shard/tests/shutdown.rs
+++ b/hemlocksaddle-shard/tests/shutdown.rs
@@ -3,7 +3,7 @@
 //! Load pattern: callers keep using a node until its process ends, while the store is silent, slow or
 //! out of reach of the node, so that requests wait for the store or for an owner.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use std::{cell::Cell, rc::Rc};
--- a/hemlocksaddle-shard/tests/take_overs.rs
+++ b/hemlocksaddle-shard/tests/take_overs.rs
@@ -4,7 +4,7 @@
 //! open although later calls are answered. The owner is stopped, killed, suspended or cut off at
 //! that time, and submissions go on arriving at the old owner, at its successor and at other nodes.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/tenant_caps.rs
+++ b/hemlocksaddle-shard/tests/tenant_caps.rs
@@ -4,7 +4,7 @@
 //! both. The owner is killed while the cap is in full use; some workers cannot be reached by the
 //! next one at first, and go on running what they have.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/tenants.rs
+++ b/hemlocksaddle-shard/tests/tenants.rs
@@ -1,6 +1,6 @@
 //! Work of tenants in a deployment: who may see and cancel it, and keys that change.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use std::{rc::Rc, sync::Arc};
--- a/hemlocksaddle-shard/tests/unanswered_orders.rs
+++ b/hemlocksaddle-shard/tests/unanswered_orders.rs
@@ -1,6 +1,6 @@
 //! Workers that leave orders unanswered and carry them out late.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/unrecovered_owners.rs
+++ b/hemlocksaddle-shard/tests/unrecovered_owners.rs
@@ -3,7 +3,7 @@
 //! Failures: the store answers a node's reads of one stream no more, or so slowly that its calls time out, while
 //! its appends succeed, so that it keeps the shard.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/waiting.rs
+++ b/hemlocksaddle-shard/tests/waiting.rs
@@ -1,6 +1,6 @@
 //! Log lines and metrics about tasks that have waited long.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
--- a/hemlocksaddle-shard/tests/withheld_ends.rs
+++ b/hemlocksaddle-shard/tests/withheld_ends.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a worker is cut off for longer than its lease while its only task completes; the task is started
 //! again elsewhere, and hundreds of short tasks follow.
 
-#[allow(dead_code, reason = "each test file uses a part of it")]
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use googletest::prelude::*;
