--- a/review/stand-in-3/src/client.rs
+++ b/review/stand-in-3/src/client.rs
@@ -23,7 +23,7 @@
 const PER_S: u32 = 4;
 
 /// Number of ordinary submissions that are asked for at the end, spread over all.
-const ASKED: usize = 3;
+const ASKED: usize = 2;
 
 /// Time of traffic before the large submissions.
 const CALM: Duration = Duration::from_secs(5);
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Number of clients, each with one submission at a time.
+    fn clients(self) -> usize {
+        match self {
+            Work::Labels | Work::Gangs => 2,
+            Work::Steps => 12,
+        }
+    }
+
     fn body(self, number: usize) -> String {
         match self {
             Work::Labels => {
@@ -82,9 +90,6 @@
     }
 }
 
-/// Clients that send large submissions, one at a time each.
-const CLIENTS: usize = 2;
-
 /// Interval at which the platform looks at the memory of processes.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -148,7 +153,7 @@
     let begun = Instant::now();
     let sent = Arc::new(AtomicUsize::new(0));
     if has_trouble {
-        for _ in 0..CLIENTS {
+        for _ in 0..work.clients() {
             let (large, sent) = (large.clone(), sent.clone());
             thread::spawn(move || {
                 thread::sleep(CALM);
