Add case 13: many steps that fit nowhere hang each owner

A plan takes longer than the ownership lease once 300 submissions of 256 steps with labels of their own wait.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# The logs of the nodes are not read any more from 18 s on; 95 s.
-# TROUBLE=0: the logs are read all the time. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# A client submits work of many steps that can never be done, and the nodes hang by turns; 85 s.
+# TROUBLE=0: without this client. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 directory=$(mktemp -d) || exit 2
 end() {
@@ -11,4 +11,4 @@
 : >"$directory/pids"
 trap end EXIT
 trap 'exit 2' INT TERM
-target/review-3/release/stand-in-3 logs "$directory" review/13/record.txt
+target/review-3/release/stand-in-3 steps "$directory" review/13/record.txt
