Count the room for a gang before an attempt to place it

Cause: an attempt that did not fit took back all members of the gang, also those that it had not started, and thereby gave each of them state of its own: 45 MB a gang, at each owner in turn. Each plan also listed and copied all members and compared all workers for each one that was started.

Change: count the free room over the workers before an attempt, without a change of state. Take back only what the attempt has started. Read members as ranges of equal tasks, also to stop a gang and to explain its wait. Unassigning or stopping a task that is not assigned gives it no state.

Why it works: what an attempt takes is now bounded by the room of the workers, whatever size the caller chose.

--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -334,9 +334,7 @@
     /// Task with the given key.
     #[must_use]
     pub fn task(&self, key: TaskKey) -> Option<&Task> {
-        let occurrence = self.occurrences.get(key.occurrence)?;
-        let step = occurrence.steps.get(usize::from(key.step))?;
-        step.tasks.get(key.index)
+        self.tasks(key)?.get(key.index)
     }
 
     /// Task with the given name; the workflow id in it is ignored.
@@ -377,6 +375,18 @@
         &mut self.step_state(key).tasks[key.index]
     }
 
+    /// Tasks of the step of a task; `None` if its occurrence has no state.
+    pub(super) fn tasks(&self, key: TaskKey) -> Option<&Tasks> {
+        let occurrence = self.occurrences.get(key.occurrence)?;
+        let step = occurrence.steps.get(usize::from(key.step))?;
+        Some(&step.tasks)
+    }
+
+    /// All tasks of the step of a task, as half-open ranges of indices with equal state.
+    pub(super) fn segments(&self, key: TaskKey) -> impl Iterator<Item = (u32, u32, &Task)> {
+        self.tasks(key).into_iter().flat_map(Tasks::segments)
+    }
+
     /// Drops the state of a task that is done.
     pub(super) fn settle(&mut self, key: TaskKey) {
         self.step_state(key).tasks.settle(key.index);
@@ -384,9 +394,7 @@
 
     /// Index of the first waiting task of a step from the given one.
     pub(super) fn first_waiting(&self, from: TaskKey) -> Option<u32> {
-        let occurrence = self.occurrences.get(from.occurrence)?;
-        let step = occurrence.steps.get(usize::from(from.step))?;
-        step.tasks.first_waiting(from.index)
+        self.tasks(from)?.first_waiting(from.index)
     }
 
     /// Task with the given key, for changes; `None` if it has no state.
--- a/hemlocksaddle-policy/src/workflow/lifecycle.rs
+++ b/hemlocksaddle-policy/src/workflow/lifecycle.rs
@@ -374,10 +374,11 @@
     /// Orders the run of an assigned task to stop.
     pub(super) fn stop(&mut self, key: TaskKey) {
         let name = self.name(key);
-        let task = self.jobs[key.job].task_mut(key);
-        let Some(worker) = task.phase.worker() else {
+        let job = &mut self.jobs[key.job];
+        let Some(worker) = job.task(key).and_then(|task| task.phase.worker()) else {
             return;
         };
+        let task = job.task_mut(key);
         if matches!(task.phase, Phase::Stopping { .. }) {
             return;
         }
@@ -401,10 +402,11 @@
         let (tenant, demand) = (job.tenant, job.step(key).demand);
         let long_running = job.step(key).long_running;
         let state = job.step_state(key);
-        let task = &mut state.tasks[key.index];
-        let Some(worker) = task.phase.worker() else {
+        // A task that is not assigned gets no state of its own.
+        let Some(worker) = state.tasks[key.index].phase.worker() else {
             return;
         };
+        let task = &mut state.tasks[key.index];
         // A start that was refused or taken back continues the wait.
         if !matches!(task.phase, Phase::Starting { .. }) {
             task.waiting_since = Some(self.updated_at);
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -21,6 +21,7 @@
 mod copies;
 mod crash;
 mod ended;
+mod gang;
 mod interference;
 mod job;
 mod lifecycle;
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -143,6 +143,23 @@
         self.has_label(step) && self.fits(step)
     }
 
+    /// Upper bound of the number of tasks of a step that fit on the worker now.
+    pub(super) fn room_for(&self, step: &Step) -> u64 {
+        if !self.has_label(step) {
+            return 0;
+        }
+        let free = self.free();
+        let available = Resources {
+            cpu_milli: if step.best_effort {
+                self.idle_cpu_milli()
+            } else {
+                free.cpu_milli
+            },
+            ..free
+        };
+        step.demand.times_in(&available)
+    }
+
     fn has_label(&self, step: &Step) -> bool {
         let labels = &self.listing.labels;
         step.required_label
@@ -378,7 +395,7 @@
     /// Number of further tasks of a step that a worker may run by the limit of the step.
     ///
     /// Runs that are being stopped count as long as the worker lists them.
-    fn left_below_limit(&self, worker: &Worker, key: TaskKey, step: &Step) -> usize {
+    pub(super) fn left_below_limit(&self, worker: &Worker, key: TaskKey, step: &Step) -> usize {
         if step.max_per_worker == 0 {
             return usize::MAX;
         }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -4,7 +4,7 @@
 
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs, WallMs},
-    workflow::{Queue, Run, Step},
+    workflow::{Queue, Run},
 };
 
 use super::{
@@ -13,7 +13,7 @@
     consolidation::Blocked,
     job::{FULL_PACE, Task},
     placement::Candidates,
-    ranking::{Ranking, Unplaced},
+    ranking::{SharedRanking, Unplaced},
     restart::Presence,
     worker::Assigned,
 };
@@ -177,8 +177,7 @@
         let image = job.images[usize::from(ready.step)];
         let mut unplaced = candidates.unplaced.iter();
         let is_ruled_out = unplaced.any(|other| other.rules_out(step, image, pool, rule));
-        // Ranking of the previous task, with the place that it took.
-        let mut previous: Option<(Ranking, usize)> = None;
+        let mut ranking = SharedRanking::default();
         let mut next = from;
         while let Some(index) = self.jobs[ready.job].first_waiting(ready.key(next)) {
             next = index + 1;
@@ -193,21 +192,13 @@
             let Some(wanted) = self.wanted(key, pool, None) else {
                 continue;
             };
-            let is_plain = wanted.is_plain();
-            let ranking = match previous.take() {
-                Some((mut ranking, place)) if is_plain => {
-                    ranking.put_back(self, candidates, &wanted, place);
-                    Some(ranking)
-                }
-                _ if is_ruled_out => None,
-                _ => Some(self.rank(candidates, &wanted)),
+            let taken = if is_ruled_out {
+                None
+            } else {
+                self.next_place(candidates, &wanted, &mut ranking)
             };
-            let taken = ranking.and_then(|mut ranking| {
-                let taken = ranking.take(self, candidates, &wanted)?;
-                Some((ranking, taken))
-            });
             // All tasks of a step are equal: if this one fits nowhere, neither do the others.
-            let Some((ranking, (place, worker))) = taken else {
+            let Some((place, worker)) = taken else {
                 if !is_ruled_out {
                     let unplaced = Unplaced::new(step, image, pool, rule);
                     candidates
@@ -225,7 +216,6 @@
             };
             self.start_next(key, worker, now);
             candidates.invalidate(place);
-            previous = is_plain.then_some((ranking, place));
             if self.tenancy.is_turn_over() {
                 return Some(next);
             }
@@ -239,90 +229,17 @@
         self.start(key, worker, run, now);
     }
 
-    /// Places all members of a gang, or none of them; returns whether they were placed.
-    pub(super) fn place_gang(
-        &mut self,
-        ready: &ReadyStep,
-        step: &Step,
-        candidates: &mut Candidates,
-        now: MonoMs,
-    ) -> bool {
-        let members: Vec<TaskKey> = (0..step.tasks).map(|index| ready.key(index)).collect();
-        let all_wait = members.iter().all(|&key| {
-            let task = self.jobs[ready.job].task(key);
-            task.is_some_and(|task| ready.may_start(task, now))
-        });
-        if !all_wait || !self.cap_allows(ready.key(0)) {
-            return false;
-        }
-        let run = members.iter().map(|&key| self.next_run(key)).max();
-        let run = run.unwrap_or(self.first_run());
-        // The attempt is undone as a whole, with the run numbers and the start budget that it used.
-        let tasks = members
-            .iter()
-            .filter_map(|&key| self.jobs[key.job].task(key).cloned());
-        let tasks: Vec<Task> = tasks.collect();
-        let start_budget = self.start_budget;
-        for rack in self.racks_to_try(step, candidates) {
-            let before = self.orders.len();
-            let placed = members.iter().all(|&key| {
-                match self.choose(candidates, key, &ready.queue.pool, rack.as_deref()) {
-                    Some(worker) => {
-                        self.start(key, worker, run, now);
-                        true
-                    }
-                    None => false,
-                }
-            });
-            if placed {
-                self.share_checkpoint(&members, before);
-                return true;
-            }
-            self.orders.truncate(before);
-            self.start_budget = start_budget;
-            for (&key, task) in members.iter().zip(&tasks) {
-                self.unassign(key);
-                self.jobs[key.job].task_mut(key).clone_from(task);
-            }
-        }
-        false
-    }
-
-    /// Racks to try for a step: each single rack if its tasks should share one, then all (`None`).
-    fn racks_to_try(&self, step: &Step, candidates: &Candidates) -> Vec<Option<Arc<str>>> {
-        let mut racks = Vec::new();
-        if step.same_rack {
-            for key in candidates.keys() {
-                let rack = self.workers[key].listing.rack().cloned();
-                if rack.is_some() && !racks.contains(&rack) {
-                    racks.push(rack);
-                }
-            }
-            racks.sort_by_key(|rack| *rack != step.data_rack);
-        }
-        racks.push(None);
-        racks
-    }
-
-    /// Gives all members of a gang the same checkpoint.
-    fn share_checkpoint(&mut self, members: &[TaskKey], from: usize) {
-        let tasks = members
-            .iter()
-            .filter_map(|&key| self.jobs[key.job].task(key));
-        let newest = tasks.filter_map(|task| task.checkpoint.clone()).next();
-        for order in &mut self.orders[from..] {
-            if let Order::Start(start) = order {
-                start.checkpoint.clone_from(&newest);
-            }
-        }
-    }
-
     fn next_run(&self, key: TaskKey) -> Run {
         let last = self.jobs[key.job].task(key).map_or(Run(0), |task| task.run);
+        self.run_after(last)
+    }
+
+    /// Number of the run that follows another one of the same task.
+    pub(super) fn run_after(&self, last: Run) -> Run {
         self.first_run().max(Run(last.0 + 1))
     }
 
-    fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run, now: MonoMs) {
+    pub(super) fn start(&mut self, key: TaskKey, worker: WorkerKey, run: Run, now: MonoMs) {
         self.count_reserved_start(key, worker, now);
         let name = self.name(key);
         let failover_complete = self.is_failover_complete(now);
--- a/hemlocksaddle-policy/src/workflow/ranking.rs
+++ b/hemlocksaddle-policy/src/workflow/ranking.rs
@@ -108,6 +108,13 @@
     }
 }
 
+/// Ranking that the equal tasks of a step share.
+#[derive(Debug, Default)]
+pub(super) struct SharedRanking {
+    /// Ranking of the previous task, with the place that it took.
+    previous: Option<(Ranking, usize)>,
+}
+
 /// Step of which no further task fits on any candidate in this plan.
 ///
 /// Within a plan, the free capacity only shrinks.
@@ -186,6 +193,26 @@
         }
     }
 
+    /// Cheapest place for the next task of a step, whose previous task was started at the place that it took;
+    /// `None` if it fits nowhere now.
+    pub(super) fn next_place(
+        &self,
+        candidates: &mut Candidates,
+        wanted: &Wanted<'_>,
+        shared: &mut SharedRanking,
+    ) -> Option<(usize, WorkerKey)> {
+        let mut ranking = match shared.previous.take() {
+            Some((mut ranking, place)) if wanted.is_plain() => {
+                ranking.put_back(self, candidates, wanted, place);
+                ranking
+            }
+            _ => self.rank(candidates, wanted),
+        };
+        let (place, worker) = ranking.take(self, candidates, wanted)?;
+        shared.previous = wanted.is_plain().then_some((ranking, place));
+        Some((place, worker))
+    }
+
     /// Cheapest worker for a task, or `None` if it fits nowhere now.
     pub(super) fn choose(
         &self,
--- a/hemlocksaddle-policy/src/workflow/report.rs
+++ b/hemlocksaddle-policy/src/workflow/report.rs
@@ -210,24 +210,6 @@
         }
     }
 
-    fn complete_gang(&mut self, key: TaskKey) {
-        for member in self.members(key) {
-            self.complete_task(member);
-        }
-    }
-
-    /// Orders all members of a gang to stop, so that the gang can restart as a whole.
-    fn stop_gang(&mut self, key: TaskKey) {
-        for member in self.members(key) {
-            self.stop(member);
-        }
-    }
-
-    pub(super) fn members(&self, key: TaskKey) -> Vec<TaskKey> {
-        let tasks = self.jobs[key.job].step(key).tasks;
-        (0..tasks).map(|index| TaskKey { index, ..key }).collect()
-    }
-
     /// Applies the state of a run; `locates` if no predecessor can have seen its end meanwhile.
     fn apply_status(&mut self, worker: WorkerKey, status: &TaskStatus, locates: bool, now: MonoMs) {
         let Some(key) = self.named_task_key(status.task) else {
--- a/hemlocksaddle-policy/src/workflow/tasks.rs
+++ b/hemlocksaddle-policy/src/workflow/tasks.rs
@@ -104,6 +104,19 @@
         self.done.insert(index);
     }
 
+    /// State of its own of a task.
+    pub(super) fn own_state(&self, index: u32) -> Option<&Task> {
+        self.own.get(&index)
+    }
+
+    /// Replaces the state of its own of a waiting task.
+    pub(super) fn set_own_state(&mut self, index: u32, state: Option<Task>) {
+        match state {
+            Some(task) => self.own.insert(index, task),
+            None => self.own.remove(&index),
+        };
+    }
+
     /// Tasks with state of their own.
     pub(super) fn own(&self) -> impl Iterator<Item = (u32, &Task)> {
         self.own.iter().map(|(&index, task)| (index, task))
--- a/hemlocksaddle-policy/src/workflow/waiting.rs
+++ b/hemlocksaddle-policy/src/workflow/waiting.rs
@@ -362,7 +362,6 @@
         let job = &self.jobs[key.job];
         let step = job.step(key);
         let task = job.task(key)?;
-        let member_waits = |member| job.task(member).is_some_and(|task| task.may_start(now));
         if matches!(task.phase, Phase::Starting { .. }) {
             Some(WaitReason::StartUnanswered)
         } else if job.unconfirmed {
@@ -373,7 +372,7 @@
             Some(WaitReason::UnsavedCrash)
         } else if now < task.not_before {
             Some(WaitReason::BackOff)
-        } else if step.gang && !self.members(key).into_iter().all(member_waits) {
+        } else if step.gang && !job.segments(key).all(|(_, _, task)| task.may_start(now)) {
             Some(WaitReason::GangEnding)
         } else if !self.cap_allows(key) {
             Some(WaitReason::TenantCap)
--- a/hemlocksaddle-types/src/resources.rs
+++ b/hemlocksaddle-types/src/resources.rs
@@ -24,6 +24,15 @@
             && self.accelerators <= free.accelerators
     }
 
+    /// How many times `self` fits in `free`; the largest number if it is zero in every dimension.
+    #[must_use]
+    pub fn times_in(&self, free: &Resources) -> u64 {
+        let times = |demand: u64, free: u64| free.checked_div(demand).unwrap_or(u64::MAX);
+        times(self.cpu_milli, free.cpu_milli)
+            .min(times(self.memory_mb, free.memory_mb))
+            .min(times(self.accelerators, free.accelerators))
+    }
+
     /// Subtracts `used` in each dimension, down to zero.
     #[must_use]
     pub fn saturating_sub(&self, used: &Resources) -> Resources {
