Bound what a plan spends on steps that fit nowhere

Cause: a plan compared each waiting step with all steps that fit nowhere in it. Such labels never rule each other out, so the time of a plan grew with the square of the steps, beyond the ownership lease of 3 s. The node has one thread and renews nothing meanwhile; its successor gets stuck in turn. Each recovery beside such plans also added to the memory of the nodes.

Ruled out: the interference model (256 images at most) and the ranking (8 workers). Plans now count these comparisons ("compared steps").

Change: keep what the listed workers of each pool could take if they were idle, by label, until their list changes, and leave steps beyond that out of the plan. Keep steps that fit nowhere by pool, label and image, at most 32 each, none that another one rules out.

Why it works: a step that no worker can take costs one look-up, any other one at most 64 comparisons with steps.

--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -16,6 +16,7 @@
 //! is not acknowledged; the result of the later run counts.
 
 mod backlog;
+mod capability;
 mod capacity;
 mod consolidation;
 mod copies;
@@ -42,6 +43,7 @@
 mod run_time;
 mod tasks;
 mod tenancy;
+mod unplaced;
 mod unreached;
 mod waiting;
 mod withheld;
@@ -188,6 +190,8 @@
     /// Best-effort tasks that this plan could not place.
     blocked: Vec<consolidation::Blocked>,
     consolidated_at: MonoMs,
+    /// What the listed workers could take if they were idle; `None` if the list has changed.
+    capabilities: Option<capability::Capabilities>,
     /// Number of start orders that the next plan may give.
     start_budget: u32,
     overdue_starts: overdue::OverdueStarts,
@@ -240,6 +244,7 @@
             interference: interference::InterferenceModel::default(),
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
+            capabilities: None,
             start_budget: u32::MAX,
             overdue_starts: overdue::OverdueStarts::default(),
             updated_at: MonoMs(0),
--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -27,7 +27,7 @@
     capacity::{CapacityRule, RELAX_AFTER_MS},
     placement::Candidates,
     plan::ReadyStep,
-    ranking::Unplaced,
+    unplaced::Unplaced,
 };
 
 /// Waiting time after which an interrupted task is served before short ones.
@@ -265,16 +265,17 @@
         let job = &self.jobs[key.job];
         let rule = candidates.capacity_rule;
         let unplaced = Unplaced::new(job.step(key), job.image(key), pool, rule);
-        candidates.unplaced.extend(unplaced);
+        if let Some(unplaced) = unplaced {
+            candidates.unplaced.add(unplaced);
+        }
     }
 
     /// Whether a task needs as much as one that fits nowhere, or exceeds its tenant's cap.
-    fn is_ruled_out(&self, key: TaskKey, pool: &str, candidates: &Candidates) -> bool {
+    fn is_ruled_out(&self, key: TaskKey, pool: &Arc<str>, candidates: &mut Candidates) -> bool {
         let job = &self.jobs[key.job];
         let rule = candidates.capacity_rule;
-        let mut unplaced = candidates.unplaced.iter();
-        !self.cap_allows(key)
-            || unplaced.any(|other| other.rules_out(job.step(key), job.image(key), pool, rule))
+        let (step, image) = (job.step(key), job.image(key));
+        !self.cap_allows(key) || candidates.unplaced.rule_out(step, image, pool, rule)
     }
 
     /// Interrupted tasks that have waited for `interrupted_after`, and the first new task of each step that
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -19,7 +19,8 @@
     Scheduler, TaskKey, Worker, WorkerKey,
     capacity::CapacityRule,
     pacing::{Headroom, cpu_share},
-    ranking::{Place, Unplaced},
+    ranking::Place,
+    unplaced::UnplacedSteps,
 };
 
 /// Share of its reservation that a long-running task is expected to use, in percent.
@@ -28,6 +29,16 @@
 /// best-effort tasks may request the rest.
 const LONG_RUNNING_USE_PERCENT: u64 = 55;
 
+/// Processors that best-effort tasks may request at most on a worker of some capacity.
+pub(super) fn most_idle_cpu_milli(capacity_milli: u64) -> u64 {
+    capacity_milli.saturating_add(unused_cpu_milli(capacity_milli))
+}
+
+/// Processors that long-running tasks are expected to leave unused.
+fn unused_cpu_milli(long_running_milli: u64) -> u64 {
+    long_running_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100
+}
+
 /// Fraction of its demand that a best-effort task must be able to use on a worker.
 const MIN_USABLE_FRACTION: f64 = 0.9;
 
@@ -121,7 +132,7 @@
 
     /// Processors that best-effort tasks may still request, in thousandths of a core.
     pub(super) fn idle_cpu_milli(&self) -> u64 {
-        let unused = self.long_running_cpu_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100;
+        let unused = unused_cpu_milli(self.long_running_cpu_milli);
         let used = self.committed.cpu_milli + self.best_effort_cpu_milli;
         (self.listing.capacity.cpu_milli + unused).saturating_sub(used)
     }
@@ -207,7 +218,7 @@
     pub(super) capacity_rule: CapacityRule,
     pub(super) now: MonoMs,
     /// Steps that fit nowhere.
-    pub(super) unplaced: Vec<Unplaced>,
+    pub(super) unplaced: UnplacedSteps,
     /// Workers compared as places for a task.
     pub(super) compared_workers: u64,
     /// Workers whose headroom was computed.
@@ -259,7 +270,7 @@
             list: candidates.collect(),
             capacity_rule: CapacityRule::Any,
             now,
-            unplaced: Vec::new(),
+            unplaced: UnplacedSteps::default(),
             compared_workers: 0,
             headrooms: 0,
         }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -13,8 +13,9 @@
     consolidation::Blocked,
     job::{FULL_PACE, Task},
     placement::Candidates,
-    ranking::{SharedRanking, Unplaced},
+    ranking::SharedRanking,
     restart::Presence,
+    unplaced::Unplaced,
     worker::Assigned,
 };
 
@@ -98,6 +99,7 @@
         self.work.plans += 1;
         self.work.compared_workers += candidates.compared_workers;
         self.work.headrooms += candidates.headrooms;
+        self.work.compared_steps += candidates.unplaced.compared;
         std::mem::take(&mut self.orders)
     }
 
@@ -118,9 +120,12 @@
     }
 
     /// Steps whose waiting tasks may start, most urgent first.
+    ///
+    /// Steps that no listed worker could take, however idle, are left out.
     fn ready(&mut self, now: MonoMs, wall: WallMs) -> Vec<ReadyStep> {
         let failover_complete = self.is_failover_complete(now);
         self.missing_reports |= failover_complete && !self.all_reported();
+        let capabilities = self.take_capabilities();
         let mut ready = Vec::new();
         for &key in &self.open_jobs {
             let job = &mut self.jobs[key];
@@ -128,6 +133,7 @@
             let Some(queue) = self.queues.get(&job.spec.queue) else {
                 continue;
             };
+            let pool = capabilities.pool(&queue.pool);
             let unconfirmed = job.unconfirmed;
             let may_await_reports = job.may_await_reports(failover_complete);
             for (occurrence, state) in job.occurrences.iter_mut() {
@@ -141,6 +147,9 @@
                         continue;
                     }
                     let waiting_since = *step.waiting_since.get_or_insert(now);
+                    if !pool.is_some_and(|pool| pool.takes(spec)) {
+                        continue;
+                    }
                     ready.push(ReadyStep {
                         job: key,
                         occurrence,
@@ -153,6 +162,7 @@
                 }
             }
         }
+        self.put_back_capabilities(capabilities);
         ready.sort_by(ReadyStep::cmp_urgency);
         ready
     }
@@ -175,8 +185,7 @@
         }
         let (pool, rule) = (&ready.queue.pool, ready.capacity_rule);
         let image = job.images[usize::from(ready.step)];
-        let mut unplaced = candidates.unplaced.iter();
-        let is_ruled_out = unplaced.any(|other| other.rules_out(step, image, pool, rule));
+        let is_ruled_out = candidates.unplaced.rule_out(step, image, pool, rule);
         let mut ranking = SharedRanking::default();
         let mut next = from;
         while let Some(index) = self.jobs[ready.job].first_waiting(ready.key(next)) {
@@ -201,9 +210,9 @@
             let Some((place, worker)) = taken else {
                 if !is_ruled_out {
                     let unplaced = Unplaced::new(step, image, pool, rule);
-                    candidates
-                        .unplaced
-                        .extend(self.unless_reserved(unplaced, step));
+                    if let Some(unplaced) = self.unless_reserved(unplaced, step) {
+                        candidates.unplaced.add(unplaced);
+                    }
                 }
                 if step.best_effort {
                     self.blocked.push(Blocked {
--- a/hemlocksaddle-policy/src/workflow/ranking.rs
+++ b/hemlocksaddle-policy/src/workflow/ranking.rs
@@ -6,14 +6,11 @@
 //! as with complete costs of all workers. A start changes the cost of its own worker alone,
 //! so the equal tasks of a step share one ranking.
 
-use std::{cmp::Ordering, collections::BinaryHeap, sync::Arc};
-
-use hemlocksaddle_types::{resources::Resources, workflow::Step};
+use std::{cmp::Ordering, collections::BinaryHeap};
 
 use super::{
     Scheduler, TaskKey, WorkerKey,
     capacity::CapacityRule,
-    interference::ImageId,
     placement::{Candidates, Wanted},
 };
 
@@ -115,73 +112,6 @@
     previous: Option<(Ranking, usize)>,
 }
 
-/// Step of which no further task fits on any candidate in this plan.
-///
-/// Within a plan, the free capacity only shrinks.
-#[derive(Debug)]
-pub(super) struct Unplaced {
-    pool: Arc<str>,
-    required_label: Option<Arc<str>>,
-    capacity_rule: CapacityRule,
-    demand: Resources,
-    /// Image of a best-effort step; the others need no headroom.
-    image: Option<ImageId>,
-    /// Class of the run time below which a step may still use reserved room.
-    run_class: u32,
-}
-
-/// Class of the run time of a step: powers of two, so that few steps are compared again.
-fn run_class(step: &Step) -> u32 {
-    if step.long_running {
-        u32::MAX
-    } else {
-        step.expected_run_ms.checked_ilog2().unwrap_or(0)
-    }
-}
-
-impl Unplaced {
-    /// `None` if the step has limits of its own, so that its failure says nothing about others.
-    pub(super) fn new(
-        step: &Step,
-        image: ImageId,
-        pool: &Arc<str>,
-        capacity_rule: CapacityRule,
-    ) -> Option<Unplaced> {
-        (step.max_per_worker == 0).then(|| Unplaced {
-            pool: pool.clone(),
-            required_label: step.required_label.clone(),
-            capacity_rule,
-            demand: step.demand,
-            image: step.best_effort.then_some(image),
-            run_class: 0,
-        })
-    }
-
-    /// Does not rule out steps with shorter runs, which may end before reserved room is needed.
-    pub(super) fn except_shorter(mut self, step: &Step) -> Unplaced {
-        self.run_class = run_class(step);
-        self
-    }
-
-    /// Whether a step fits nowhere either, since it needs at least as much in the same place.
-    pub(super) fn rules_out(
-        &self,
-        step: &Step,
-        image: ImageId,
-        pool: &str,
-        capacity_rule: CapacityRule,
-    ) -> bool {
-        let same_rule =
-            self.capacity_rule == CapacityRule::Any || self.capacity_rule == capacity_rule;
-        same_rule
-            && self.image == step.best_effort.then_some(image)
-            && self.demand.fits_in(&step.demand)
-            && self.run_class <= run_class(step)
-            && *self.pool == *pool
-            && (self.required_label.is_none() || self.required_label == step.required_label)
-    }
-}
-
 impl Scheduler {
     /// Ranks all candidates for a task.
     pub(super) fn rank(&self, candidates: &mut Candidates, wanted: &Wanted<'_>) -> Ranking {
--- a/hemlocksaddle-policy/src/workflow/reservation.rs
+++ b/hemlocksaddle-policy/src/workflow/reservation.rs
@@ -25,9 +25,9 @@
     Phase, Scheduler, TaskKey, Worker, WorkerKey,
     placement::{Candidates, Wanted},
     plan::ReadyStep,
-    ranking::Unplaced,
     report::occupied,
     reserved::{PoolShare, Reservation},
+    unplaced::Unplaced,
 };
 
 /// Shortest time for which a reservation is kept after its room was expected.
--- a/hemlocksaddle-policy/src/workflow/work.rs
+++ b/hemlocksaddle-policy/src/workflow/work.rs
@@ -17,6 +17,8 @@
     pub checked_runs: u64,
     /// Workers compared as places for a task.
     pub compared_workers: u64,
+    /// Comparisons of a step with another one that fits nowhere.
+    pub compared_steps: u64,
     /// Workers whose headroom for best-effort tasks was computed.
     pub headrooms: u64,
     /// Turns of tenants, each of which takes one entry from a heap.
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -263,6 +263,7 @@
             ("steps", work.steps),
             ("checked runs", work.checked_runs),
             ("compared workers", work.compared_workers),
+            ("compared steps", work.compared_steps),
             ("headrooms", work.headrooms),
             ("tenant turns", work.tenant_turns),
             ("estimated runs", work.estimated_runs),
