Look at long-running tasks that never ran as one

Change: look at ranges of equal tasks. Only tasks that were started before have state of their own. Plans count the ranges ("task ranges").

Why it works: tasks without state of their own never ran and have waited equally long, and only the first such task of a step is served.

Failed before: long_running_tasks_that_never_ran_are_looked_at_as_one (100,000 tasks of 642 ranges allowed, with the counter in the former loop).

--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -281,7 +281,7 @@
     /// Interrupted tasks that have waited for `interrupted_after`, and the first new task of each step that
     /// has waited for long, longest wait first.
     fn overdue(
-        &self,
+        &mut self,
         ready: &[ReadyStep],
         interrupted_after: Millis,
         now: MonoMs,
@@ -297,10 +297,13 @@
             let state = &job.occurrences[first.occurrence].steps[usize::from(first.step)];
             let is_first_of_step = state.waiting == spec.tasks;
             let mut has_new = false;
-            for key in (0..spec.tasks).map(|index| step.key(index)) {
-                let Some(task) = job.task(key).filter(|task| step.may_start(task, now)) else {
+            // A step may have a hundred thousand tasks, of which few were ever started.
+            for (index, _, task) in job.segments(first) {
+                self.work.task_ranges += 1;
+                if !step.may_start(task, now) {
                     continue;
-                };
+                }
+                let key = step.key(index);
                 let is_new = !task.has_run || spec.gang;
                 let (served_after, waiting_since) = if is_new {
                     (RELAX_AFTER_MS, job.waiting_since(key))
--- a/hemlocksaddle-policy/src/workflow/work.rs
+++ b/hemlocksaddle-policy/src/workflow/work.rs
@@ -19,6 +19,8 @@
     pub compared_workers: u64,
     /// Comparisons of a step with another one that fits nowhere.
     pub compared_steps: u64,
+    /// Ranges of equal tasks looked at for long-running tasks that have waited for long.
+    pub task_ranges: u64,
     /// Workers whose headroom for best-effort tasks was computed.
     pub headrooms: u64,
     /// Turns of tenants, each of which takes one entry from a heap.
--- a/hemlocksaddle-policy/tests/many_waiting_steps.rs
+++ b/hemlocksaddle-policy/tests/many_waiting_steps.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{WaitReason, WorkCounts};
 use hemlocksaddle_types::{resources::Resources, workflow::Step};
-use workflow_support::{Harness, step};
+use workflow_support::{Harness, long_running, step};
 
 const WORKERS: usize = 20;
 
@@ -113,3 +113,15 @@
     expect_that!(work.steps, eq(4 * STEPS));
     expect_that!(work.compared_steps, le(64 * 4 * STEPS));
 }
+
+/// Guards against plans that look at each task of a long-running step, of which a caller may submit a hundred thousand.
+#[gtest]
+fn long_running_tasks_that_never_ran_are_looked_at_as_one() {
+    let mut harness = Harness::with_workers(WORKERS, 16_000);
+    harness.accept(1, vec![long_running(100_000, 1_000, "service")]);
+    let started = harness.starts();
+    harness.advance(3_000);
+    let work = plan(&mut harness);
+    // Twice in a plan: before short tasks, and for interrupted ones where start orders are scarce.
+    expect_that!(work.task_ranges, le(2 * (started.len() as u64 + 1)));
+}
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -264,6 +264,7 @@
             ("checked runs", work.checked_runs),
             ("compared workers", work.compared_workers),
             ("compared steps", work.compared_steps),
+            ("task ranges", work.task_ranges),
             ("headrooms", work.headrooms),
             ("tenant turns", work.tenant_turns),
             ("estimated runs", work.estimated_runs),
