Bound the comparisons of a plan that lead to no start

Cause: steps with limits of their own and gangs say nothing about others, so that each one that waits took a comparison of all workers in each plan.

Change: at most 500,000 comparisons a plan for steps that were tried before, and as many for new ones. Steps that a plan does not get to are tried by the next plans, each once before any is tried again; the next plan follows without a wait. A gang for which there is no room rules out others that need as much.

Why it works: the time of a plan has a bound that does not depend on the product of steps and workers, each step has its turn, and new work does not wait for those that were tried. Below the bound the order is as before.

--- a/hemlocksaddle-policy/src/workflow/gang.rs
+++ b/hemlocksaddle-policy/src/workflow/gang.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Order, Scheduler, TaskKey, WorkerKey, job::Task, placement::Candidates, plan::ReadyStep,
-    ranking::SharedRanking,
+    ranking::SharedRanking, unplaced::Unplaced,
 };
 
 /// Member that an attempt has started, with what is needed to take the start back.
@@ -50,8 +50,13 @@
         if !all_wait || !self.cap_allows(first) {
             return false;
         }
-        let racks = self.racks_with_room(first, step, &ready.queue.pool, candidates);
+        let pool = &ready.queue.pool;
+        let (racks, room) = self.racks_with_room(first, step, pool, candidates);
         if racks.is_empty() {
+            let image = job.images[usize::from(ready.step)];
+            if let Some(unplaced) = Unplaced::gang(step, image, pool, room) {
+                candidates.unplaced.add(unplaced);
+            }
             return false;
         }
         let last = job.segments(first).map(|(_, _, task)| task.run).max();
@@ -60,14 +65,15 @@
         racks.any(|rack| self.start_gang(ready, step, rack.as_deref(), run, candidates, now))
     }
 
-    /// Racks that may have room for a gang: each single rack if its tasks should share one, then all (`None`).
+    /// Racks that may have room for a gang: each single rack if its tasks should share one, then all (`None`); also
+    /// returns the number of tasks for which all racks have room.
     fn racks_with_room(
         &self,
         first: TaskKey,
         step: &Step,
         pool: &str,
         candidates: &mut Candidates,
-    ) -> Vec<Option<Arc<str>>> {
+    ) -> (Vec<Option<Arc<str>>>, u64) {
         candidates.compared_workers += candidates.len() as u64;
         let (mut by_rack, mut in_all): (Vec<RackRoom>, u64) = (Vec::new(), 0);
         for key in candidates.keys() {
@@ -92,13 +98,13 @@
         }
         let wanted = u64::from(step.tasks);
         if in_all < wanted {
-            return Vec::new();
+            return (Vec::new(), in_all);
         }
         by_rack.retain(|room| room.members >= wanted);
         by_rack.sort_by_key(|room| room.rack != step.data_rack);
         let mut racks: Vec<_> = by_rack.into_iter().map(|room| room.rack).collect();
         racks.push(None);
-        racks
+        (racks, in_all)
     }
 
     /// Starts all members of a gang in a rack, or in all racks, or none of them; returns whether they were started.
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -40,6 +40,7 @@
 mod reservation;
 mod reserved;
 mod restart;
+mod rounds;
 mod run_time;
 mod tasks;
 mod tenancy;
@@ -207,6 +208,7 @@
     losses: Vec<crash::Loss>,
     /// Crashes that are not logged yet.
     crashes: Vec<Crash>,
+    rounds: rounds::Rounds,
     run_times: run_time::RunTimes,
     reservations: reserved::Reservations,
     packing: packing::Packing,
@@ -253,6 +255,7 @@
             crashed_at: HashMap::new(),
             losses: Vec::new(),
             crashes: Vec::new(),
+            rounds: rounds::Rounds::default(),
             run_times: run_time::RunTimes::default(),
             reservations: reserved::Reservations::default(),
             packing: packing::Packing::default(),
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -221,6 +221,8 @@
     pub(super) unplaced: UnplacedSteps,
     /// Workers compared as places for a task.
     pub(super) compared_workers: u64,
+    /// Workers compared for tasks that found no room.
+    pub(super) fruitless: u64,
     /// Workers whose headroom was computed.
     pub(super) headrooms: u64,
 }
@@ -272,6 +274,7 @@
             now,
             unplaced: UnplacedSteps::default(),
             compared_workers: 0,
+            fruitless: 0,
             headrooms: 0,
         }
     }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -89,6 +89,7 @@
         self.keep_path_for_reports(now);
         self.count_unseen_runs(now, wall);
         let mut candidates = self.candidates(now);
+        self.begin_tries();
         self.refresh_reservations(&candidates, now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
@@ -179,13 +180,19 @@
         let spec: Rc<_> = job.spec.clone();
         let step = &spec.steps[usize::from(ready.step)];
         candidates.capacity_rule = ready.capacity_rule;
-        if step.gang {
-            self.place_gang(ready, step, candidates, now);
-            return None;
-        }
         let (pool, rule) = (&ready.queue.pool, ready.capacity_rule);
         let image = job.images[usize::from(ready.step)];
         let is_ruled_out = candidates.unplaced.rule_out(step, image, pool, rule);
+        if !is_ruled_out && !self.may_try(ready, candidates) {
+            return None;
+        }
+        let compared_before = candidates.compared_workers;
+        if step.gang {
+            if !is_ruled_out && !self.place_gang(ready, step, candidates, now) {
+                self.record_fruitless(ready, candidates, compared_before);
+            }
+            return None;
+        }
         let mut ranking = SharedRanking::default();
         let mut next = from;
         while let Some(index) = self.jobs[ready.job].first_waiting(ready.key(next)) {
@@ -209,6 +216,7 @@
             // All tasks of a step are equal: if this one fits nowhere, neither do the others.
             let Some((place, worker)) = taken else {
                 if !is_ruled_out {
+                    self.record_fruitless(ready, candidates, compared_before);
                     let unplaced = Unplaced::new(step, image, pool, rule);
                     if let Some(unplaced) = self.unless_reserved(unplaced, step) {
                         candidates.unplaced.add(unplaced);
--- a/hemlocksaddle-policy/src/workflow/unplaced.rs
+++ b/hemlocksaddle-policy/src/workflow/unplaced.rs
@@ -1,7 +1,7 @@
 //! Steps that fit nowhere in a plan.
 //!
-//! Within a plan, the free capacity only shrinks. A step of which no further task fits therefore rules out each
-//! later one that needs at least as much in the same place. Steps are kept by the place and the image that they need,
+//! Within a plan, the free capacity only shrinks. A step of which no further task fits, or a gang whose members do not
+//! fit together, therefore rules out each later one that needs at least as much in the same place. Steps are kept by the place and the image that they need,
 //! and only as many as the others can be compared with at a bounded cost: what is not kept costs a comparison of the
 //! workers, and rules out nothing.
 
@@ -48,7 +48,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Need {
     capacity_rule: CapacityRule,
+    /// Demand of each task.
     demand: Resources,
+    /// Number of tasks that would have to fit at once.
+    tasks: u64,
     /// Class of the run time; a step of a lower class may still use reserved room.
     run_class: u32,
 }
@@ -58,7 +61,10 @@
     fn rules_out(&self, other: &Need) -> bool {
         let same_rule =
             self.capacity_rule == CapacityRule::Any || self.capacity_rule == other.capacity_rule;
-        same_rule && self.demand.fits_in(&other.demand) && self.run_class <= other.run_class
+        same_rule
+            && self.demand.fits_in(&other.demand)
+            && self.tasks <= other.tasks
+            && self.run_class <= other.run_class
     }
 }
 
@@ -84,11 +90,24 @@
             need: Need {
                 capacity_rule,
                 demand: step.demand,
+                tasks: 1,
                 run_class: 0,
             },
         })
     }
 
+    /// A gang for whose members there is room in all for `room` tasks; `None` as for [`Unplaced::new`].
+    pub(super) fn gang(
+        step: &Step,
+        image: ImageId,
+        pool: &Arc<str>,
+        room: u64,
+    ) -> Option<Unplaced> {
+        let mut unplaced = Unplaced::new(step, image, pool, CapacityRule::Any)?;
+        unplaced.need.tasks = room.saturating_add(1);
+        Some(unplaced)
+    }
+
     /// Does not rule out steps with shorter runs, which may end before reserved room is needed.
     pub(super) fn except_shorter(mut self, step: &Step) -> Unplaced {
         self.need.run_class = run_class(step);
@@ -127,6 +146,7 @@
         let need = Need {
             capacity_rule,
             demand: step.demand,
+            tasks: if step.gang { u64::from(step.tasks) } else { 1 },
             run_class: run_class(step),
         };
         let mut place = Place::of(step, image, pool);
--- a/hemlocksaddle-policy/tests/many_waiting_steps.rs
+++ b/hemlocksaddle-policy/tests/many_waiting_steps.rs
@@ -7,7 +7,7 @@
 mod workflow_support;
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::workflow::{WaitReason, WorkCounts};
+use hemlocksaddle_policy::workflow::{StartAnswer, WaitReason, WorkCounts};
 use hemlocksaddle_types::{resources::Resources, workflow::Step};
 use workflow_support::{Harness, long_running, step};
 
@@ -15,6 +15,9 @@
 
 const STEPS: u64 = 256;
 
+/// Comparisons of a worker that may lead to no start in one plan.
+const MAX_COMPARISONS: u64 = 1_000_000;
+
 /// Step for workers with a label.
 fn labelled(label: &str) -> Step {
     Step {
@@ -125,3 +128,80 @@
     // Twice in a plan: before short tasks, and for interrupted ones where start orders are scarce.
     expect_that!(work.task_ranges, le(2 * (started.len() as u64 + 1)));
 }
+
+/// Guards against plans that compare all workers for each gang of many, although fewer members have just found no room.
+#[gtest]
+fn gangs_that_need_as_much_as_one_without_room_are_not_compared() {
+    let mut harness = Harness::with_workers(WORKERS, 16_000);
+    harness.accept(1_000, vec![step(WORKERS as u32, 15_500)]);
+    harness.starts();
+    accept_many(&mut harness, 4, |number| Step {
+        gang: true,
+        ..step(2 + number as u32 % 7, 1_000)
+    });
+    let compared = plan(&mut harness).compared_workers;
+    expect_that!(compared, le(WORKERS as u64));
+}
+
+/// Workers of a large pool.
+const MANY_WORKERS: usize = 2_400;
+
+/// Cluster without room, beside steps that say nothing about each other.
+fn full_cluster_with_limited_steps() -> Harness {
+    let mut harness = Harness::with_workers(MANY_WORKERS, 16_000);
+    harness.accept(1_000, vec![step(MANY_WORKERS as u32, 15_500)]);
+    let starts = harness.starts();
+    harness.answer_all(&starts, StartAnswer::Accepted);
+    accept_many(&mut harness, 4, |_| Step {
+        max_per_worker: 1,
+        ..step(1, 1_000)
+    });
+    harness
+}
+
+/// Guards against a plan that takes longer than the ownership lease because it compares all workers for each of
+/// the steps that wait.
+#[gtest]
+fn a_plan_makes_a_bounded_number_of_comparisons_without_a_start() {
+    let mut harness = full_cluster_with_limited_steps();
+    let first = plan(&mut harness).compared_workers;
+    expect_that!(first, le(MAX_COMPARISONS + MANY_WORKERS as u64));
+    expect_that!(harness.scheduler.has_untried_steps(), eq(true));
+}
+
+/// Guards against steps that are never tried because others before them use up the comparisons of each plan.
+#[gtest]
+fn all_steps_are_tried_within_a_few_plans() {
+    let mut harness = full_cluster_with_limited_steps();
+    let plans = (1..=20).take_while(|_| {
+        plan(&mut harness);
+        harness.scheduler.has_untried_steps()
+    });
+    let compared = 4 * STEPS * MANY_WORKERS as u64;
+    expect_that!(plans.count() as u64, le(compared / (MAX_COMPARISONS / 2)));
+    let number = harness.list_another(16_000);
+    harness.report_idle(number);
+    // Room for one task of a step on the new worker, for sixteen steps.
+    let mut started = 0;
+    for _ in 0..20 {
+        started += harness.starts().len();
+    }
+    expect_that!(started, eq(16));
+}
+
+/// Guards against new work that waits until all others have been tried again.
+#[gtest]
+fn a_new_step_is_tried_at_once() {
+    let mut harness = full_cluster_with_limited_steps();
+    for _ in 0..10 {
+        plan(&mut harness);
+    }
+    // In each part of a round. Each worker has half a core left.
+    for id in 2_000..2_010 {
+        harness.advance(10);
+        harness.accept(id, vec![step(1, 400)]);
+        let starts = harness.starts();
+        let mut started = starts.iter().map(|start| start.name.workflow.0);
+        expect_that!(started.any(|started| started == id), eq(true));
+    }
+}
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -521,11 +521,12 @@
         while !self.ended.get() {
             let seen = self.changed.count();
             let planned_at = self.env.now();
-            let (orders, work) = {
+            let (orders, work, has_untried_steps) = {
                 let mut scheduler = self.scheduler.borrow_mut();
                 scheduler.set_start_budget(self.start_window.get().available());
                 let orders = scheduler.plan(planned_at, self.env.wall());
-                (orders, scheduler.take_work_counts())
+                let work = scheduler.take_work_counts();
+                (orders, work, scheduler.has_untried_steps())
             };
             let took = self.env.now().since(planned_at);
             self.env.metrics.record_plan(took, &work);
@@ -534,8 +535,10 @@
             }
             self.report_copies();
             self.report_waiting();
-            let waiting = self.changed.wait_past(seen);
-            let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
+            if !has_untried_steps {
+                let waiting = self.changed.wait_past(seen);
+                let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
+            }
             let paused_at = self.env.now();
             self.env.sleep(MIN_PLAN_INTERVAL_MS).await;
             let pause = self.env.now().since(paused_at);
