Pause between plans for as long as a plan takes

Cause: an owner paused 4 ms between plans whatever they took, so that beside many waiting steps on a slow processor most of its only thread went to plans, and renewals, answers and reports waited for it.

Change: the pause is as long as the shorter one of the latest two plans took, 4 to 100 ms. One plan during which the process was suspended does not count.

Ruled out: a pause by the longer plan, which would delay orders after each suspension of the process.

Ordinary plans take below 1 ms, so that their pause stays as it was.

--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -14,6 +14,7 @@
 use hemlocksaddle_policy::{
     catch_up::{CatchUp, Next},
     congestion::{LatencyEstimate, StartWindow},
+    plan_pacing::{MAX_PLAN_INTERVAL_MS, PlanPacing},
     take_over::{AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, renew_interval},
     unreached::LeaseGate,
     workflow::{Limits, Listing, Scheduler, WorkerKey},
@@ -62,12 +63,6 @@
 /// Interval at which delegates are chosen.
 const CHOOSE_DELEGATES_INTERVAL_MS: Millis = Millis(250);
 
-/// Shortest time between two plans, so that one plan covers runs that end together.
-const MIN_PLAN_INTERVAL_MS: Millis = Millis(4);
-
-/// Longest time between two plans; pauses and leases end without an event that triggers one.
-pub(crate) const MAX_PLAN_INTERVAL_MS: Millis = Millis(100);
-
 /// Owner of a shard in one term.
 pub(crate) struct Owner {
     pub(crate) env: Rc<Env>,
@@ -518,6 +513,7 @@
     }
 
     async fn plan(self: Rc<Self>) {
+        let mut pacing = PlanPacing::default();
         while !self.ended.get() {
             let seen = self.changed.count();
             let planned_at = self.env.now();
@@ -540,9 +536,9 @@
                 let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
             }
             let paused_at = self.env.now();
-            self.env.sleep(MIN_PLAN_INTERVAL_MS).await;
-            let pause = self.env.now().since(paused_at);
-            let late_ms = pause.0.saturating_sub(MIN_PLAN_INTERVAL_MS.0);
+            let pause = pacing.pause_after(took);
+            self.env.sleep(pause).await;
+            let late_ms = self.env.now().since(paused_at).0.saturating_sub(pause.0);
             let late_s = &self.env.metrics.plan_late_s;
             late_s.observe(late_ms as f64 / 1_000.0);
         }
--- a/hemlocksaddle-shard/src/saving.rs
+++ b/hemlocksaddle-shard/src/saving.rs
@@ -5,6 +5,7 @@
 use hemlocksaddle_node::wait::within;
 use hemlocksaddle_policy::{
     congestion::save_pause,
+    plan_pacing::MAX_PLAN_INTERVAL_MS,
     workflow::{Listing, Unsaved, WorkerKey},
 };
 use hemlocksaddle_types::{
@@ -16,7 +17,7 @@
 
 use crate::{
     event::Event,
-    owner::{MAX_PLAN_INTERVAL_MS, Owner, RETRY_MS},
+    owner::{Owner, RETRY_MS},
     parts::{MAX_PROGRESS_BYTES, record_bytes, split, split_appends},
     ports::{Conditions, Record, StoreError, Stream, Writer},
     record::{self, Key},
