Drop the state of owners that were deposed

Cause: the task of an owner that applies configurations waited for the next change of the configuration only, and kept the whole state of a deposed owner in memory until then. Each time that a node owned the shard added the size of the accepted work.

The new metric shard_held_owners tells a kept owner from a heap that is not given back.

Change: the task ends with the ownership as well. A function that named states for the log had one caller with a constant and is gone.

Why it works: all other tasks of an owner have time limits, or wait for signals that the end of the ownership gives.

--- a/hemlocksaddle-shard/src/configuration.rs
+++ b/hemlocksaddle-shard/src/configuration.rs
@@ -4,10 +4,12 @@
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
+    pin::pin,
     rc::Rc,
 };
 
 use foldhash::HashSet;
+use futures_util::future::select;
 use hemlocksaddle_node::wait::Signal;
 use hemlocksaddle_policy::keys::{KeyTable, SECRET_BYTES};
 use hemlocksaddle_types::{clock::Millis, name::DataCentre, workflow::Catalogue};
@@ -206,7 +208,10 @@
             let seen = self.configuration.changed.count();
             self.apply_configuration();
             self.changed.notify();
-            self.configuration.changed.wait_past(seen).await;
+            // The configuration may not change for hours, and the task keeps the owner's state in memory.
+            let changed = pin!(self.configuration.changed.wait_past(seen));
+            let deposed = pin!(self.deposed.wait_past(0));
+            let _ = select(changed, deposed).await;
         }
     }
 
--- a/hemlocksaddle-shard/src/frontend.rs
+++ b/hemlocksaddle-shard/src/frontend.rs
@@ -30,7 +30,6 @@
     event::Event,
     links::{CallOutcome, Links},
     node::{Env, Owners},
-    owner::state_text,
     parts::record_bytes,
     ports::{Conditions, Stream},
     record::{self, Key},
@@ -454,7 +453,7 @@
             Some(ShardResponse::State(Some(state))) => StateLookup::State(state),
             Some(ShardResponse::Failed(failure)) => StateLookup::Failed(failure),
             Some(ShardResponse::State(None)) => {
-                let inputs = json!({ "workflow": id.to_string(), "state": state_text(None) });
+                let inputs = json!({ "workflow": id.to_string(), "state": "unknown" });
                 self.env.event(Event::StateUnknown, &inputs);
                 StateLookup::NotFound
             }
--- a/hemlocksaddle-shard/src/metrics.rs
+++ b/hemlocksaddle-shard/src/metrics.rs
@@ -48,6 +48,8 @@
     pub plan_late_s: Histogram,
     /// Number of shards that the node owns.
     pub owned_shards: IntGauge,
+    /// Owners whose state is in memory, those that have stepped down included.
+    pub held_owners: IntGauge,
     /// Time since the claim of a shard while its owner, this node, has not recovered; 0 otherwise.
     pub unrecovered_s: GaugeVec,
     /// Shards that were given up because they were not recovered in time.
@@ -103,6 +105,11 @@
         };
         let owned_shards = IntGauge::new("shard_owned", "Shards that the node owns.")?;
         registry.register(Box::new(owned_shards.clone()))?;
+        let held_owners = IntGauge::new(
+            "shard_held_owners",
+            "Owners whose state is in memory, those that have stepped down included.",
+        )?;
+        registry.register(Box::new(held_owners.clone()))?;
         let delegates = IntGauge::new(
             "shard_delegates",
             "Nodes that carry out the owner's calls to workers.",
@@ -251,6 +258,7 @@
                 PLAN_BOUNDS_S,
             )?,
             owned_shards,
+            held_owners,
             registry,
         })
     }
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -22,7 +22,7 @@
 use hemlocksaddle_types::{
     clock::{Millis, MonoMs},
     hash::stable_hash,
-    workflow::{ShardRequest, ShardResponse, State, WorkflowId},
+    workflow::{ShardRequest, ShardResponse, WorkflowId},
 };
 use serde_json::json;
 use std::sync::Arc;
@@ -84,6 +84,8 @@
     /// Signals that progress became durable.
     pub(crate) saved: Signal,
     pub(crate) ended: Cell<bool>,
+    /// Signals that ownership has ended, to tasks that wait for events of others.
+    pub(crate) deposed: Signal,
     pub(crate) ready: Cell<bool>,
     /// Sending from which the ownership lease runs.
     pub(crate) ownership_lease_from: Cell<Option<ClockReading>>,
@@ -145,6 +147,7 @@
         scheduler.set_cap_share(shard, shards);
         scheduler.set_earlier_leases(claims.earlier_unreached(shard, term));
         scheduler.set_copies(env.settings.copies);
+        env.metrics.held_owners.inc();
         Rc::new(Owner {
             dispatcher,
             scheduler: RefCell::new(scheduler),
@@ -161,6 +164,7 @@
             changed: Signal::default(),
             saved: Signal::default(),
             ended: Cell::new(false),
+            deposed: Signal::default(),
             ready: Cell::new(false),
             ownership_lease_from,
             lease_gate: RefCell::new(LeaseGate::after_claim()),
@@ -203,6 +207,7 @@
         }
         let inputs = json!({ "shard": self.shard, "term": self.term, "reason": reason });
         self.env.event(Event::Deposed, &inputs);
+        self.deposed.notify();
         self.changed.notify();
         self.saved.notify();
         self.pending_changed.notify();
@@ -577,14 +582,8 @@
     }
 }
 
-/// Returns the name of a state for the log.
-pub(crate) fn state_text(state: Option<State>) -> &'static str {
-    match state {
-        Some(State::Queued) => "queued",
-        Some(State::Running) => "running",
-        Some(State::Completed) => "completed",
-        Some(State::Failed) => "failed",
-        Some(State::Cancelled) => "cancelled",
-        None => "unknown",
+impl Drop for Owner {
+    fn drop(&mut self) {
+        self.env.metrics.held_owners.dec();
     }
 }
