Test accepted work that can never start against a small process

The tests of the policy count comparisons and memory of the scheduler. This one lets 20 gangs of 100,000 tasks and 5,120 steps with labels that no worker has be accepted by a node of 32 MB, and asks for an ordinary answer.

--- a/hemlocksaddle-daemon/tests/untrusted_clients.rs
+++ b/hemlocksaddle-daemon/tests/untrusted_clients.rs
@@ -137,6 +137,26 @@
     node.check(&crowd);
 }
 
+/// Load: 20 clients with a gang of the largest size each, and 20 with 256 steps that need labels which no worker has.
+/// Guards against accepted work that can never start and takes the memory or the only thread of the owner.
+#[gtest]
+fn accepted_work_that_can_never_start() {
+    let _alone = alone();
+    let node = Node::start();
+    let gang = r#"{"spec":"","steps":[{"count":100000,"cpu":1000,"gang":true}]}"#.to_owned();
+    let crowd = Crowd::start(&node, Listener::Callers, 40, |number| {
+        let steps = (0..256).map(|step| {
+            format!(r#"{{"count":1,"cpu":1000,"requiredLabel":"label-{number}-{step}"}}"#)
+        });
+        let steps: Vec<_> = steps.collect();
+        let labels = format!(r#"{{"spec":"","steps":[{}]}}"#, steps.join(","));
+        let body = [&gang, &labels][number % 2];
+        let head = post(number, &format!("content-length: {}\r\n", body.len()));
+        vec![(head + body).into_bytes()]
+    });
+    node.check(&crowd);
+}
+
 /// Load: 40 clients with bodies of the largest legal size in pieces of 40 bytes, all one byte short.
 /// Guards against a buffer for each piece, which takes many times the piece's size.
 #[gtest]
--- a/hemlocksaddle-policy/tests/gangs_without_room.rs
+++ b/hemlocksaddle-policy/tests/gangs_without_room.rs
@@ -5,12 +5,12 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
-use std::{collections::BTreeSet, fs};
+use std::collections::BTreeSet;
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{EndKind, StartAnswer};
 use hemlocksaddle_types::workflow::Step;
-use workflow_support::{Harness, step};
+use workflow_support::{Harness, memory::peak_kb, step};
 
 /// Largest memory that the scheduling of the gangs may take, in kB: a quarter of the smallest process, which has 32 MB.
 const MAX_GROWTH_KB: u64 = 8_000;
@@ -21,14 +21,6 @@
 
 const MEMBERS: u32 = 100_000;
 
-/// Largest memory that the process has used so far, in kB.
-fn peak_kb() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").expect("status of the process");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let number = line.and_then(|line| line.split_whitespace().nth(1));
-    number.and_then(|number| number.parse().ok()).expect("peak")
-}
-
 fn gang(tasks: u32, cpu_milli: u64) -> Step {
     Step {
         gang: true,
--- a/hemlocksaddle-policy/tests/large_workflows.rs
+++ b/hemlocksaddle-policy/tests/large_workflows.rs
@@ -6,7 +6,7 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod workflow_support;
 
-use std::{collections::BTreeMap, fs};
+use std::collections::BTreeMap;
 
 use googletest::prelude::*;
 use hemlocksaddle_policy::workflow::{EndKind, Start, StartAnswer};
@@ -14,7 +14,7 @@
     clock::{Millis, WallMs},
     workflow::{Progress, Schedule, State, Step, WorkflowId},
 };
-use workflow_support::{Harness, step};
+use workflow_support::{Harness, memory::peak_kb, step};
 
 /// Largest memory that the state of large workflows may take beside all else, in kB; a node has 260 MB.
 const MAX_GROWTH_KB: u64 = 40_000;
@@ -28,14 +28,6 @@
 /// Latest saved progress of each workflow.
 type Saved = BTreeMap<WorkflowId, Progress>;
 
-/// Largest memory that the process has used so far, in kB.
-fn peak_kb() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").expect("status of the process");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let number = line.and_then(|line| line.split_whitespace().nth(1));
-    number.and_then(|number| number.parse().ok()).expect("peak")
-}
-
 /// Accepts a schedule whose occurrences are all due.
 fn accept_due(harness: &mut Harness, id: u64, occurrences: u32, steps: Vec<Step>) {
     let schedule = Schedule {
--- a/hemlocksaddle-policy/tests/workflow_support/mod.rs
+++ b/hemlocksaddle-policy/tests/workflow_support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod copies;
 mod crashes;
 pub(crate) mod fleet;
+pub(crate) mod memory;
 mod schedules;
 mod tenants;
 
