Keep sums of capacities within 64 bits

The bound of best-effort work multiplied the sum of all listed capacities by 45, which exceeds 64 bits for listings near the largest capacity on some hundred thousand workers. Two comments on the own state of tasks say what is set and when there is none.

--- a/hemlocksaddle-policy/src/workflow/gang.rs
+++ b/hemlocksaddle-policy/src/workflow/gang.rs
@@ -23,7 +23,7 @@
     index: u32,
     /// Index of its worker in the list of candidates.
     place: usize,
-    /// State of its own before the start.
+    /// Own state before the start; `None` if it had none.
     earlier: Option<Task>,
 }
 
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -36,7 +36,7 @@
 
 /// Processors that long-running tasks are expected to leave unused.
 fn unused_cpu_milli(long_running_milli: u64) -> u64 {
-    long_running_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100
+    long_running_milli.saturating_mul(100 - LONG_RUNNING_USE_PERCENT) / 100
 }
 
 /// Fraction of its demand that a best-effort task must be able to use on a worker.
--- a/hemlocksaddle-policy/src/workflow/tasks.rs
+++ b/hemlocksaddle-policy/src/workflow/tasks.rs
@@ -104,12 +104,12 @@
         self.done.insert(index);
     }
 
-    /// State of its own of a task.
+    /// State of a task that has one of its own.
     pub(super) fn own_state(&self, index: u32) -> Option<&Task> {
         self.own.get(&index)
     }
 
-    /// Replaces the state of its own of a waiting task.
+    /// Sets or removes the own state of a waiting task.
     pub(super) fn set_own_state(&mut self, index: u32, state: Option<Task>) {
         match state {
             Some(task) => self.own.insert(index, task),
