Use the usual terms in the bounds of a plan

Reading the change as a newcomer: "capability" is a term of access control, "pacing" already names the throttling of runs here, and tries and fruitless comparisons are attempts that fail. The modules are now feasibility, plan_interval and rounds, with attempts, postponed steps and rollback of a gang. Comments that only told the code again are gone, and functions stand behind the constants that they use. Steps that fit nowhere are extended like any collection.

The worker that the tests of untrusted clients list stands in their support, so that the store of the soak needs no exemption from the lint on unused code.

--- a/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
+++ b/hemlocksaddle-daemon/tests/untrusted_clients_support/mod.rs
@@ -14,6 +14,7 @@
 
 use googletest::prelude::*;
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
+use serde_json::json;
 use tempfile::TempDir;
 
 use crate::{server, store};
@@ -59,6 +60,15 @@
     directory: TempDir,
 }
 
+/// Lists a worker that takes no calls.
+fn put_worker(store: &store::Store) {
+    let entry = json!({
+        "service": "pool", "addr": "127.0.0.1:9", "state": "ready", "zone": "a",
+        "labels": ["kind", "rack"], "capacity": { "cpu": 1_000, "memMb": 1_000, "gpu": 0 }, "born": 1,
+    });
+    store.put("keyed.servers", "w1", &entry.to_string());
+}
+
 /// Starts a store in a thread that lives as long as the test program.
 fn start_store() -> SocketAddr {
     let (send, address) = channel();
@@ -66,7 +76,7 @@
         let runtime = compio::runtime::Runtime::new().expect("runtime");
         runtime.block_on(async {
             let store = Rc::new(store::Store::default());
-            store.put_worker("w1", "pool");
+            put_worker(&store);
             store.put_config("pool");
             send.send(server::start(store).await.expect("binds"))
                 .expect("awaited");
--- a/hemlocksaddle-policy/src/lib.rs
+++ b/hemlocksaddle-policy/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod interference;
 pub mod keys;
 pub mod placement;
-pub mod plan_pacing;
+pub mod plan_interval;
 pub mod recovery_watch;
 pub mod retries;
 pub mod retry;
--- a/hemlocksaddle-policy/src/workflow/gang.rs
+++ b/hemlocksaddle-policy/src/workflow/gang.rs
@@ -4,7 +4,7 @@
 //! size, which may exceed what all workers hold. Before an attempt to place it, the free room
 //! is counted without a change of state, so that the memory and the time of an attempt are
 //! bounded by what the workers have room for and not by the size of the gang. An attempt that
-//! fails although the room seemed enough leaves no state behind.
+//! fails all the same is rolled back.
 
 use std::sync::Arc;
 
@@ -18,7 +18,7 @@
     ranking::SharedRanking, unplaced::Unplaced,
 };
 
-/// Member that an attempt has started, with what is needed to take the start back.
+/// Member that an attempt has started, with what is needed to roll the start back.
 struct Started {
     index: u32,
     /// Index of its worker in the list of candidates.
@@ -54,9 +54,8 @@
         let (racks, room) = self.racks_with_room(first, step, pool, candidates);
         if racks.is_empty() {
             let image = job.images[usize::from(ready.step)];
-            if let Some(unplaced) = Unplaced::gang(step, image, pool, room) {
-                candidates.unplaced.add(unplaced);
-            }
+            let unplaced = Unplaced::gang(step, image, pool, room);
+            candidates.unplaced.extend(unplaced);
             return false;
         }
         let last = job.segments(first).map(|(_, _, task)| task.run).max();
@@ -117,7 +116,7 @@
         candidates: &mut Candidates,
         now: MonoMs,
     ) -> bool {
-        let orders = self.orders.len();
+        let first_order = self.orders.len();
         let start_budget = self.start_budget;
         let mut started = Vec::new();
         let mut ranking = SharedRanking::default();
@@ -126,10 +125,9 @@
             let Some((place, worker)) =
                 self.place_member(ready, key, rack, candidates, &mut ranking)
             else {
-                // The run numbers and the start budget that the attempt used are given back too.
-                self.orders.truncate(orders);
+                self.orders.truncate(first_order);
                 self.start_budget = start_budget;
-                self.take_back(ready, started, candidates);
+                self.roll_back(ready, started, candidates);
                 return false;
             };
             let tasks = self.jobs[ready.job].tasks(key);
@@ -142,7 +140,7 @@
             self.start(key, worker, run, now);
             candidates.invalidate(place);
         }
-        self.share_checkpoint(ready.key(0), orders);
+        self.share_checkpoint(ready.key(0), first_order);
         true
     }
 
@@ -160,7 +158,7 @@
     }
 
     /// Returns members to the state that they had before their start.
-    fn take_back(&mut self, ready: &ReadyStep, started: Vec<Started>, candidates: &mut Candidates) {
+    fn roll_back(&mut self, ready: &ReadyStep, started: Vec<Started>, candidates: &mut Candidates) {
         for member in started {
             let key = ready.key(member.index);
             self.unassign(key);
--- a/hemlocksaddle-policy/src/workflow/job.rs
+++ b/hemlocksaddle-policy/src/workflow/job.rs
@@ -197,8 +197,8 @@
     pub(super) located: u32,
     /// Time since which a task of the step has been ready to start.
     pub(super) waiting_since: Option<MonoMs>,
-    /// Round in which a task of the step last found no room; 0 for none.
-    pub(super) tried_in: u32,
+    /// Latest round in which an attempt to place a task of the step failed; 0 for none.
+    pub(super) last_failed_round: u32,
     /// Estimated load of the long-running tasks.
     pub(super) load: Option<f64>,
 }
@@ -219,7 +219,7 @@
             waiting: step.tasks,
             located: 0,
             waiting_since: None,
-            tried_in: 0,
+            last_failed_round: 0,
             load: None,
         };
         Occurrence {
--- a/hemlocksaddle-policy/src/workflow/mod.rs
+++ b/hemlocksaddle-policy/src/workflow/mod.rs
@@ -16,12 +16,12 @@
 //! is not acknowledged; the result of the later run counts.
 
 mod backlog;
-mod capability;
 mod capacity;
 mod consolidation;
 mod copies;
 mod crash;
 mod ended;
+mod feasibility;
 mod gang;
 mod interference;
 mod job;
@@ -191,8 +191,8 @@
     /// Best-effort tasks that this plan could not place.
     blocked: Vec<consolidation::Blocked>,
     consolidated_at: MonoMs,
-    /// What the listed workers could take if they were idle; `None` if the list has changed.
-    capabilities: Option<capability::Capabilities>,
+    /// Steps that idle workers could take; `None` if the list of workers has changed.
+    feasibility: Option<feasibility::Feasibility>,
     /// Number of start orders that the next plan may give.
     start_budget: u32,
     overdue_starts: overdue::OverdueStarts,
@@ -246,7 +246,7 @@
             interference: interference::InterferenceModel::default(),
             blocked: Vec::new(),
             consolidated_at: MonoMs(0),
-            capabilities: None,
+            feasibility: None,
             start_budget: u32::MAX,
             overdue_starts: overdue::OverdueStarts::default(),
             updated_at: MonoMs(0),
--- a/hemlocksaddle-policy/src/workflow/overdue.rs
+++ b/hemlocksaddle-policy/src/workflow/overdue.rs
@@ -265,9 +265,7 @@
         let job = &self.jobs[key.job];
         let rule = candidates.capacity_rule;
         let unplaced = Unplaced::new(job.step(key), job.image(key), pool, rule);
-        if let Some(unplaced) = unplaced {
-            candidates.unplaced.add(unplaced);
-        }
+        candidates.unplaced.extend(unplaced);
     }
 
     /// Whether a task needs as much as one that fits nowhere, or exceeds its tenant's cap.
@@ -275,7 +273,7 @@
         let job = &self.jobs[key.job];
         let rule = candidates.capacity_rule;
         let (step, image) = (job.step(key), job.image(key));
-        !self.cap_allows(key) || candidates.unplaced.rule_out(step, image, pool, rule)
+        !self.cap_allows(key) || candidates.unplaced.rules_out(step, image, pool, rule)
     }
 
     /// Interrupted tasks that have waited for `interrupted_after`, and the first new task of each step that
--- a/hemlocksaddle-policy/src/workflow/placement.rs
+++ b/hemlocksaddle-policy/src/workflow/placement.rs
@@ -29,16 +29,6 @@
 /// best-effort tasks may request the rest.
 const LONG_RUNNING_USE_PERCENT: u64 = 55;
 
-/// Processors that best-effort tasks may request at most on a worker of some capacity.
-pub(super) fn most_idle_cpu_milli(capacity_milli: u64) -> u64 {
-    capacity_milli.saturating_add(unused_cpu_milli(capacity_milli))
-}
-
-/// Processors that long-running tasks are expected to leave unused.
-fn unused_cpu_milli(long_running_milli: u64) -> u64 {
-    long_running_milli.saturating_mul(100 - LONG_RUNNING_USE_PERCENT) / 100
-}
-
 /// Fraction of its demand that a best-effort task must be able to use on a worker.
 const MIN_USABLE_FRACTION: f64 = 0.9;
 
@@ -76,6 +66,16 @@
 /// A report contains 500 ends at most; beyond them, new ends would not be seen.
 const MAX_LISTED_ENDS_FOR_START: u64 = 300;
 
+/// Processors that best-effort tasks may request at most on a worker of some capacity.
+pub(super) fn most_idle_cpu_milli(capacity_milli: u64) -> u64 {
+    capacity_milli.saturating_add(unused_cpu_milli(capacity_milli))
+}
+
+/// Processors that long-running tasks are expected to leave unused.
+fn unused_cpu_milli(long_running_milli: u64) -> u64 {
+    long_running_milli.saturating_mul(100 - LONG_RUNNING_USE_PERCENT) / 100
+}
+
 /// Why a worker gets no new tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Unusable {
@@ -221,8 +221,8 @@
     pub(super) unplaced: UnplacedSteps,
     /// Workers compared as places for a task.
     pub(super) compared_workers: u64,
-    /// Workers compared for tasks that found no room.
-    pub(super) fruitless: u64,
+    /// Workers compared in attempts that failed.
+    pub(super) failed_comparisons: u64,
     /// Workers whose headroom was computed.
     pub(super) headrooms: u64,
 }
@@ -274,7 +274,7 @@
             now,
             unplaced: UnplacedSteps::default(),
             compared_workers: 0,
-            fruitless: 0,
+            failed_comparisons: 0,
             headrooms: 0,
         }
     }
--- a/hemlocksaddle-policy/src/workflow/plan.rs
+++ b/hemlocksaddle-policy/src/workflow/plan.rs
@@ -89,7 +89,7 @@
         self.keep_path_for_reports(now);
         self.count_unseen_runs(now, wall);
         let mut candidates = self.candidates(now);
-        self.begin_tries();
+        self.begin_round();
         self.refresh_reservations(&candidates, now);
         self.move_halted(&mut candidates, now);
         self.place_overdue(&ready, &mut candidates, now);
@@ -122,11 +122,11 @@
 
     /// Steps whose waiting tasks may start, most urgent first.
     ///
-    /// Steps that no listed worker could take, however idle, are left out.
+    /// Infeasible steps are left out.
     fn ready(&mut self, now: MonoMs, wall: WallMs) -> Vec<ReadyStep> {
         let failover_complete = self.is_failover_complete(now);
         self.missing_reports |= failover_complete && !self.all_reported();
-        let capabilities = self.take_capabilities();
+        let feasibility = self.take_feasibility();
         let mut ready = Vec::new();
         for &key in &self.open_jobs {
             let job = &mut self.jobs[key];
@@ -134,7 +134,7 @@
             let Some(queue) = self.queues.get(&job.spec.queue) else {
                 continue;
             };
-            let pool = capabilities.pool(&queue.pool);
+            let pool = feasibility.pool(&queue.pool);
             let unconfirmed = job.unconfirmed;
             let may_await_reports = job.may_await_reports(failover_complete);
             for (occurrence, state) in job.occurrences.iter_mut() {
@@ -148,7 +148,7 @@
                         continue;
                     }
                     let waiting_since = *step.waiting_since.get_or_insert(now);
-                    if !pool.is_some_and(|pool| pool.takes(spec)) {
+                    if !pool.is_some_and(|pool| pool.is_feasible(spec)) {
                         continue;
                     }
                     ready.push(ReadyStep {
@@ -163,7 +163,7 @@
                 }
             }
         }
-        self.put_back_capabilities(capabilities);
+        self.put_back_feasibility(feasibility);
         ready.sort_by(ReadyStep::cmp_urgency);
         ready
     }
@@ -182,14 +182,14 @@
         candidates.capacity_rule = ready.capacity_rule;
         let (pool, rule) = (&ready.queue.pool, ready.capacity_rule);
         let image = job.images[usize::from(ready.step)];
-        let is_ruled_out = candidates.unplaced.rule_out(step, image, pool, rule);
-        if !is_ruled_out && !self.may_try(ready, candidates) {
+        let is_ruled_out = candidates.unplaced.rules_out(step, image, pool, rule);
+        if !is_ruled_out && !self.may_attempt(ready, candidates) {
             return None;
         }
         let compared_before = candidates.compared_workers;
         if step.gang {
             if !is_ruled_out && !self.place_gang(ready, step, candidates, now) {
-                self.record_fruitless(ready, candidates, compared_before);
+                self.record_failed_attempt(ready, candidates, compared_before);
             }
             return None;
         }
@@ -216,11 +216,10 @@
             // All tasks of a step are equal: if this one fits nowhere, neither do the others.
             let Some((place, worker)) = taken else {
                 if !is_ruled_out {
-                    self.record_fruitless(ready, candidates, compared_before);
+                    self.record_failed_attempt(ready, candidates, compared_before);
                     let unplaced = Unplaced::new(step, image, pool, rule);
-                    if let Some(unplaced) = self.unless_reserved(unplaced, step) {
-                        candidates.unplaced.add(unplaced);
-                    }
+                    let unplaced = self.unless_reserved(unplaced, step);
+                    candidates.unplaced.extend(unplaced);
                 }
                 if step.best_effort {
                     self.blocked.push(Blocked {
--- a/hemlocksaddle-policy/src/workflow/restart.rs
+++ b/hemlocksaddle-policy/src/workflow/restart.rs
@@ -70,7 +70,7 @@
         let key = self.replace_process(key, listing, now);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.listed = false;
-            self.capabilities = None;
+            self.feasibility = None;
             worker.outdated = true;
         }
         key
--- a/hemlocksaddle-policy/src/workflow/unplaced.rs
+++ b/hemlocksaddle-policy/src/workflow/unplaced.rs
@@ -1,9 +1,9 @@
 //! Steps that fit nowhere in a plan.
 //!
 //! Within a plan, the free capacity only shrinks. A step of which no further task fits, or a gang whose members do not
-//! fit together, therefore rules out each later one that needs at least as much in the same place. Steps are kept by the place and the image that they need,
-//! and only as many as the others can be compared with at a bounded cost: what is not kept costs a comparison of the
-//! workers, and rules out nothing.
+//! fit together, therefore rules out each later one that needs at least as much in the same place. The number of steps that
+//! are kept is bounded, so that a later step is compared with few of them. A step that is not kept rules out nothing: the
+//! later ones are compared with all workers instead.
 
 use std::sync::Arc;
 
@@ -14,8 +14,8 @@
 
 /// Maximum number of steps that are kept for one place and image.
 ///
-/// Steps are kept only if none rules out another. Demands of two resources that are spread at random leave about as many
-/// of them as the logarithm of the number of steps.
+/// No kept step rules out another one. Of random demands of two resources, about as many are kept as the logarithm of
+/// their number, so that the bound takes effect only for demands that are chosen to exceed it.
 const MAX_KEPT: usize = 32;
 
 /// Step of which no further task fits on any candidate in this plan.
@@ -123,10 +123,15 @@
     pub(super) compared: u64,
 }
 
+impl Extend<Unplaced> for UnplacedSteps {
+    fn extend<T: IntoIterator<Item = Unplaced>>(&mut self, steps: T) {
+        steps.into_iter().for_each(|unplaced| self.add(unplaced));
+    }
+}
+
 impl UnplacedSteps {
     /// Keeps a step in place of those that it rules out.
-    pub(super) fn add(&mut self, unplaced: Unplaced) {
-        let Unplaced { place, need } = unplaced;
+    fn add(&mut self, Unplaced { place, need }: Unplaced) {
         let kept = self.by_place.entry(place).or_default();
         self.compared += kept.len() as u64;
         kept.retain(|other| !need.rules_out(other));
@@ -136,7 +141,7 @@
     }
 
     /// Whether a step fits nowhere either, since it needs at least as much as one of these in the same place.
-    pub(super) fn rule_out(
+    pub(super) fn rules_out(
         &mut self,
         step: &Step,
         image: ImageId,
@@ -150,15 +155,15 @@
             run_class: run_class(step),
         };
         let mut place = Place::of(step, image, pool);
-        if place.required_label.is_some() && self.rule_out_in(&place, &need) {
+        if place.required_label.is_some() && self.rules_out_in(&place, &need) {
             return true;
         }
         // Where a step without a label does not fit, one with a label does not fit either.
         place.required_label = None;
-        self.rule_out_in(&place, &need)
+        self.rules_out_in(&place, &need)
     }
 
-    fn rule_out_in(&mut self, place: &Place, need: &Need) -> bool {
+    fn rules_out_in(&mut self, place: &Place, need: &Need) -> bool {
         let Some(kept) = self.by_place.get(place) else {
             return false;
         };
--- a/hemlocksaddle-policy/src/workflow/worker.rs
+++ b/hemlocksaddle-policy/src/workflow/worker.rs
@@ -395,7 +395,7 @@
     pub fn list_workers(&mut self, listings: Vec<Listing>, now: MonoMs) -> Vec<WorkerKey> {
         let mut new = Vec::new();
         self.listed_at = now;
-        self.capabilities = None;
+        self.feasibility = None;
         for worker in self.workers.values_mut() {
             worker.listed = false;
         }
@@ -439,7 +439,7 @@
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
-        self.capabilities = None;
+        self.feasibility = None;
         self.release_charges(worker.leftovers.iter().filter_map(|run| run.charge));
         let name = worker.listing.name;
         if self.by_name.get(&name) == Some(&key) {
--- a/hemlocksaddle-policy/tests/many_waiting_steps.rs
+++ b/hemlocksaddle-policy/tests/many_waiting_steps.rs
@@ -15,7 +15,7 @@
 
 const STEPS: u64 = 256;
 
-/// Comparisons of a worker that may lead to no start in one plan.
+/// Maximum number of comparisons in failed attempts of one plan, for new steps and others together.
 const MAX_COMPARISONS: u64 = 1_000_000;
 
 /// Step for workers with a label.
@@ -166,16 +166,16 @@
     let mut harness = full_cluster_with_limited_steps();
     let first = plan(&mut harness).compared_workers;
     expect_that!(first, le(MAX_COMPARISONS + MANY_WORKERS as u64));
-    expect_that!(harness.scheduler.has_untried_steps(), eq(true));
+    expect_that!(harness.scheduler.has_postponed_steps(), eq(true));
 }
 
-/// Guards against steps that are never tried because others before them use up the comparisons of each plan.
+/// Guards against steps that are never attempted because others before them use up the comparisons of each plan.
 #[gtest]
-fn all_steps_are_tried_within_a_few_plans() {
+fn all_steps_are_attempted_within_a_few_plans() {
     let mut harness = full_cluster_with_limited_steps();
     let plans = (1..=20).take_while(|_| {
         plan(&mut harness);
-        harness.scheduler.has_untried_steps()
+        harness.scheduler.has_postponed_steps()
     });
     let compared = 4 * STEPS * MANY_WORKERS as u64;
     expect_that!(plans.count() as u64, le(compared / (MAX_COMPARISONS / 2)));
@@ -189,9 +189,9 @@
     expect_that!(started, eq(16));
 }
 
-/// Guards against new work that waits until all others have been tried again.
+/// Guards against new work that waits until all others have been attempted again.
 #[gtest]
-fn a_new_step_is_tried_at_once() {
+fn a_new_step_is_attempted_at_once() {
     let mut harness = full_cluster_with_limited_steps();
     for _ in 0..10 {
         plan(&mut harness);
--- a/hemlocksaddle-policy/tests/plan_pacing.rs
+++ b/hemlocksaddle-policy/tests/plan_interval.rs
@@ -3,13 +3,13 @@
 //! Load pattern: plans take longer than usual, on a slow processor or beside many waiting steps.
 
 use googletest::prelude::*;
-use hemlocksaddle_policy::plan_pacing::PlanPacing;
+use hemlocksaddle_policy::plan_interval::PlanInterval;
 use hemlocksaddle_types::clock::Millis;
 
 fn pauses(took_ms: &[u64]) -> Vec<u64> {
-    let mut pacing = PlanPacing::default();
+    let mut interval = PlanInterval::default();
     let took = took_ms.iter().copied().map(Millis);
-    took.map(|took| pacing.pause_after(took).0).collect()
+    took.map(|took| interval.pause_after(took).0).collect()
 }
 
 /// Guards against plans that leave no processor time to renewals of the claim.
--- a/hemlocksaddle-shard/src/owner.rs
+++ b/hemlocksaddle-shard/src/owner.rs
@@ -14,7 +14,7 @@
 use hemlocksaddle_policy::{
     catch_up::{CatchUp, Next},
     congestion::{LatencyEstimate, StartWindow},
-    plan_pacing::{MAX_PLAN_INTERVAL_MS, PlanPacing},
+    plan_interval::{MAX_PLAN_INTERVAL_MS, PlanInterval},
     take_over::{AppendAttempts, ClockReading, MAX_WAIT_FOR_SUCCESSOR_MS, renew_interval},
     unreached::LeaseGate,
     workflow::{Limits, Listing, Scheduler, WorkerKey},
@@ -518,16 +518,16 @@
     }
 
     async fn plan(self: Rc<Self>) {
-        let mut pacing = PlanPacing::default();
+        let mut interval = PlanInterval::default();
         while !self.ended.get() {
             let seen = self.changed.count();
             let planned_at = self.env.now();
-            let (orders, work, has_untried_steps) = {
+            let (orders, work, has_postponed_steps) = {
                 let mut scheduler = self.scheduler.borrow_mut();
                 scheduler.set_start_budget(self.start_window.get().available());
                 let orders = scheduler.plan(planned_at, self.env.wall());
                 let work = scheduler.take_work_counts();
-                (orders, work, scheduler.has_untried_steps())
+                (orders, work, scheduler.has_postponed_steps())
             };
             let took = self.env.now().since(planned_at);
             self.env.metrics.record_plan(took, &work);
@@ -536,12 +536,12 @@
             }
             self.report_copies();
             self.report_waiting();
-            if !has_untried_steps {
+            if !has_postponed_steps {
                 let waiting = self.changed.wait_past(seen);
                 let _ = within(&*self.env.ports.runtime, MAX_PLAN_INTERVAL_MS, waiting).await;
             }
             let paused_at = self.env.now();
-            let pause = pacing.pause_after(took);
+            let pause = interval.pause_after(took);
             self.env.sleep(pause).await;
             let late_ms = self.env.now().since(paused_at).0.saturating_sub(pause.0);
             let late_s = &self.env.metrics.plan_late_s;
--- a/hemlocksaddle-shard/src/saving.rs
+++ b/hemlocksaddle-shard/src/saving.rs
@@ -5,7 +5,7 @@
 use hemlocksaddle_node::wait::within;
 use hemlocksaddle_policy::{
     congestion::save_pause,
-    plan_pacing::MAX_PLAN_INTERVAL_MS,
+    plan_interval::MAX_PLAN_INTERVAL_MS,
     workflow::{Listing, Unsaved, WorkerKey},
 };
 use hemlocksaddle_types::{
